Lay out the workspace with shared types and platform messages

Cause: the project starts from nothing; parts built side by side need one set of identifiers, times, amounts, error kinds and platform messages. Conclusion: the parts can start.

--- /dev/null
+++ b/crates/laburnum-measure/src/lib.rs
@@ -0,0 +1,9 @@
+//! Measurements and the tables and plots they write.
+//!
+//! Each module measures one part of the library and returns a [`report::Report`].
+
+pub mod lease;
+pub mod placement;
+pub mod report;
+pub mod request;
+pub mod stream;
--- /dev/null
+++ b/crates/laburnum-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and targets, and process control for tests.
--- /dev/null
+++ b/src/bin/laburnumd/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- /dev/null
+++ b/src/core/error.rs
@@ -0,0 +1,297 @@
+//! The closed list of error kinds and the table from kind to answer.
+//!
+//! Every refusal or failure that a caller can see is one [`Kind`]. The [`table`](Kind::answer) says
+//! which RPC code it becomes, whether the request ran, and whether and when the caller may ask
+//! again, so that all parts answer alike.
+
+use std::fmt;
+use std::time::Duration;
+
+use laburnum_derive::value;
+
+/// What a caller may conclude about the effect of its request.
+#[value]
+pub enum Effect {
+    /// The request was not run and will not be.
+    NotRun,
+    /// The request may or may not have run.
+    Unknown,
+    /// The request ran.
+    Ran,
+}
+
+/// An RPC status code of the Connect protocol.
+#[value]
+#[allow(missing_docs, reason = "the names are those of the Connect protocol")]
+pub enum Code {
+    InvalidArgument,
+    NotFound,
+    Aborted,
+    FailedPrecondition,
+    ResourceExhausted,
+    Unavailable,
+    DeadlineExceeded,
+    Internal,
+    Unknown,
+    Unimplemented,
+    Canceled,
+}
+
+/// Everything that can go wrong for a caller or an operator.
+#[value]
+pub enum Kind {
+    /// The request body, key or a field is malformed.
+    Malformed,
+    /// The request is larger than the limit.
+    TooLarge,
+    /// No such service, job, VM or version.
+    NotFound,
+    /// A non-idempotent call came without a key, or its key is not a UUID version 7.
+    KeyRequired,
+    /// The key's creation time is outside the accepted window.
+    KeyExpired,
+    /// The key was used before with a different request.
+    KeyReused,
+    /// No worker could ever hold the job.
+    Impossible,
+    /// The configuration has faults.
+    InvalidConfig,
+    /// The configuration was changed by somebody else since the named version.
+    Conflict,
+    /// A queue, quota or limit is full.
+    Overloaded,
+    /// The deadline passed before the request was dispatched.
+    Expired,
+    /// The owner of the partition is not known or cannot act now.
+    NoOwner,
+    /// The platform's log cannot be written now.
+    LogDown,
+    /// No target of the service can take the request now.
+    NoTarget,
+    /// The daemon is stopping and takes no new work.
+    Stopping,
+    /// The request may have reached a target, and its answer was lost.
+    AnswerLost,
+    /// The target answered that it failed.
+    TargetFailed,
+    /// The caller or an operator cancelled the work.
+    Canceled,
+    /// The RPC does not exist.
+    Unimplemented,
+    /// A defect in the daemon.
+    Internal,
+}
+
+/// How a kind is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The RPC status code.
+    pub code: Code,
+    /// Whether the same request may be sent again.
+    pub retryable: bool,
+    /// What is known of the request's effect.
+    pub effect: Effect,
+    /// When to come back at the earliest, if the kind has a usual span.
+    pub retry_after: Option<Duration>,
+    /// What the kind means, for people.
+    pub meaning: &'static str,
+}
+
+impl Kind {
+    /// All kinds, in the order of the table.
+    pub const ALL: [Kind; 20] = [
+        Kind::Malformed,
+        Kind::TooLarge,
+        Kind::NotFound,
+        Kind::KeyRequired,
+        Kind::KeyExpired,
+        Kind::KeyReused,
+        Kind::Impossible,
+        Kind::InvalidConfig,
+        Kind::Conflict,
+        Kind::Overloaded,
+        Kind::Expired,
+        Kind::NoOwner,
+        Kind::LogDown,
+        Kind::NoTarget,
+        Kind::Stopping,
+        Kind::AnswerLost,
+        Kind::TargetFailed,
+        Kind::Canceled,
+        Kind::Unimplemented,
+        Kind::Internal,
+    ];
+
+    /// Returns how the kind is answered.
+    pub fn answer(self) -> Answer {
+        use Code as C;
+        use Effect::{NotRun, Ran, Unknown};
+        const SOON: Option<Duration> = Some(Duration::from_millis(200));
+        const LATER: Option<Duration> = Some(Duration::from_secs(2));
+        const NEVER: Option<Duration> = None;
+        let (code, retryable, effect, retry_after, meaning) = match self {
+            Kind::Malformed => (
+                C::InvalidArgument,
+                false,
+                NotRun,
+                NEVER,
+                "the request is malformed",
+            ),
+            Kind::TooLarge => (
+                C::InvalidArgument,
+                false,
+                NotRun,
+                NEVER,
+                "the request is too large",
+            ),
+            Kind::NotFound => (C::NotFound, false, NotRun, NEVER, "no such thing"),
+            Kind::KeyRequired => (
+                C::InvalidArgument,
+                false,
+                NotRun,
+                NEVER,
+                "a key is required",
+            ),
+            Kind::KeyExpired => (
+                C::FailedPrecondition,
+                false,
+                Unknown,
+                NEVER,
+                "the key's time is outside the window",
+            ),
+            Kind::KeyReused => (
+                C::InvalidArgument,
+                false,
+                NotRun,
+                NEVER,
+                "the key belongs to another request",
+            ),
+            Kind::Impossible => (
+                C::FailedPrecondition,
+                false,
+                NotRun,
+                NEVER,
+                "no worker could ever hold the job",
+            ),
+            Kind::InvalidConfig => (
+                C::InvalidArgument,
+                false,
+                NotRun,
+                NEVER,
+                "the configuration has faults",
+            ),
+            Kind::Conflict => (
+                C::Aborted,
+                false,
+                NotRun,
+                NEVER,
+                "the version in force is another one",
+            ),
+            Kind::Overloaded => (
+                C::ResourceExhausted,
+                true,
+                NotRun,
+                SOON,
+                "a queue, quota or limit is full",
+            ),
+            Kind::Expired => (
+                C::DeadlineExceeded,
+                true,
+                NotRun,
+                SOON,
+                "the deadline passed before dispatch",
+            ),
+            Kind::NoOwner => (
+                C::Unavailable,
+                true,
+                NotRun,
+                LATER,
+                "the partition has no owner that may act",
+            ),
+            Kind::LogDown => (
+                C::Unavailable,
+                true,
+                NotRun,
+                LATER,
+                "the platform's log cannot be written",
+            ),
+            Kind::NoTarget => (
+                C::Unavailable,
+                true,
+                NotRun,
+                LATER,
+                "no target can take the request",
+            ),
+            Kind::Stopping => (C::Unavailable, true, NotRun, SOON, "the daemon is stopping"),
+            Kind::AnswerLost => (
+                C::Unknown,
+                false,
+                Unknown,
+                NEVER,
+                "the request may have run",
+            ),
+            Kind::TargetFailed => (
+                C::Internal,
+                false,
+                Ran,
+                NEVER,
+                "the target ran the request and failed",
+            ),
+            Kind::Canceled => (C::Canceled, false, NotRun, NEVER, "the work was cancelled"),
+            Kind::Unimplemented => (
+                C::Unimplemented,
+                false,
+                NotRun,
+                NEVER,
+                "the RPC does not exist",
+            ),
+            Kind::Internal => (C::Internal, false, Unknown, NEVER, "a defect in the daemon"),
+        };
+        Answer {
+            code,
+            retryable,
+            effect,
+            retry_after,
+            meaning,
+        }
+    }
+}
+
+/// An error of a [`Kind`] with what is particular to this case.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Error {
+    /// The kind.
+    pub kind: Kind,
+    /// The thing and the remedy, in lower case.
+    pub message: String,
+    /// When to come back, where it is known better than the kind's usual span.
+    pub retry_after: Option<Duration>,
+}
+
+/// A result whose error is an [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+impl Error {
+    /// Makes an error of `kind` with a message that names the thing and the remedy.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Error {
+        Error {
+            kind,
+            message: message.into(),
+            retry_after: kind.answer().retry_after,
+        }
+    }
+
+    /// Returns the same error with a known time to come back.
+    pub fn with_retry_after(mut self, span: Duration) -> Error {
+        self.retry_after = Some(span);
+        self
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,1 @@
+//! Operations that a caller or an operator can ask for.
--- /dev/null
+++ b/src/util/mod.rs
@@ -0,0 +1,1 @@
+//! Helpers with one job each.
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! The integration tests, one module per feature.
+#![allow(clippy::unwrap_used, missing_docs)]
+mod config;
+mod lease;
+mod membership;
+mod placement;
+mod request;
+mod stream;
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,28 @@
+//! Maintenance tasks: tests, generated code, the demonstration and measurements.
+
+mod measure;
+mod test;
+
+use argh::FromArgs;
+
+/// maintenance tasks for laburnumplank
+#[derive(FromArgs)]
+struct Options {
+    #[argh(subcommand)]
+    task: Task,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Task {
+    Measure(measure::Options),
+    Test(test::Options),
+}
+
+fn main() -> eyre::Result<()> {
+    let options: Options = argh::from_env();
+    match options.task {
+        Task::Measure(options) => measure::exec(&options),
+        Task::Test(options) => test::exec(&options),
+    }
+}
