--- a/src/core/error.rs
+++ b/src/core/error.rs
@@ -39,6 +39,7 @@
 
 /// Everything that can go wrong for a caller or an operator.
 #[value]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// The request body, key or a field is malformed.
     Malformed,
@@ -85,6 +86,8 @@
 /// How a kind is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answer {
+    /// The kind's name on the wire and in metrics.
+    pub name: &'static str,
     /// The RPC status code.
     pub code: Code,
     /// Whether the same request may be sent again.
@@ -97,7 +100,48 @@
     pub meaning: &'static str,
 }
 
+impl Code {
+    /// Returns the code's name in the Connect protocol.
+    pub fn name(self) -> &'static str {
+        match self {
+            Code::InvalidArgument => "invalid_argument",
+            Code::NotFound => "not_found",
+            Code::Aborted => "aborted",
+            Code::FailedPrecondition => "failed_precondition",
+            Code::ResourceExhausted => "resource_exhausted",
+            Code::Unavailable => "unavailable",
+            Code::DeadlineExceeded => "deadline_exceeded",
+            Code::Internal => "internal",
+            Code::Unknown => "unknown",
+            Code::Unimplemented => "unimplemented",
+            Code::Canceled => "canceled",
+        }
+    }
+
+    /// Returns the HTTP status that the Connect protocol gives the code.
+    pub fn http_status(self) -> u16 {
+        match self {
+            Code::InvalidArgument | Code::FailedPrecondition => 400,
+            Code::NotFound => 404,
+            Code::Aborted => 409,
+            Code::ResourceExhausted => 429,
+            Code::Unavailable => 503,
+            Code::DeadlineExceeded => 504,
+            Code::Internal | Code::Unknown => 500,
+            Code::Unimplemented => 501,
+            Code::Canceled => 499,
+        }
+    }
+}
+
 impl Kind {
+    /// Returns the kind of a name on the wire, or `None` for an unknown name.
+    pub fn from_name(name: &str) -> Option<Kind> {
+        Kind::ALL
+            .into_iter()
+            .find(|kind| kind.answer().name == name)
+    }
+
     /// All kinds, in the order of the table.
     pub const ALL: [Kind; 20] = [
         Kind::Malformed,
@@ -129,8 +173,9 @@
         const SOON: Option<Duration> = Some(Duration::from_millis(200));
         const LATER: Option<Duration> = Some(Duration::from_secs(2));
         const NEVER: Option<Duration> = None;
-        let (code, retryable, effect, retry_after, meaning) = match self {
+        let (name, code, retryable, effect, retry_after, meaning) = match self {
             Kind::Malformed => (
+                "malformed",
                 C::InvalidArgument,
                 false,
                 NotRun,
@@ -138,14 +183,23 @@
                 "the request is malformed",
             ),
             Kind::TooLarge => (
+                "too_large",
                 C::InvalidArgument,
                 false,
                 NotRun,
                 NEVER,
                 "the request is too large",
             ),
-            Kind::NotFound => (C::NotFound, false, NotRun, NEVER, "no such thing"),
+            Kind::NotFound => (
+                "not_found",
+                C::NotFound,
+                false,
+                NotRun,
+                NEVER,
+                "no such thing",
+            ),
             Kind::KeyRequired => (
+                "key_required",
                 C::InvalidArgument,
                 false,
                 NotRun,
@@ -153,6 +207,7 @@
                 "a key is required",
             ),
             Kind::KeyExpired => (
+                "key_expired",
                 C::FailedPrecondition,
                 false,
                 Unknown,
@@ -160,6 +215,7 @@
                 "the key's time is outside the window",
             ),
             Kind::KeyReused => (
+                "key_reused",
                 C::InvalidArgument,
                 false,
                 NotRun,
@@ -167,6 +223,7 @@
                 "the key belongs to another request",
             ),
             Kind::Impossible => (
+                "impossible",
                 C::FailedPrecondition,
                 false,
                 NotRun,
@@ -174,6 +231,7 @@
                 "no worker could ever hold the job",
             ),
             Kind::InvalidConfig => (
+                "invalid_config",
                 C::InvalidArgument,
                 false,
                 NotRun,
@@ -181,6 +239,7 @@
                 "the configuration has faults",
             ),
             Kind::Conflict => (
+                "conflict",
                 C::Aborted,
                 false,
                 NotRun,
@@ -188,6 +247,7 @@
                 "the version in force is another one",
             ),
             Kind::Overloaded => (
+                "overloaded",
                 C::ResourceExhausted,
                 true,
                 NotRun,
@@ -195,6 +255,7 @@
                 "a queue, quota or limit is full",
             ),
             Kind::Expired => (
+                "expired",
                 C::DeadlineExceeded,
                 true,
                 NotRun,
@@ -202,6 +263,7 @@
                 "the deadline passed before dispatch",
             ),
             Kind::NoOwner => (
+                "no_owner",
                 C::Unavailable,
                 true,
                 NotRun,
@@ -209,6 +271,7 @@
                 "the partition has no owner that may act",
             ),
             Kind::LogDown => (
+                "log_down",
                 C::Unavailable,
                 true,
                 NotRun,
@@ -216,14 +279,23 @@
                 "the platform's log cannot be written",
             ),
             Kind::NoTarget => (
+                "no_target",
                 C::Unavailable,
                 true,
                 NotRun,
                 LATER,
                 "no target can take the request",
             ),
-            Kind::Stopping => (C::Unavailable, true, NotRun, SOON, "the daemon is stopping"),
+            Kind::Stopping => (
+                "stopping",
+                C::Unavailable,
+                true,
+                NotRun,
+                SOON,
+                "the daemon is stopping",
+            ),
             Kind::AnswerLost => (
+                "answer_lost",
                 C::Unknown,
                 false,
                 Unknown,
@@ -231,23 +303,40 @@
                 "the request may have run",
             ),
             Kind::TargetFailed => (
+                "target_failed",
                 C::Internal,
                 false,
                 Ran,
                 NEVER,
                 "the target ran the request and failed",
             ),
-            Kind::Canceled => (C::Canceled, false, NotRun, NEVER, "the work was cancelled"),
+            Kind::Canceled => (
+                "canceled",
+                C::Canceled,
+                false,
+                NotRun,
+                NEVER,
+                "the work was cancelled",
+            ),
             Kind::Unimplemented => (
+                "unimplemented",
                 C::Unimplemented,
                 false,
                 NotRun,
                 NEVER,
                 "the RPC does not exist",
             ),
-            Kind::Internal => (C::Internal, false, Unknown, NEVER, "a defect in the daemon"),
+            Kind::Internal => (
+                "internal",
+                C::Internal,
+                false,
+                Unknown,
+                NEVER,
+                "a defect in the daemon",
+            ),
         };
         Answer {
+            name,
             code,
             retryable,
             effect,
@@ -264,6 +353,8 @@
     pub kind: Kind,
     /// The thing and the remedy, in lower case.
     pub message: String,
+    /// What is known of the effect, where it is known better than the kind says.
+    pub effect: Effect,
     /// When to come back, where it is known better than the kind's usual span.
     pub retry_after: Option<Duration>,
 }
@@ -277,10 +368,17 @@
         Error {
             kind,
             message: message.into(),
+            effect: kind.answer().effect,
             retry_after: kind.answer().retry_after,
         }
     }
 
+    /// Returns the same error with what is known of the effect in this case.
+    pub fn with_effect(mut self, effect: Effect) -> Error {
+        self.effect = effect;
+        self
+    }
+
     /// Returns the same error with a known time to come back.
     pub fn with_retry_after(mut self, span: Duration) -> Error {
         self.retry_after = Some(span);
--- /dev/null
+++ b/src/daemon/http.rs
@@ -0,0 +1,72 @@
+//! The traffic threads: HTTP for callers and operators, and the handshake of links.
+
+use std::io;
+
+use actix_http::error::PayloadError;
+use actix_http::h1::Codec;
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpService, Request, Response};
+use actix_rt::net::TcpStream;
+use actix_server::{Server, ServerHandle};
+use actix_service::fn_service;
+use tokio::io::AsyncWriteExt;
+use tokio_tungstenite::tungstenite::handshake::derive_accept_key;
+
+use super::context::Context;
+use super::peer;
+use crate::api::server;
+
+/// How many connections wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Starts the traffic threads; the server ends when its handle says so.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start(context: &Context) -> io::Result<(Server, ServerHandle)> {
+    let address = context.settings.node.listen;
+    let shared = context.clone();
+    let server = Server::build()
+        .workers(context.settings.traffic.threads)
+        .backlog(BACKLOG)
+        .disable_signals()
+        .shutdown_timeout(context.settings.traffic.drain_ms.div_ceil(1_000))
+        .bind("laburnumd", address, move || {
+            let calls = shared.clone();
+            let links = shared.clone();
+            HttpService::build()
+                .upgrade(fn_service(move |(request, framed): (Request, Framed)| {
+                    upgrade(links.clone(), request, framed)
+                }))
+                .finish(move |request: Request| {
+                    let context = calls.clone();
+                    async move { Ok::<_, std::convert::Infallible>(server::handle(context, request).await) }
+                })
+                .tcp()
+        })?
+        .run();
+    let handle = server.handle();
+    Ok((server, handle))
+}
+
+/// A connection that asks for an upgrade.
+type Framed = actix_codec::Framed<TcpStream, Codec>;
+
+/// Completes the web socket handshake and hands the connection to the peer part.
+async fn upgrade(context: Context, request: Request, framed: Framed) -> Result<(), io::Error> {
+    let mut stream = framed.into_parts().io;
+    let key = request.headers().get(header::SEC_WEBSOCKET_KEY);
+    let Some(key) = key.filter(|_| request.path() == peer::PATH) else {
+        return stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
+    };
+    let accept = derive_accept_key(key.as_bytes());
+    let answer = format!(
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: websocket\r\nconnection: upgrade\r\n\
+         sec-websocket-accept: {accept}\r\n\r\n"
+    );
+    stream.write_all(answer.as_bytes()).await?;
+    let stream = stream.into_std()?;
+    context.peer(peer::Command::Accepted(stream));
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon/peer.rs
@@ -0,0 +1,371 @@
+//! Links to the other entries.
+//!
+//! The peer part owns every link. It dials an entry when there is something to send, takes links
+//! that others dialled, and hands the frames that arrive to the part they concern. Each link has a
+//! task that writes what is queued, sends heartbeats and closes the link when nothing arrived for
+//! [`SILENCE`]. An ask whose link is lost is answered with [`Kind::AnswerLost`] at once, and its
+//! sender decides whether to ask again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use slog::{Logger, info};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::Role;
+use tokio_tungstenite::tungstenite::{Bytes, Message};
+
+use super::context::Context;
+use super::control;
+use super::supervisor::Inbox;
+use crate::core::error::{Error, Kind, Result};
+use crate::core::id::{Node, Vm};
+use crate::util::metric::label;
+use crate::wire::{Ask, Frame, Reply, Tell};
+
+/// How often a link carries a heartbeat.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(800);
+/// How long a link may be silent before it is closed.
+pub const SILENCE: Duration = Duration::from_millis(2_500);
+/// How long a connection attempt may take.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How many frames wait for one link.
+const QUEUE_FRAMES: usize = 4_096;
+/// The path that a link is dialled on.
+pub const PATH: &str = "/v1/peer";
+
+/// What the peer part is asked to do.
+pub enum Command {
+    /// Replaces the addresses of the other entries.
+    Addresses(HashMap<Vm, SocketAddr>),
+    /// Takes a link that another entry dialled, after the handshake.
+    Accepted(std::net::TcpStream),
+    /// Sends a notice; it is lost when the link is.
+    Send {
+        /// The receiver.
+        to: Vm,
+        /// The notice.
+        frame: Frame,
+    },
+    /// Asks another entry; the reply always comes.
+    Ask {
+        /// The receiver.
+        to: Vm,
+        /// What is asked.
+        ask: Ask,
+        /// How long to wait.
+        timeout: Duration,
+        /// Where the answer goes.
+        reply: Reply,
+    },
+    /// Answers an ask on the link it came from.
+    Tell {
+        /// The link.
+        link: u64,
+        /// The id of the ask.
+        id: u64,
+        /// The answer.
+        tell: Result<Tell>,
+    },
+    /// A frame arrived.
+    Arrived {
+        /// The link.
+        link: u64,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A dialled link is up.
+    Dialled {
+        /// The link.
+        link: u64,
+        /// The other end.
+        vm: Vm,
+    },
+    /// A link is gone.
+    Closed {
+        /// The link.
+        link: u64,
+    },
+    /// An ask has waited long enough.
+    Expired {
+        /// The id of the ask.
+        id: u64,
+    },
+}
+
+/// One link.
+struct Link {
+    vm: Option<Vm>,
+    queue: mpsc::Sender<Frame>,
+}
+
+/// An ask that waits for its answer.
+struct Waiting {
+    link: u64,
+    reply: Reply,
+}
+
+/// The state of the peer part.
+struct Hub {
+    context: Context,
+    log: Logger,
+    addresses: HashMap<Vm, SocketAddr>,
+    links: HashMap<u64, Link>,
+    best: HashMap<Vm, u64>,
+    waiting: HashMap<u64, Waiting>,
+    next_id: u64,
+}
+
+/// Runs the peer part until its inbox closes.
+pub async fn run(context: Context, inbox: Inbox<Command>) {
+    let mut inbox = inbox.open().await;
+    let log = context.log.clone();
+    let mut hub = Hub {
+        context,
+        log,
+        addresses: HashMap::new(),
+        links: HashMap::new(),
+        best: HashMap::new(),
+        waiting: HashMap::new(),
+        next_id: 1,
+    };
+    while let Some(command) = inbox.recv().await {
+        hub.handle(command);
+    }
+}
+
+impl Hub {
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Addresses(addresses) => self.addresses = addresses,
+            Command::Accepted(stream) => self.accept(stream),
+            Command::Send { to, frame } => {
+                let _ = self.send(to, frame);
+            }
+            Command::Ask { to, ask, timeout, reply } => self.ask(to, ask, timeout, reply),
+            Command::Tell { link, id, tell } => self.tell(link, id, tell),
+            Command::Arrived { link, frame } => self.arrived(link, frame),
+            Command::Dialled { link, vm } => info!(self.log, "link is up"; "link" => link, "vm" => vm.0),
+            Command::Closed { link } => self.closed(link),
+            Command::Expired { id } => self.expired(id),
+        }
+    }
+
+    /// Queues a frame on the link to `to`, which is dialled if there is none.
+    fn send(&mut self, to: Vm, frame: Frame) -> Result<u64> {
+        let link = match self.best.get(&to) {
+            Some(&link) => link,
+            None => self.dial(to)?,
+        };
+        let queue = self.links.get(&link).map(|link| &link.queue);
+        let queued = queue.is_some_and(|queue| queue.try_send(frame).is_ok());
+        self.context.metrics.peer_messages.add(1, &label("direction", "sent"));
+        if queued {
+            return Ok(link);
+        }
+        Err(Error::new(Kind::Overloaded, format!("the link to VM {} is full; come back", to.0)))
+    }
+
+    fn ask(&mut self, to: Vm, ask: Ask, timeout: Duration, reply: Reply) {
+        let id = self.take_id();
+        let timeout_ms = timeout.as_millis() as u64;
+        match self.send(to, Frame::Ask { id, timeout_ms, ask }) {
+            Ok(link) => {
+                self.waiting.insert(id, Waiting { link, reply });
+                self.notify_later(timeout, Command::Expired { id });
+            }
+            Err(error) => {
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    fn tell(&mut self, link: u64, id: u64, tell: Result<Tell>) {
+        if let Some(link) = self.links.get(&link) {
+            let _ = link.queue.try_send(Frame::Tell { id, tell });
+        }
+    }
+
+    fn arrived(&mut self, link: u64, frame: Frame) {
+        self.context.metrics.peer_messages.add(1, &label("direction", "received"));
+        match frame {
+            Frame::Hello { node } => self.greeted(link, node),
+            Frame::Heartbeat => {}
+            Frame::Ask { id, timeout_ms, ask } => {
+                let timeout = Duration::from_millis(timeout_ms);
+                self.serve(link, id, ask, timeout);
+            }
+            Frame::Tell { id, tell } => self.answered(link, id, tell),
+        }
+    }
+
+    /// Learns who is at the other end of a link; the newest link to a VM carries what is sent.
+    fn greeted(&mut self, id: u64, node: Node) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.vm = Some(node.vm);
+            self.best.insert(node.vm, id);
+        }
+        self.context.control(control::Event::Greeted { node });
+    }
+
+    /// Hands an ask to the control part and sends its answer back on the same link.
+    fn serve(&self, link: u64, id: u64, ask: Ask, timeout: Duration) {
+        let context = self.context.clone();
+        actix_rt::spawn(async move {
+            let tell = context.ask(ask, timeout, true).await;
+            context.peer(Command::Tell { link, id, tell });
+        });
+    }
+
+    /// Gives an answer to the ask it belongs to, if that was sent on the same link.
+    fn answered(&mut self, link: u64, id: u64, tell: Result<Tell>) {
+        let belongs = self.waiting.get(&id).is_some_and(|waiting| waiting.link == link);
+        if !belongs {
+            return;
+        }
+        if let Some(waiting) = self.waiting.remove(&id) {
+            let _ = waiting.reply.send(tell);
+        }
+    }
+
+    fn expired(&mut self, id: u64) {
+        if let Some(waiting) = self.waiting.remove(&id) {
+            let _ = waiting.reply.send(Err(lost("no answer came in time")));
+        }
+    }
+
+    fn closed(&mut self, id: u64) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        if let Some(vm) = link.vm {
+            if self.best.get(&vm) == Some(&id) {
+                self.best.remove(&vm);
+            }
+            info!(self.log, "link is down"; "link" => id, "vm" => vm.0);
+        }
+        let orphans: Vec<u64> =
+            self.waiting.iter().filter(|(_, waiting)| waiting.link == id).map(|(&id, _)| id).collect();
+        for orphan in orphans {
+            if let Some(waiting) = self.waiting.remove(&orphan) {
+                let _ = waiting.reply.send(Err(lost("the link broke")));
+            }
+        }
+    }
+
+    /// Opens a link to `to`; frames wait in its queue until it is up.
+    fn dial(&mut self, to: Vm) -> Result<u64> {
+        let Some(&address) = self.addresses.get(&to) else {
+            let message = format!("VM {} is not in the VM list; come back", to.0);
+            return Err(Error::new(Kind::NoOwner, message));
+        };
+        let id = self.take_id();
+        let (queue, frames) = mpsc::channel(QUEUE_FRAMES);
+        self.links.insert(id, Link { vm: Some(to), queue });
+        self.best.insert(to, id);
+        let context = self.context.clone();
+        actix_rt::spawn(async move {
+            if let Some(socket) = connect(address).await {
+                context.peer(Command::Dialled { link: id, vm: to });
+                serve_link(&context, id, socket, frames).await;
+            }
+            context.peer(Command::Closed { link: id });
+        });
+        Ok(id)
+    }
+
+    fn accept(&mut self, stream: std::net::TcpStream) {
+        let Ok(stream) = TcpStream::from_std(stream) else {
+            return;
+        };
+        let id = self.take_id();
+        let (queue, frames) = mpsc::channel(QUEUE_FRAMES);
+        self.links.insert(id, Link { vm: None, queue });
+        let context = self.context.clone();
+        actix_rt::spawn(async move {
+            let socket = WebSocketStream::from_raw_socket(stream, Role::Server, None).await;
+            serve_link(&context, id, socket, frames).await;
+            context.peer(Command::Closed { link: id });
+        });
+    }
+
+    fn notify_later(&self, delay: Duration, command: Command) {
+        let context = self.context.clone();
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(delay).await;
+            context.peer(command);
+        });
+    }
+
+    fn take_id(&mut self) -> u64 {
+        let id = self.next_id;
+        self.next_id += 1;
+        id
+    }
+}
+
+/// Makes the error of an ask whose answer cannot come any more.
+fn lost(reason: &str) -> Error {
+    Error::new(Kind::AnswerLost, format!("the owner's answer is lost: {reason}"))
+}
+
+/// Connects to another entry.
+async fn connect(address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
+    let dialled = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let url = format!("ws://{address}{PATH}");
+        tokio_tungstenite::client_async(url, stream).await.ok()
+    };
+    let (socket, _response) = actix_rt::time::timeout(DIAL_TIMEOUT, dialled).await.ok()??;
+    Some(socket)
+}
+
+/// Writes queued frames and heartbeats and reads frames until the link breaks or is silent.
+async fn serve_link(
+    context: &Context,
+    link: u64,
+    socket: WebSocketStream<TcpStream>,
+    mut frames: mpsc::Receiver<Frame>,
+) {
+    let (mut sink, mut source) = socket.split();
+    let hello = Frame::Hello { node: context.node() };
+    let writer = async {
+        write(&mut sink, &hello).await?;
+        loop {
+            let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
+            let frame = match queued {
+                Ok(None) => return None::<()>,
+                Ok(Some(frame)) => frame,
+                Err(_) => Frame::Heartbeat,
+            };
+            write(&mut sink, &frame).await?;
+        }
+    };
+    let reader = async {
+        loop {
+            let message = actix_rt::time::timeout(SILENCE, source.next()).await.ok()??.ok()?;
+            if let Message::Binary(data) = message {
+                let frame = Frame::decode(&data).ok()?;
+                context.peer(Command::Arrived { link, frame });
+            }
+        }
+    };
+    tokio::select! {
+        _ = writer => {}
+        _ = reader => {}
+    }
+    let _: Option<()> = None;
+}
+
+/// Writes one frame; `None` when the link is broken.
+async fn write<S>(sink: &mut S, frame: &Frame) -> Option<()>
+where
+    S: SinkExt<Message> + Unpin,
+{
+    let data = frame.encode().ok()?;
+    sink.send(Message::Binary(Bytes::from(data))).await.ok()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,11 @@
 //! [`core`] holds the decisions, [`ops`] one module per operation that a user can ask for and
 //! [`util`] helpers. Daemons and command lines are thin programs over this library.
 
+pub mod api;
 pub mod core;
+pub mod daemon;
 pub mod ops;
 pub mod platform;
+pub mod settings;
 pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/ops/job.rs
@@ -0,0 +1,119 @@
+//! Submits, reads, cancels, watches, explains and lists jobs.
+
+use std::time::Duration;
+
+use uuid::Uuid;
+
+use super::expect_tell;
+use crate::api::convert;
+use crate::api::schema::{
+    CancelJobRequest, CancelJobResponse, ExplainJobRequest, ExplainJobResponse, GetJobRequest, GetJobResponse,
+    JobStatus, ListJobsRequest, ListJobsResponse, SubmitJobRequest, SubmitJobResponse, WatchJobRequest,
+    WatchJobResponse,
+};
+use crate::core::error::{Error, Kind, Result};
+use crate::core::id::{Job, Team};
+use crate::daemon::Context;
+use crate::wire::{Ask, Tell};
+
+/// The longest wait of a watch.
+const MAX_WATCH: Duration = Duration::from_secs(30);
+/// How often a watch reads the job.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
+
+/// Accepts a job; answers when it is durable.
+///
+/// # Errors
+///
+/// [`Kind::Malformed`] for a job that makes no sense, [`Kind::Impossible`] for one that no worker
+/// could ever hold, and whatever kept it from becoming durable.
+pub async fn submit(context: &Context, request: SubmitJobRequest) -> Result<SubmitJobResponse> {
+    let key = super::call::parse_key(&request.key)?;
+    let key = key.ok_or_else(|| Error::new(Kind::KeyRequired, "a job needs a key; send a UUID version 7"))?;
+    let spec = request.spec.ok_or_else(|| Error::new(Kind::Malformed, "spec is missing; say what the job runs"))?;
+    let job = convert::job(Job(key.0), spec)?;
+    let tell = context.ask(Ask::SubmitJob(Box::new(job)), super::TIMEOUT, false).await?;
+    let job = expect_tell!(tell, Tell::Submitted)?;
+    Ok(SubmitJobResponse { job_id: job.to_string() })
+}
+
+/// Reads a job.
+///
+/// # Errors
+///
+/// [`Kind::NotFound`] for an unknown job.
+pub async fn get(context: &Context, request: GetJobRequest) -> Result<GetJobResponse> {
+    let job = read(context, &request.job_id).await?;
+    Ok(GetJobResponse { job: Some(job) })
+}
+
+/// Cancels a job; answers when the cancellation is durable.
+///
+/// # Errors
+///
+/// [`Kind::NotFound`] for an unknown job.
+pub async fn cancel(context: &Context, request: CancelJobRequest) -> Result<CancelJobResponse> {
+    let job = parse_id(&request.job_id)?;
+    let tell = context.ask(Ask::CancelJob(job), super::TIMEOUT, false).await?;
+    let job = expect_tell!(tell, Tell::Job)?;
+    Ok(CancelJobResponse { job: Some(job) })
+}
+
+/// Waits until a job's revision differs from the known one, or until the wait ends.
+///
+/// # Errors
+///
+/// [`Kind::NotFound`] for an unknown job.
+pub async fn watch(context: &Context, request: WatchJobRequest) -> Result<WatchJobResponse> {
+    let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WATCH);
+    let end = context.clock.now() + wait;
+    loop {
+        let job = read(context, &request.job_id).await?;
+        let is_over = context.clock.now() >= end || context.is_draining();
+        if job.revision != request.revision || is_over {
+            return Ok(WatchJobResponse { job: Some(job) });
+        }
+        actix_rt::time::sleep(WATCH_PERIOD).await;
+    }
+}
+
+/// Says why a job waits.
+///
+/// # Errors
+///
+/// [`Kind::NotFound`] for an unknown job.
+pub async fn explain(context: &Context, request: ExplainJobRequest) -> Result<ExplainJobResponse> {
+    let job = parse_id(&request.job_id)?;
+    let tell = context.ask(Ask::ExplainJob(job), super::TIMEOUT, false).await?;
+    expect_tell!(tell, Tell::Explained)
+}
+
+/// Lists jobs of all partitions.
+///
+/// # Errors
+///
+/// Fails when any partition cannot be read, so that a list is never silently incomplete.
+pub async fn list(context: &Context, request: ListJobsRequest) -> Result<ListJobsResponse> {
+    let team = (!request.team.is_empty()).then(|| Team(request.team.clone()));
+    let mut jobs = Vec::new();
+    for partition in super::worker_partitions(context) {
+        let ask = Ask::ListJobs { partition, team: team.clone(), ended: request.ended };
+        let tell = context.ask(ask, super::TIMEOUT, false).await?;
+        jobs.extend(expect_tell!(tell, Tell::Jobs)?);
+    }
+    Ok(ListJobsResponse { jobs })
+}
+
+/// Reads a job's status.
+async fn read(context: &Context, job_id: &str) -> Result<JobStatus> {
+    let job = parse_id(job_id)?;
+    let tell = context.ask(Ask::GetJob(job), super::TIMEOUT, false).await?;
+    expect_tell!(tell, Tell::Job)
+}
+
+/// Reads a job id.
+fn parse_id(text: &str) -> Result<Job> {
+    Uuid::parse_str(text)
+        .map(Job)
+        .map_err(|_| Error::new(Kind::Malformed, format!("job id `{text}` is not a UUID; send the id of a job")))
+}
--- /dev/null
+++ b/src/ops/quota.rs
@@ -0,0 +1,42 @@
+//! Lists the quotas of teams.
+
+use std::collections::BTreeMap;
+
+use super::expect_tell;
+use crate::api::schema::{Amount, ListQuotasRequest, ListQuotasResponse, QuotaStatus};
+use crate::core::error::Result;
+use crate::daemon::Context;
+use crate::wire::{Ask, Tell};
+
+/// Lists the quotas and what the teams use in all partitions.
+///
+/// # Errors
+///
+/// Fails when any partition cannot be read.
+pub async fn list(context: &Context, _request: ListQuotasRequest) -> Result<ListQuotasResponse> {
+    let mut teams: BTreeMap<String, QuotaStatus> = BTreeMap::new();
+    for partition in super::worker_partitions(context) {
+        let tell = context.ask(Ask::ListQuotas(partition), super::TIMEOUT, false).await?;
+        for quota in expect_tell!(tell, Tell::Quotas)? {
+            merge(&mut teams, quota);
+        }
+    }
+    Ok(ListQuotasResponse { quotas: teams.into_values().collect() })
+}
+
+/// Adds what a team uses in one partition.
+fn merge(teams: &mut BTreeMap<String, QuotaStatus>, quota: QuotaStatus) {
+    let Some(known) = teams.get_mut(&quota.team) else {
+        teams.insert(quota.team.clone(), quota);
+        return;
+    };
+    let used = known.used.get_or_insert_default();
+    add(used, &quota.used.unwrap_or_default());
+}
+
+/// Adds `more` to `sum` in each resource.
+fn add(sum: &mut Amount, more: &Amount) {
+    sum.cpu_millis += more.cpu_millis;
+    sum.memory_mib += more.memory_mib;
+    sum.accelerators += more.accelerators;
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! bytes: one append is one entry with one offset. Everything else is JSON. The stand-ins of the
 //! test kit serve these messages; the daemon's clients send them.
 
+pub mod client;
 pub mod log;
 pub mod target;
 pub mod vms;
--- /dev/null
+++ b/src/util/metric.rs
@@ -0,0 +1,109 @@
+//! Counters and histograms of one process, and their text form.
+//!
+//! The instruments are those of `opentelemetry`; the registry renders them for `GET /metrics`.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The instruments of a daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    /// Remote procedure calls answered, by `method` and `kind` (`ok` or an error kind).
+    pub answers: Counter<u64>,
+    /// How long remote procedure calls took, in seconds, by `method`.
+    pub latency: Histogram<f64>,
+    /// Bytes sent to another region, by `reason`.
+    pub region_bytes: Counter<u64>,
+    /// Appends to the log, by `outcome`.
+    pub appends: Counter<u64>,
+    /// Records read from the log, by `stream`.
+    pub records: Counter<u64>,
+    /// Partitions taken or given up, by `change`.
+    pub ownership: Counter<u64>,
+    /// Requests sent to targets, by `outcome`.
+    pub dispatches: Counter<u64>,
+    /// Messages exchanged with other entries, by `direction`.
+    pub peer_messages: Counter<u64>,
+    /// Commands sent to workers, by `command`.
+    pub worker_commands: Counter<u64>,
+    /// Restarts of a part of the daemon, by `part`.
+    pub restarts: Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the registry refuses the exporter.
+    pub fn new() -> eyre::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("laburnumplank");
+        Ok(Metrics {
+            answers: counter(&meter, "laburnum_answers", "calls answered"),
+            latency: histogram(&meter, "laburnum_latency_seconds", "time to answer a call"),
+            region_bytes: counter(
+                &meter,
+                "laburnum_region_bytes",
+                "bytes sent to another region",
+            ),
+            appends: counter(&meter, "laburnum_appends", "appends to the log"),
+            records: counter(&meter, "laburnum_records", "records read from the log"),
+            ownership: counter(
+                &meter,
+                "laburnum_ownership_changes",
+                "partitions taken or given up",
+            ),
+            dispatches: counter(&meter, "laburnum_dispatches", "requests sent to targets"),
+            peer_messages: counter(
+                &meter,
+                "laburnum_peer_messages",
+                "messages with other entries",
+            ),
+            worker_commands: counter(
+                &meter,
+                "laburnum_worker_commands",
+                "commands sent to workers",
+            ),
+            restarts: counter(
+                &meter,
+                "laburnum_restarts",
+                "restarts of a part of the daemon",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Renders all instruments as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an instrument cannot be encoded.
+    pub fn render(&self) -> eyre::Result<String> {
+        let mut out = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
+        Ok(String::from_utf8(out)?)
+    }
+}
+
+/// Makes a label.
+pub fn label(name: &'static str, value: &'static str) -> [KeyValue; 1] {
+    [KeyValue::new(name, value)]
+}
+
+fn counter(meter: &Meter, name: &'static str, meaning: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(meaning).build()
+}
+
+fn histogram(meter: &Meter, name: &'static str, meaning: &'static str) -> Histogram<f64> {
+    meter.f64_histogram(name).with_description(meaning).build()
+}
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,59 @@
+//! One message on a link between two entries.
+
+use laburnum_derive::message;
+
+use super::{Ask, Tell};
+use crate::core::error::{Error, Kind, Result};
+use crate::core::id::Node;
+
+/// One message on a link.
+#[message]
+pub enum Frame {
+    /// The first message on a link: who sends.
+    Hello {
+        /// The sender.
+        node: Node,
+    },
+    /// Shows that the link works.
+    Heartbeat,
+    /// Asks for something.
+    Ask {
+        /// Matches the answer.
+        id: u64,
+        /// How long the sender waits, in milliseconds.
+        timeout_ms: u64,
+        /// What is asked.
+        ask: Ask,
+    },
+    /// Answers an ask.
+    Tell {
+        /// The id of the ask.
+        id: u64,
+        /// The answer.
+        tell: std::result::Result<Tell, Error>,
+    },
+}
+
+impl Frame {
+    /// Encodes the frame.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when the frame cannot be written, which is a defect.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let mut out = Vec::new();
+        ciborium::into_writer(self, &mut out)
+            .map_err(|error| Error::new(Kind::Internal, format!("cannot write a frame: {error}")))?;
+        Ok(out)
+    }
+
+    /// Decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Malformed`] when `data` is not a frame.
+    pub fn decode(data: &[u8]) -> Result<Frame> {
+        ciborium::from_reader(data)
+            .map_err(|error| Error::new(Kind::Malformed, format!("cannot read a frame: {error}")))
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,11 @@
+//! Messages between the entries of a cell.
+//!
+//! Two entries share a web socket; each binary message on it is one [`Frame`] in CBOR. An
+//! [`Ask`](Frame::Ask) is answered by the [`Tell`](Frame::Tell) with its id; all other frames are
+//! notices of one of the state machines and need no answer.
+
+mod ask;
+mod frame;
+
+pub use ask::{Ask, Call, Reply, Tell};
+pub use frame::Frame;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Maintenance tasks: tests, generated code, the demonstration and measurements.
 
+mod codegen;
 mod measure;
 mod test;
 
@@ -15,6 +16,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Task {
+    Codegen(codegen::Options),
     Measure(measure::Options),
     Test(test::Options),
 }
@@ -22,6 +24,7 @@
 fn main() -> eyre::Result<()> {
     let options: Options = argh::from_env();
     match options.task {
+        Task::Codegen(options) => codegen::exec(&options),
         Task::Measure(options) => measure::exec(&options),
         Task::Test(options) => test::exec(&options),
     }
