Add stand-ins for the log, the VM list, workers and targets

Tests and the demonstration need the platform without the platform. Each stand-in serves the messages of src/platform on a port of its own; one control port per process sets fault switches and reads what oracles need, so a stand-in can be reached while it is down. Serving the switches on the stand-in's own port was ruled out, as a real refusal of connections would shut them out too.

--- a/crates/laburnum-testkit/src/bin/laburnum-standin.rs
+++ b/crates/laburnum-testkit/src/bin/laburnum-standin.rs
@@ -1,2 +1,250 @@
-//! Stub.
-fn main() {}
+//! Stand-ins for the platform and targets as a program.
+//!
+//! Prints one line `listening ADDRESS` per stand-in, in the order log service, VM list, workers,
+//! targets, and then one line `control ADDRESS`.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use eyre::WrapErr as _;
+use laburnum_testkit::standin::{Host, log, target, worker};
+use laburnumplank::core::resource::Amount;
+use laburnumplank::platform::vms::Vm;
+
+/// A port that the system chooses.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// stand-ins for the platform and targets; example: laburnum-standin --control 127.0.0.1:7000 log
+#[derive(FromArgs)]
+struct Options {
+    /// address of the control port (default: 127.0.0.1:0, which is any port)
+    #[argh(option, default = "ANY_PORT")]
+    control: SocketAddr,
+
+    #[argh(subcommand)]
+    role: Role,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Role {
+    Log(LogOptions),
+    Vms(VmsOptions),
+    Worker(WorkerOptions),
+    Target(TargetOptions),
+    All(AllOptions),
+}
+
+/// a log service in memory; example: laburnum-standin log --listen 127.0.0.1:7001
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+struct LogOptions {
+    /// address to listen on (default: 127.0.0.1:0)
+    #[argh(option, default = "ANY_PORT")]
+    listen: SocketAddr,
+
+    /// entries that a stream keeps (default: 1000000)
+    #[argh(option, default = "log::Limits::default().entries")]
+    entries: usize,
+
+    /// seconds that an entry is kept (default: 3600)
+    #[argh(option, default = "log::Limits::default().age.as_secs()")]
+    age_s: u64,
+
+    /// appends taken a second over all streams (default: 500)
+    #[argh(option, default = "log::Limits::default().appends_per_second")]
+    rate: u32,
+}
+
+/// a list of VMs; example: laburnum-standin vms --file vms.json --lag-ms 2000
+#[derive(FromArgs)]
+#[argh(subcommand, name = "vms")]
+struct VmsOptions {
+    /// address to listen on (default: 127.0.0.1:0)
+    #[argh(option, default = "ANY_PORT")]
+    listen: SocketAddr,
+
+    /// JSON file with an array of VMs (default: an empty list)
+    #[argh(option)]
+    file: Option<PathBuf>,
+
+    /// milliseconds until a change is published (default: 0)
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+}
+
+/// workers; example: laburnum-standin worker --count 10 --cpu-millis 16000 --memory-mib 65536
+#[derive(FromArgs)]
+#[argh(subcommand, name = "worker")]
+struct WorkerOptions {
+    /// address of the first worker (default: 127.0.0.1:0); others take the ports that follow, or
+    /// any port when it is 0
+    #[argh(option, default = "ANY_PORT")]
+    listen: SocketAddr,
+
+    /// how many workers (default: 1)
+    #[argh(option, default = "1")]
+    count: u16,
+
+    /// thousandths of a core of each worker (default: 16000)
+    #[argh(option, default = "worker::Options::default().size.cpu_millis")]
+    cpu_millis: u64,
+
+    /// memory of each worker in MiB (default: 65536)
+    #[argh(option, default = "worker::Options::default().size.memory_mib")]
+    memory_mib: u64,
+
+    /// accelerators of each worker (default: 0)
+    #[argh(option, default = "0")]
+    accelerators: u64,
+
+    /// milliseconds that reported usage lags behind (default: 5000)
+    #[argh(option, default = "5000")]
+    usage_lag_ms: u64,
+}
+
+/// targets; example: laburnum-standin target --count 5 --slots 8 --connections 64
+#[derive(FromArgs)]
+#[argh(subcommand, name = "target")]
+struct TargetOptions {
+    /// address of the first target (default: 127.0.0.1:0); others take the ports that follow, or
+    /// any port when it is 0
+    #[argh(option, default = "ANY_PORT")]
+    listen: SocketAddr,
+
+    /// how many targets (default: 1)
+    #[argh(option, default = "1")]
+    count: u16,
+
+    /// calls that a target runs at once (default: 8)
+    #[argh(option, default = "target::Options::default().slots")]
+    slots: u32,
+
+    /// connections that a target accepts (default: 64)
+    #[argh(option, default = "target::Options::default().connections")]
+    connections: u32,
+}
+
+/// a log service, a VM list, workers and targets in one process, all with their defaults; example:
+/// laburnum-standin all --workers 4 --targets 2
+#[derive(FromArgs)]
+#[argh(subcommand, name = "all")]
+struct AllOptions {
+    /// how many workers (default: 2)
+    #[argh(option, default = "2")]
+    workers: u16,
+
+    /// how many targets (default: 2)
+    #[argh(option, default = "2")]
+    targets: u16,
+
+    /// milliseconds until a change of the VM list is published (default: 0)
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+}
+
+fn main() -> eyre::Result<()> {
+    let options: Options = argh::from_env();
+    actix_rt::System::new().block_on(run(options))
+}
+
+/// Starts the stand-ins and serves until asked to stop.
+async fn run(options: Options) -> eyre::Result<()> {
+    let host = Host::start(options.control)
+        .wrap_err_with(|| format!("--control {}: cannot be taken", options.control))?;
+    match options.role {
+        Role::Log(options) => start_log(&host, &options)?,
+        Role::Vms(options) => start_vms(&host, &options)?,
+        Role::Worker(options) => start_workers(&host, &options)?,
+        Role::Target(options) => start_targets(&host, &options)?,
+        Role::All(options) => start_all(&host, &options)?,
+    }
+    println!("control {}", host.control_address());
+    host.stopped().await;
+    Ok(())
+}
+
+fn start_log(host: &Host, options: &LogOptions) -> eyre::Result<()> {
+    let limits = log::Limits {
+        entries: options.entries,
+        age: Duration::from_secs(options.age_s),
+        appends_per_second: options.rate,
+    };
+    announce(host.add_log(options.listen, limits)?);
+    Ok(())
+}
+
+fn start_vms(host: &Host, options: &VmsOptions) -> eyre::Result<()> {
+    let list = options.file.as_ref().map(read_list).transpose()?;
+    let lag = Duration::from_millis(options.lag_ms);
+    announce(host.add_vms(options.listen, lag, list.unwrap_or_default())?);
+    Ok(())
+}
+
+fn start_workers(host: &Host, options: &WorkerOptions) -> eyre::Result<()> {
+    let worker = worker::Options {
+        size: Amount {
+            cpu_millis: options.cpu_millis,
+            memory_mib: options.memory_mib,
+            accelerators: options.accelerators,
+        },
+        usage_lag: Duration::from_millis(options.usage_lag_ms),
+    };
+    for index in 0..options.count {
+        let address = nth_address(options.listen, index)?;
+        announce(host.add_worker(address, worker)?);
+    }
+    Ok(())
+}
+
+fn start_targets(host: &Host, options: &TargetOptions) -> eyre::Result<()> {
+    let target = target::Options {
+        slots: options.slots,
+        connections: options.connections,
+    };
+    for index in 0..options.count {
+        let address = nth_address(options.listen, index)?;
+        announce(host.add_target(address, target)?);
+    }
+    Ok(())
+}
+
+fn start_all(host: &Host, options: &AllOptions) -> eyre::Result<()> {
+    let lag = Duration::from_millis(options.lag_ms);
+    announce(host.add_log(ANY_PORT, log::Limits::default())?);
+    announce(host.add_vms(ANY_PORT, lag, Vec::new())?);
+    for _ in 0..options.workers {
+        announce(host.add_worker(ANY_PORT, worker::Options::default())?);
+    }
+    for _ in 0..options.targets {
+        announce(host.add_target(ANY_PORT, target::Options::default())?);
+    }
+    Ok(())
+}
+
+/// Reads the VMs of a JSON file.
+fn read_list(path: &PathBuf) -> eyre::Result<Vec<Vm>> {
+    let text =
+        fs::read(path).wrap_err_with(|| format!("--file {}: cannot be read", path.display()))?;
+    serde_json::from_slice(&text)
+        .wrap_err_with(|| format!("--file {}: not an array of VMs", path.display()))
+}
+
+/// Returns the address `index` ports after `first`, or any port when `first` has none.
+fn nth_address(first: SocketAddr, index: u16) -> eyre::Result<SocketAddr> {
+    let port = match first.port() {
+        0 => 0,
+        port => port
+            .checked_add(index)
+            .ok_or_else(|| eyre::eyre!("--listen {first}: no {index} ports follow"))?,
+    };
+    Ok(SocketAddr::new(first.ip(), port))
+}
+
+/// Prints where a stand-in answers.
+fn announce(address: SocketAddr) {
+    println!("listening {address}");
+}
--- /dev/null
+++ b/crates/laburnum-testkit/src/standin/worker.rs
@@ -0,0 +1,328 @@
+//! A worker that runs imaginary tasks.
+//!
+//! A task ends when its command says so, on request, or when its lease ends, whichever is first.
+//! Ends are found whenever the state is looked at, at the time they were due. The worker starts
+//! what it is given and records [`Violation`]s of what a scheduler must never do.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use laburnum_derive::{message, state};
+use laburnumplank::core::id::Attempt;
+use laburnumplank::core::resource::Amount;
+use laburnumplank::core::time::{Instant, Stamp};
+use laburnumplank::platform::worker::{Action, Control, Inventory, Renew, Report, Start, State};
+
+use super::command::{Command, End};
+use super::fault::Faults;
+use super::http::{Answer, Request};
+use super::server::Serve;
+use crate::clock;
+
+/// How long an ended task stays in the inventory.
+pub const ENDED_KEPT: Duration = Duration::from_secs(600);
+
+/// What a worker is.
+#[state]
+#[derive(Copy)]
+pub struct Options {
+    /// What the worker holds.
+    pub size: Amount,
+    /// How far reported usage lags behind.
+    pub usage_lag: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            size: Amount {
+                cpu_millis: 16_000,
+                memory_mib: 65_536,
+                accelerators: 0,
+            },
+            usage_lag: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Something that a scheduler must never do to a worker.
+#[message]
+#[serde(rename_all = "snake_case")]
+pub enum Violation {
+    /// The declared sizes of running tasks exceed the worker.
+    SizeExceeded {
+        /// The attempt whose start exceeded it.
+        attempt: Attempt,
+        /// The sum of the declared sizes.
+        committed: Amount,
+    },
+    /// Two attempts of one task ran at the same time.
+    TaskTwice {
+        /// The attempt that ran already.
+        running: Attempt,
+        /// The attempt that was started beside it.
+        started: Attempt,
+    },
+}
+
+/// What a worker has done since its start.
+#[message]
+#[derive(Copy, Default)]
+pub struct Counts {
+    /// Attempts started.
+    pub started: u64,
+    /// Starts refused because they came too late.
+    pub late: u64,
+    /// Attempts whose lease ended.
+    pub lapsed: u64,
+}
+
+/// An attempt that runs or ran.
+#[state]
+struct Run {
+    size: Amount,
+    command: Command,
+    started: Instant,
+    lease_ends: Instant,
+    throttled: bool,
+    ended: Option<Ended>,
+}
+
+/// How an attempt ended.
+#[state]
+#[derive(Copy)]
+struct Ended {
+    at: Instant,
+    state: State,
+}
+
+impl Run {
+    /// Returns the end that was due by `now`, the earliest if there are two.
+    fn due(&self, now: Instant) -> Option<Ended> {
+        let by_lease = Ended {
+            at: self.lease_ends,
+            state: State::Lapsed,
+        };
+        let end = match self.command.end {
+            End::After(span, state) if self.started + span <= by_lease.at => Ended {
+                at: self.started + span,
+                state,
+            },
+            _ => by_lease,
+        };
+        (end.at <= now).then_some(end)
+    }
+
+    fn usage(&self, now: Instant, lag: Duration) -> Amount {
+        let is_measured = now.since(self.started) >= lag;
+        if self.ended.is_some() || !is_measured {
+            return Amount::default();
+        }
+        let used = self.command.usage.unwrap_or(self.size);
+        if !self.throttled {
+            return used;
+        }
+        Amount {
+            cpu_millis: used.cpu_millis.min(self.size.cpu_millis),
+            memory_mib: used.memory_mib.min(self.size.memory_mib),
+            accelerators: used.accelerators,
+        }
+    }
+}
+
+/// The tasks of a worker.
+#[derive(Debug)]
+pub struct Tasks {
+    options: Options,
+    incarnation: u64,
+    runs: BTreeMap<Attempt, Run>,
+    violations: Vec<Violation>,
+    counts: Counts,
+}
+
+impl Tasks {
+    /// Makes a worker that runs nothing.
+    pub fn new(options: Options, incarnation: u64) -> Tasks {
+        Tasks {
+            options,
+            incarnation,
+            runs: BTreeMap::new(),
+            violations: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Starts a task; returns whether the start came in time. A repeated one changes nothing.
+    pub fn start(&mut self, now: Instant, stamp: Stamp, start: &Start, broken: bool) -> bool {
+        self.settle(now);
+        if self.runs.contains_key(&start.attempt) {
+            return true;
+        }
+        if stamp.0 > start.not_after_ms {
+            self.counts.late += 1;
+            return false;
+        }
+        self.check(start);
+        let mut command = Command::parse(&start.command);
+        if broken {
+            command.end = End::FAILS;
+        }
+        let run = Run {
+            size: start.size,
+            command,
+            started: now,
+            lease_ends: now + Duration::from_millis(start.lease_ms),
+            throttled: false,
+            ended: None,
+        };
+        self.runs.insert(start.attempt, run);
+        self.counts.started += 1;
+        true
+    }
+
+    /// Renews the leases of those attempts that still run.
+    pub fn renew(&mut self, now: Instant, renew: &Renew) {
+        self.settle(now);
+        let lease_ends = now + Duration::from_millis(renew.lease_ms);
+        for attempt in &renew.attempts {
+            if let Some(run) = self.runs.get_mut(attempt) {
+                run.lease_ends = lease_ends;
+            }
+        }
+    }
+
+    /// Acts on a task; returns whether the attempt is known.
+    pub fn control(&mut self, now: Instant, control: &Control) -> bool {
+        self.settle(now);
+        let Some(run) = self.runs.get_mut(&control.attempt) else {
+            return false;
+        };
+        let state = match control.action {
+            Action::Stop => State::Stopped,
+            Action::Checkpoint => State::Checkpointed,
+            Action::Throttle => {
+                run.throttled = true;
+                return true;
+            }
+        };
+        run.ended.get_or_insert(Ended { at: now, state });
+        true
+    }
+
+    /// Returns what runs and ran lately.
+    pub fn inventory(&mut self, now: Instant) -> Inventory {
+        self.settle(now);
+        let lag = self.options.usage_lag;
+        let report = |(attempt, run): (&Attempt, &Run)| Report {
+            attempt: *attempt,
+            state: run.ended.map_or(State::Running, |ended| ended.state),
+            size: run.size,
+            usage: run.usage(now, lag),
+        };
+        Inventory {
+            incarnation: self.incarnation,
+            tasks: self.runs.iter().map(report).collect(),
+        }
+    }
+
+    /// Returns what was done to the worker that must never be.
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+
+    /// Records what starting `start` violates.
+    fn check(&mut self, start: &Start) {
+        let running = self.runs.iter().filter(|(_, run)| run.ended.is_none());
+        let mut committed = start.size;
+        for (attempt, run) in running {
+            committed += run.size;
+            if attempt.task == start.attempt.task {
+                self.violations.push(Violation::TaskTwice {
+                    running: *attempt,
+                    started: start.attempt,
+                });
+            }
+        }
+        if !committed.fits(self.options.size) {
+            self.violations.push(Violation::SizeExceeded {
+                attempt: start.attempt,
+                committed,
+            });
+        }
+    }
+
+    /// Ends what is due and forgets what ended long ago.
+    fn settle(&mut self, now: Instant) {
+        for run in self.runs.values_mut().filter(|run| run.ended.is_none()) {
+            run.ended = run.due(now);
+            let is_lapsed = run.ended.is_some_and(|ended| ended.state == State::Lapsed);
+            self.counts.lapsed += u64::from(is_lapsed);
+        }
+        self.runs.retain(|_, run| {
+            run.ended
+                .is_none_or(|ended| now.since(ended.at) < ENDED_KEPT)
+        });
+    }
+}
+
+/// Serves [`Tasks`].
+#[derive(Debug)]
+pub(super) struct Service {
+    tasks: RefCell<Tasks>,
+}
+
+impl Service {
+    pub(super) fn new(options: Options) -> Service {
+        let tasks = RefCell::new(Tasks::new(options, rand::random()));
+        Service { tasks }
+    }
+
+    fn start(&self, request: &Request, broken: bool) -> Result<Answer, Answer> {
+        let start = request.json()?;
+        let mut tasks = self.tasks.borrow_mut();
+        let is_taken = tasks.start(clock::now(), clock::stamp(), &start, broken);
+        is_taken
+            .then(Answer::empty)
+            .ok_or_else(|| Answer::error(StatusCode::CONFLICT, "the start came too late"))
+    }
+
+    fn renew(&self, request: &Request) -> Result<Answer, Answer> {
+        let renew = request.json()?;
+        self.tasks.borrow_mut().renew(clock::now(), &renew);
+        Ok(Answer::empty())
+    }
+
+    fn act(&self, request: &Request) -> Result<Answer, Answer> {
+        let control = request.json()?;
+        let is_known = self.tasks.borrow_mut().control(clock::now(), &control);
+        is_known
+            .then(Answer::empty)
+            .ok_or_else(|| Answer::error(StatusCode::NOT_FOUND, "no such attempt"))
+    }
+}
+
+impl Serve for Service {
+    async fn serve(&self, request: Request, faults: Faults) -> Answer {
+        match (&request.method, request.path.as_str()) {
+            (&Method::POST, "/v1/tasks/start") => self.start(&request, faults.broken).into(),
+            (&Method::POST, "/v1/tasks/renew") => self.renew(&request).into(),
+            (&Method::POST, "/v1/tasks/control") => self.act(&request).into(),
+            (&Method::GET, "/v1/inventory") => {
+                Answer::json(&self.tasks.borrow_mut().inventory(clock::now()))
+            }
+            _ => Answer::not_found(&request),
+        }
+    }
+
+    fn control(&self, path: &str, request: &Request) -> Answer {
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.settle(clock::now());
+        match path {
+            "violations" => Answer::json(&tasks.violations()),
+            "counts" => Answer::json(&tasks.counts),
+            _ => Answer::not_found(request),
+        }
+    }
+}
