--- a/src/api/convert.rs
+++ b/src/api/convert.rs
@@ -44,13 +44,33 @@
 pub fn job(id: id::Job, spec: schema::JobSpec) -> Result<Job> {
     let class = class(spec.class())?;
     let size = Amount::from(spec.size.unwrap_or_default());
-    check(!spec.team.is_empty() && spec.team.len() <= MAX_NAME_BYTES, "spec.team must be 1 to 128 bytes")?;
-    check(spec.family.len() <= MAX_NAME_BYTES, "spec.family must be at most 128 bytes")?;
-    check((1..=MAX_TASKS).contains(&spec.tasks), "spec.tasks must be 1 to 100000")?;
-    check(spec.command.len() <= MAX_COMMAND_BYTES, "spec.command must be at most 16384 bytes")?;
-    check(size.cpu_millis > 0, "spec.size.cpu_millis must be at least 1")?;
-    check(size.memory_mib > 0, "spec.size.memory_mib must be at least 1")?;
-    let mut job = Job::builder(id, Team(spec.team), class, size).tasks(spec.tasks).command(spec.command);
+    check(
+        !spec.team.is_empty() && spec.team.len() <= MAX_NAME_BYTES,
+        "spec.team must be 1 to 128 bytes",
+    )?;
+    check(
+        spec.family.len() <= MAX_NAME_BYTES,
+        "spec.family must be at most 128 bytes",
+    )?;
+    check(
+        (1..=MAX_TASKS).contains(&spec.tasks),
+        "spec.tasks must be 1 to 100000",
+    )?;
+    check(
+        spec.command.len() <= MAX_COMMAND_BYTES,
+        "spec.command must be at most 16384 bytes",
+    )?;
+    check(
+        size.cpu_millis > 0,
+        "spec.size.cpu_millis must be at least 1",
+    )?;
+    check(
+        size.memory_mib > 0,
+        "spec.size.memory_mib must be at least 1",
+    )?;
+    let mut job = Job::builder(id, Team(spec.team), class, size)
+        .tasks(spec.tasks)
+        .command(spec.command);
     if !spec.family.is_empty() {
         job = job.family(Family(spec.family));
     }
@@ -83,7 +103,11 @@
 
 /// Fails with `message` unless `holds`.
 fn check(holds: bool, message: &str) -> Result<()> {
-    if holds { Ok(()) } else { Err(Error::new(Kind::Malformed, message)) }
+    if holds {
+        Ok(())
+    } else {
+        Err(Error::new(Kind::Malformed, message))
+    }
 }
 
 fn class(class: schema::JobClass) -> Result<Class> {
@@ -92,9 +116,10 @@
         schema::JobClass::Service => Ok(Class::Service),
         schema::JobClass::Gang => Ok(Class::Gang),
         schema::JobClass::Batch => Ok(Class::Batch),
-        schema::JobClass::Unspecified => {
-            Err(Error::new(Kind::Malformed, "spec.class is missing; give urgent, service, gang or batch"))
-        }
+        schema::JobClass::Unspecified => Err(Error::new(
+            Kind::Malformed,
+            "spec.class is missing; give urgent, service, gang or batch",
+        )),
     }
 }
 
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -8,7 +8,7 @@
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header::{self, HeaderValue};
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use opentelemetry::KeyValue;
@@ -57,13 +57,21 @@
 /// Reads the body and runs the named procedure.
 async fn call(context: &Context, name: &str, request: &mut Request) -> Answer {
     let content_type = request.headers().get(header::CONTENT_TYPE);
-    let media = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let media = content_type
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
     let format = Format::from_content_type(media).ok_or_else(|| {
-        let message = format!("content type `{media}` is not served; send application/json or application/proto");
+        let message = format!(
+            "content type `{media}` is not served; send application/json or application/proto"
+        );
         Error::new(Kind::Malformed, message)
     })?;
     let body = read(request, context.settings.traffic.max_body_kib << 10).await?;
-    let call = Unary { context, format, body: &body };
+    let call = Unary {
+        context,
+        format,
+        body: &body,
+    };
     match name {
         "Caller/Call" => call.run(ops::call::exec).await,
         "Caller/SubmitJob" => call.run(ops::job::submit).await,
@@ -110,7 +118,8 @@
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| Error::new(Kind::Malformed, format!("the body broke off: {error}")))?;
+        let chunk = chunk
+            .map_err(|error| Error::new(Kind::Malformed, format!("the body broke off: {error}")))?;
         if body.len() + chunk.len() > limit {
             let message = format!("the body is larger than {limit} bytes; send less");
             return Err(Error::new(Kind::TooLarge, message));
@@ -122,11 +131,33 @@
 
 /// Counts an answer.
 fn record(context: &Context, name: &str, answer: &Answer, started: Instant) {
-    let kind = answer.as_ref().err().map_or("ok", |error| error.kind.answer().name);
-    let is_known = !matches!(answer, Err(Error { kind: Kind::Unimplemented, .. }));
-    let method = KeyValue::new("method", if is_known { name.to_owned() } else { "unknown".to_owned() });
-    context.metrics.latency.record(started.elapsed().as_secs_f64(), std::slice::from_ref(&method));
-    context.metrics.answers.add(1, &[method, KeyValue::new("kind", kind)]);
+    let kind = answer
+        .as_ref()
+        .err()
+        .map_or("ok", |error| error.kind.answer().name);
+    let is_known = !matches!(
+        answer,
+        Err(Error {
+            kind: Kind::Unimplemented,
+            ..
+        })
+    );
+    let method = KeyValue::new(
+        "method",
+        if is_known {
+            name.to_owned()
+        } else {
+            "unknown".to_owned()
+        },
+    );
+    context.metrics.latency.record(
+        started.elapsed().as_secs_f64(),
+        std::slice::from_ref(&method),
+    );
+    context
+        .metrics
+        .answers
+        .add(1, &[method, KeyValue::new("kind", kind)]);
 }
 
 /// Makes the HTTP form of an error.
@@ -145,13 +176,20 @@
 }
 
 fn unknown(name: &str) -> Error {
-    Error::new(Kind::Unimplemented, format!("there is no procedure `{name}`; see the schema"))
+    Error::new(
+        Kind::Unimplemented,
+        format!("there is no procedure `{name}`; see the schema"),
+    )
 }
 
 fn metrics(context: &Context) -> Response<BoxBody> {
     match context.metrics.render() {
         Ok(body) => text(StatusCode::OK, "text/plain; version=0.0.4", body),
-        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", format!("{error}\n")),
+        Err(error) => text(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "text/plain",
+            format!("{error}\n"),
+        ),
     }
 }
 
--- a/src/bin/laburnum/commands/call.rs
+++ b/src/bin/laburnum/commands/call.rs
@@ -83,6 +83,8 @@
         "lookup" => Ok(Priority::Lookup),
         "normal" => Ok(Priority::Normal),
         "bulk" => Ok(Priority::Bulk),
-        _ => Err(Usage(format!("`{name}` is not a priority; give lookup, normal or bulk"))),
+        _ => Err(Usage(format!(
+            "`{name}` is not a priority; give lookup, normal or bulk"
+        ))),
     }
 }
--- a/src/bin/laburnum/commands/config.rs
+++ b/src/bin/laburnum/commands/config.rs
@@ -7,8 +7,8 @@
 use argh::FromArgs;
 use eyre::WrapErr;
 use laburnumplank::api::schema::{
-    ConfigVersion, GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse, PutConfigRequest,
-    PutConfigResponse,
+    ConfigVersion, GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse,
+    PutConfigRequest, PutConfigResponse,
 };
 
 use crate::Context;
@@ -19,7 +19,11 @@
 
 /// read, change, compare, list and wait for configuration versions
 #[derive(FromArgs)]
-#[argh(subcommand, name = "config", example = "{command_name} put --base 3 --author ana cell.json")]
+#[argh(
+    subcommand,
+    name = "config",
+    example = "{command_name} put --base 3 --author ana cell.json"
+)]
 pub(crate) struct Options {
     #[argh(subcommand)]
     command: Command,
@@ -50,7 +54,11 @@
 
 /// change the configuration and print the version that the change became
 #[derive(FromArgs)]
-#[argh(subcommand, name = "put", example = "{command_name} --base 3 --author ana cell.json")]
+#[argh(
+    subcommand,
+    name = "put",
+    example = "{command_name} --base 3 --author ana cell.json"
+)]
 struct Put {
     /// the version that the change was made against, 0 when there is none yet
     #[argh(option)]
@@ -108,7 +116,10 @@
 
 async fn read(context: &Context, version: u64) -> eyre::Result<ConfigVersion> {
     let request = GetConfigRequest { version };
-    let answer: GetConfigResponse = context.client.call("Operator", "GetConfig", &request).await?;
+    let answer: GetConfigResponse = context
+        .client
+        .call("Operator", "GetConfig", &request)
+        .await?;
     Ok(answer.config.unwrap_or_default())
 }
 
@@ -122,10 +133,21 @@
 }
 
 async fn put(context: &Context, options: Put) -> eyre::Result<()> {
-    let document = fs::read_to_string(&options.file)
-        .wrap_err_with(|| format!("cannot read {}; name a readable file", options.file.display()))?;
-    let request = PutConfigRequest { base_version: options.base, author: options.author, document };
-    let answer: PutConfigResponse = context.client.call("Operator", "PutConfig", &request).await?;
+    let document = fs::read_to_string(&options.file).wrap_err_with(|| {
+        format!(
+            "cannot read {}; name a readable file",
+            options.file.display()
+        )
+    })?;
+    let request = PutConfigRequest {
+        base_version: options.base,
+        author: options.author,
+        document,
+    };
+    let answer: PutConfigResponse = context
+        .client
+        .call("Operator", "PutConfig", &request)
+        .await?;
     println!("{}", answer.version);
     Ok(())
 }
@@ -139,12 +161,24 @@
 }
 
 async fn history(context: &Context, options: &History) -> eyre::Result<()> {
-    let answer: ListConfigResponse = context.client.call("Operator", "ListConfig", &ListConfigRequest {}).await?;
+    let answer: ListConfigResponse = context
+        .client
+        .call("Operator", "ListConfig", &ListConfigRequest {})
+        .await?;
     let row = |version: &ConfigVersion| {
-        vec![version.version.to_string(), version.author.clone(), version.document.len().to_string()]
+        vec![
+            version.version.to_string(),
+            version.author.clone(),
+            version.document.len().to_string(),
+        ]
     };
     let rows = answer.versions.iter().map(row).collect();
-    Listing { answer: &answer, columns: &["version", "author", "bytes"], rows }.print(options.format)
+    Listing {
+        answer: &answer,
+        columns: &["version", "author", "bytes"],
+        rows,
+    }
+    .print(options.format)
 }
 
 async fn wait(context: &Context, options: &Wait) -> eyre::Result<()> {
--- a/src/bin/laburnum/commands/dump.rs
+++ b/src/bin/laburnum/commands/dump.rs
@@ -11,7 +11,10 @@
 pub(crate) struct Options {}
 
 pub(crate) async fn exec(context: &Context, _options: Options) -> eyre::Result<()> {
-    let answer: DumpResponse = context.client.call("Operator", "Dump", &DumpRequest {}).await?;
+    let answer: DumpResponse = context
+        .client
+        .call("Operator", "Dump", &DumpRequest {})
+        .await?;
     println!("{}", answer.state);
     Ok(())
 }
--- a/src/bin/laburnum/commands/job.rs
+++ b/src/bin/laburnum/commands/job.rs
@@ -2,9 +2,9 @@
 
 use argh::FromArgs;
 use laburnumplank::api::schema::{
-    Amount, CancelJobRequest, CancelJobResponse, ExplainJobRequest, ExplainJobResponse, GetJobRequest, GetJobResponse,
-    JobClass, JobSpec, JobState, JobStatus, ListJobsRequest, ListJobsResponse, SubmitJobRequest, SubmitJobResponse,
-    WatchJobRequest, WatchJobResponse,
+    Amount, CancelJobRequest, CancelJobResponse, ExplainJobRequest, ExplainJobResponse,
+    GetJobRequest, GetJobResponse, JobClass, JobSpec, JobState, JobStatus, ListJobsRequest,
+    ListJobsResponse, SubmitJobRequest, SubmitJobResponse, WatchJobRequest, WatchJobResponse,
 };
 use uuid::Uuid;
 
@@ -16,7 +16,11 @@
 
 /// submit, read, cancel, watch, explain and list jobs
 #[derive(FromArgs)]
-#[argh(subcommand, name = "job", example = "{command_name} list --format json")]
+#[argh(
+    subcommand,
+    name = "job",
+    example = "{command_name} list --format json"
+)]
 pub(crate) struct Options {
     #[argh(subcommand)]
     command: Command,
@@ -84,7 +88,11 @@
 
 /// read one job
 #[derive(FromArgs)]
-#[argh(subcommand, name = "get", example = "{command_name} 0197a0c0-0000-7000-8000-000000000000")]
+#[argh(
+    subcommand,
+    name = "get",
+    example = "{command_name} 0197a0c0-0000-7000-8000-000000000000"
+)]
 struct Get {
     /// the job
     #[argh(positional)]
@@ -97,7 +105,11 @@
 
 /// cancel one job; cancelling twice changes nothing
 #[derive(FromArgs)]
-#[argh(subcommand, name = "cancel", example = "{command_name} 0197a0c0-0000-7000-8000-000000000000")]
+#[argh(
+    subcommand,
+    name = "cancel",
+    example = "{command_name} 0197a0c0-0000-7000-8000-000000000000"
+)]
 struct Cancel {
     /// the job
     #[argh(positional)]
@@ -110,7 +122,11 @@
 
 /// wait until a job ends; fails when the job does not succeed
 #[derive(FromArgs)]
-#[argh(subcommand, name = "watch", example = "{command_name} 0197a0c0-0000-7000-8000-000000000000")]
+#[argh(
+    subcommand,
+    name = "watch",
+    example = "{command_name} 0197a0c0-0000-7000-8000-000000000000"
+)]
 struct Watch {
     /// the job
     #[argh(positional)]
@@ -123,7 +139,11 @@
 
 /// say why a job waits
 #[derive(FromArgs)]
-#[argh(subcommand, name = "explain", example = "{command_name} 0197a0c0-0000-7000-8000-000000000000")]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "{command_name} 0197a0c0-0000-7000-8000-000000000000"
+)]
 struct Explain {
     /// the job
     #[argh(positional)]
@@ -136,7 +156,11 @@
 
 /// list jobs
 #[derive(FromArgs)]
-#[argh(subcommand, name = "list", example = "{command_name} --team bars --ended --format json")]
+#[argh(
+    subcommand,
+    name = "list",
+    example = "{command_name} --team bars --ended --format json"
+)]
 struct List {
     /// only jobs of this team
     #[argh(option, default = "String::new()")]
@@ -161,14 +185,21 @@
         }
         Command::Cancel(options) => {
             let request = CancelJobRequest { job_id: options.id };
-            let answer: CancelJobResponse = context.client.call("Caller", "CancelJob", &request).await?;
+            let answer: CancelJobResponse =
+                context.client.call("Caller", "CancelJob", &request).await?;
             print_jobs(&answer, answer.job.as_slice(), options.format)
         }
         Command::Watch(options) => watch(context, options).await,
         Command::Explain(options) => explain(context, options).await,
         Command::List(options) => {
-            let request = ListJobsRequest { team: options.team, ended: options.ended };
-            let answer: ListJobsResponse = context.client.call("Operator", "ListJobs", &request).await?;
+            let request = ListJobsRequest {
+                team: options.team,
+                ended: options.ended,
+            };
+            let answer: ListJobsResponse = context
+                .client
+                .call("Operator", "ListJobs", &request)
+                .await?;
             print_jobs(&answer, &answer.jobs, options.format)
         }
     }
@@ -192,7 +223,10 @@
         ..JobSpec::default()
     };
     let key = options.key.unwrap_or_else(|| Uuid::now_v7().to_string());
-    let request = SubmitJobRequest { key, spec: Some(spec) };
+    let request = SubmitJobRequest {
+        key,
+        spec: Some(spec),
+    };
     let answer: SubmitJobResponse = context.client.call("Caller", "SubmitJob", &request).await?;
     println!("{}", answer.job_id);
     Ok(())
@@ -201,12 +235,18 @@
 async fn watch(context: &Context, options: Watch) -> eyre::Result<()> {
     let mut revision = 0;
     loop {
-        let request = WatchJobRequest { job_id: options.id.clone(), revision, wait_ms: WATCH_WAIT_MS };
+        let request = WatchJobRequest {
+            job_id: options.id.clone(),
+            revision,
+            wait_ms: WATCH_WAIT_MS,
+        };
         let answer: WatchJobResponse = context.client.call("Caller", "WatchJob", &request).await?;
         let job = answer.job.clone().unwrap_or_default();
         revision = job.revision;
         match job.state() {
-            JobState::Succeeded => return print_jobs(&answer, answer.job.as_slice(), options.format),
+            JobState::Succeeded => {
+                return print_jobs(&answer, answer.job.as_slice(), options.format);
+            }
             JobState::Failed | JobState::Cancelled => {
                 print_jobs(&answer, answer.job.as_slice(), options.format)?;
                 eyre::bail!("job {} did not succeed: {}", job.job_id, job.reason);
@@ -218,25 +258,52 @@
 
 async fn explain(context: &Context, options: Explain) -> eyre::Result<()> {
     let request = ExplainJobRequest { job_id: options.id };
-    let answer: ExplainJobResponse = context.client.call("Caller", "ExplainJob", &request).await?;
+    let answer: ExplainJobResponse = context
+        .client
+        .call("Caller", "ExplainJob", &request)
+        .await?;
     if options.format == Format::Text {
         println!("waiting for: {}", answer.waiting_for);
-        println!("position: {}; estimate: {} ms", answer.position, answer.estimate_ms);
+        println!(
+            "position: {}; estimate: {} ms",
+            answer.position, answer.estimate_ms
+        );
     }
-    let rows = answer.refusals.iter().map(|refusal| vec![refusal.filter.clone(), refusal.workers.to_string()]);
-    let listing = Listing { answer: &answer, columns: &["filter", "workers"], rows: rows.collect() };
+    let rows = answer
+        .refusals
+        .iter()
+        .map(|refusal| vec![refusal.filter.clone(), refusal.workers.to_string()]);
+    let listing = Listing {
+        answer: &answer,
+        columns: &["filter", "workers"],
+        rows: rows.collect(),
+    };
     listing.print(options.format)
 }
 
-fn print_jobs<T: serde::Serialize>(answer: &T, jobs: &[JobStatus], format: Format) -> eyre::Result<()> {
-    let columns = ["job", "class", "team", "state", "tasks", "running", "reason"];
-    let listing = Listing { answer, columns: &columns, rows: jobs.iter().map(row).collect() };
+fn print_jobs<T: serde::Serialize>(
+    answer: &T,
+    jobs: &[JobStatus],
+    format: Format,
+) -> eyre::Result<()> {
+    let columns = [
+        "job", "class", "team", "state", "tasks", "running", "reason",
+    ];
+    let listing = Listing {
+        answer,
+        columns: &columns,
+        rows: jobs.iter().map(row).collect(),
+    };
     listing.print(format)
 }
 
 fn row(job: &JobStatus) -> Vec<String> {
     let spec = job.spec.clone().unwrap_or_default();
-    let running = job.tasks.iter().filter(|task| task.state == "running").count();
+    let running = job
+        .tasks
+        .iter()
+        .filter(|task| task.state == "running")
+        .count();
     vec![
         job.job_id.clone(),
         short(spec.class().as_str_name()),
@@ -259,6 +326,8 @@
         "service" => Ok(JobClass::Service),
         "gang" => Ok(JobClass::Gang),
         "batch" => Ok(JobClass::Batch),
-        _ => Err(Usage(format!("`{name}` is not a class; give urgent, service, gang or batch"))),
+        _ => Err(Usage(format!(
+            "`{name}` is not a class; give urgent, service, gang or batch"
+        ))),
     }
 }
--- a/src/bin/laburnum/commands/quota.rs
+++ b/src/bin/laburnum/commands/quota.rs
@@ -31,21 +31,44 @@
 
 pub(crate) async fn exec(context: &Context, options: Options) -> eyre::Result<()> {
     let Command::List(options) = options.command;
-    let answer: ListQuotasResponse = context.client.call("Operator", "ListQuotas", &ListQuotasRequest {}).await?;
+    let answer: ListQuotasResponse = context
+        .client
+        .call("Operator", "ListQuotas", &ListQuotasRequest {})
+        .await?;
     let columns = ["team", "cpu", "memory", "accelerators"];
     let rows = answer.quotas.iter().map(row).collect();
-    Listing { answer: &answer, columns: &columns, rows }.print(options.format)
+    Listing {
+        answer: &answer,
+        columns: &columns,
+        rows,
+    }
+    .print(options.format)
 }
 
 fn row(quota: &QuotaStatus) -> Vec<String> {
     let used = quota.used.unwrap_or_default();
     let most = |part: fn(&Amount) -> u64| {
-        quota.quota.as_ref().map_or_else(|| "-".to_owned(), |amount| part(amount).to_string())
+        quota
+            .quota
+            .as_ref()
+            .map_or_else(|| "-".to_owned(), |amount| part(amount).to_string())
     };
     vec![
         quota.team.clone(),
-        format!("{}m of {}m", used.cpu_millis, most(|amount| amount.cpu_millis)),
-        format!("{} MiB of {} MiB", used.memory_mib, most(|amount| amount.memory_mib)),
-        format!("{} of {}", used.accelerators, most(|amount| amount.accelerators)),
+        format!(
+            "{}m of {}m",
+            used.cpu_millis,
+            most(|amount| amount.cpu_millis)
+        ),
+        format!(
+            "{} MiB of {} MiB",
+            used.memory_mib,
+            most(|amount| amount.memory_mib)
+        ),
+        format!(
+            "{} of {}",
+            used.accelerators,
+            most(|amount| amount.accelerators)
+        ),
     ]
 }
--- a/src/bin/laburnum/commands/settings.rs
+++ b/src/bin/laburnum/commands/settings.rs
@@ -7,7 +7,11 @@
 
 /// check a settings file
 #[derive(FromArgs)]
-#[argh(subcommand, name = "settings", example = "{command_name} check laburnumd.json")]
+#[argh(
+    subcommand,
+    name = "settings",
+    example = "{command_name} check laburnumd.json"
+)]
 pub(crate) struct Options {
     #[argh(subcommand)]
     command: Command,
--- a/src/bin/laburnum/commands/vm.rs
+++ b/src/bin/laburnum/commands/vm.rs
@@ -41,7 +41,10 @@
     match options.command {
         Command::List(options) => list(context, &options).await,
         Command::Drain(_) => {
-            let answer: DrainVmResponse = context.client.call("Operator", "DrainVm", &DrainVmRequest {}).await?;
+            let answer: DrainVmResponse = context
+                .client
+                .call("Operator", "DrainVm", &DrainVmRequest {})
+                .await?;
             println!("{} in flight", answer.in_flight);
             Ok(())
         }
@@ -49,10 +52,26 @@
 }
 
 async fn list(context: &Context, options: &List) -> eyre::Result<()> {
-    let answer: ListVmsResponse = context.client.call("Operator", "ListVms", &ListVmsRequest {}).await?;
-    let columns = ["vm", "role", "state", "data centre", "address", "size", "committed"];
+    let answer: ListVmsResponse = context
+        .client
+        .call("Operator", "ListVms", &ListVmsRequest {})
+        .await?;
+    let columns = [
+        "vm",
+        "role",
+        "state",
+        "data centre",
+        "address",
+        "size",
+        "committed",
+    ];
     let rows = answer.vms.iter().map(row).collect();
-    Listing { answer: &answer, columns: &columns, rows }.print(options.format)
+    Listing {
+        answer: &answer,
+        columns: &columns,
+        rows,
+    }
+    .print(options.format)
 }
 
 fn row(vm: &VmStatus) -> Vec<String> {
@@ -70,6 +89,9 @@
 /// Writes an amount in short.
 fn amount(amount: Option<&Amount>) -> String {
     amount.map_or_else(String::new, |amount| {
-        format!("{}m/{}MiB/{}", amount.cpu_millis, amount.memory_mib, amount.accelerators)
+        format!(
+            "{}m/{}MiB/{}",
+            amount.cpu_millis, amount.memory_mib, amount.accelerators
+        )
     })
 }
--- a/src/bin/laburnum/main.rs
+++ b/src/bin/laburnum/main.rs
@@ -13,8 +13,6 @@
 use laburnumplank::api::client::Client;
 use laburnumplank::core::error::{Effect, Error, Kind};
 
-use output::Format;
-
 /// wrong usage or settings
 const EXIT_USAGE: u8 = 2;
 
@@ -63,14 +61,20 @@
         println!("{}", exit.output);
         return ExitCode::SUCCESS;
     }
-    eprintln!("{}\nrun laburnum --help for more information", exit.output.trim_end());
+    eprintln!(
+        "{}\nrun laburnum --help for more information",
+        exit.output.trim_end()
+    );
     ExitCode::from(EXIT_USAGE)
 }
 
 /// Runs the command and turns its error into an exit code.
 async fn run(options: Options) -> ExitCode {
     let timeout = Duration::from_millis(options.timeout_ms);
-    let context = Context { client: Client::new(&options.entry, timeout), timeout };
+    let context = Context {
+        client: Client::new(&options.entry, timeout),
+        timeout,
+    };
     match options.command.exec(&context).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -87,7 +91,10 @@
         return;
     };
     let answer = error.kind.answer();
-    eprintln!("kind: {}; effect: {:?}; retryable: {}", answer.name, error.effect, answer.retryable);
+    eprintln!(
+        "kind: {}; effect: {:?}; retryable: {}",
+        answer.name, error.effect, answer.retryable
+    );
     if let Some(span) = error.retry_after {
         eprintln!("come back after {} ms", span.as_millis());
     }
--- a/src/bin/laburnum/output.rs
+++ b/src/bin/laburnum/output.rs
@@ -60,13 +60,26 @@
     }
 
     fn print_text(&self) {
-        let header: Vec<String> = self.columns.iter().map(|name| name.to_uppercase()).collect();
+        let header: Vec<String> = self
+            .columns
+            .iter()
+            .map(|name| name.to_uppercase())
+            .collect();
         let lines = std::iter::once(&header).chain(&self.rows);
         let widths: Vec<usize> = (0..header.len())
-            .map(|column| lines.clone().map(|line| line[column].len()).max().unwrap_or(0))
+            .map(|column| {
+                lines
+                    .clone()
+                    .map(|line| line[column].len())
+                    .max()
+                    .unwrap_or(0)
+            })
             .collect();
         for line in lines {
-            let cells = line.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}"));
+            let cells = line
+                .iter()
+                .zip(&widths)
+                .map(|(cell, &width)| format!("{cell:width$}"));
             println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
         }
     }
--- a/src/bin/laburnumd/main.rs
+++ b/src/bin/laburnumd/main.rs
@@ -34,7 +34,10 @@
             return ExitCode::SUCCESS;
         }
         Err(exit) => {
-            eprintln!("{}\nrun laburnumd --help for more information", exit.output.trim_end());
+            eprintln!(
+                "{}\nrun laburnumd --help for more information",
+                exit.output.trim_end()
+            );
             return ExitCode::from(EXIT_USAGE);
         }
     };
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -1,1 +1,3 @@
 //! Stub.
+mod job;
+pub use job::{Builder, End, Job, Spread};
--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -63,7 +63,13 @@
 
 impl Context {
     /// Makes the context of a daemon.
-    pub fn new(settings: Settings, clock: Clock, log: Logger, metrics: Metrics, senders: Senders) -> Context {
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        log: Logger,
+        metrics: Metrics,
+        senders: Senders,
+    ) -> Context {
         let shared = Shared {
             senders,
             incarnation: AtomicU64::new(rand::random()),
@@ -72,18 +78,29 @@
             is_stop_requested: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
         };
-        Context { settings: Arc::new(settings), clock, log, metrics, shared: Arc::new(shared) }
+        Context {
+            settings: Arc::new(settings),
+            clock,
+            log,
+            metrics,
+            shared: Arc::new(shared),
+        }
     }
 
     /// Returns this run of the daemon on this VM.
     pub fn node(&self) -> Node {
         let incarnation = Incarnation(self.shared.incarnation.load(Ordering::Relaxed));
-        Node { vm: Vm(self.settings.node.vm), incarnation }
+        Node {
+            vm: Vm(self.settings.node.vm),
+            incarnation,
+        }
     }
 
     /// Draws a new incarnation, because the state of the former one is lost.
     pub fn renew_incarnation(&self) {
-        self.shared.incarnation.store(rand::random(), Ordering::Relaxed);
+        self.shared
+            .incarnation
+            .store(rand::random(), Ordering::Relaxed);
     }
 
     /// Hands an event to the control part.
@@ -109,18 +126,32 @@
     /// when no answer comes within `timeout`.
     pub async fn ask(&self, ask: Ask, timeout: Duration, is_forwarded: bool) -> Result<Tell> {
         if self.shared.asks.load(Ordering::Relaxed) >= MAX_ASKS {
-            return Err(Error::new(Kind::Overloaded, "too many requests wait at this entry; come back"));
+            return Err(Error::new(
+                Kind::Overloaded,
+                "too many requests wait at this entry; come back",
+            ));
         }
         self.shared.asks.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
         let deadline = self.clock.now() + timeout;
-        self.control(control::Event::Ask { ask, deadline, is_forwarded, reply });
+        self.control(control::Event::Ask {
+            ask,
+            deadline,
+            is_forwarded,
+            reply,
+        });
         let told = actix_rt::time::timeout(timeout + ANSWER_GRACE, answer).await;
         self.shared.asks.fetch_sub(1, Ordering::Relaxed);
         match told {
             Ok(Ok(tell)) => tell,
-            Ok(Err(_)) => Err(Error::new(Kind::AnswerLost, "the control part was started again")),
-            Err(_) => Err(Error::new(Kind::AnswerLost, "no answer came before the deadline")),
+            Ok(Err(_)) => Err(Error::new(
+                Kind::AnswerLost,
+                "the control part was started again",
+            )),
+            Err(_) => Err(Error::new(
+                Kind::AnswerLost,
+                "no answer came before the deadline",
+            )),
         }
     }
 
@@ -132,11 +163,21 @@
     pub async fn call_any(&self, call: Call, timeout: Duration) -> Result<Tell> {
         let (reply, answer) = oneshot::channel();
         let deadline = self.clock.now() + timeout;
-        self.dispatch(dispatch::Event::Call { call, deadline, reply });
+        self.dispatch(dispatch::Event::Call {
+            call,
+            deadline,
+            reply,
+        });
         match actix_rt::time::timeout(timeout + ANSWER_GRACE, answer).await {
             Ok(Ok(tell)) => tell,
-            Ok(Err(_)) => Err(Error::new(Kind::AnswerLost, "the dispatch part was started again")),
-            Err(_) => Err(Error::new(Kind::AnswerLost, "no answer came before the deadline")),
+            Ok(Err(_)) => Err(Error::new(
+                Kind::AnswerLost,
+                "the dispatch part was started again",
+            )),
+            Err(_) => Err(Error::new(
+                Kind::AnswerLost,
+                "no answer came before the deadline",
+            )),
         }
     }
 
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -2,10 +2,9 @@
 
 use std::io;
 
-use actix_http::error::PayloadError;
 use actix_http::h1::Codec;
-use actix_http::header::{self, HeaderValue};
-use actix_http::{HttpService, Request, Response};
+use actix_http::header;
+use actix_http::{HttpMessage, HttpService, Request};
 use actix_rt::net::TcpStream;
 use actix_server::{Server, ServerHandle};
 use actix_service::fn_service;
@@ -19,12 +18,16 @@
 /// How many connections wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// The answer to an upgrade on any other path.
+const NOT_FOUND: &[u8] =
+    b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
 /// Starts the traffic threads; the server ends when its handle says so.
 ///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
-pub fn start(context: &Context) -> io::Result<(Server, ServerHandle)> {
+pub(super) fn start(context: &Context) -> io::Result<(Server, ServerHandle)> {
     let address = context.settings.node.listen;
     let shared = context.clone();
     let server = Server::build()
@@ -41,7 +44,9 @@
                 }))
                 .finish(move |request: Request| {
                     let context = calls.clone();
-                    async move { Ok::<_, std::convert::Infallible>(server::handle(context, request).await) }
+                    async move {
+                        Ok::<_, std::convert::Infallible>(server::handle(context, request).await)
+                    }
                 })
                 .tcp()
         })?
@@ -53,12 +58,22 @@
 /// A connection that asks for an upgrade.
 type Framed = actix_codec::Framed<TcpStream, Codec>;
 
-/// Completes the web socket handshake and hands the connection to the peer part.
-async fn upgrade(context: Context, request: Request, framed: Framed) -> Result<(), io::Error> {
-    let mut stream = framed.into_parts().io;
+/// Completes the web socket handshake; a connection that breaks meanwhile is dropped.
+async fn upgrade(
+    context: Context,
+    request: Request,
+    framed: Framed,
+) -> Result<(), actix_http::Error> {
+    let stream = framed.into_parts().io;
+    let _ = accept(&context, &request, stream).await;
+    Ok(())
+}
+
+/// Hands the connection to the peer part once the handshake is answered.
+async fn accept(context: &Context, request: &Request, mut stream: TcpStream) -> io::Result<()> {
     let key = request.headers().get(header::SEC_WEBSOCKET_KEY);
     let Some(key) = key.filter(|_| request.path() == peer::PATH) else {
-        return stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
+        return stream.write_all(NOT_FOUND).await;
     };
     let accept = derive_accept_key(key.as_bytes());
     let answer = format!(
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -47,12 +47,16 @@
     let (control_sender, control_inbox) = mpsc::unbounded_channel();
     let (dispatch_sender, dispatch_inbox) = mpsc::unbounded_channel();
     let (peer_sender, peer_inbox) = mpsc::unbounded_channel();
-    let senders = Senders { control: control_sender, dispatch: dispatch_sender, peer: peer_sender };
+    let senders = Senders {
+        control: control_sender,
+        dispatch: dispatch_sender,
+        peer: peer_sender,
+    };
     let context = Context::new(settings, Clock::start(), log.clone(), metrics, senders);
 
     let address = context.settings.node.listen;
-    let (server, server_handle) =
-        http::start(&context).wrap_err_with(|| format!("cannot listen on {address}; is the port in use?"))?;
+    let (server, server_handle) = http::start(&context)
+        .wrap_err_with(|| format!("cannot listen on {address}; is the port in use?"))?;
     actix_rt::spawn(server);
     let control = part("control", &context, control_inbox, control::run);
     let dispatch = part("dispatch", &context, dispatch_inbox, dispatch::run);
@@ -78,7 +82,12 @@
 }
 
 /// Describes a part whose work takes the context and an inbox.
-fn part<T, W, F>(name: &'static str, context: &Context, receiver: mpsc::UnboundedReceiver<T>, work: W) -> Part
+fn part<T, W, F>(
+    name: &'static str,
+    context: &Context,
+    receiver: mpsc::UnboundedReceiver<T>,
+    work: W,
+) -> Part
 where
     T: Send + 'static,
     W: Fn(Context, Inbox<T>) -> F + Send + Sync + 'static,
@@ -87,7 +96,10 @@
     let inbox = Inbox::new(receiver);
     let context = context.clone();
     let start = move || -> supervisor::Work { Box::pin(work(context.clone(), inbox.clone())) };
-    Part { name, start: Arc::new(start) }
+    Part {
+        name,
+        start: Arc::new(start),
+    }
 }
 
 /// Runs one part under the supervisor.
@@ -104,7 +116,8 @@
     }
     let context = context.clone();
     Ok(async move {
-        while !signalled.load(std::sync::atomic::Ordering::Relaxed) && !context.is_stop_requested() {
+        while !signalled.load(std::sync::atomic::Ordering::Relaxed) && !context.is_stop_requested()
+        {
             actix_rt::time::sleep(SIGNAL_POLL).await;
         }
     })
@@ -121,7 +134,11 @@
     let mut done = done;
     let mut is_released = false;
     while context.clock.now() < end {
-        is_released = is_released || !matches!(done.try_recv(), Err(tokio::sync::oneshot::error::TryRecvError::Empty));
+        is_released = is_released
+            || !matches!(
+                done.try_recv(),
+                Err(tokio::sync::oneshot::error::TryRecvError::Empty)
+            );
         if is_released && context.in_flight() == 0 {
             return;
         }
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -145,10 +145,17 @@
             Command::Send { to, frame } => {
                 let _ = self.send(to, frame);
             }
-            Command::Ask { to, ask, timeout, reply } => self.ask(to, ask, timeout, reply),
+            Command::Ask {
+                to,
+                ask,
+                timeout,
+                reply,
+            } => self.ask(to, ask, timeout, reply),
             Command::Tell { link, id, tell } => self.tell(link, id, tell),
             Command::Arrived { link, frame } => self.arrived(link, frame),
-            Command::Dialled { link, vm } => info!(self.log, "link is up"; "link" => link, "vm" => vm.0),
+            Command::Dialled { link, vm } => {
+                info!(self.log, "link is up"; "link" => link, "vm" => vm.0);
+            }
             Command::Closed { link } => self.closed(link),
             Command::Expired { id } => self.expired(id),
         }
@@ -162,17 +169,30 @@
         };
         let queue = self.links.get(&link).map(|link| &link.queue);
         let queued = queue.is_some_and(|queue| queue.try_send(frame).is_ok());
-        self.context.metrics.peer_messages.add(1, &label("direction", "sent"));
+        self.context
+            .metrics
+            .peer_messages
+            .add(1, &label("direction", "sent"));
         if queued {
             return Ok(link);
         }
-        Err(Error::new(Kind::Overloaded, format!("the link to VM {} is full; come back", to.0)))
+        Err(Error::new(
+            Kind::Overloaded,
+            format!("the link to VM {} is full; come back", to.0),
+        ))
     }
 
     fn ask(&mut self, to: Vm, ask: Ask, timeout: Duration, reply: Reply) {
         let id = self.take_id();
         let timeout_ms = timeout.as_millis() as u64;
-        match self.send(to, Frame::Ask { id, timeout_ms, ask }) {
+        match self.send(
+            to,
+            Frame::Ask {
+                id,
+                timeout_ms,
+                ask,
+            },
+        ) {
             Ok(link) => {
                 self.waiting.insert(id, Waiting { link, reply });
                 self.notify_later(timeout, Command::Expired { id });
@@ -190,11 +210,18 @@
     }
 
     fn arrived(&mut self, link: u64, frame: Frame) {
-        self.context.metrics.peer_messages.add(1, &label("direction", "received"));
+        self.context
+            .metrics
+            .peer_messages
+            .add(1, &label("direction", "received"));
         match frame {
             Frame::Hello { node } => self.greeted(link, node),
             Frame::Heartbeat => {}
-            Frame::Ask { id, timeout_ms, ask } => {
+            Frame::Ask {
+                id,
+                timeout_ms,
+                ask,
+            } => {
                 let timeout = Duration::from_millis(timeout_ms);
                 self.serve(link, id, ask, timeout);
             }
@@ -222,7 +249,10 @@
 
     /// Gives an answer to the ask it belongs to, if that was sent on the same link.
     fn answered(&mut self, link: u64, id: u64, tell: Result<Tell>) {
-        let belongs = self.waiting.get(&id).is_some_and(|waiting| waiting.link == link);
+        let belongs = self
+            .waiting
+            .get(&id)
+            .is_some_and(|waiting| waiting.link == link);
         if !belongs {
             return;
         }
@@ -247,8 +277,12 @@
             }
             info!(self.log, "link is down"; "link" => id, "vm" => vm.0);
         }
-        let orphans: Vec<u64> =
-            self.waiting.iter().filter(|(_, waiting)| waiting.link == id).map(|(&id, _)| id).collect();
+        let orphans: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.link == id)
+            .map(|(&id, _)| id)
+            .collect();
         for orphan in orphans {
             if let Some(waiting) = self.waiting.remove(&orphan) {
                 let _ = waiting.reply.send(Err(lost("the link broke")));
@@ -264,7 +298,13 @@
         };
         let id = self.take_id();
         let (queue, frames) = mpsc::channel(QUEUE_FRAMES);
-        self.links.insert(id, Link { vm: Some(to), queue });
+        self.links.insert(
+            id,
+            Link {
+                vm: Some(to),
+                queue,
+            },
+        );
         self.best.insert(to, id);
         let context = self.context.clone();
         actix_rt::spawn(async move {
@@ -309,7 +349,10 @@
 
 /// Makes the error of an ask whose answer cannot come any more.
 fn lost(reason: &str) -> Error {
-    Error::new(Kind::AnswerLost, format!("the owner's answer is lost: {reason}"))
+    Error::new(
+        Kind::AnswerLost,
+        format!("the owner's answer is lost: {reason}"),
+    )
 }
 
 /// Connects to another entry.
@@ -320,45 +363,65 @@
         let url = format!("ws://{address}{PATH}");
         tokio_tungstenite::client_async(url, stream).await.ok()
     };
-    let (socket, _response) = actix_rt::time::timeout(DIAL_TIMEOUT, dialled).await.ok()??;
+    let (socket, _response) = actix_rt::time::timeout(DIAL_TIMEOUT, dialled)
+        .await
+        .ok()??;
     Some(socket)
 }
 
-/// Writes queued frames and heartbeats and reads frames until the link breaks or is silent.
+/// Serves a link until it breaks or is silent.
 async fn serve_link(
     context: &Context,
     link: u64,
     socket: WebSocketStream<TcpStream>,
-    mut frames: mpsc::Receiver<Frame>,
+    frames: mpsc::Receiver<Frame>,
 ) {
-    let (mut sink, mut source) = socket.split();
-    let hello = Frame::Hello { node: context.node() };
-    let writer = async {
-        write(&mut sink, &hello).await?;
-        loop {
-            let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
-            let frame = match queued {
-                Ok(None) => return None::<()>,
-                Ok(Some(frame)) => frame,
-                Err(_) => Frame::Heartbeat,
-            };
-            write(&mut sink, &frame).await?;
-        }
-    };
-    let reader = async {
-        loop {
-            let message = actix_rt::time::timeout(SILENCE, source.next()).await.ok()??.ok()?;
-            if let Message::Binary(data) = message {
-                let frame = Frame::decode(&data).ok()?;
-                context.peer(Command::Arrived { link, frame });
-            }
-        }
-    };
+    let (sink, source) = socket.split();
     tokio::select! {
-        _ = writer => {}
-        _ = reader => {}
+        _ = write_frames(context, sink, frames) => {}
+        _ = read_frames(context, link, source) => {}
+    }
+}
+
+/// Writes queued frames, and a heartbeat when there are none.
+async fn write_frames<S>(
+    context: &Context,
+    mut sink: S,
+    mut frames: mpsc::Receiver<Frame>,
+) -> Option<()>
+where
+    S: SinkExt<Message> + Unpin,
+{
+    write(
+        &mut sink,
+        &Frame::Hello {
+            node: context.node(),
+        },
+    )
+    .await?;
+    loop {
+        let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
+        let frame = match queued {
+            Ok(frame) => frame?,
+            Err(_) => Frame::Heartbeat,
+        };
+        write(&mut sink, &frame).await?;
+    }
+}
+
+/// Hands over the frames that arrive.
+async fn read_frames<S, E>(context: &Context, link: u64, mut source: S) -> Option<()>
+where
+    S: StreamExt<Item = std::result::Result<Message, E>> + Unpin,
+{
+    loop {
+        let next = actix_rt::time::timeout(SILENCE, source.next()).await;
+        let message = next.ok()??.ok()?;
+        if let Message::Binary(data) = message {
+            let frame = Frame::decode(&data).ok()?;
+            context.peer(Command::Arrived { link, frame });
+        }
     }
-    let _: Option<()> = None;
 }
 
 /// Writes one frame; `None` when the link is broken.
--- a/src/daemon/supervisor.rs
+++ b/src/daemon/supervisor.rs
@@ -74,7 +74,10 @@
         metrics.restarts.add(1, &label("part", part.name));
         let now = Instant::now();
         failures.push_back(now);
-        while failures.front().is_some_and(|&at| now - at > FAILURE_WINDOW) {
+        while failures
+            .front()
+            .is_some_and(|&at| now - at > FAILURE_WINDOW)
+        {
             failures.pop_front();
         }
         if failures.len() >= MAX_FAILURES {
--- a/src/ops/call.rs
+++ b/src/ops/call.rs
@@ -30,8 +30,12 @@
         context.ask(Ask::Call(call), timeout, false).await?
     };
     match tell {
-        Tell::Called { body, target, recorded } => Ok(CallResponse {
-            body: body.into(),
+        Tell::Called {
+            body,
+            target,
+            recorded,
+        } => Ok(CallResponse {
+            body,
             request_id,
             target: target.map_or(0, |target| target.0),
             recorded,
@@ -55,7 +59,10 @@
     check_name("service", &request.service)?;
     check_name("method", &request.method)?;
     if request.caller.len() > MAX_NAME_BYTES {
-        return Err(Error::new(Kind::Malformed, format!("caller is longer than {MAX_NAME_BYTES} bytes")));
+        return Err(Error::new(
+            Kind::Malformed,
+            format!("caller is longer than {MAX_NAME_BYTES} bytes"),
+        ));
     }
     let priority = priority(request.priority());
     let key = parse_key(&request.key)?;
@@ -66,7 +73,7 @@
     Ok(Call {
         service: Service(request.service),
         method: request.method,
-        body: request.body.into(),
+        body: request.body,
         key,
         idempotent: request.idempotent,
         priority,
@@ -80,7 +87,9 @@
     if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(is_safe) {
         return Ok(());
     }
-    let message = format!("{field} `{name}` must be 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_`, `.` or `/`");
+    let message = format!(
+        "{field} `{name}` must be 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_`, `.` or `/`"
+    );
     Err(Error::new(Kind::Malformed, message))
 }
 
@@ -92,7 +101,10 @@
     let key = Uuid::parse_str(text).map(Key).ok();
     match key.filter(|key| key.created().is_some()) {
         Some(key) => Ok(Some(key)),
-        None => Err(Error::new(Kind::KeyRequired, format!("key `{text}` is not a UUID version 7"))),
+        None => Err(Error::new(
+            Kind::KeyRequired,
+            format!("key `{text}` is not a UUID version 7"),
+        )),
     }
 }
 
--- a/src/ops/config.rs
+++ b/src/ops/config.rs
@@ -2,7 +2,8 @@
 
 use super::expect_tell;
 use crate::api::schema::{
-    GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse, PutConfigRequest, PutConfigResponse,
+    GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse, PutConfigRequest,
+    PutConfigResponse,
 };
 use crate::core::error::{Error, Kind, Result};
 use crate::daemon::Context;
@@ -14,10 +15,19 @@
 ///
 /// [`Kind::NotFound`] for a version that is not kept.
 pub async fn get(context: &Context, request: GetConfigRequest) -> Result<GetConfigResponse> {
-    let tell = context.ask(Ask::GetConfig(request.version), super::TIMEOUT, false).await?;
+    let tell = context
+        .ask(Ask::GetConfig(request.version), super::TIMEOUT, false)
+        .await?;
     let version = expect_tell!(tell, Tell::Config)?.into_iter().next();
-    let missing = || Error::new(Kind::NotFound, format!("no configuration version {}", request.version));
-    Ok(GetConfigResponse { config: Some(version.ok_or_else(missing)?) })
+    let missing = || {
+        Error::new(
+            Kind::NotFound,
+            format!("no configuration version {}", request.version),
+        )
+    };
+    Ok(GetConfigResponse {
+        config: Some(version.ok_or_else(missing)?),
+    })
 }
 
 /// Changes the configuration; answers when the change is read back from the log.
@@ -27,9 +37,15 @@
 /// [`Kind::Conflict`] names the version in force, [`Kind::InvalidConfig`] lists every fault, and
 /// [`Kind::LogDown`] says that the change may still come into force.
 pub async fn put(context: &Context, request: PutConfigRequest) -> Result<PutConfigResponse> {
-    let ask = Ask::PutConfig { base: request.base_version, author: request.author, document: request.document };
+    let ask = Ask::PutConfig {
+        base: request.base_version,
+        author: request.author,
+        document: request.document,
+    };
     let tell = context.ask(ask, super::TIMEOUT, false).await?;
-    Ok(PutConfigResponse { version: expect_tell!(tell, Tell::Version)? })
+    Ok(PutConfigResponse {
+        version: expect_tell!(tell, Tell::Version)?,
+    })
 }
 
 /// Lists the latest versions, newest first.
@@ -39,5 +55,7 @@
 /// Fails when the control part does not answer.
 pub async fn list(context: &Context, _request: ListConfigRequest) -> Result<ListConfigResponse> {
     let tell = context.ask(Ask::ListConfig, super::TIMEOUT, false).await?;
-    Ok(ListConfigResponse { versions: expect_tell!(tell, Tell::Config)? })
+    Ok(ListConfigResponse {
+        versions: expect_tell!(tell, Tell::Config)?,
+    })
 }
--- a/src/ops/dump.rs
+++ b/src/ops/dump.rs
@@ -13,5 +13,7 @@
 /// Fails when the control part does not answer.
 pub async fn exec(context: &Context, _request: DumpRequest) -> Result<DumpResponse> {
     let tell = context.ask(Ask::Dump, super::TIMEOUT, false).await?;
-    Ok(DumpResponse { state: expect_tell!(tell, Tell::State)? })
+    Ok(DumpResponse {
+        state: expect_tell!(tell, Tell::State)?,
+    })
 }
--- a/src/ops/job.rs
+++ b/src/ops/job.rs
@@ -7,9 +7,9 @@
 use super::expect_tell;
 use crate::api::convert;
 use crate::api::schema::{
-    CancelJobRequest, CancelJobResponse, ExplainJobRequest, ExplainJobResponse, GetJobRequest, GetJobResponse,
-    JobStatus, ListJobsRequest, ListJobsResponse, SubmitJobRequest, SubmitJobResponse, WatchJobRequest,
-    WatchJobResponse,
+    CancelJobRequest, CancelJobResponse, ExplainJobRequest, ExplainJobResponse, GetJobRequest,
+    GetJobResponse, JobStatus, ListJobsRequest, ListJobsResponse, SubmitJobRequest,
+    SubmitJobResponse, WatchJobRequest, WatchJobResponse,
 };
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Job, Team};
@@ -29,12 +29,23 @@
 /// could ever hold, and whatever kept it from becoming durable.
 pub async fn submit(context: &Context, request: SubmitJobRequest) -> Result<SubmitJobResponse> {
     let key = super::call::parse_key(&request.key)?;
-    let key = key.ok_or_else(|| Error::new(Kind::KeyRequired, "a job needs a key; send a UUID version 7"))?;
-    let spec = request.spec.ok_or_else(|| Error::new(Kind::Malformed, "spec is missing; say what the job runs"))?;
+    let key = key.ok_or_else(|| {
+        Error::new(
+            Kind::KeyRequired,
+            "a job needs a key; send a UUID version 7",
+        )
+    })?;
+    let spec = request
+        .spec
+        .ok_or_else(|| Error::new(Kind::Malformed, "spec is missing; say what the job runs"))?;
     let job = convert::job(Job(key.0), spec)?;
-    let tell = context.ask(Ask::SubmitJob(Box::new(job)), super::TIMEOUT, false).await?;
+    let tell = context
+        .ask(Ask::SubmitJob(Box::new(job)), super::TIMEOUT, false)
+        .await?;
     let job = expect_tell!(tell, Tell::Submitted)?;
-    Ok(SubmitJobResponse { job_id: job.to_string() })
+    Ok(SubmitJobResponse {
+        job_id: job.to_string(),
+    })
 }
 
 /// Reads a job.
@@ -54,7 +65,9 @@
 /// [`Kind::NotFound`] for an unknown job.
 pub async fn cancel(context: &Context, request: CancelJobRequest) -> Result<CancelJobResponse> {
     let job = parse_id(&request.job_id)?;
-    let tell = context.ask(Ask::CancelJob(job), super::TIMEOUT, false).await?;
+    let tell = context
+        .ask(Ask::CancelJob(job), super::TIMEOUT, false)
+        .await?;
     let job = expect_tell!(tell, Tell::Job)?;
     Ok(CancelJobResponse { job: Some(job) })
 }
@@ -84,7 +97,9 @@
 /// [`Kind::NotFound`] for an unknown job.
 pub async fn explain(context: &Context, request: ExplainJobRequest) -> Result<ExplainJobResponse> {
     let job = parse_id(&request.job_id)?;
-    let tell = context.ask(Ask::ExplainJob(job), super::TIMEOUT, false).await?;
+    let tell = context
+        .ask(Ask::ExplainJob(job), super::TIMEOUT, false)
+        .await?;
     expect_tell!(tell, Tell::Explained)
 }
 
@@ -97,7 +112,11 @@
     let team = (!request.team.is_empty()).then(|| Team(request.team.clone()));
     let mut jobs = Vec::new();
     for partition in super::worker_partitions(context) {
-        let ask = Ask::ListJobs { partition, team: team.clone(), ended: request.ended };
+        let ask = Ask::ListJobs {
+            partition,
+            team: team.clone(),
+            ended: request.ended,
+        };
         let tell = context.ask(ask, super::TIMEOUT, false).await?;
         jobs.extend(expect_tell!(tell, Tell::Jobs)?);
     }
@@ -113,7 +132,10 @@
 
 /// Reads a job id.
 fn parse_id(text: &str) -> Result<Job> {
-    Uuid::parse_str(text)
-        .map(Job)
-        .map_err(|_| Error::new(Kind::Malformed, format!("job id `{text}` is not a UUID; send the id of a job")))
+    Uuid::parse_str(text).map(Job).map_err(|_| {
+        Error::new(
+            Kind::Malformed,
+            format!("job id `{text}` is not a UUID; send the id of a job"),
+        )
+    })
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -25,7 +25,10 @@
 fn mismatch(tell: &Tell) -> Error {
     let name = format!("{tell:?}");
     let name = name.split(['(', ' ', '{']).next().unwrap_or_default();
-    Error::new(Kind::Internal, format!("the control part answered with `{name}`"))
+    Error::new(
+        Kind::Internal,
+        format!("the control part answered with `{name}`"),
+    )
 }
 
 /// Returns the partitions that workers are spread over.
--- a/src/ops/quota.rs
+++ b/src/ops/quota.rs
@@ -16,12 +16,16 @@
 pub async fn list(context: &Context, _request: ListQuotasRequest) -> Result<ListQuotasResponse> {
     let mut teams: BTreeMap<String, QuotaStatus> = BTreeMap::new();
     for partition in super::worker_partitions(context) {
-        let tell = context.ask(Ask::ListQuotas(partition), super::TIMEOUT, false).await?;
+        let tell = context
+            .ask(Ask::ListQuotas(partition), super::TIMEOUT, false)
+            .await?;
         for quota in expect_tell!(tell, Tell::Quotas)? {
             merge(&mut teams, quota);
         }
     }
-    Ok(ListQuotasResponse { quotas: teams.into_values().collect() })
+    Ok(ListQuotasResponse {
+        quotas: teams.into_values().collect(),
+    })
 }
 
 /// Adds what a team uses in one partition.
--- a/src/ops/vm.rs
+++ b/src/ops/vm.rs
@@ -15,7 +15,9 @@
     let tell = context.ask(Ask::ListVms, super::TIMEOUT, false).await?;
     let mut vms = expect_tell!(tell, Tell::Vms)?;
     for partition in super::worker_partitions(context) {
-        let tell = context.ask(Ask::ListWorkers(partition), super::TIMEOUT, false).await?;
+        let tell = context
+            .ask(Ask::ListWorkers(partition), super::TIMEOUT, false)
+            .await?;
         vms.extend(expect_tell!(tell, Tell::Vms)?);
     }
     vms.sort_by_key(|vm| vm.id);
@@ -30,5 +32,7 @@
 pub async fn drain(context: &Context, _request: DrainVmRequest) -> Result<DrainVmResponse> {
     let in_flight = context.in_flight().saturating_sub(1);
     context.request_stop();
-    Ok(DrainVmResponse { in_flight: in_flight as u32 })
+    Ok(DrainVmResponse {
+        in_flight: in_flight as u32,
+    })
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -48,7 +48,11 @@
             .limit(connections)
             .timeout(CONNECT_TIMEOUT)
             .conn_keep_alive(KEEP_ALIVE);
-        let http = awc::Client::builder().connector(connector).disable_redirects().disable_timeout().finish();
+        let http = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
         Client { http }
     }
 
@@ -57,9 +61,19 @@
     /// # Errors
     ///
     /// After [`Failure::Unknown`] the entry may be in the stream.
-    pub async fn append(&self, base: &str, stream: &str, entry: Bytes, timeout: Duration) -> Result<u64, Failure> {
+    pub async fn append(
+        &self,
+        base: &str,
+        stream: &str,
+        entry: Bytes,
+        timeout: Duration,
+    ) -> Result<u64, Failure> {
         let url = format!("{base}/v1/streams/{stream}/append");
-        let request = self.http.post(&url).timeout(timeout).insert_header(("content-type", "application/octet-stream"));
+        let request = self
+            .http
+            .post(&url)
+            .timeout(timeout)
+            .insert_header(("content-type", "application/octet-stream"));
         let body = answer(request.send_body(entry).await).await?;
         let appended: Appended = parse(&body)?;
         Ok(appended.offset)
@@ -79,11 +93,13 @@
         wait: Duration,
     ) -> Result<Page, Failure> {
         let wait_ms = wait.as_millis();
-        let url =
-            format!("{base}/v1/streams/{stream}/entries?from={from}&max_bytes={max_bytes}&wait_ms={wait_ms}");
+        let url = format!(
+            "{base}/v1/streams/{stream}/entries?from={from}&max_bytes={max_bytes}&wait_ms={wait_ms}"
+        );
         let request = self.http.get(&url).timeout(wait + READ_GRACE);
         let body = answer(request.send().await).await?;
-        ciborium::from_reader(body.as_ref()).map_err(|error| Failure::Unknown(format!("{url}: {error}")))
+        ciborium::from_reader(body.as_ref())
+            .map_err(|error| Failure::Unknown(format!("{url}: {error}")))
     }
 
     /// Reads the VM list at `base`.
@@ -101,7 +117,12 @@
     /// # Errors
     ///
     /// After [`Failure::Unknown`] the task may run.
-    pub async fn start(&self, worker: SocketAddr, start: &Start, timeout: Duration) -> Result<(), Failure> {
+    pub async fn start(
+        &self,
+        worker: SocketAddr,
+        start: &Start,
+        timeout: Duration,
+    ) -> Result<(), Failure> {
         self.post(worker, "start", start, timeout).await
     }
 
@@ -110,7 +131,12 @@
     /// # Errors
     ///
     /// After [`Failure::Unknown`] the leases may have been renewed.
-    pub async fn renew(&self, worker: SocketAddr, renew: &Renew, timeout: Duration) -> Result<(), Failure> {
+    pub async fn renew(
+        &self,
+        worker: SocketAddr,
+        renew: &Renew,
+        timeout: Duration,
+    ) -> Result<(), Failure> {
         self.post(worker, "renew", renew, timeout).await
     }
 
@@ -119,7 +145,12 @@
     /// # Errors
     ///
     /// After [`Failure::Unknown`] the action may have been taken.
-    pub async fn control(&self, worker: SocketAddr, control: &Control, timeout: Duration) -> Result<(), Failure> {
+    pub async fn control(
+        &self,
+        worker: SocketAddr,
+        control: &Control,
+        timeout: Duration,
+    ) -> Result<(), Failure> {
         self.post(worker, "control", control, timeout).await
     }
 
@@ -128,8 +159,15 @@
     /// # Errors
     ///
     /// Any failure may be followed by another try.
-    pub async fn inventory(&self, worker: SocketAddr, timeout: Duration) -> Result<Inventory, Failure> {
-        let request = self.http.get(format!("http://{worker}/v1/inventory")).timeout(timeout);
+    pub async fn inventory(
+        &self,
+        worker: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Inventory, Failure> {
+        let request = self
+            .http
+            .get(format!("http://{worker}/v1/inventory"))
+            .timeout(timeout);
         parse(&answer(request.send().await).await?)
     }
 
@@ -196,7 +234,10 @@
     if status == StatusCode::OK {
         return Ok(body);
     }
-    Err(Failure::Status(status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
+    Err(Failure::Status(
+        status.as_u16(),
+        String::from_utf8_lossy(&body).into_owned(),
+    ))
 }
 
 /// Says whether a request that failed may have had its effect.
@@ -210,5 +251,6 @@
 
 /// Reads a JSON answer.
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
-    serde_json::from_slice(body).map_err(|error| Failure::Unknown(format!("the answer cannot be read: {error}")))
+    serde_json::from_slice(body)
+        .map_err(|error| Failure::Unknown(format!("the answer cannot be read: {error}")))
 }
