--- /dev/null
+++ b/src/core/stream/batch.rs
@@ -0,0 +1,93 @@
+//! The envelope of records in the log.
+//!
+//! One append carries one [`Batch`]: consecutive records of one writer. The writer assigns sequence
+//! numbers when it seals a batch, so they have no gaps, and it seals the next batch only once the
+//! one before is known to be in the log.
+
+use laburnum_derive::{message, name, value};
+
+use crate::core::id::Node;
+use crate::platform::log::bytes_field;
+
+/// The name of a stream.
+#[name]
+pub struct Name(pub String);
+
+/// A record's number among all that its writer put on the stream, from 1 without gaps.
+#[value]
+pub struct Sequence(pub u64);
+
+/// What identifies a record for good: its writer's incarnation and its sequence number.
+#[value]
+pub struct Id {
+    /// The writer.
+    pub node: Node,
+    /// The record's number.
+    pub sequence: Sequence,
+}
+
+/// An encoded record.
+#[message]
+#[serde(transparent)]
+pub struct Body(#[serde(with = "bytes_field")] pub Vec<u8>);
+
+/// Consecutive records of one writer, appended as one entry.
+#[message]
+pub struct Batch {
+    /// Who wrote the batch.
+    pub node: Node,
+    /// The sequence number of the first record.
+    pub first: Sequence,
+    /// The next offset that the writer was to read when it sealed the batch.
+    pub seen: u64,
+    /// The records.
+    pub records: Vec<Body>,
+}
+
+/// An accepted batch without its records.
+#[value]
+pub struct Header {
+    /// Who wrote the batch.
+    pub node: Node,
+    /// The sequence number of the first record.
+    pub first: Sequence,
+    /// The sequence number of the last record.
+    pub last: Sequence,
+    /// Where the batch stands in its stream.
+    pub offset: u64,
+}
+
+/// An accepted record, as a reader delivers it.
+#[message]
+pub struct Record<T> {
+    /// The record's identity.
+    pub id: Id,
+    /// The offset of the batch that carries the record.
+    pub offset: u64,
+    /// What was written.
+    pub value: T,
+}
+
+impl Sequence {
+    /// Returns the sequence number `count` further on.
+    pub fn plus(self, count: u64) -> Sequence {
+        Sequence(self.0.saturating_add(count))
+    }
+}
+
+impl Batch {
+    /// Returns the sequence number of the last record.
+    pub fn last(&self) -> Sequence {
+        Sequence((self.first.0 + self.records.len() as u64).saturating_sub(1))
+    }
+
+    /// Returns what stands before the records, for a batch at `offset`.
+    pub fn header(&self, offset: u64) -> Header {
+        Header {
+            node: self.node,
+            first: self.first,
+            last: self.last(),
+            offset,
+        }
+    }
+}
--- a/src/core/stream/mod.rs
+++ b/src/core/stream/mod.rs
@@ -1,1 +1,29 @@
-//! Stub.
+//! Streams of records on the platform's log.
+//!
+//! A [`Writer`] groups records into batches and appends them at a fixed rate; a [`Reader`] turns
+//! pages of the log back into typed records and drops repeats; a [`Relay`] lets one node of a region
+//! read for the others; [`snapshot`] rewrites live state before the records behind it expire.
+//!
+//! An append may take effect long after its answer was lost, so a retry may leave several copies of
+//! a batch in the log. Which copy counts is decided by the log alone: a batch names its writer, its
+//! sequence numbers and the offset that the writer had read up to, and [`Seen`] applies one rule to
+//! all batches in offset order. Every reader therefore accepts the same records, whenever it starts.
+
+mod backoff;
+mod batch;
+mod codec;
+mod lane;
+mod pace;
+pub mod reader;
+mod seen;
+pub mod writer;
+
+pub use backoff::Backoff;
+pub use batch::{Batch, Body, Header, Id, Name, Record, Sequence};
+pub use codec::{decode, encode};
+pub use pace::{CELL_APPENDS_PER_SECOND, Pace};
+pub use reader::Reader;
+#[doc(hidden)]
+pub use seen::Rules;
+pub use seen::{Admission, Seen, WINDOW};
+pub use writer::{Ticket, Writer};
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -36,15 +36,15 @@
 }
 
 /// Serializes a byte vector as one byte string.
-mod bytes_field {
+pub(crate) mod bytes_field {
     use serde::de::Visitor;
     use serde::{Deserializer, Serializer};
 
-    pub(super) fn serialize<S: Serializer>(data: &[u8], out: S) -> Result<S::Ok, S::Error> {
+    pub(crate) fn serialize<S: Serializer>(data: &[u8], out: S) -> Result<S::Ok, S::Error> {
         out.serialize_bytes(data)
     }
 
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
         struct Bytes;
         impl Visitor<'_> for Bytes {
             type Value = Vec<u8>;
