--- a/src/core/stream/mod.rs
+++ b/src/core/stream/mod.rs
@@ -16,6 +16,7 @@
 mod pace;
 pub mod reader;
 mod seen;
+pub mod snapshot;
 pub mod writer;
 
 pub use backoff::Backoff;
--- a/src/core/stream/writer.rs
+++ b/src/core/stream/writer.rs
@@ -29,7 +29,7 @@
 pub const LANE_BYTES: usize = 1 << 20;
 
 /// How many bytes one record may have.
-pub const RECORD_BYTES: usize = 256 << 10;
+pub const RECORD_BYTES: usize = 1 << 20;
 
 /// How many streams one process may write.
 pub const LANES: usize = 64;
