--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -1,3 +1,1 @@
 //! Stub.
-mod job;
-pub use job::{Builder, End, Job, Spread};
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -1,14 +1,56 @@
-//! The control part.
+//! The control part: the state that entries agree on, and the decisions about it.
+//!
+//! One thread owns all of it. Events arrive in its inbox: asks of traffic threads and other
+//! entries, answers of the log service, the VM list and workers, and notices of other entries.
+//! [`journal`] follows and writes the log, [`tenure`] runs leases and membership, [`keys`] the
+//! at-most-once tables, [`jobs`] the cells, [`slots`] the grants of targets' slots, and
+//! [`settings_log`] the configuration. A partition that this entry acquires is first brought up to
+//! the end of the work stream, and only then handed to the part that acts on it.
 
-use slog::info;
+mod answer;
+mod archive;
+mod configuration;
+mod jobs;
+pub mod journal;
+mod keys;
+mod slots;
+mod tenure;
+mod worker_io;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slog::{info, warn};
 use tokio::sync::oneshot;
 
 use super::context::Context;
 use super::supervisor::Inbox;
+use super::{dispatch, peer};
 use crate::core::error::{Error, Kind};
-use crate::core::id::Node;
+use crate::core::id::{Attempt, Job, Node, Partition, Vm, Worker};
+use crate::core::request::{dedup, slot};
+use crate::core::stream::Ticket;
 use crate::core::time::Instant;
-use crate::wire::{Ask, Reply};
+use crate::core::{lease, membership};
+use crate::platform::client::{Client, Failure};
+use crate::platform::vms::List;
+use crate::platform::worker::Inventory;
+use crate::util::timer;
+use crate::wire::{Ask, Reply, Tell};
+use archive::Archive;
+use configuration::Configuration;
+use jobs::Jobs;
+use journal::{Fact, Journal, Stream};
+use keys::Keys;
+use slots::Slots;
+use tenure::Tenure;
+
+/// How often leases, cells and tables are looked after.
+const TICK: Duration = Duration::from_millis(25);
+/// How often membership and leases are looked after.
+const TENURE_TICK: Duration = Duration::from_millis(100);
+/// How long a read of the VM list may take.
+const VMS_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What the control part is told.
 pub enum Event {
@@ -28,6 +70,57 @@
         /// The entry.
         node: Node,
     },
+    /// A heartbeat of another entry.
+    Membership(membership::Heartbeat),
+    /// A notice of another entry's lease table.
+    Lease {
+        /// The other entry.
+        from: Node,
+        /// The notice.
+        message: lease::Message,
+    },
+    /// An answer of the log service.
+    Log(journal::Event),
+    /// An answer of the VM list.
+    Vms(std::result::Result<List, Failure>),
+    /// A dispatcher asks its partition's table about a request.
+    Admit {
+        /// The service of the dispatcher.
+        service: crate::core::id::Service,
+        /// The partition.
+        partition: Partition,
+        /// The request.
+        submission: dedup::Submission,
+    },
+    /// A dispatcher tells its partition's table about a request.
+    Report {
+        /// The partition.
+        partition: Partition,
+        /// What happened.
+        input: dedup::Input,
+    },
+    /// A dispatcher asks for slots of a target.
+    SlotAsk(slot::Ask),
+    /// A worker answered a start.
+    Started {
+        /// The partition whose cell sent the start.
+        partition: Partition,
+        /// The attempt.
+        attempt: Attempt,
+        /// The answer.
+        result: std::result::Result<(), Failure>,
+    },
+    /// A worker answered a request for its inventory.
+    Inventory {
+        /// The partition whose cell asked.
+        partition: Partition,
+        /// The worker.
+        worker: Worker,
+        /// The number of the request.
+        request: u64,
+        /// The answer.
+        result: std::result::Result<Inventory, Failure>,
+    },
     /// A planned stop began.
     Drain {
         /// Told when nothing is owned any more.
@@ -35,18 +128,411 @@
     },
 }
 
-/// Runs the control part.
+/// What a subscription of the timer service is for.
+#[derive(Clone, Copy, Debug)]
+enum Topic {
+    /// Cells, tables and the journal.
+    Work,
+    /// Leases and membership.
+    Tenure,
+    /// The VM list.
+    Vms,
+}
+
+/// What a record of this process in the log stands for.
+enum Pending {
+    /// A record of a table of keys.
+    Key(Partition, dedup::Serial),
+    /// A batch of a cell.
+    Batch(Partition, u64),
+    /// An accepted job.
+    Accepted(Job, Reply),
+    /// A record that was written anew.
+    Rewrite,
+}
+
+/// The state of the control part.
+struct Control {
+    context: Context,
+    client: Client,
+    timers: timer::Service<Topic>,
+    journal: Journal,
+    tenure: Tenure,
+    archive: Archive,
+    keys: Keys,
+    jobs: Jobs,
+    slots: Slots,
+    configuration: Configuration,
+    vms: List,
+    pending: HashMap<Ticket, Pending>,
+    /// Answers that wait for the end of a job's cancellation.
+    canceling: HashMap<Job, Vec<Reply>>,
+    drain: Option<oneshot::Sender<()>>,
+}
+
+/// Runs the control part until its inbox closes.
 pub async fn run(context: Context, inbox: Inbox<Event>) {
     let mut inbox = inbox.open().await;
-    while let Some(event) = inbox.recv().await {
+    context.renew_incarnation();
+    let mut control = Control::new(context);
+    control.read_vms();
+    loop {
+        let now = control.context.clock.now();
+        let wake = control.wake_at(now).since(now);
+        match actix_rt::time::timeout(wake, inbox.recv()).await {
+            Ok(Some(event)) => {
+                control.handle(event);
+                // Events that wait already share the work that follows.
+                while let Ok(event) = inbox.try_recv() {
+                    control.handle(event);
+                }
+            }
+            Ok(None) => return,
+            Err(_) => {}
+        }
+        control.run_timers();
+    }
+}
+
+impl Control {
+    fn new(context: Context) -> Control {
+        let now = context.clock.now();
+        let poll = Duration::from_millis(context.settings.platform.poll_ms);
+        let mut timers = timer::Service::default();
+        timers.every(now, TICK, Topic::Work);
+        timers.every(now, TENURE_TICK, Topic::Tenure);
+        timers.every(now + poll, poll, Topic::Vms);
+        Control {
+            client: Client::new(worker_io::CONNECTIONS),
+            timers,
+            journal: Journal::new(&context),
+            tenure: Tenure::new(&context),
+            archive: Archive::default(),
+            keys: Keys::new(&context),
+            jobs: Jobs::new(&context),
+            slots: Slots::new(&context),
+            configuration: Configuration::default(),
+            vms: List::default(),
+            pending: HashMap::new(),
+            canceling: HashMap::new(),
+            drain: None,
+            context,
+        }
+    }
+
+    /// Returns when the next timer is due.
+    fn wake_at(&self, now: Instant) -> Instant {
+        self.timers.next().unwrap_or(now + TICK)
+    }
+
+    fn run_timers(&mut self) {
+        let now = self.context.clock.now();
+        for topic in self.timers.due(now) {
+            match topic {
+                Topic::Work => self.work(now),
+                Topic::Tenure => self.tend_tenure(now),
+                Topic::Vms => self.read_vms(),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.context.clock.now();
         match event {
-            Event::Ask { reply, .. } => {
-                let _ = reply.send(Err(Error::new(Kind::Unimplemented, "not yet")));
+            Event::Ask { ask, deadline, is_forwarded, reply } => {
+                self.answer(now, ask, deadline, is_forwarded, reply);
+            }
+            Event::Greeted { node } => slog::debug!(self.context.log, "entry greeted"; "node" => %node),
+            Event::Membership(heartbeat) => {
+                let outputs = self.tenure.hear(now, &heartbeat);
+                self.follow_view(now, outputs);
+            }
+            Event::Lease { from, message } => {
+                let outputs = self.tenure.deliver(now, from, &message);
+                self.follow_leases(now, outputs);
+            }
+            Event::Log(event) => self.take_log(now, event),
+            Event::Vms(list) => self.take_vms(now, list),
+            Event::Admit { service, partition, submission } => {
+                let outputs = self.keys.submit(self.context.clock, service, partition, submission);
+                self.follow_keys(partition, outputs);
+            }
+            Event::Report { partition, input } => {
+                let outputs = self.keys.step(self.context.clock, partition, input);
+                self.follow_keys(partition, outputs);
+            }
+            Event::SlotAsk(ask) => self.grant(now, &ask),
+            Event::Started { partition, attempt, result } => {
+                let outputs = self.jobs.started(now, partition, attempt, result);
+                self.follow_cell(now, partition, outputs);
+            }
+            Event::Inventory { partition, worker, request, result } => {
+                if let Ok(inventory) = result {
+                    let outputs = self.jobs.inventory(now, partition, worker, request, inventory);
+                    self.follow_cell(now, partition, outputs);
+                }
             }
-            Event::Greeted { node } => info!(context.log, "greeted"; "node" => %node),
             Event::Drain { done } => {
-                let _ = done.send(());
+                self.drain = Some(done);
+                self.tenure.stop(now);
             }
         }
     }
+
+    /// Lets time pass for the journal, the cells and the tables.
+    fn work(&mut self, now: Instant) {
+        let mut facts = Vec::new();
+        self.journal.tick(now, &mut facts);
+        self.learn(now, facts);
+        for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
+            self.follow_cell(now, partition, outputs);
+        }
+        let is_up = self.journal.is_up();
+        for (partition, outputs) in self.keys.tick(self.context.clock, &self.tenure, is_up) {
+            self.follow_keys(partition, outputs);
+        }
+        for answer in self.configuration.tick(now, &mut self.journal) {
+            answer.send();
+        }
+        self.rewrite(now);
+    }
+
+    /// Lets time pass for leases and membership, and tells the dispatch part who owns what.
+    fn tend_tenure(&mut self, now: Instant) {
+        let outputs = self.tenure.tick_view(now);
+        self.follow_view(now, outputs);
+        let outputs = self.tenure.tick(now, self.context.clock.stamp(), self.journal.is_up());
+        self.follow_leases(now, outputs);
+        self.ask_ends(now);
+        for (partition, owner) in self.tenure.changed_owners(now) {
+            self.context.dispatch(dispatch::Event::Owner(partition, owner));
+        }
+        if self.tenure.is_idle() && self.drain.is_some() {
+            self.finish_drain();
+        }
+    }
+
+    fn finish_drain(&mut self) {
+        if let Some(done) = self.drain.take() {
+            info!(self.context.log, "nothing is owned any more");
+            let _ = done.send(());
+        }
+    }
+
+    /// Asks where the work stream ends, for partitions that are to be brought up to there.
+    fn ask_ends(&mut self, now: Instant) {
+        if self.tenure.wants_end(now) {
+            self.journal.ask_end(Stream::Work);
+        }
+    }
+
+    fn take_log(&mut self, now: Instant, event: journal::Event) {
+        if let journal::Event::End { stream: Stream::Work, asked, next: Ok(next) } = &event {
+            self.tenure.note_end(*asked, *next);
+        }
+        let mut facts = Vec::new();
+        self.journal.take(now, event, &mut facts);
+        self.learn(now, facts);
+        self.open_caught_up(now);
+    }
+
+    /// Takes what was learnt from the log.
+    fn learn(&mut self, now: Instant, facts: Vec<Fact>) {
+        for fact in facts {
+            match fact {
+                Fact::Lease { offset, record } => {
+                    let outputs = self.tenure.read(now, offset, &record);
+                    self.follow_leases(now, outputs);
+                }
+                Fact::Config(record) => {
+                    for answer in self.configuration.apply(now, &record) {
+                        answer.send();
+                    }
+                    self.jobs.configure(now, self.configuration.config());
+                    let config = self.configuration.config().clone();
+                    self.context.dispatch(dispatch::Event::Config(config));
+                }
+                Fact::Work(record) => self.learn_work(&record),
+                Fact::Read { stream, lag, .. } => {
+                    if stream == Stream::Lease && lag == 0 {
+                        self.tenure.set_ready(now);
+                    }
+                }
+                Fact::Durable { stream, tickets } => self.durable(now, stream, &tickets),
+                Fact::Unknown { stream, tickets } => self.unknown(now, stream, &tickets),
+                Fact::Expired(stream) => {
+                    warn!(self.context.log, "state must be read from a peer"; "stream" => stream.name());
+                }
+            }
+        }
+    }
+
+    /// Keeps a record of a partition and gives one of an earlier owner to the present one.
+    fn learn_work(&mut self, record: &archive::Record) {
+        let retention = self.keys.retention();
+        self.archive.keep(self.context.clock.stamp(), retention, record);
+        if let archive::Body::Key(key_record) = &record.body {
+            let outputs = self.keys.read(self.context.clock, record.partition, key_record);
+            self.follow_keys(record.partition, outputs);
+        }
+    }
+
+    /// Goes on with what waited for records to be in the log.
+    fn durable(&mut self, now: Instant, stream: Stream, tickets: &[Ticket]) {
+        if stream != Stream::Work {
+            return;
+        }
+        for ticket in tickets {
+            match self.pending.remove(ticket) {
+                Some(Pending::Key(partition, serial)) => {
+                    let input = dedup::Input::Durable(serial);
+                    let outputs = self.keys.step(self.context.clock, partition, input);
+                    self.follow_keys(partition, outputs);
+                }
+                Some(Pending::Batch(partition, number)) => {
+                    let outputs = self.jobs.durable(now, partition, number);
+                    self.follow_cell(now, partition, outputs);
+                }
+                Some(Pending::Accepted(job, reply)) => {
+                    let (partition, outputs) = self.jobs.accepted(now, job);
+                    let _ = reply.send(Ok(Tell::Submitted(job)));
+                    self.follow_cell(now, partition, outputs);
+                }
+                Some(Pending::Rewrite) | None => {}
+            }
+        }
+    }
+
+    /// Answers what waited for records that may or may not be in the log.
+    fn unknown(&mut self, now: Instant, stream: Stream, tickets: &[Ticket]) {
+        if stream == Stream::Config {
+            for answer in self.configuration.unknown(now, tickets) {
+                answer.send();
+            }
+        }
+        for ticket in tickets {
+            if let Some(Pending::Accepted(job, reply)) = self.pending.remove(ticket) {
+                let message = format!("job {job} may or may not be accepted; read it by its id");
+                let _ = reply.send(Err(Error::new(Kind::AnswerLost, message)));
+            }
+        }
+    }
+
+    /// Hands partitions whose records are read to the part that acts on them.
+    fn open_caught_up(&mut self, now: Instant) {
+        for acquired in self.tenure.take_caught_up(self.journal.work_next()) {
+            let partition = acquired.partition;
+            info!(self.context.log, "partition opened"; "partition" => partition.0, "epoch" => acquired.epoch.0);
+            if self.jobs.is_worker_partition(partition) {
+                let records = self.archive.cell(partition).to_vec();
+                let config = self.configuration.config();
+                self.jobs.open(now, &acquired, &self.tenure, records, config, &self.vms);
+            } else {
+                let records = self.archive.keys(partition);
+                let outputs = self.keys.open(self.context.clock, &acquired, records);
+                self.follow_keys(partition, outputs);
+            }
+            self.slots.open(now, partition);
+            self.tenure.set_open(partition);
+        }
+    }
+
+    /// Asks for the VM list.
+    fn read_vms(&self) {
+        let context = self.context.clone();
+        let client = self.client.clone();
+        actix_rt::spawn(async move {
+            let list = client.vms(&context.settings.platform.vms, VMS_TIMEOUT).await;
+            context.control(Event::Vms(list));
+        });
+    }
+
+    fn take_vms(&mut self, now: Instant, list: std::result::Result<List, Failure>) {
+        let Ok(list) = list else {
+            return;
+        };
+        if list.version <= self.vms.version && !self.vms.vms.is_empty() {
+            return;
+        }
+        self.context.peer(peer::Command::Addresses(tenure::addresses(&list)));
+        self.context.dispatch(dispatch::Event::Vms(list.clone()));
+        let outputs = self.tenure.adopt(now, &list);
+        self.follow_view(now, outputs);
+        self.slots.adopt(&list);
+        for (partition, outputs) in self.jobs.adopt(now, &list) {
+            self.follow_cell(now, partition, outputs);
+        }
+        self.vms = list;
+    }
+
+    /// Carries out what the view of the entries wants.
+    fn follow_view(&mut self, now: Instant, outputs: Vec<membership::Output>) {
+        let mut is_changed = false;
+        for output in outputs {
+            match output {
+                membership::Output::Send { to, heartbeat } => {
+                    self.send(to, crate::wire::Frame::Membership(heartbeat));
+                }
+                membership::Output::Changed { vm, state } => {
+                    info!(self.context.log, "entry changed state"; "vm" => vm.0, "state" => ?state);
+                    is_changed = true;
+                }
+                membership::Output::Returned(node) => {
+                    info!(self.context.log, "entry runs anew"; "node" => %node);
+                    is_changed = true;
+                }
+            }
+        }
+        if is_changed {
+            let mut facts = Vec::new();
+            self.journal.set_entries(now, self.tenure.live_entries(), &mut facts);
+            self.learn(now, facts);
+            let outputs = self.tenure.prefer(now);
+            self.follow_leases(now, outputs);
+        }
+    }
+
+    /// Carries out what the lease table wants.
+    fn follow_leases(&mut self, now: Instant, outputs: Vec<lease::Output>) {
+        for output in outputs {
+            match output {
+                lease::Output::Append(append) => {
+                    if let Err(error) = self.journal.push_lease(&append.record) {
+                        warn!(self.context.log, "lease record refused"; "error" => %error);
+                    }
+                }
+                lease::Output::Send { to, message } => {
+                    let own = self.tenure.node();
+                    self.send(to.vm, crate::wire::Frame::Lease(own, message));
+                }
+                lease::Output::Acquired(acquired) => {
+                    self.note_ownership("acquired", acquired.partition);
+                    self.tenure.note_acquired(now, acquired);
+                }
+                lease::Output::Lost { partition, .. } => {
+                    self.note_ownership("lost", partition);
+                    self.close(partition);
+                }
+            }
+        }
+    }
+
+    fn note_ownership(&self, change: &'static str, partition: Partition) {
+        self.context.metrics.ownership.add(1, &crate::util::metric::label("change", change));
+        info!(self.context.log, "partition changed hands"; "change" => change, "partition" => partition.0);
+    }
+
+    /// Stops acting on a partition.
+    fn close(&mut self, partition: Partition) {
+        self.tenure.note_lost(partition);
+        self.keys.close(partition);
+        self.jobs.close(partition);
+        self.slots.close(partition);
+        let owner = dispatch::Event::Owner(partition, None);
+        self.context.dispatch(owner);
+    }
+
+    fn send(&self, to: Vm, frame: crate::wire::Frame) {
+        self.context.peer(peer::Command::Send { to, frame });
+    }
 }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -5,6 +5,8 @@
 use super::{Ask, Tell};
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::Node;
+use crate::core::request::slot;
+use crate::core::{lease, membership};
 
 /// One message on a link.
 #[message]
@@ -15,7 +17,7 @@
         node: Node,
     },
     /// Shows that the link works.
-    Heartbeat,
+    KeepAlive,
     /// Asks for something.
     Ask {
         /// Matches the answer.
@@ -23,15 +25,23 @@
         /// How long the sender waits, in milliseconds.
         timeout_ms: u64,
         /// What is asked.
-        ask: Ask,
+        ask: Box<Ask>,
     },
     /// Answers an ask.
     Tell {
         /// The id of the ask.
         id: u64,
         /// The answer.
-        tell: std::result::Result<Tell, Error>,
+        tell: Box<std::result::Result<Tell, Error>>,
     },
+    /// A notice to the view of the entries.
+    Membership(membership::Heartbeat),
+    /// A notice to the lease table, from this run of the daemon.
+    Lease(Node, lease::Message),
+    /// Asks the owner of a target's partition for slots.
+    SlotAsk(slot::Ask),
+    /// Answers an ask for slots.
+    SlotGrant(slot::Grant),
 }
 
 impl Frame {
@@ -42,9 +52,8 @@
     /// [`Kind::Internal`] when the frame cannot be written, which is a defect.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut out = Vec::new();
-        ciborium::into_writer(self, &mut out).map_err(|error| {
-            Error::new(Kind::Internal, format!("cannot write a frame: {error}"))
-        })?;
+        ciborium::into_writer(self, &mut out)
+            .map_err(|error| Error::new(Kind::Internal, format!("cannot write a frame: {error}")))?;
         Ok(out)
     }
 
