--- /dev/null
+++ b/src/core/placement/cell/hold.rs
@@ -0,0 +1,388 @@
+//! Making room: reservations and pre-emption.
+//!
+//! A reservation is made whole: for a gang, it names workers that together will hold all its tasks.
+//! No job ever holds part of what it needs while it waits for the rest, so two gangs can't block
+//! each other. Other work may use reserved workers as long as it is expected to end before the
+//! reserving job can start (backfilling, after Lifka's EASY scheduler). Pre-emption checkpoints
+//! batch tasks and keeps the room for the job that it was made for.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Cell;
+use super::jobs::times_within;
+use crate::core::placement::message::Output;
+use crate::core::placement::policy::Policy;
+use crate::core::placement::queue::Lane;
+use crate::core::placement::table::{
+    AttemptKey, Hold, Intent, JobKey, Phase, Standing, WorkerEntry, WorkerKey,
+};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+use crate::core::workload::Class;
+use crate::platform::worker::Action;
+
+/// The most workers looked at for one reservation.
+const MAX_RESERVE_LOOKS: usize = 8_192;
+
+/// The most workers looked at for one pre-emption.
+const MAX_PREEMPT_LOOKS: usize = 4_096;
+
+/// How many ways to pre-empt are compared.
+const ENOUGH_WAYS: usize = 4;
+
+/// How many waiting urgent jobs of a lane are given room at once.
+const MAX_URGENT: usize = 32;
+
+/// The shortest span between two searches for a reservation.
+const RESERVE_EVERY: Duration = Duration::from_secs(1);
+
+/// After a reservation that came to nothing, the job makes none for this span.
+const RESERVE_BACKOFF: Duration = Duration::from_secs(30);
+
+/// Workers kept for one job.
+#[derive(Debug)]
+struct Reservation {
+    workers: Vec<WorkerKey>,
+    until: Instant,
+    is_whole: bool,
+}
+
+/// All reservations.
+#[derive(Debug, Default)]
+pub(super) struct Holds {
+    jobs: BTreeMap<JobKey, Reservation>,
+    /// No search for a reservation before this time.
+    search_from: Instant,
+    /// Where the next search begins in the roster.
+    cursor: usize,
+}
+
+/// Which tasks may be checkpointed for other work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Victims {
+    /// All batch tasks.
+    Batch,
+    /// Batch tasks of teams above their share.
+    Borrowed,
+}
+
+/// A way to make room on one worker.
+#[derive(Debug)]
+struct Way {
+    worker: WorkerKey,
+    attempts: Vec<AttemptKey>,
+    /// The run time that is lost if the checkpoints fail.
+    work: Duration,
+}
+
+/// When a worker can hold how many tasks.
+#[derive(Clone, Copy, Debug)]
+struct Prospect {
+    at: Instant,
+    worker: WorkerKey,
+    tasks: u64,
+}
+
+impl Holds {
+    /// Returns the workers kept for a job.
+    pub(super) fn workers(&self, job: JobKey) -> impl Iterator<Item = WorkerKey> {
+        let reservation = self.jobs.get(&job);
+        reservation
+            .into_iter()
+            .flat_map(|held| held.workers.iter().copied())
+    }
+
+    /// Returns how many whole reservations there are.
+    fn whole(&self) -> usize {
+        self.jobs.values().filter(|held| held.is_whole).count()
+    }
+
+    /// Takes a worker that is no more out of all reservations.
+    pub(super) fn forget_worker(&mut self, worker: WorkerKey) {
+        for held in self.jobs.values_mut() {
+            held.workers.retain(|&other| other != worker);
+        }
+    }
+
+    /// Returns the jobs whose reservations have timed out.
+    fn expired(&self, now: Instant) -> Vec<JobKey> {
+        let is_over = |held: &Reservation| held.until <= now || held.workers.is_empty();
+        let over = self.jobs.iter().filter(|(_, held)| is_over(held));
+        over.map(|(&job, _)| job).collect()
+    }
+}
+
+impl<P: Policy> Cell<P> {
+    /// Makes room for the head of a lane that found no worker.
+    pub(super) fn make_room(&mut self, lane: Lane, key: JobKey, out: &mut Vec<Output>) {
+        let waited = self.now.since(self.jobs[key].queued_at);
+        let returns = waited >= self.settings.knobs.return_after && self.is_within_share(key);
+        match lane.class {
+            Class::Urgent => {
+                for job in self.queue.heads(lane, MAX_URGENT) {
+                    if !self.preempt_for(job, Victims::Batch, out) {
+                        break;
+                    }
+                }
+            }
+            Class::Gang => self.reserve(key, returns, out),
+            Class::Service | Class::Batch => {
+                let is_done = returns && self.preempt_for(key, Victims::Borrowed, out);
+                if !is_done && waited >= self.settings.knobs.reserve_after {
+                    self.reserve(key, false, out);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the job's team would stay within its share with one more task.
+    fn is_within_share(&self, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        let team = &self.teams[job.team];
+        let fits = |share: Amount| (team.used + job.spec.size).fits(share);
+        team.quota.is_none_or(|quota| fits(quota.share))
+    }
+
+    /// Pre-empts for the waiting tasks of one job; returns whether room is on the way for all.
+    fn preempt_for(&mut self, key: JobKey, victims: Victims, out: &mut Vec<Output>) -> bool {
+        let wanted = (self.jobs[key].queued as usize).min(MAX_URGENT);
+        let held = self.holds.workers(key).count();
+        for _ in held..wanted {
+            let Some(way) = self.find_way(self.jobs[key].claim, victims) else {
+                return false;
+            };
+            self.preempt(key, way, out);
+        }
+        true
+    }
+
+    /// Checkpoints tasks and keeps the room for a job.
+    fn preempt(&mut self, key: JobKey, way: Way, out: &mut Vec<Output>) {
+        let knobs = &self.settings.knobs;
+        let starts_at = self.now + knobs.checkpoint_grace;
+        let until = starts_at + knobs.checkpoint_grace * 2 + knobs.inventory_every * 2;
+        self.keep(key, &[way.worker], starts_at, until, false);
+        for attempt in way.attempts {
+            self.counters.preempted += 1;
+            self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
+        }
+    }
+
+    /// Keeps workers for a job.
+    fn keep(
+        &mut self,
+        job: JobKey,
+        workers: &[WorkerKey],
+        starts_at: Instant,
+        until: Instant,
+        is_whole: bool,
+    ) {
+        let held = self.holds.jobs.entry(job).or_insert_with(|| Reservation {
+            workers: Vec::new(),
+            until,
+            is_whole,
+        });
+        held.until = held.until.max(until);
+        for &worker in workers {
+            held.workers.push(worker);
+            self.workers[worker].reserved = Some(Hold { job, starts_at });
+        }
+    }
+
+    /// Finds the least costly way to make room for `need` on one of the workers looked at.
+    fn find_way(&mut self, need: Amount, victims: Victims) -> Option<Way> {
+        let count = self.roster.len();
+        let start = self.holds.cursor;
+        let mut best: Option<Way> = None;
+        let mut found = 0;
+        for step in 0..count.min(MAX_PREEMPT_LOOKS) {
+            let worker = self.roster[(start + step) % count];
+            self.holds.cursor = (start + step + 1) % count;
+            let Some(way) = self.way(worker, need, victims) else {
+                continue;
+            };
+            found += 1;
+            let cost = |way: &Way| (way.attempts.len(), way.work);
+            if best.as_ref().is_none_or(|best| cost(&way) < cost(best)) {
+                best = Some(way);
+            }
+            if found >= ENOUGH_WAYS {
+                break;
+            }
+        }
+        best
+    }
+
+    /// Returns how room for `need` can be made on a worker, ending the youngest tasks first.
+    fn way(&self, worker: WorkerKey, need: Amount, victims: Victims) -> Option<Way> {
+        let entry = &self.workers[worker];
+        let is_usable = entry.standing == Standing::Ready && entry.reserved.is_none();
+        if !is_usable || !need.fits(entry.size) || entry.health.is_quarantined(self.now) {
+            return None;
+        }
+        let mut candidates: Vec<AttemptKey> = entry.attempts.clone();
+        candidates.retain(|&attempt| self.is_victim(attempt, victims));
+        candidates.sort_by_key(|&attempt| std::cmp::Reverse(self.attempts[attempt].started_at));
+        let mut way = Way {
+            worker,
+            attempts: Vec::new(),
+            work: Duration::ZERO,
+        };
+        let mut used = entry.used;
+        for attempt in candidates {
+            if need.fits(entry.size - used) {
+                break;
+            }
+            used -= self.attempts[attempt].accounted;
+            way.work += self.now.since(self.attempts[attempt].started_at);
+            way.attempts.push(attempt);
+        }
+        need.fits(entry.size - used).then_some(way)
+    }
+
+    /// Returns whether an attempt may be checkpointed for other work.
+    fn is_victim(&self, key: AttemptKey, victims: Victims) -> bool {
+        let attempt = &self.attempts[key];
+        let Some(job) = attempt.job.map(|job| &self.jobs[job]) else {
+            return false;
+        };
+        let is_running = attempt.phase == Phase::Running && attempt.intent == Intent::Run;
+        let is_borrowed = victims == Victims::Batch || self.teams[job.team].borrows;
+        is_running && job.spec.class == Class::Batch && is_borrowed
+    }
+
+    /// Reserves workers for all tasks that the job needs at once, or none.
+    fn reserve(&mut self, key: JobKey, returns: bool, out: &mut Vec<Output>) {
+        let is_early = self.now < self.holds.search_from || self.now < self.jobs[key].reserve_from;
+        let is_full = self.holds.whole() >= self.settings.knobs.max_reservations;
+        if is_early || is_full || self.holds.jobs.contains_key(&key) {
+            return;
+        }
+        self.holds.search_from = self.now + RESERVE_EVERY;
+        let job = &self.jobs[key];
+        let needed = match job.spec.class {
+            Class::Gang => u64::from(job.queued),
+            _ => 1,
+        };
+        let Some(chosen) = self.choose_prospects(job.claim, needed) else {
+            return;
+        };
+        let starts_at = chosen.iter().map(|prospect| prospect.at).max();
+        let workers: Vec<WorkerKey> = chosen.iter().map(|prospect| prospect.worker).collect();
+        let until = self.now + self.settings.knobs.reserve_timeout;
+        self.counters.reserved += 1;
+        self.keep(key, &workers, starts_at.unwrap_or(self.now), until, true);
+        if returns {
+            workers
+                .iter()
+                .for_each(|&worker| self.claim_back(worker, out));
+        }
+    }
+
+    /// Checkpoints borrowed batch tasks on a reserved worker.
+    fn claim_back(&mut self, worker: WorkerKey, out: &mut Vec<Output>) {
+        for attempt in self.workers[worker].attempts.clone() {
+            if self.is_victim(attempt, Victims::Borrowed) {
+                self.counters.preempted += 1;
+                self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
+            }
+        }
+    }
+
+    /// Chooses the workers that can hold `needed` tasks soonest.
+    fn choose_prospects(&mut self, size: Amount, needed: u64) -> Option<Vec<Prospect>> {
+        let count = self.roster.len();
+        let start = self.holds.cursor;
+        let looks = count.min(MAX_RESERVE_LOOKS);
+        self.holds.cursor = (start + looks) % count.max(1);
+        let mut prospects: Vec<Prospect> = (0..looks)
+            .filter_map(|step| self.prospect(self.roster[(start + step) % count], size))
+            .collect();
+        prospects.sort_by_key(|prospect| (prospect.at, std::cmp::Reverse(prospect.tasks)));
+        let mut held = 0;
+        let taken = prospects.iter().take_while(|prospect| {
+            let is_needed = held < needed;
+            held += prospect.tasks;
+            is_needed
+        });
+        let taken = taken.count();
+        prospects.truncate(taken);
+        let total: u64 = prospects.iter().map(|prospect| prospect.tasks).sum();
+        (total >= needed).then_some(prospects)
+    }
+
+    /// Returns when a worker can hold tasks of `size`, if ever.
+    fn prospect(&self, worker: WorkerKey, size: Amount) -> Option<Prospect> {
+        let entry = &self.workers[worker];
+        let is_usable = entry.standing == Standing::Ready && entry.reserved.is_none();
+        if !is_usable || entry.health.is_on_probation() {
+            return None;
+        }
+        let now = times_within(size, entry.room());
+        let later = times_within(size, entry.size - self.lasting(entry));
+        if later == 0 {
+            return None;
+        }
+        let ends = entry
+            .attempts
+            .iter()
+            .map(|&attempt| self.attempts[attempt].ends_at);
+        let ending = ends.filter(|&at| at != Instant(u64::MAX));
+        let at = match now >= later {
+            true => self.now,
+            false => ending.max().unwrap_or(self.now).max(self.now),
+        };
+        Some(Prospect {
+            at,
+            worker,
+            tasks: later,
+        })
+    }
+
+    /// Returns what a worker's services use, which are not expected to end.
+    fn lasting(&self, entry: &WorkerEntry) -> Amount {
+        let attempts = entry
+            .attempts
+            .iter()
+            .map(|&attempt| &self.attempts[attempt]);
+        attempts
+            .filter(|attempt| attempt.ends_at == Instant(u64::MAX))
+            .fold(Amount::default(), |sum, attempt| sum + attempt.accounted)
+    }
+
+    /// Gives back what is kept for a job.
+    pub(super) fn release_hold(&mut self, key: JobKey) {
+        let Some(held) = self.holds.jobs.remove(&key) else {
+            return;
+        };
+        for worker in held.workers {
+            let Some(entry) = self.workers.get_mut(worker) else {
+                continue;
+            };
+            if entry.reserved.is_some_and(|hold| hold.job == key) {
+                entry.reserved = None;
+                let room = entry.room();
+                self.freed.room = self.freed.room.max(room);
+            }
+        }
+    }
+
+    /// Gives back reservations that have timed out.
+    pub(super) fn tend_holds(&mut self) {
+        for key in self.holds.expired(self.now) {
+            let was_whole = self.holds.jobs.get(&key).is_some_and(|held| held.is_whole);
+            self.release_hold(key);
+            if let Some(job) = self.jobs.get_mut(key).filter(|_| was_whole) {
+                job.reserve_from = self.now + RESERVE_BACKOFF;
+            }
+        }
+    }
+
+    /// Returns when a reserving job is expected to start.
+    pub(super) fn reserved_start(&self, key: JobKey) -> Option<Instant> {
+        let holds = self.holds.workers(key);
+        let starts = holds.filter_map(|worker| self.workers[worker].reserved);
+        starts.map(|hold| hold.starts_at).max()
+    }
+}
--- /dev/null
+++ b/src/core/placement/cell/overrun.rs
@@ -0,0 +1,69 @@
+//! Tasks that use more than their size.
+//!
+//! Reported usage lags, so a task is counted with what it was last seen to use as soon as that is
+//! above its size. It is throttled at once, checkpointed when throttling does not help in time, and
+//! stopped when the checkpoint does not come.
+
+use super::Cell;
+use crate::core::placement::message::Output;
+use crate::core::placement::policy::Policy;
+use crate::core::placement::table::{AttemptKey, Control, Intent};
+use crate::core::resource::Amount;
+use crate::platform::worker::Action;
+
+/// How far above its size a task may be measured, in percent, before it counts as an overrun.
+const TOLERANCE_PERCENT: u64 = 10;
+
+impl<P: Policy> Cell<P> {
+    /// Takes in what an attempt was last seen to use.
+    pub(super) fn watch_usage(&mut self, key: AttemptKey, usage: Amount, out: &mut Vec<Output>) {
+        let attempt = &self.attempts[key];
+        let size = attempt.size;
+        let intent = attempt.intent;
+        let control = attempt.control;
+        let is_over = is_overrun(usage, size);
+        if intent != Intent::Run {
+            return;
+        }
+        let claim = attempt.job.map_or(size, |job| self.jobs[job].claim);
+        if !is_over {
+            self.recount(key, claim);
+            return;
+        }
+        self.recount(key, claim.max(usage));
+        let grace = self.settings.knobs.overrun_grace;
+        let has_waited = |control: Control| {
+            control.action == Action::Throttle && self.now.since(control.at) >= grace
+        };
+        match control {
+            None => self.throttle(key, out),
+            Some(control) if has_waited(control) => {
+                self.counters.overruns += 1;
+                self.stop(key, Intent::Overrun, Action::Checkpoint, out);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Tells the worker to hold an attempt to its size.
+    fn throttle(&mut self, key: AttemptKey, out: &mut Vec<Output>) {
+        self.counters.overruns += 1;
+        let now = self.now;
+        let attempt = &mut self.attempts[key];
+        attempt.control = Some(Control {
+            action: Action::Throttle,
+            at: now,
+        });
+        out.push(Output::Control {
+            worker: self.workers[attempt.worker].id,
+            attempt: attempt.id,
+            action: Action::Throttle,
+        });
+    }
+}
+
+/// Returns whether usage is above a size by more than the tolerance.
+fn is_overrun(usage: Amount, size: Amount) -> bool {
+    let is_over = |used: u64, declared: u64| used * 100 > declared * (100 + TOLERANCE_PERCENT);
+    is_over(usage.cpu_millis, size.cpu_millis) || is_over(usage.memory_mib, size.memory_mib)
+}
--- /dev/null
+++ b/src/core/placement/cell/place.rs
@@ -0,0 +1,258 @@
+//! Taking waiting jobs in order and finding workers for their tasks.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::Cell;
+use crate::core::id::{Attempt, Task};
+use crate::core::placement::message::{Output, Record};
+use crate::core::placement::policy::{Ask, Choose as _, Policy, View, check};
+use crate::core::placement::queue::Lane;
+use crate::core::placement::table::{
+    AttemptEntry, AttemptKey, Intent, JobKey, Phase, TaskPhase, TeamKey, WorkerKey,
+};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+use crate::core::workload::Class;
+
+/// All lanes that were set aside are served again after this span.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// The quantile of learned run times, in thousandths, by which a task is expected to have ended.
+const END_PERMILLE: usize = 900;
+
+/// What came free since lanes were last looked at.
+#[derive(Debug, Default)]
+pub(super) struct Freed {
+    /// At least the room of each worker on which room came free, in each resource.
+    pub(super) room: Amount,
+    /// The teams that hold less than before.
+    pub(super) teams: BTreeSet<TeamKey>,
+}
+
+/// Why a job was not placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Miss {
+    /// The team's ceiling forbids it.
+    Quota,
+    /// No worker was found.
+    Worker,
+}
+
+impl<P: Policy> Cell<P> {
+    /// Places waiting tasks until the budget of the step is spent or nothing more fits.
+    pub(super) fn place_some(&mut self, out: &mut Vec<Output>) {
+        if self.journal.outstanding() >= self.settings.knobs.max_batches && !self.is_unrecorded {
+            return;
+        }
+        self.wake_lanes();
+        let mut budget = self.settings.knobs.decisions_per_step;
+        while budget > 0 {
+            let Some(lane) = self.queue.first() else {
+                return;
+            };
+            let Some(key) = self.queue.head(lane) else {
+                return;
+            };
+            let cost = self.serve(lane, key, out);
+            budget = budget.saturating_sub(cost);
+        }
+    }
+
+    /// Serves lanes again for which room may have come free.
+    fn wake_lanes(&mut self) {
+        if self.now.since(self.swept_at) >= SWEEP_EVERY {
+            self.swept_at = self.now;
+            self.freed = Freed::default();
+            self.queue.unblock_where(|_| true);
+            return;
+        }
+        let freed = std::mem::take(&mut self.freed);
+        if freed.room == Amount::default() && freed.teams.is_empty() {
+            return;
+        }
+        let wakes =
+            |lane: Lane| lane.shape.floor().fits(freed.room) || freed.teams.contains(&lane.team);
+        self.queue.unblock_where(wakes);
+    }
+
+    /// Places the head of a lane; returns how many decisions that took.
+    fn serve(&mut self, lane: Lane, key: JobKey, out: &mut Vec<Output>) -> usize {
+        let tasks = match lane.class {
+            Class::Gang => self.jobs[key].queued as usize,
+            _ => 1,
+        };
+        let result = match lane.class {
+            Class::Gang => self.place_gang(key),
+            _ => self
+                .place_one(key)
+                .map(|attempt| self.confirm_place(attempt)),
+        };
+        match result {
+            Ok(()) if self.jobs[key].queued == 0 => {
+                self.dequeue(key);
+                self.release_hold(key);
+            }
+            Ok(()) => {}
+            Err(miss) => {
+                self.counters.unplaced += 1;
+                self.queue.block(lane);
+                if P::RESERVES && miss == Miss::Worker {
+                    self.make_room(lane, key, out);
+                }
+            }
+        }
+        tasks
+    }
+
+    /// Places all waiting tasks of a gang, or none.
+    fn place_gang(&mut self, key: JobKey) -> Result<(), Miss> {
+        let count = self.jobs[key].queued;
+        let team = &self.teams[self.jobs[key].team];
+        if !team.allows(self.jobs[key].spec.size.times(u64::from(count))) {
+            return Err(Miss::Quota);
+        }
+        let mut placed = Vec::with_capacity(count as usize);
+        for _ in 0..count {
+            match self.place_one(key) {
+                Ok(attempt) => placed.push(attempt),
+                Err(miss) => {
+                    placed
+                        .into_iter()
+                        .rev()
+                        .for_each(|attempt| self.undo(attempt));
+                    return Err(miss);
+                }
+            }
+        }
+        let deadline = self.now + self.jobs[key].spec.gang_timeout;
+        self.jobs[key].gang_deadline = Some(deadline);
+        self.gangs.insert((deadline, key));
+        placed
+            .into_iter()
+            .for_each(|attempt| self.confirm_place(attempt));
+        Ok(())
+    }
+
+    /// Finds a worker for one task and counts the task against it.
+    fn place_one(&mut self, key: JobKey) -> Result<AttemptKey, Miss> {
+        let team = &self.teams[self.jobs[key].team];
+        if !team.allows(self.jobs[key].spec.size) {
+            return Err(Miss::Quota);
+        }
+        let index = self.jobs[key].take().ok_or(Miss::Worker)?;
+        let Some(worker) = self.find(key, index) else {
+            self.jobs[key].give_back(index);
+            return Err(Miss::Worker);
+        };
+        Ok(self.assign(key, index, worker))
+    }
+
+    /// Finds a worker for one task, first among those kept for the job.
+    fn find(&mut self, key: JobKey, index: u32) -> Option<WorkerKey> {
+        let ends_at = self.predict(key);
+        let job = &self.jobs[key];
+        let mut ask = Ask::new(key, job, self.now, ends_at);
+        ask.task = Some(index);
+        if job.tried.len() * 2 >= self.roster.len() {
+            ask.tried = &[];
+        }
+        let suits = |worker: &WorkerKey| {
+            let entry = self.workers.get(*worker);
+            entry.is_some_and(|entry| check(&ask, entry).is_none())
+        };
+        if let Some(worker) = self.holds.workers(key).find(suits) {
+            return Some(worker);
+        }
+        let view = View {
+            workers: &self.workers,
+            roster: &self.roster,
+            index: &self.index,
+            total: self.total,
+        };
+        self.chooser.choose(&ask, view)
+    }
+
+    /// Returns when a task of the job is expected to end if it starts now.
+    pub(super) fn predict(&self, key: JobKey) -> Instant {
+        let spec = &self.jobs[key].spec;
+        if spec.class == Class::Service {
+            return Instant(u64::MAX);
+        }
+        let span = self
+            .history
+            .quantile(&spec.family, END_PERMILLE, spec.run_time);
+        self.now + span
+    }
+
+    /// Gives a task to a worker.
+    fn assign(&mut self, key: JobKey, index: u32, worker: WorkerKey) -> AttemptKey {
+        let ends_at = self.predict(key);
+        let job = &mut self.jobs[key];
+        let task = &mut job.tasks[index as usize];
+        task.number += 1;
+        let id = Attempt {
+            task: Task {
+                job: job.spec.id,
+                index,
+            },
+            number: task.number,
+        };
+        let entry = AttemptEntry {
+            id,
+            job: Some(key),
+            worker,
+            size: job.spec.size,
+            accounted: job.claim,
+            phase: Phase::Recording,
+            intent: Intent::Run,
+            counted: false,
+            conclusive_after: Instant(u64::MAX),
+            held_until: Instant(u64::MAX),
+            started_at: self.now,
+            ends_at,
+            control: None,
+        };
+        let attempt = self.attempts.insert(entry);
+        task.phase = TaskPhase::Live(attempt);
+        job.live += 1;
+        self.attempt_ids.insert(id, attempt);
+        self.workers[worker].attempts.push(attempt);
+        if self.rules.count_in_flight {
+            self.count(attempt);
+        }
+        attempt
+    }
+
+    /// Writes the record of a placement; its start follows when that is durable.
+    fn confirm_place(&mut self, key: AttemptKey) {
+        let attempt = &self.attempts[key];
+        let record = Record::Placed {
+            attempt: attempt.id,
+            worker: self.workers[attempt.worker].id,
+        };
+        self.counters.placed += 1;
+        self.write(record);
+        self.start_when_durable(key);
+    }
+
+    /// Takes back a placement of which nothing was written.
+    fn undo(&mut self, key: AttemptKey) {
+        self.uncount(key);
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        self.attempt_ids.remove(&attempt.id);
+        self.workers[attempt.worker]
+            .attempts
+            .retain(|&other| other != key);
+        let Some(job) = attempt.job else {
+            return;
+        };
+        let index = attempt.id.task.index;
+        let job = &mut self.jobs[job];
+        job.live -= 1;
+        job.tasks[index as usize].number -= 1;
+        job.give_back(index);
+    }
+}
--- /dev/null
+++ b/src/core/placement/cell/query.rs
@@ -0,0 +1,347 @@
+//! What operators can ask: jobs, workers, quotas, and why a job waits.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::jobs::place;
+use super::{Cell, Counters};
+use crate::core::id::{self, Team};
+use crate::core::placement::job::End;
+use crate::core::placement::policy::{Ask, Policy, Refusal, check};
+use crate::core::placement::settings::Quota;
+use crate::core::placement::table::{JobEntry, JobKey, Standing, TaskPhase, WorkerEntry};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+use crate::core::workload::Class;
+
+/// How far a job has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// No task has a place.
+    Queued,
+    /// Some task has a place.
+    Running,
+    /// It is to end so, and something of it may still run.
+    Ending(End),
+    /// It ended.
+    Ended(End),
+}
+
+/// A job as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct JobStatus {
+    /// Its id.
+    pub id: id::Job,
+    /// Its team.
+    pub team: Team,
+    /// Its class.
+    pub class: Class,
+    /// How far it has come.
+    pub stage: Stage,
+    /// How many tasks it has.
+    pub tasks: u32,
+    /// How many tasks succeeded.
+    pub succeeded: u32,
+    /// How many tasks have a place.
+    pub live: u32,
+    /// How many tasks wait for a place.
+    pub queued: u32,
+}
+
+/// What a job waits for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Waiting {
+    /// Nothing: no task of it waits.
+    Nothing,
+    /// The end of leases that a previous owner may have given without records.
+    Takeover,
+    /// Its turn: some worker could take a task now.
+    Turn,
+    /// The team holds as much as its ceiling allows.
+    Quota,
+    /// A worker with room.
+    Worker,
+    /// The workers that are reserved for it.
+    Reservation,
+    /// Lost tasks are queued again at a limited pace.
+    Pace,
+}
+
+/// Why a job waits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Explanation {
+    /// What it waits for.
+    pub waiting: Waiting,
+    /// How many workers each filter refused.
+    pub refused: BTreeMap<Refusal, usize>,
+    /// How many workers could take a task.
+    pub suited: usize,
+    /// How many jobs are served before it, while it is queued.
+    pub position: Option<usize>,
+    /// When it is expected to start, if that can be said.
+    pub expected: Option<Instant>,
+}
+
+/// A worker as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct WorkerStatus {
+    /// Its number.
+    pub id: id::Worker,
+    /// Whether it may be given work.
+    pub standing: Standing,
+    /// Until when it is quarantined, if it is.
+    pub quarantined_until: Option<Instant>,
+    /// What it holds.
+    pub size: Amount,
+    /// What is counted against it.
+    pub used: Amount,
+    /// How many attempts may run on it.
+    pub attempts: usize,
+    /// Whether its room is kept for a job.
+    pub is_reserved: bool,
+}
+
+/// A team's quota as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct QuotaStatus {
+    /// The team.
+    pub team: Team,
+    /// Its quota, if it has one.
+    pub quota: Option<Quota>,
+    /// What it holds.
+    pub used: Amount,
+    /// Whether it holds more than its share.
+    pub borrows: bool,
+    /// How many jobs it has.
+    pub jobs: usize,
+}
+
+/// The state of a cell, for a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// The cell's time.
+    pub now: Instant,
+    /// Until when the owner may act.
+    pub lease: Instant,
+    /// Whether the lease has ended.
+    pub is_fenced: bool,
+    /// Whether starts may precede their records.
+    pub is_unrecorded: bool,
+    /// How many workers there are in each standing.
+    pub workers: BTreeMap<String, usize>,
+    /// What all workers hold.
+    pub total: Amount,
+    /// What is counted against them.
+    pub used: Amount,
+    /// How many jobs have not ended.
+    pub jobs: usize,
+    /// How many ended jobs are kept.
+    pub ended_jobs: usize,
+    /// How many attempts may run.
+    pub attempts: usize,
+    /// How many lanes wait.
+    pub lanes: usize,
+    /// How many lost tasks are to be queued again.
+    pub lost: usize,
+    /// How many batches are not durable.
+    pub batches: usize,
+    /// What the cell did.
+    pub counters: Counters,
+}
+
+impl<P: Policy> Cell<P> {
+    /// Returns the state of a job, if it is known.
+    pub fn job(&self, id: id::Job) -> Option<JobStatus> {
+        if let Some(&key) = self.job_ids.get(&id) {
+            return Some(status(&self.jobs[key]));
+        }
+        let summary = self.summaries().get(&id)?;
+        Some(JobStatus {
+            id,
+            team: summary.team.clone(),
+            class: summary.class,
+            stage: Stage::Ended(summary.end),
+            tasks: summary.tasks,
+            succeeded: summary.succeeded,
+            live: 0,
+            queued: 0,
+        })
+    }
+
+    /// Returns all jobs that have not ended.
+    pub fn jobs(&self) -> impl Iterator<Item = JobStatus> {
+        self.jobs.values().map(status)
+    }
+
+    /// Returns all workers.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerStatus> {
+        self.workers
+            .values()
+            .map(|worker| self.worker_status(worker))
+    }
+
+    /// Returns all teams that have a job or a quota.
+    pub fn quotas(&self) -> impl Iterator<Item = QuotaStatus> {
+        self.teams.values().map(|team| QuotaStatus {
+            team: team.name.clone(),
+            quota: team.quota,
+            used: team.used,
+            borrows: team.borrows,
+            jobs: team.jobs,
+        })
+    }
+
+    /// Returns why a job waits, if it has not ended. Looks at every worker.
+    pub fn explain(&self, id: id::Job) -> Option<Explanation> {
+        let key = *self.job_ids.get(&id)?;
+        let job = &self.jobs[key];
+        let ask = Ask::new(key, job, self.now, self.predict(key));
+        let mut refused = BTreeMap::new();
+        let mut suited = 0;
+        for worker in self.workers.values() {
+            match check(&ask, worker) {
+                Some(refusal) => *refused.entry(refusal).or_default() += 1,
+                None => suited += 1,
+            }
+        }
+        let lane = job.lane;
+        Some(Explanation {
+            waiting: self.waiting(key, suited),
+            refused,
+            suited,
+            position: lane.map(|lane| self.queue.position(lane, place(job))),
+            expected: self.expected(key, suited),
+        })
+    }
+
+    /// Returns what a job waits for.
+    fn waiting(&self, key: JobKey, suited: usize) -> Waiting {
+        let job = &self.jobs[key];
+        let is_delayed = job
+            .tasks
+            .iter()
+            .any(|task| task.phase == TaskPhase::Delayed);
+        if job.is_held {
+            return Waiting::Takeover;
+        }
+        if job.queued == 0 || job.ending.is_some() {
+            return match is_delayed {
+                true => Waiting::Pace,
+                false => Waiting::Nothing,
+            };
+        }
+        if !self.teams[job.team].allows(job.spec.size) {
+            return Waiting::Quota;
+        }
+        if self.reserved_start(key).is_some() {
+            return Waiting::Reservation;
+        }
+        match suited {
+            0 => Waiting::Worker,
+            _ => Waiting::Turn,
+        }
+    }
+
+    /// Returns when a waiting job is expected to start: at its reservation, or when enough of one
+    /// worker's tasks are expected to have ended.
+    fn expected(&self, key: JobKey, suited: usize) -> Option<Instant> {
+        let job = &self.jobs[key];
+        if job.queued == 0 || job.ending.is_some() {
+            return None;
+        }
+        if let Some(at) = self.reserved_start(key) {
+            return Some(at);
+        }
+        if suited > 0 {
+            return Some(self.now);
+        }
+        let room_at = |worker| self.room_at(worker, job.claim);
+        self.workers.values().filter_map(room_at).min()
+    }
+
+    /// Returns when a worker is expected to have room.
+    fn room_at(&self, worker: &WorkerEntry, need: Amount) -> Option<Instant> {
+        if worker.standing != Standing::Ready {
+            return None;
+        }
+        let attempts = worker.attempts.iter().map(|&key| &self.attempts[key]);
+        let mut ends: Vec<_> = attempts
+            .filter(|attempt| attempt.ends_at != Instant(u64::MAX))
+            .map(|attempt| (attempt.ends_at.max(self.now), attempt.accounted))
+            .collect();
+        ends.sort_unstable();
+        let mut room = worker.room();
+        for (at, amount) in ends {
+            room += amount;
+            if need.fits(room) {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    /// Returns a worker as operators see it.
+    fn worker_status(&self, worker: &WorkerEntry) -> WorkerStatus {
+        let health = &worker.health;
+        let is_quarantined = health.is_quarantined(self.now);
+        WorkerStatus {
+            id: worker.id,
+            standing: worker.standing,
+            quarantined_until: is_quarantined.then(|| health.until()),
+            size: worker.size,
+            used: worker.used,
+            attempts: worker.attempts.len(),
+            is_reserved: worker.reserved.is_some(),
+        }
+    }
+
+    /// Returns the state of the cell for a dump.
+    pub fn dump(&self) -> Dump {
+        let mut workers = BTreeMap::new();
+        let mut used = Amount::default();
+        for worker in self.workers.values() {
+            *workers
+                .entry(format!("{:?}", worker.standing).to_lowercase())
+                .or_default() += 1;
+            used += worker.used;
+        }
+        Dump {
+            now: self.now,
+            lease: self.lease,
+            is_fenced: self.is_fenced,
+            is_unrecorded: self.is_unrecorded,
+            workers,
+            total: self.total,
+            used,
+            jobs: self.jobs.len(),
+            ended_jobs: self.ended.len(),
+            attempts: self.attempts.len(),
+            lanes: self.queue.len(),
+            lost: self.lost.len(),
+            batches: self.journal.outstanding(),
+            counters: self.counters,
+        }
+    }
+}
+
+/// Returns a job as operators see it.
+fn status(job: &JobEntry) -> JobStatus {
+    let stage = match job.ending {
+        Some(end) => Stage::Ending(end),
+        None if job.live > 0 => Stage::Running,
+        None => Stage::Queued,
+    };
+    JobStatus {
+        id: job.spec.id,
+        team: job.spec.team.clone(),
+        class: job.spec.class,
+        stage,
+        tasks: job.spec.tasks,
+        succeeded: job.succeeded,
+        live: job.live,
+        queued: job.queued,
+    }
+}
--- /dev/null
+++ b/src/core/placement/cell/recover.rs
@@ -0,0 +1,336 @@
+//! Rebuilding a cell from its records.
+//!
+//! Records may come repeated and, for different tasks, in any order. A placement without its end
+//! counts against its worker. After a takeover no inventory is asked for until the previous owner's
+//! last start can no longer take effect, and nothing is started on a worker before its inventory.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use slotmap::SlotMap;
+
+use super::jobs::{Stopping, Summary};
+use super::{Cell, Counters, hold, journal, place};
+use crate::core::id::{self, Attempt};
+use crate::core::placement::history::History;
+use crate::core::placement::index::Index;
+use crate::core::placement::job::End;
+use crate::core::placement::message::{Outcome, Record};
+use crate::core::placement::policy::Policy;
+use crate::core::placement::queue::Queue;
+use crate::core::placement::settings::{Rules, Settings};
+use crate::core::placement::table::{
+    AttemptEntry, AttemptKey, Intent, JobKey, Phase, TaskPhase, Tried,
+};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+use crate::core::workload::Class;
+
+/// What a new owner starts from.
+#[derive(Clone, Debug)]
+pub struct Recovery {
+    /// The time of the takeover: the previous owner can't act after it.
+    pub now: Instant,
+    /// Until when the new owner may act.
+    pub lease: Instant,
+    /// The settings in force.
+    pub settings: Settings,
+    /// Whether the previous owner may have started tasks without durable records.
+    pub unrecorded: bool,
+    /// The mechanisms that are on.
+    #[doc(hidden)]
+    pub rules: Rules,
+}
+
+impl Recovery {
+    /// Makes a recovery at `now` of an owner that may act until `lease`.
+    pub fn new(now: Instant, lease: Instant, settings: Settings) -> Recovery {
+        Recovery {
+            now,
+            lease,
+            settings,
+            unrecorded: false,
+            rules: Rules::default(),
+        }
+    }
+}
+
+impl<P: Policy> Cell<P> {
+    /// Makes the cell of a new owner from all records of the previous ones.
+    pub fn recover(recovery: Recovery, records: impl IntoIterator<Item = Record>) -> Cell<P> {
+        let is_unrecorded = recovery.unrecorded && recovery.rules.fence_unrecorded;
+        let mut cell = Cell::empty(recovery);
+        for record in records {
+            cell.apply(record);
+        }
+        cell.resume(is_unrecorded);
+        cell
+    }
+
+    /// Makes a cell that knows nothing.
+    fn empty(recovery: Recovery) -> Cell<P> {
+        let knobs = &recovery.settings.knobs;
+        let asks_from = match recovery.rules.inventory_first {
+            true => recovery.now + knobs.fence(),
+            false => recovery.now,
+        };
+        Cell {
+            now: recovery.now,
+            lease: recovery.lease,
+            is_fenced: false,
+            is_unrecorded: false,
+            asks_from,
+            held_until: recovery.now + knobs.hold(),
+            held: Vec::new(),
+            rules: recovery.rules,
+            settings: recovery.settings,
+            workers: SlotMap::with_key(),
+            worker_ids: HashMap::new(),
+            roster: Vec::new(),
+            index: Index::default(),
+            total: Amount::default(),
+            sizes: BTreeMap::new(),
+            due: BTreeSet::new(),
+            attempts: SlotMap::with_key(),
+            attempt_ids: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            job_ids: HashMap::new(),
+            ended: VecDeque::new(),
+            ended_ids: HashMap::new(),
+            stopping: VecDeque::new(),
+            gangs: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            released_at: recovery.now,
+            teams: SlotMap::with_key(),
+            team_names: HashMap::new(),
+            queue: Queue::default(),
+            history: History::default(),
+            chooser: P::Choose::default(),
+            sequence: 0,
+            freed: place::Freed::default(),
+            swept_at: recovery.now,
+            holds: hold::Holds::default(),
+            journal: journal::Journal::default(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Applies one record.
+    fn apply(&mut self, record: Record) {
+        match record {
+            Record::Accepted(job) => {
+                self.insert_job(*job);
+            }
+            Record::Placed { attempt, worker } => self.apply_placed(attempt, worker),
+            Record::Left { attempt, outcome } => self.apply_left(attempt, outcome),
+            Record::Canceled(job) => self.apply_canceled(job),
+            Record::Ended { job, end } => self.apply_ended(job, end),
+        }
+    }
+
+    /// Returns the job of an attempt, if it is known and has such a task.
+    fn job_of(&self, attempt: Attempt) -> Option<JobKey> {
+        let key = *self.job_ids.get(&attempt.task.job)?;
+        let is_inside = (attempt.task.index as usize) < self.jobs[key].tasks.len();
+        is_inside.then_some(key)
+    }
+
+    /// Counts an attempt that may run.
+    fn apply_placed(&mut self, id: Attempt, worker: id::Worker) {
+        let Some(job) = self.job_of(id).filter(|&job| !self.is_known(job, id)) else {
+            return;
+        };
+        let index = id.task.index;
+        if let TaskPhase::Live(earlier) = self.jobs[job].tasks[index as usize].phase {
+            self.discard(earlier);
+            self.jobs[job].give_back(index);
+        }
+        let worker = self.worker(worker);
+        let knobs = &self.settings.knobs;
+        let spec = &self.jobs[job].spec;
+        let entry = AttemptEntry {
+            id,
+            job: Some(job),
+            worker,
+            size: spec.size,
+            accounted: spec.size,
+            phase: Phase::Starting,
+            intent: Intent::Run,
+            counted: false,
+            conclusive_after: self.now + knobs.fence(),
+            held_until: self.now + knobs.hold(),
+            started_at: self.now,
+            ends_at: self.predict(job),
+            control: None,
+        };
+        let key = self.attempts.insert(entry);
+        self.attempt_ids.insert(id, key);
+        self.workers[worker].attempts.push(key);
+        let entry = &mut self.jobs[job];
+        let task = &mut entry.tasks[index as usize];
+        task.number = id.number;
+        task.phase = TaskPhase::Live(key);
+        entry.queued -= 1;
+        entry.live += 1;
+        self.count(key);
+    }
+
+    /// Returns whether an attempt is not newer than all that is known of its task.
+    fn is_known(&self, job: JobKey, id: Attempt) -> bool {
+        let task = &self.jobs[job].tasks[id.task.index as usize];
+        id.number <= task.number || task.phase == TaskPhase::Succeeded
+    }
+
+    /// Takes out an attempt without a record.
+    fn discard(&mut self, key: AttemptKey) -> Option<AttemptEntry> {
+        self.uncount(key);
+        let attempt = self.attempts.remove(key)?;
+        self.attempt_ids.remove(&attempt.id);
+        self.workers[attempt.worker]
+            .attempts
+            .retain(|&other| other != key);
+        if let Some(job) = attempt.job {
+            self.jobs[job].live -= 1;
+        }
+        Some(attempt)
+    }
+
+    /// Ends an attempt.
+    fn apply_left(&mut self, id: Attempt, outcome: Outcome) {
+        let Some(job) = self.job_of(id) else {
+            return;
+        };
+        let index = id.task.index;
+        match self.attempt_ids.get(&id).copied() {
+            Some(key) => {
+                let Some(attempt) = self.discard(key) else {
+                    return;
+                };
+                self.jobs[job].give_back(index);
+                if outcome == Outcome::Failed {
+                    let worker = self.workers[attempt.worker].id;
+                    let tried = Tried {
+                        task: index,
+                        worker,
+                    };
+                    self.jobs[job].tried.push(tried);
+                }
+            }
+            None if self.is_known(job, id) => return,
+            None => self.jobs[job].tasks[index as usize].number = id.number,
+        }
+        if outcome == Outcome::Succeeded {
+            let entry = &mut self.jobs[job];
+            entry.tasks[index as usize].phase = TaskPhase::Succeeded;
+            entry.queued -= 1;
+            entry.succeeded += 1;
+        }
+    }
+
+    /// Begins to end a cancelled job.
+    fn apply_canceled(&mut self, id: id::Job) {
+        if let Some(&key) = self.job_ids.get(&id) {
+            self.jobs[key].ending = Some(End::Canceled);
+        }
+    }
+
+    /// Forgets an ended job but for its summary.
+    fn apply_ended(&mut self, id: id::Job, end: End) {
+        let Some(key) = self.job_ids.remove(&id) else {
+            return;
+        };
+        for attempt in self.live(key) {
+            self.discard(attempt);
+        }
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.teams[job.team].jobs -= 1;
+        self.forget_team(job.team);
+        let summary = Summary {
+            team: job.spec.team,
+            class: job.spec.class,
+            tasks: job.spec.tasks,
+            succeeded: job.succeeded,
+            end,
+        };
+        self.keep_ended(id, summary);
+    }
+
+    /// Goes on with what the records left.
+    fn resume(&mut self, is_held: bool) {
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            let job = &mut self.jobs[key];
+            job.is_held = is_held;
+            if job.succeeded == job.spec.tasks && job.ending.is_none() {
+                job.ending = Some(End::Succeeded);
+            }
+            if job.ending.is_some() {
+                self.stopping.push_back(Stopping::new(key));
+                self.end_if_idle(key);
+            } else {
+                self.resume_job(key, is_held);
+            }
+        }
+    }
+
+    /// Queues a job, now or when no unknown attempt can hold a lease any more.
+    fn resume_job(&mut self, key: JobKey, is_held: bool) {
+        let job = &mut self.jobs[key];
+        if job.spec.class == Class::Gang && job.live > 0 {
+            let deadline = self.now + job.spec.gang_timeout;
+            job.gang_deadline = Some(deadline);
+            self.gangs.insert((deadline, key));
+        }
+        if is_held {
+            self.held.push(key);
+        }
+        self.enqueue(key);
+    }
+
+    /// Queues the held jobs when their time has come.
+    pub(super) fn release_held(&mut self) {
+        if self.held.is_empty() || self.now < self.held_until {
+            return;
+        }
+        for key in std::mem::take(&mut self.held) {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.is_held = false;
+                self.enqueue(key);
+            }
+        }
+    }
+
+    /// Returns the records that rebuild the present state, for a snapshot.
+    pub fn snapshot(&self) -> Vec<Record> {
+        let mut records = Vec::new();
+        for job in self.jobs.values() {
+            records.push(Record::Accepted(Box::new(job.spec.clone())));
+            for index in 0..job.tasks.len() {
+                records.extend(self.task_record(job.spec.id, index as u32));
+            }
+            if job.ending == Some(End::Canceled) {
+                records.push(Record::Canceled(job.spec.id));
+            }
+        }
+        records
+    }
+
+    /// Returns the record that rebuilds the state of one task, unless it was never placed.
+    fn task_record(&self, job: id::Job, index: u32) -> Option<Record> {
+        let task = self.jobs[*self.job_ids.get(&job)?].tasks[index as usize];
+        let attempt = Attempt {
+            task: id::Task { job, index },
+            number: task.number,
+        };
+        let outcome = match task.phase {
+            TaskPhase::Live(key) => {
+                let worker = self.workers[self.attempts[key].worker].id;
+                return Some(Record::Placed { attempt, worker });
+            }
+            TaskPhase::Succeeded => Outcome::Succeeded,
+            TaskPhase::Pending | TaskPhase::Delayed => Outcome::Stopped,
+        };
+        (task.number > 0).then_some(Record::Left { attempt, outcome })
+    }
+}
--- /dev/null
+++ b/src/core/placement/cell/reports.rs
@@ -0,0 +1,199 @@
+//! Taking in what workers say they run and ran.
+//!
+//! An inventory is conclusive about what it lacks only when it answers the latest request and that
+//! request was sent after the attempt could last have started. What an inventory shows running and
+//! the cell doesn't know was started by an earlier owner: it is taken over when its task waits, and
+//! stopped otherwise. Either way it counts against the worker from then on.
+
+use std::collections::HashSet;
+
+use super::Cell;
+use crate::core::id::{self, Attempt};
+use crate::core::placement::message::{Outcome, Output};
+use crate::core::placement::policy::Policy;
+use crate::core::placement::table::{
+    AttemptEntry, AttemptKey, Intent, JobKey, Phase, Standing, TaskPhase, WorkerKey,
+};
+use crate::core::time::Instant;
+use crate::core::workload::Class;
+use crate::platform::worker::{Action, Inventory, Report, State};
+
+impl<P: Policy> Cell<P> {
+    /// Takes in an inventory.
+    pub(super) fn read_inventory(
+        &mut self,
+        id: id::Worker,
+        request: u64,
+        inventory: &Inventory,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(&key) = self.worker_ids.get(&id) else {
+            return;
+        };
+        let asking = &self.workers[key].asking;
+        let asked_at = (request == asking.number).then_some(asking.asked_at);
+        for report in &inventory.tasks {
+            self.read_one(key, report, asked_at.is_some(), out);
+        }
+        let Some(asked_at) = asked_at else {
+            return;
+        };
+        let named: HashSet<Attempt> = inventory.tasks.iter().map(|task| task.attempt).collect();
+        self.miss(key, &named, asked_at, out);
+        let entry = &mut self.workers[key];
+        entry.asking.heard_at = entry.asking.heard_at.max(asked_at);
+        if entry.standing == Standing::Unknown {
+            entry.standing = Standing::Ready;
+            let room = entry.room();
+            self.freed.room = self.freed.room.max(room);
+        }
+        self.refresh_index(key);
+    }
+
+    /// Takes in one report that was sent unasked.
+    pub(super) fn read_report(&mut self, id: id::Worker, report: &Report, out: &mut Vec<Output>) {
+        if let Some(&key) = self.worker_ids.get(&id) {
+            self.read_one(key, report, false, out);
+        }
+    }
+
+    /// Takes in one report; `is_latest` tells that it is from the answer to the latest request.
+    fn read_one(
+        &mut self,
+        worker: WorkerKey,
+        report: &Report,
+        is_latest: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let known = self.attempt_ids.get(&report.attempt).copied();
+        match known.filter(|&key| self.attempts[key].worker == worker) {
+            Some(key) => self.read_known(key, report, out),
+            None if is_latest => self.read_stranger(worker, report, out),
+            None => {}
+        }
+    }
+
+    /// Takes in the report of an attempt that the cell knows.
+    fn read_known(&mut self, key: AttemptKey, report: &Report, out: &mut Vec<Output>) {
+        if self.attempts[key].phase == Phase::Recording {
+            return;
+        }
+        match outcome(report.state) {
+            Some(outcome) => self.leave(key, outcome, out),
+            None => {
+                self.confirm_running(key);
+                self.watch_usage(key, report.usage, out);
+            }
+        }
+    }
+
+    /// Gives up attempts that an inventory asked for at `asked_at` shows never to run any more.
+    fn miss(
+        &mut self,
+        worker: WorkerKey,
+        named: &HashSet<Attempt>,
+        asked_at: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        for key in self.workers[worker].attempts.clone() {
+            let is_missed = |attempt: &AttemptEntry| {
+                asked_at > attempt.conclusive_after && !named.contains(&attempt.id)
+            };
+            if self.attempts.get(key).is_some_and(is_missed) {
+                self.leave(key, Outcome::Lost, out);
+            }
+        }
+    }
+
+    /// Takes in the report of an attempt that the cell does not know on this worker.
+    fn read_stranger(&mut self, worker: WorkerKey, report: &Report, out: &mut Vec<Output>) {
+        let id = report.attempt;
+        let job = self.job_ids.get(&id.task.job).copied();
+        let job = job.filter(|&job| (id.task.index as usize) < self.jobs[job].tasks.len());
+        let is_new = job.is_some_and(|job| self.is_newer(job, id));
+        if let Some(job) = job.filter(|_| is_new) {
+            self.jobs[job].tasks[id.task.index as usize].number = id.number;
+        }
+        let adopting = job.filter(|&job| is_new && self.may_adopt(job, id));
+        match (outcome(report.state), adopting) {
+            (None, Some(job)) => {
+                self.adopt(worker, report, Some(job));
+            }
+            (None, None) if !self.attempt_ids.contains_key(&id) => {
+                let key = self.adopt(worker, report, None);
+                self.stop(key, Intent::Drop, Action::Stop, out);
+            }
+            (Some(outcome), Some(job)) if outcome != Outcome::Lost => {
+                let key = self.adopt(worker, report, Some(job));
+                self.leave(key, outcome, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether an attempt is later than all that the cell knows of its task.
+    fn is_newer(&self, job: JobKey, id: Attempt) -> bool {
+        id.number > self.jobs[job].tasks[id.task.index as usize].number
+    }
+
+    /// Returns whether the task of an unknown attempt waits, so that the attempt can stand for it.
+    fn may_adopt(&self, job: JobKey, id: Attempt) -> bool {
+        let entry = &self.jobs[job];
+        let phase = entry.tasks[id.task.index as usize].phase;
+        let is_waiting = matches!(phase, TaskPhase::Pending | TaskPhase::Delayed);
+        is_waiting && entry.ending.is_none() && entry.spec.class != Class::Gang
+    }
+
+    /// Makes the entry of an attempt that an earlier owner started.
+    fn adopt(&mut self, worker: WorkerKey, report: &Report, job: Option<JobKey>) -> AttemptKey {
+        let entry = AttemptEntry {
+            id: report.attempt,
+            job,
+            worker,
+            size: report.size,
+            accounted: report.size,
+            phase: Phase::Running,
+            intent: Intent::Run,
+            counted: false,
+            conclusive_after: self.now,
+            held_until: self.now + self.settings.knobs.hold(),
+            started_at: self.now,
+            ends_at: job.map_or(self.now, |job| self.predict(job)),
+            control: None,
+        };
+        let key = self.attempts.insert(entry);
+        self.attempt_ids.insert(report.attempt, key);
+        self.workers[worker].attempts.push(key);
+        if let Some(job) = job {
+            self.take_over(job, report.attempt.task.index, key);
+        }
+        self.count(key);
+        key
+    }
+
+    /// Lets an attempt stand for a task that waits.
+    fn take_over(&mut self, key: JobKey, index: u32, attempt: AttemptKey) {
+        let job = &mut self.jobs[key];
+        let task = &mut job.tasks[index as usize];
+        if task.phase == TaskPhase::Pending {
+            job.queued -= 1;
+        }
+        task.phase = TaskPhase::Live(attempt);
+        job.live += 1;
+        if job.queued == 0 {
+            self.dequeue(key);
+            self.release_hold(key);
+        }
+    }
+}
+
+/// Returns how an attempt in this state ended, if it did.
+fn outcome(state: State) -> Option<Outcome> {
+    match state {
+        State::Running => None,
+        State::Succeeded => Some(Outcome::Succeeded),
+        State::Failed => Some(Outcome::Failed),
+        State::Stopped | State::Checkpointed => Some(Outcome::Stopped),
+        State::Lapsed => Some(Outcome::Lost),
+    }
+}
--- /dev/null
+++ b/src/core/placement/cell/workers.rs
@@ -0,0 +1,285 @@
+//! Following the VM list and looking after each worker: inventories, renewals, lapsed leases.
+
+use super::Cell;
+use crate::core::id;
+use crate::core::placement::message::{Outcome, Output, Worker};
+use crate::core::placement::policy::Policy;
+use crate::core::placement::table::{
+    AttemptEntry, AttemptKey, Control, Intent, Phase, Standing, WorkerEntry, WorkerKey,
+};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+use crate::platform::worker::Action;
+
+/// How soon a worker is asked again after it was told to end something.
+const HURRY: std::time::Duration = std::time::Duration::from_millis(250);
+
+impl<P: Policy> Cell<P> {
+    /// Takes in a worker that the VM list shows.
+    pub(super) fn join(&mut self, worker: &Worker) {
+        let key = self.worker(worker.id);
+        let entry = &mut self.workers[key];
+        let before = std::mem::take(&mut entry.size);
+        entry.show(worker);
+        self.count_size(before, worker.size);
+        let entry = &mut self.workers[key];
+        if entry.standing != Standing::Gone {
+            self.refresh_index(key);
+            return;
+        }
+        entry.standing = match self.rules.inventory_first {
+            true => Standing::Unknown,
+            false => Standing::Ready,
+        };
+        entry.asking.heard_at = self.now;
+        self.refresh_index(key);
+        self.schedule(key, self.now);
+        self.freed.room = self.freed.room.max(self.workers[key].room());
+    }
+
+    /// Returns the key of a worker, which is made when it is new.
+    pub(super) fn worker(&mut self, id: id::Worker) -> WorkerKey {
+        if let Some(&key) = self.worker_ids.get(&id) {
+            return key;
+        }
+        let entry = WorkerEntry::absent(id, self.roster.len());
+        let key = self.workers.insert(entry);
+        self.roster.push(key);
+        self.worker_ids.insert(id, key);
+        self.due.insert((Instant::default(), key));
+        key
+    }
+
+    /// Keeps the totals when the size of a worker changes.
+    fn count_size(&mut self, before: Amount, after: Amount) {
+        self.total = self.total - before + after;
+        if before != Amount::default() {
+            if let Some(count) = self.sizes.get_mut(&before) {
+                *count -= 1;
+            }
+            self.sizes.retain(|_, count| *count > 0);
+        }
+        if after != Amount::default() {
+            *self.sizes.entry(after).or_default() += 1;
+        }
+    }
+
+    /// Gives a worker nothing more and checkpoints what it runs.
+    pub(super) fn leave_soon(&mut self, id: id::Worker, out: &mut Vec<Output>) {
+        let Some(&key) = self.worker_ids.get(&id) else {
+            return;
+        };
+        if matches!(
+            self.workers[key].standing,
+            Standing::Leaving | Standing::Gone
+        ) {
+            return;
+        }
+        self.workers[key].standing = Standing::Leaving;
+        self.refresh_index(key);
+        for attempt in self.workers[key].attempts.clone() {
+            if self.attempts.get(attempt).is_some_and(is_wanted) {
+                self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
+            }
+        }
+    }
+
+    /// Takes note that the VM list no longer shows a worker. What it ran is lost when no lease can
+    /// be held any more.
+    pub(super) fn lose_worker(&mut self, id: id::Worker, out: &mut Vec<Output>) {
+        let Some(&key) = self.worker_ids.get(&id) else {
+            return;
+        };
+        self.workers[key].standing = Standing::Gone;
+        self.refresh_index(key);
+        self.drop_unsent(key, out);
+        self.schedule(key, self.now);
+    }
+
+    /// Takes back placements whose starts were not sent.
+    fn drop_unsent(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        for attempt in self.workers[key].attempts.clone() {
+            let entry = self.attempts.get(attempt);
+            if entry.is_some_and(|entry| entry.phase == Phase::Recording) {
+                self.leave(attempt, Outcome::NotStarted, out);
+            }
+        }
+    }
+
+    /// Looks after a worker at `at`, instead of the time set before.
+    pub(super) fn schedule(&mut self, key: WorkerKey, at: Instant) {
+        let entry = &mut self.workers[key];
+        self.due.remove(&(entry.asking.due, key));
+        entry.asking.due = at;
+        self.due.insert((at, key));
+    }
+
+    /// Looks after a worker soon, because something on it is to end.
+    pub(super) fn hurry(&mut self, key: WorkerKey) {
+        let at = self.now + HURRY;
+        if at < self.workers[key].asking.due {
+            self.schedule(key, at);
+        }
+    }
+
+    /// Looks after each worker whose time has come.
+    pub(super) fn tend_due(&mut self, out: &mut Vec<Output>) {
+        while let Some(&(at, key)) = self.due.first() {
+            if at > self.now {
+                return;
+            }
+            self.schedule(key, self.now + self.settings.knobs.inventory_every);
+            self.tend(key, out);
+        }
+    }
+
+    /// Looks after one worker.
+    fn tend(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        let knobs = &self.settings.knobs;
+        let entry = &self.workers[key];
+        let is_silent = self.now.since(entry.asking.heard_at) > knobs.silence;
+        if is_silent && entry.standing == Standing::Ready {
+            self.workers[key].standing = Standing::Unknown;
+            self.refresh_index(key);
+            self.drop_unsent(key, out);
+        }
+        let is_gone = self.workers[key].standing == Standing::Gone;
+        if is_gone || is_silent {
+            self.lapse(key, out);
+        } else {
+            self.renew(key, out);
+            self.press(key, out);
+        }
+        if is_gone {
+            self.remove_if_idle(key);
+        } else {
+            self.ask(key, out);
+            self.refresh_index(key);
+        }
+    }
+
+    /// Asks a worker for its inventory.
+    fn ask(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        if self.now < self.asks_from {
+            self.schedule(key, self.asks_from);
+            return;
+        }
+        let entry = &mut self.workers[key];
+        entry.asking.number += 1;
+        entry.asking.asked_at = self.now;
+        out.push(Output::Ask {
+            worker: entry.id,
+            request: entry.asking.number,
+        });
+    }
+
+    /// Renews the leases of what is to run on.
+    fn renew(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        let knobs = &self.settings.knobs;
+        let entry = &mut self.workers[key];
+        if self.now.since(entry.renewed_at) < knobs.renew_every {
+            return;
+        }
+        entry.renewed_at = self.now;
+        let mut renewed = Vec::new();
+        for attempt in &entry.attempts {
+            let attempt = &mut self.attempts[*attempt];
+            if attempt.phase != Phase::Recording && is_wanted(attempt) {
+                attempt.held_until = self.now + knobs.hold();
+                renewed.push(attempt.id);
+            }
+        }
+        if renewed.is_empty() {
+            return;
+        }
+        out.push(Output::Renew {
+            worker: entry.id,
+            attempts: renewed,
+            lease: knobs.task_lease,
+            not_after: self.now + knobs.flight,
+        });
+    }
+
+    /// Repeats or sharpens controls that had no effect in time.
+    fn press(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        let grace = self.settings.knobs.checkpoint_grace;
+        for attempt in self.workers[key].attempts.clone() {
+            let entry = &self.attempts[attempt];
+            let is_late = |control: &Control| self.now.since(control.at) >= grace;
+            let is_ending = entry.intent != Intent::Run;
+            if is_ending && entry.control.as_ref().is_none_or(is_late) {
+                self.stop(attempt, entry.intent, Action::Stop, out);
+            }
+        }
+    }
+
+    /// Gives up attempts on a worker that is not heard of, once no lease can be held.
+    fn lapse(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        for attempt in self.workers[key].attempts.clone() {
+            let has_lapsed = |entry: &AttemptEntry| {
+                let is_over = entry.held_until <= self.now || !self.rules.wait_for_lease;
+                entry.phase != Phase::Recording && is_over
+            };
+            if self.attempts.get(attempt).is_some_and(has_lapsed) {
+                self.leave(attempt, Outcome::Lost, out);
+            }
+        }
+    }
+
+    /// Forgets a worker that is gone and holds nothing.
+    fn remove_if_idle(&mut self, key: WorkerKey) {
+        if !self.workers[key].attempts.is_empty() {
+            return;
+        }
+        let Some(entry) = self.workers.remove(key) else {
+            return;
+        };
+        self.due.remove(&(entry.asking.due, key));
+        self.worker_ids.remove(&entry.id);
+        self.count_size(entry.size, Amount::default());
+        self.holds.forget_worker(key);
+        self.roster.swap_remove(entry.roster);
+        if let Some(&moved) = self.roster.get(entry.roster) {
+            self.workers[moved].roster = entry.roster;
+        }
+    }
+
+    /// Takes note that a worker answered that an attempt was started.
+    pub(super) fn confirm(&mut self, id: id::Attempt) {
+        if let Some(&key) = self.attempt_ids.get(&id) {
+            self.confirm_running(key);
+        }
+    }
+
+    /// Takes note that an attempt was seen to run.
+    pub(super) fn confirm_running(&mut self, key: AttemptKey) {
+        self.count(key);
+        let attempt = &mut self.attempts[key];
+        if attempt.phase == Phase::Running {
+            return;
+        }
+        attempt.phase = Phase::Running;
+        attempt.conclusive_after = self.now;
+    }
+
+    /// Takes note that a start surely has no effect.
+    pub(super) fn refuse(&mut self, id: id::Attempt, out: &mut Vec<Output>) {
+        let Some(&key) = self.attempt_ids.get(&id) else {
+            return;
+        };
+        let attempt = &self.attempts[key];
+        if attempt.phase != Phase::Starting {
+            return;
+        }
+        let (worker, job) = (attempt.worker, attempt.job);
+        self.leave(key, Outcome::NotStarted, out);
+        if let Some(job) = job {
+            self.blame(worker, job);
+        }
+    }
+}
+
+/// Returns whether an attempt shall run on.
+fn is_wanted(attempt: &AttemptEntry) -> bool {
+    attempt.intent == Intent::Run && attempt.job.is_some()
+}
--- /dev/null
+++ b/src/core/placement/policy/choose.rs
@@ -0,0 +1,141 @@
+//! How a worker is chosen for a task.
+
+use std::ops::ControlFlow;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
+
+use super::filter::{Room, Sound};
+use super::{Ask, Filter as _, Leftover, Score as _, check};
+use crate::core::placement::index::{Axis, Index};
+use crate::core::placement::table::{WorkerEntry, WorkerKey, counted};
+use crate::core::resource::Amount;
+
+/// How many workers that suit a task are compared.
+const ENOUGH: usize = 8;
+
+/// How many workers that suit a task are compared when its job is spread.
+const ENOUGH_SPREAD: usize = 64;
+
+/// The most workers looked at in one decision.
+const MAX_LOOKS: usize = 2_048;
+
+/// The workers to choose from.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// All workers.
+    pub workers: &'a SlotMap<WorkerKey, WorkerEntry>,
+    /// Their keys in no particular order, for baselines.
+    pub roster: &'a [WorkerKey],
+    /// Those that may be given work, by room.
+    pub index: &'a Index,
+    /// What all workers hold together.
+    pub total: Amount,
+}
+
+/// A way to choose a worker.
+pub trait Choose {
+    /// Returns a worker that may take the task, if one is found.
+    fn choose(&mut self, ask: &Ask<'_>, view: View<'_>) -> Option<WorkerKey>;
+}
+
+/// Best fit among the first workers that the index shows.
+#[derive(Debug, Default)]
+pub struct BestFit {
+    /// Turns with each decision, so that the same workers of a bucket are not always met first.
+    turn: usize,
+}
+
+impl Choose for BestFit {
+    fn choose(&mut self, ask: &Ask<'_>, view: View<'_>) -> Option<WorkerKey> {
+        self.turn = self.turn.wrapping_add(1);
+        if !ask.is_spread {
+            return best(ask, view, self.turn, ENOUGH, |_| true);
+        }
+        let fresh = |worker: &WorkerEntry| counted(ask.racks, &worker.rack) == 0;
+        best(ask, view, self.turn, ENOUGH_SPREAD, fresh)
+            .or_else(|| best(ask, view, self.turn, ENOUGH_SPREAD, |_| true))
+    }
+}
+
+/// Returns the best of the first workers that suit the task and `accepts`.
+fn best(
+    ask: &Ask<'_>,
+    view: View<'_>,
+    turn: usize,
+    enough: usize,
+    accepts: impl Fn(&WorkerEntry) -> bool,
+) -> Option<WorkerKey> {
+    let mut chosen = None;
+    let mut found = 0;
+    let mut looks = 0;
+    view.index.visit(ask.size, axis(ask, view), turn, |key| {
+        looks += 1;
+        let suits = |worker: &&WorkerEntry| check(ask, worker).is_none() && accepts(worker);
+        if let Some(worker) = view.workers.get(key).filter(suits) {
+            let cost = Leftover::cost(ask, worker);
+            found += 1;
+            if chosen.is_none_or(|(best, _)| cost < best) {
+                chosen = Some((cost, key));
+            }
+        }
+        if found >= enough || looks >= MAX_LOOKS {
+            return ControlFlow::Break(());
+        }
+        ControlFlow::Continue(())
+    });
+    chosen.map(|(_, key)| key)
+}
+
+/// Returns the resource that the task takes the larger share of.
+fn axis(ask: &Ask<'_>, view: View<'_>) -> Axis {
+    let processors = u128::from(ask.size.cpu_millis) * u128::from(view.total.memory_mib);
+    let memory = u128::from(ask.size.memory_mib) * u128::from(view.total.cpu_millis);
+    match processors >= memory {
+        true => Axis::Processors,
+        false => Axis::Memory,
+    }
+}
+
+/// Returns whether a baseline may give the task to `worker`: what is safe, and no policy.
+fn is_safe(ask: &Ask<'_>, worker: &WorkerEntry) -> bool {
+    Sound::refuse(ask, worker).is_none() && Room::refuse(ask, worker).is_none()
+}
+
+/// Baseline: the first worker of the roster that fits.
+#[derive(Debug, Default)]
+pub struct FirstFit;
+
+impl Choose for FirstFit {
+    fn choose(&mut self, ask: &Ask<'_>, view: View<'_>) -> Option<WorkerKey> {
+        let fits = |key: &WorkerKey| view.workers.get(*key).is_some_and(|w| is_safe(ask, w));
+        view.roster.iter().copied().find(fits)
+    }
+}
+
+/// Baseline: a random worker that fits.
+#[derive(Debug)]
+pub struct RandomFit {
+    random: Pcg64Mcg,
+}
+
+impl Default for RandomFit {
+    fn default() -> RandomFit {
+        RandomFit {
+            random: Pcg64Mcg::seed_from_u64(1),
+        }
+    }
+}
+
+impl Choose for RandomFit {
+    fn choose(&mut self, ask: &Ask<'_>, view: View<'_>) -> Option<WorkerKey> {
+        if view.roster.is_empty() {
+            return None;
+        }
+        let start = self.random.random_range(0..view.roster.len());
+        let (before, after) = view.roster.split_at(start);
+        let fits = |key: &WorkerKey| view.workers.get(*key).is_some_and(|w| is_safe(ask, w));
+        after.iter().chain(before).copied().find(fits)
+    }
+}
