Start programs and whole cells from tests

Tests need daemons and stand-ins as real processes that end with the test. process::Builder runs a program of the workspace beside the current one and kills it by its id when dropped; cell::Builder starts the stand-ins, writes the VM list and the settings and waits for each daemon's /healthz.

--- /dev/null
+++ b/crates/laburnum-testkit/src/cell/builder.rs
@@ -0,0 +1,338 @@
+//! What a cell consists of, and its start.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use laburnumplank::core::id::{Rack, Service};
+use laburnumplank::core::resource::Amount;
+use laburnumplank::platform::vms::{Role as VmRole, State, Vm};
+use serde_json::{Value, json};
+
+use super::platform::Group;
+use super::settings;
+use super::{Cell, Entry, Platform};
+use crate::http;
+use crate::process::{self, Process};
+use crate::standin::{Role, vms};
+
+/// The number of the first entry VM.
+const FIRST_ENTRY: u32 = 1;
+
+/// The number of the first worker VM.
+const FIRST_WORKER: u32 = 1_001;
+
+/// The number of the first target VM.
+const FIRST_TARGET: u32 = 100_001;
+
+/// How many workers a rack holds.
+const RACK_SIZE: u32 = 8;
+
+/// What a cell consists of; everything has a default.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    entries: u32,
+    workers: u32,
+    worker_size: Amount,
+    targets: u32,
+    service: String,
+    slots: u32,
+    connections: u32,
+    usage_lag: Duration,
+    vms_lag: Duration,
+    log_arguments: Vec<String>,
+    regions: Value,
+    overrides: Value,
+}
+
+impl Default for Builder {
+    fn default() -> Builder {
+        Builder::new()
+    }
+}
+
+impl Builder {
+    /// A cell of three daemons, four workers and two targets in the places of one region.
+    pub fn new() -> Builder {
+        Builder {
+            entries: 3,
+            workers: 4,
+            worker_size: Amount {
+                cpu_millis: 16_000,
+                memory_mib: 65_536,
+                accelerators: 2,
+            },
+            targets: 2,
+            service: "licence".to_owned(),
+            slots: 8,
+            connections: 64,
+            usage_lag: Duration::from_secs(1),
+            vms_lag: Duration::from_millis(200),
+            log_arguments: Vec::new(),
+            regions: json!([
+                { "name": "finistere", "data_centres": ["quimper", "brest"] },
+                { "name": "ille-et-vilaine", "data_centres": ["rennes"] },
+            ]),
+            overrides: json!({}),
+        }
+    }
+
+    /// Sets how many daemons run.
+    pub fn entries(mut self, count: u32) -> Builder {
+        self.entries = count;
+        self
+    }
+
+    /// Sets how many workers run.
+    pub fn workers(mut self, count: u32) -> Builder {
+        self.workers = count;
+        self
+    }
+
+    /// Sets what each worker holds.
+    pub fn worker_size(mut self, size: Amount) -> Builder {
+        self.worker_size = size;
+        self
+    }
+
+    /// Sets how many targets run.
+    pub fn targets(mut self, count: u32) -> Builder {
+        self.targets = count;
+        self
+    }
+
+    /// Sets the service that the targets answer.
+    pub fn service(mut self, name: &str) -> Builder {
+        self.service = name.to_owned();
+        self
+    }
+
+    /// Sets how many calls a target runs at once.
+    pub fn slots(mut self, count: u32) -> Builder {
+        self.slots = count;
+        self
+    }
+
+    /// Sets how many connections a target accepts.
+    pub fn connections(mut self, count: u32) -> Builder {
+        self.connections = count;
+        self
+    }
+
+    /// Sets how far the usage that workers report lags behind.
+    pub fn usage_lag(mut self, lag: Duration) -> Builder {
+        self.usage_lag = lag;
+        self
+    }
+
+    /// Sets the lag of the VM list.
+    pub fn vms_lag(mut self, lag: Duration) -> Builder {
+        self.vms_lag = lag;
+        self
+    }
+
+    /// Sets further options of the log service, such as `--rate 100`.
+    pub fn log_options(mut self, options: &[&str]) -> Builder {
+        self.log_arguments = options.iter().map(|&option| option.to_owned()).collect();
+        self
+    }
+
+    /// Sets the regions, as the settings name them; VMs are spread over their data centres.
+    pub fn regions(mut self, regions: Value) -> Builder {
+        self.regions = regions;
+        self
+    }
+
+    /// Sets fields of the daemons' settings, such as `{"lease": {"duration_ms": 2000}}`.
+    pub fn settings(mut self, overrides: Value) -> Builder {
+        self.overrides = overrides;
+        self
+    }
+
+    /// Starts the cell and waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a program is not built, cannot be started or does not become ready.
+    pub async fn start(self) -> eyre::Result<Cell> {
+        let http = http::Client::default();
+        let directory = tempfile::tempdir()?;
+        let platform = self.start_platform(&http)?;
+        let addresses = free_addresses(self.entries)?;
+        let vms = self.vms(&platform, &addresses);
+        let edit = vms::Edit::Replace(vms);
+        platform.vms.client.edit_vms(&edit).await?;
+        self.write_settings(&platform, &addresses, directory.path())?;
+        let entries = self.start_entries(&addresses, directory.path())?;
+        let mut cell = Cell {
+            platform,
+            entries,
+            http,
+            builder: self,
+            directory,
+        };
+        for entry in 0..cell.entries.len() {
+            cell.ready(entry).await?;
+        }
+        Ok(cell)
+    }
+
+    /// Starts the daemon of a VM whose settings have been written.
+    pub(super) fn start_daemon(&self, vm: u32, directory: &Path) -> eyre::Result<Process> {
+        process::Builder::new("laburnumd")
+            .name(format!("entry VM {vm}"))
+            .arg("--settings")
+            .arg(settings_file(vm, directory))
+            .start()
+    }
+
+    fn start_entries(
+        &self,
+        addresses: &[SocketAddr],
+        directory: &Path,
+    ) -> eyre::Result<Vec<Entry>> {
+        (FIRST_ENTRY..)
+            .zip(addresses)
+            .map(|(vm, &address)| {
+                Ok(Entry {
+                    vm,
+                    data_centre: self.data_centre(vm - FIRST_ENTRY),
+                    address,
+                    process: self.start_daemon(vm, directory)?,
+                })
+            })
+            .collect()
+    }
+
+    fn start_platform(&self, http: &http::Client) -> eyre::Result<Platform> {
+        let vms = ["--lag-ms".to_owned(), self.vms_lag.as_millis().to_string()];
+        Ok(Platform {
+            log: Group::start(Role::Log, &self.log_arguments, http)?,
+            vms: Group::start(Role::Vms, &vms, http)?,
+            workers: Group::start(Role::Worker, &self.worker_arguments(), http)?,
+            targets: Group::start(Role::Target, &self.target_arguments(), http)?,
+        })
+    }
+
+    fn worker_arguments(&self) -> Vec<String> {
+        let size = self.worker_size;
+        arguments(&[
+            ("--count", self.workers.into()),
+            ("--cpu-millis", size.cpu_millis),
+            ("--memory-mib", size.memory_mib),
+            ("--accelerators", size.accelerators),
+            ("--usage-lag-ms", self.usage_lag.as_millis() as u64),
+        ])
+    }
+
+    fn target_arguments(&self) -> Vec<String> {
+        arguments(&[
+            ("--count", self.targets.into()),
+            ("--slots", self.slots.into()),
+            ("--connections", self.connections.into()),
+        ])
+    }
+
+    /// Returns the VMs of the cell.
+    fn vms(&self, platform: &Platform, entries: &[SocketAddr]) -> Vec<Vm> {
+        let entry = |index, address| self.vm(FIRST_ENTRY + index, index, address, VmRole::Entry);
+        let worker = |index, address| {
+            let rack = index / RACK_SIZE;
+            let role = VmRole::Worker {
+                rack: Rack(rack + 1),
+                size: self.worker_size,
+            };
+            self.vm(FIRST_WORKER + index, rack, address, role)
+        };
+        let target = |index, address| {
+            let role = VmRole::Target {
+                service: Service(self.service.clone()),
+                slots: self.slots,
+                connections: self.connections,
+            };
+            self.vm(FIRST_TARGET + index, index, address, role)
+        };
+        let mut vms = group(entries, entry);
+        vms.extend(group(&platform.workers.addresses, worker));
+        vms.extend(group(&platform.targets.addresses, target));
+        vms
+    }
+
+    /// Returns a live VM in the data centre of index `place`.
+    fn vm(&self, id: u32, place: u32, address: SocketAddr, role: VmRole) -> Vm {
+        Vm {
+            id,
+            state: State::Live,
+            address,
+            data_centre: self.data_centre(place),
+            role,
+        }
+    }
+
+    /// Returns the data centre of index `place`, counted over all regions and round again.
+    fn data_centre(&self, place: u32) -> String {
+        let regions = self.regions.as_array().into_iter().flatten();
+        let names: Vec<&str> = regions
+            .filter_map(|region| region["data_centres"].as_array())
+            .flatten()
+            .filter_map(Value::as_str)
+            .collect();
+        let index = place as usize % names.len().max(1);
+        names.get(index).copied().unwrap_or_default().to_owned()
+    }
+
+    fn write_settings(
+        &self,
+        platform: &Platform,
+        addresses: &[SocketAddr],
+        directory: &Path,
+    ) -> eyre::Result<()> {
+        for (vm, listen) in (FIRST_ENTRY..).zip(addresses) {
+            let entry = settings::Entry {
+                vm,
+                data_centre: &self.data_centre(vm - FIRST_ENTRY),
+                listen: *listen,
+                log: platform.log.addresses[0],
+                vms: platform.vms.addresses[0],
+            };
+            let document = settings::document(&entry, &self.regions, &self.overrides);
+            let text = serde_json::to_vec_pretty(&document)?;
+            fs::write(settings_file(vm, directory), text)?;
+        }
+        Ok(())
+    }
+}
+
+/// Makes a VM of each address and its index.
+fn group(addresses: &[SocketAddr], vm: impl Fn(u32, SocketAddr) -> Vm) -> Vec<Vm> {
+    let indexed = (0..).zip(addresses);
+    indexed
+        .map(|(index, &address)| vm(index, address))
+        .collect()
+}
+
+/// Returns the settings file of an entry VM.
+fn settings_file(vm: u32, directory: &Path) -> PathBuf {
+    directory.join(format!("entry-{vm}.json5"))
+}
+
+/// Returns options and their numbers as arguments.
+fn arguments(options: &[(&str, u64)]) -> Vec<String> {
+    options
+        .iter()
+        .flat_map(|(name, value)| [(*name).to_owned(), value.to_string()])
+        .collect()
+}
+
+/// Returns addresses that nobody listens on.
+///
+/// All are taken before any is given back, so that they differ.
+fn free_addresses(count: u32) -> eyre::Result<Vec<SocketAddr>> {
+    let taken: Result<Vec<TcpListener>, _> = (0..count)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect();
+    let addresses: Result<Vec<SocketAddr>, _> =
+        taken?.iter().map(TcpListener::local_addr).collect();
+    Ok(addresses?)
+}
--- a/crates/laburnum-testkit/src/lib.rs
+++ b/crates/laburnum-testkit/src/lib.rs
@@ -1,7 +1,11 @@
 //! Stand-ins for the platform and targets, and process control for tests.
 //!
 //! [`standin`] serves the messages of `laburnumplank::platform` from memory and brings about
-//! failures on request.
+//! failures on request. [`process`] starts programs, and [`cell`] starts stand-ins and daemons
+//! that form a whole cell. [`http`] is the client that tests speak to all of them with.
 
+pub mod cell;
 pub mod clock;
+pub mod http;
+pub mod process;
 pub mod standin;
--- a/crates/laburnum-testkit/src/standin/mod.rs
+++ b/crates/laburnum-testkit/src/standin/mod.rs
@@ -6,6 +6,7 @@
 //! stand-in is down. A request passes the fault switches first (see [`fault`]), then the
 //! stand-in's state, which is plain data that takes the time as a value.
 
+mod client;
 pub mod command;
 mod control;
 pub mod fault;
@@ -17,4 +18,5 @@
 pub mod vms;
 pub mod worker;
 
+pub use self::client::Client;
 pub use self::host::{Host, Role};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod membership;
 mod placement;
 mod request;
+mod standin;
 mod stream;
