--- a/src/core/stream/mod.rs
+++ b/src/core/stream/mod.rs
@@ -15,6 +15,7 @@
 mod lane;
 mod pace;
 pub mod reader;
+pub mod relay;
 mod seen;
 pub mod snapshot;
 pub mod writer;
@@ -24,6 +25,7 @@
 pub use codec::{decode, encode};
 pub use pace::{CELL_APPENDS_PER_SECOND, Pace};
 pub use reader::Reader;
+pub use relay::Relay;
 #[doc(hidden)]
 pub use seen::Rules;
 pub use seen::{Admission, Seen, WINDOW};
