Add the decisions for requests to targets

Cause: calls need routing, at-most-once, owned slots, fair queues, retries and connections decided without I/O. Ruled out: the entry that the balancer chose dispatching for another owner (the permit could be lost on the way with the run in doubt); the owner runs what it admits.

--- /dev/null
+++ b/src/core/request/queue.rs
@@ -0,0 +1,359 @@
+//! The waiting requests of one service at one entry.
+//!
+//! Classes share the slots by start-time fair queueing (Goyal, Vin and Cheng 1996): each class has a
+//! virtual time that grows by the inverse of its weight, and the class furthest behind is served.
+//! Within a class callers take turns, so a caller with many requests delays only itself. Some slots
+//! are reserved: a class is popped only while more slots are free than are kept for the classes
+//! above it. Queues are bounded by count and by time: a request that by the present rate would
+//! wait past its deadline is refused at once with when to come back, and one whose deadline can no
+//! longer be met is dropped when its turn comes.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use laburnum_derive::{message, state, value};
+
+use super::call::Id;
+use super::rate::Rate;
+use crate::core::id::Caller;
+use crate::core::time::Instant;
+use crate::core::workload::Priority;
+
+/// The share and the bounds of one class.
+#[value]
+pub struct Share {
+    /// The weight among classes that wait.
+    pub weight: u32,
+    /// Requests of the class that may wait.
+    pub most: usize,
+    /// Requests of one caller that may wait in the class.
+    pub most_per_caller: usize,
+    /// Free slots that this class leaves to the classes above it, in thousandths of all held.
+    pub leave_permille: u32,
+}
+
+/// The rules of the queue, by class.
+#[value]
+pub struct Rules {
+    /// Lookups.
+    pub lookup: Share,
+    /// Single filings and route builds.
+    pub normal: Share,
+    /// Bulk filings and route builds.
+    pub bulk: Share,
+}
+
+/// A waiting request.
+#[message]
+pub struct Item {
+    /// The request.
+    pub id: Id,
+    /// Who asked.
+    pub caller: Caller,
+    /// Its class.
+    pub priority: Priority,
+    /// When its final answer is due.
+    pub deadline: Instant,
+}
+
+/// Why a request is not queued.
+#[value]
+pub struct Full {
+    /// When to come back at the earliest.
+    pub retry_after: Duration,
+}
+
+/// The slots at hand when a request is popped.
+#[value]
+#[derive(Default)]
+pub struct Room {
+    /// Slots that are free now.
+    pub free: u32,
+    /// Slots held in all, free or not.
+    pub held: u32,
+}
+
+/// The room for each class, in the order of [`Priority::ALL`].
+pub type Rooms = [Room; Priority::ALL.len()];
+
+/// The usual time of a request of each class at a target, in the order of [`Priority::ALL`].
+pub type Times = [Duration; Priority::ALL.len()];
+
+/// What [`Queue::pop`] found.
+#[state]
+#[derive(Default)]
+pub struct Popped {
+    /// The request whose turn it is.
+    pub next: Option<Item>,
+    /// Requests before it whose deadline can't be met any more.
+    pub dropped: Vec<Item>,
+}
+
+/// The waiting requests of one caller.
+#[state]
+struct Line {
+    caller: Caller,
+    items: VecDeque<Item>,
+}
+
+/// The waiting requests of one class.
+#[state]
+struct Lane {
+    share: Share,
+    /// Lines in turn; none is empty.
+    lines: VecDeque<Line>,
+    waiting: usize,
+    /// Virtual start time of the next request, in units of [`VIRTUAL_UNIT`].
+    start: u64,
+    served: Rate,
+}
+
+/// The queue.
+#[state]
+pub struct Queue {
+    lanes: [Lane; 3],
+    virtual_time: u64,
+}
+
+/// Virtual time that one request takes at weight 1.
+const VIRTUAL_UNIT: u64 = 1 << 20;
+
+/// The shortest and longest time to come back that an overloaded queue names.
+const COME_BACK: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(50)..=Duration::from_secs(30);
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            lookup: Share {
+                weight: 16,
+                most: 4096,
+                most_per_caller: 1024,
+                leave_permille: 0,
+            },
+            normal: Share {
+                weight: 4,
+                most: 4096,
+                most_per_caller: 1024,
+                leave_permille: 150,
+            },
+            bulk: Share {
+                weight: 1,
+                most: 8192,
+                most_per_caller: 4096,
+                leave_permille: 250,
+            },
+        }
+    }
+}
+
+impl Rules {
+    /// Returns the share of a class.
+    fn share(&self, priority: Priority) -> Share {
+        match priority {
+            Priority::Lookup => self.lookup,
+            Priority::Normal => self.normal,
+            Priority::Bulk => self.bulk,
+        }
+    }
+}
+
+impl Queue {
+    /// Makes an empty queue.
+    pub fn new(rules: &Rules) -> Queue {
+        Queue {
+            lanes: Priority::ALL.map(|priority| Lane::new(rules.share(priority))),
+            virtual_time: 0,
+        }
+    }
+
+    /// Returns how many requests of a class wait.
+    pub fn waiting(&self, priority: Priority) -> usize {
+        self.lanes[priority as usize].waiting
+    }
+
+    /// Returns how many requests wait in all.
+    pub fn len(&self) -> usize {
+        self.lanes.iter().map(|lane| lane.waiting).sum()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Checks whether a request may be pushed now; `service` is the time that it usually takes.
+    ///
+    /// # Errors
+    ///
+    /// [`Full`] when a bound is reached or the deadline would pass while it waits.
+    pub fn check(&self, now: Instant, item: &Item, service: Duration) -> Result<(), Full> {
+        let lane = &self.lanes[item.priority as usize];
+        let wait = lane.wait(now);
+        let late = now + wait + service > item.deadline;
+        let own = lane.line(&item.caller).map_or(0, |line| line.items.len());
+        let full = lane.waiting >= lane.share.most || own >= lane.share.most_per_caller;
+        if full || (late && lane.waiting > 0) {
+            return Err(Full {
+                retry_after: wait.clamp(*COME_BACK.start(), *COME_BACK.end()),
+            });
+        }
+        Ok(())
+    }
+
+    /// Queues a request at the end of its caller's line.
+    pub fn push(&mut self, item: Item) {
+        let virtual_time = self.virtual_time;
+        let lane = &mut self.lanes[item.priority as usize];
+        if lane.waiting == 0 {
+            lane.start = lane.start.max(virtual_time);
+        }
+        lane.push(item);
+    }
+
+    /// Takes the request whose turn it is and that may use the room.
+    pub fn pop(&mut self, now: Instant, rooms: &Rooms, service: &Times) -> Popped {
+        let mut popped = Popped::default();
+        while popped.next.is_none() {
+            let Some(index) = self.due_lane(rooms) else {
+                break;
+            };
+            self.pop_lane(now, index, service[index], &mut popped);
+        }
+        popped
+    }
+
+    /// Puts a request that could not be dispatched back in front.
+    pub fn restore(&mut self, item: Item) {
+        let lane = &mut self.lanes[item.priority as usize];
+        lane.start = lane.start.saturating_sub(lane.step());
+        lane.restore(item);
+    }
+
+    /// Removes a waiting request and returns whether it was there.
+    pub fn remove(&mut self, id: Id, priority: Priority) -> bool {
+        self.lanes[priority as usize].remove(id)
+    }
+
+    /// Returns the lane furthest behind among those that may use the room.
+    fn due_lane(&self, rooms: &Rooms) -> Option<usize> {
+        let lanes = self.lanes.iter().zip(rooms).enumerate();
+        let usable = lanes.filter(|(_, (lane, room))| lane.may_use(**room));
+        let due = usable.min_by_key(|(_, (lane, _))| lane.start);
+        due.map(|(index, _)| index)
+    }
+
+    /// Takes the next request of a lane.
+    fn pop_lane(&mut self, now: Instant, index: usize, service: Duration, popped: &mut Popped) {
+        let lane = &mut self.lanes[index];
+        let Some(item) = lane.pop() else {
+            return;
+        };
+        if now + service > item.deadline {
+            popped.dropped.push(item);
+            return;
+        }
+        self.virtual_time = self.virtual_time.max(lane.start);
+        lane.start += lane.step();
+        lane.served.count(now);
+        popped.next = Some(item);
+    }
+}
+
+impl Share {
+    /// Returns whether the class may use one of the free slots.
+    fn may_use(&self, room: Room) -> bool {
+        let left = u64::from(room.held) * u64::from(self.leave_permille) / 1000;
+        u64::from(room.free) > left
+    }
+}
+
+impl Lane {
+    fn new(share: Share) -> Lane {
+        Lane {
+            share,
+            lines: VecDeque::new(),
+            waiting: 0,
+            start: 0,
+            served: Rate::default(),
+        }
+    }
+
+    /// Returns whether a request waits that may use the room.
+    fn may_use(&self, room: Room) -> bool {
+        self.waiting > 0 && self.share.may_use(room)
+    }
+
+    /// Returns the virtual time that one request takes.
+    fn step(&self) -> u64 {
+        VIRTUAL_UNIT / u64::from(self.share.weight.max(1))
+    }
+
+    /// Estimates how long a new request would wait.
+    fn wait(&self, now: Instant) -> Duration {
+        self.served.time_for(now, self.waiting as u64)
+    }
+
+    fn line(&self, caller: &Caller) -> Option<&Line> {
+        self.lines.iter().find(|line| line.caller == *caller)
+    }
+
+    fn push(&mut self, item: Item) {
+        self.waiting += 1;
+        match self
+            .lines
+            .iter_mut()
+            .find(|line| line.caller == item.caller)
+        {
+            Some(line) => line.items.push_back(item),
+            None => self.lines.push_back(Line::new(item)),
+        }
+    }
+
+    fn restore(&mut self, item: Item) {
+        self.waiting += 1;
+        let index = self
+            .lines
+            .iter()
+            .position(|line| line.caller == item.caller);
+        let line = match index.and_then(|index| self.lines.remove(index)) {
+            Some(mut line) => {
+                line.items.push_front(item);
+                line
+            }
+            None => Line::new(item),
+        };
+        self.lines.push_front(line);
+    }
+
+    /// Takes the first request of the line in turn and moves the line to the back.
+    fn pop(&mut self) -> Option<Item> {
+        let mut line = self.lines.pop_front()?;
+        let item = line.items.pop_front();
+        if !line.items.is_empty() {
+            self.lines.push_back(line);
+        }
+        self.waiting -= usize::from(item.is_some());
+        item
+    }
+
+    fn remove(&mut self, id: Id) -> bool {
+        let before = self.waiting;
+        for line in &mut self.lines {
+            let held = line.items.len();
+            line.items.retain(|item| item.id != id);
+            self.waiting -= held - line.items.len();
+        }
+        self.lines.retain(|line| !line.items.is_empty());
+        self.waiting < before
+    }
+}
+
+impl Line {
+    fn new(item: Item) -> Line {
+        Line {
+            caller: item.caller.clone(),
+            items: VecDeque::from([item]),
+        }
+    }
+}
