--- /dev/null
+++ b/src/daemon/control/answer.rs
@@ -0,0 +1,286 @@
+//! Answers to what traffic threads, operators and other entries ask.
+//!
+//! An ask about a job goes to the owner of its partition: here, or through the peer part when
+//! another entry owns it. An ask that another entry forwarded is not forwarded again, so that two
+//! entries with different views cannot send it back and forth.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::archive::{Body, Record};
+use super::configuration::{ANSWER_MARGIN, Wish};
+use super::journal::Stream;
+use super::{Control, Pending};
+use crate::api::convert;
+use crate::api::schema::{JobStatus, VmStatus};
+use crate::core::error::{Error, Kind, Result};
+use crate::core::id::{Job, Partition};
+use crate::core::placement::{self, Input};
+use crate::core::time::Instant;
+use crate::daemon::peer;
+use crate::platform::vms::{Role, State};
+use crate::wire::{Ask, Reply, Tell};
+
+/// The most jobs in one list.
+const MAX_LISTED: usize = 10_000;
+
+impl Control {
+    /// Answers an ask here, or hands it to the owner.
+    pub(super) fn answer(&mut self, now: Instant, ask: Ask, deadline: Instant, is_forwarded: bool, reply: Reply) {
+        let Some(partition) = self.partition_of(&ask) else {
+            return self.answer_local(now, ask, deadline, reply);
+        };
+        if self.tenure.deadline(partition, now).is_some() {
+            return self.answer_owned(now, partition, ask, reply);
+        }
+        let owner = self.tenure.owner(partition).filter(|owner| *owner != self.tenure.node());
+        match owner {
+            Some(owner) if !is_forwarded => {
+                let timeout = deadline.since(now);
+                self.context.peer(peer::Command::Ask { to: owner.vm, ask, timeout, reply });
+            }
+            _ => {
+                let message = format!("partition {} has no owner that may act now; come back", partition.0);
+                let _ = reply.send(Err(Error::new(Kind::NoOwner, message)));
+            }
+        }
+    }
+
+    /// Returns the partition whose owner has to answer.
+    fn partition_of(&self, ask: &Ask) -> Option<Partition> {
+        match ask {
+            Ask::SubmitJob(job) => Some(self.jobs.partition_of(job.id)),
+            Ask::GetJob(job) | Ask::CancelJob(job) | Ask::ExplainJob(job) => Some(self.jobs.partition_of(*job)),
+            Ask::ListJobs { partition, .. } | Ask::ListWorkers(partition) | Ask::ListQuotas(partition) => {
+                Some(*partition)
+            }
+            Ask::Call(_) | Ask::ListVms | Ask::GetConfig(_) | Ask::PutConfig { .. } | Ask::ListConfig | Ask::Dump => {
+                None
+            }
+        }
+    }
+
+    /// Answers what every entry knows.
+    fn answer_local(&mut self, now: Instant, ask: Ask, deadline: Instant, reply: Reply) {
+        let result = match ask {
+            Ask::PutConfig { base, author, document } => {
+                let deadline = deadline - ANSWER_MARGIN;
+                let wish = Wish { base, author, document, at: self.context.clock.stamp(), deadline };
+                let answers = self.configuration.put(now, &mut self.journal, wish, reply);
+                answers.into_iter().for_each(super::configuration::Answer::send);
+                return;
+            }
+            Ask::GetConfig(version) => self.configuration.get(version).map(|version| Tell::Config(vec![version])),
+            Ask::ListConfig => Ok(Tell::Config(self.configuration.list())),
+            Ask::ListVms => Ok(Tell::Vms(self.list_vms())),
+            Ask::Dump => Ok(Tell::State(self.dump(now).to_string())),
+            _ => Err(Error::new(Kind::Internal, "the ask is not for the control part")),
+        };
+        let _ = reply.send(result);
+    }
+
+    /// Answers as the owner of a worker partition.
+    fn answer_owned(&mut self, now: Instant, partition: Partition, ask: Ask, reply: Reply) {
+        let result = match ask {
+            Ask::SubmitJob(job) => return self.submit(now, partition, *job, reply),
+            Ask::CancelJob(job) => return self.cancel(now, partition, job, reply),
+            Ask::GetJob(job) => self.job_status(partition, job).map(Tell::Job),
+            Ask::ExplainJob(job) => self.explain(now, partition, job),
+            Ask::ListJobs { team, ended, .. } => {
+                let is_listed = |job: &JobStatus| {
+                    let is_team = team.as_ref().is_none_or(|team| job.spec.as_ref().is_some_and(|s| s.team == team.0));
+                    is_team && (ended || !convert::is_ended(job))
+                };
+                Ok(Tell::Jobs(self.job_list(partition).into_iter().filter(is_listed).take(MAX_LISTED).collect()))
+            }
+            Ask::ListWorkers(_) => Ok(Tell::Vms(self.list_workers(partition))),
+            Ask::ListQuotas(_) => {
+                let quotas = self.jobs.cell(partition).map(|cell| cell.quotas().map(convert::quota).collect());
+                Ok(Tell::Quotas(quotas.unwrap_or_default()))
+            }
+            _ => Err(Error::new(Kind::Internal, "the ask is not for the owner of a partition")),
+        };
+        let _ = reply.send(result);
+    }
+
+    /// Makes a job durable; a repeat of a known job is answered at once.
+    fn submit(&mut self, now: Instant, partition: Partition, job: placement::Job, reply: Reply) {
+        let id = job.id;
+        match self.check_submit(partition, &job) {
+            Ok(true) => {
+                let _ = reply.send(Ok(Tell::Submitted(id)));
+                return;
+            }
+            Ok(false) => {}
+            Err(error) => {
+                let _ = reply.send(Err(error));
+                return;
+            }
+        }
+        let body = Body::Cell(vec![placement::Record::Accepted(Box::new(job.clone()))]);
+        match self.journal.push(Stream::Work, &Record { partition, body }) {
+            Ok(ticket) => {
+                self.jobs.begin_accept(partition, job);
+                self.pending.insert(ticket, Pending::Accepted(id, reply));
+                self.work(now);
+            }
+            Err(error) => {
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    /// Returns whether the job is known already, or why it is refused.
+    fn check_submit(&self, partition: Partition, job: &placement::Job) -> Result<bool> {
+        let missing = || Error::new(Kind::NoOwner, "the partition is being opened; come back");
+        let cell = self.jobs.cell(partition).ok_or_else(missing)?;
+        if let Some(known) = self.known_spec(partition, job.id) {
+            if known == *job {
+                return Ok(true);
+            }
+            let message = format!("key {} belongs to another job; use a new key", job.id);
+            return Err(Error::new(Kind::KeyReused, message));
+        }
+        self.check_age(job.id)?;
+        cell.admit(job)?;
+        if !self.journal.is_up() {
+            return Err(Error::new(Kind::LogDown, "a job cannot be made durable now; come back"));
+        }
+        Ok(false)
+    }
+
+    /// Refuses keys that are too old to tell a repeat from a new job, or from the future.
+    fn check_age(&self, job: Job) -> Result<()> {
+        let created = job.created().unwrap_or_default();
+        let now = self.context.clock.stamp();
+        let skew = Duration::from_millis(self.context.settings.lease.clock_skew_ms);
+        if created <= now + skew && created + self.jobs.remembered() >= now {
+            return Ok(());
+        }
+        let message = format!("key {job} was created outside the accepted window; use a new key for a new job");
+        Err(Error::new(Kind::KeyExpired, message))
+    }
+
+    /// Returns the job of an id as it was submitted.
+    fn known_spec(&self, partition: Partition, job: Job) -> Option<placement::Job> {
+        if let Some(job) = self.jobs.accepting(job) {
+            return Some(job.clone());
+        }
+        self.archive.job(partition, job).cloned()
+    }
+
+    /// Cancels a job; the answer waits until the cancellation is durable.
+    fn cancel(&mut self, now: Instant, partition: Partition, job: Job, reply: Reply) {
+        match self.job_status(partition, job) {
+            Ok(status) if convert::is_ended(&status) => {
+                let _ = reply.send(Ok(Tell::Job(status)));
+            }
+            Ok(_) => {
+                self.canceling.entry(job).or_default().push(reply);
+                let outputs = self.jobs.step(now, partition, Input::Cancel(job));
+                self.follow_cell(now, partition, outputs);
+            }
+            Err(error) => {
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    /// Answers those that wait for a job's cancellation.
+    pub(super) fn answer_canceled(&mut self, partition: Partition, job: Job) {
+        for reply in self.canceling.remove(&job).unwrap_or_default() {
+            let _ = reply.send(self.job_status(partition, job).map(Tell::Job));
+        }
+    }
+
+    /// Returns the status of a job.
+    fn job_status(&self, partition: Partition, job: Job) -> Result<JobStatus> {
+        let missing = || Error::new(Kind::NotFound, format!("there is no job {job}, or it ended long ago"));
+        let cell = self.jobs.cell(partition).ok_or_else(missing)?;
+        let status = cell.job(job).ok_or_else(missing)?;
+        let spec = self.archive.job(partition, job);
+        Ok(convert::job_status(&status, spec, cell.tasks(job)))
+    }
+
+    /// Returns the status of all jobs of a partition.
+    fn job_list(&self, partition: Partition) -> Vec<JobStatus> {
+        let ids = self.jobs.cell(partition).map(|cell| cell.ids().collect::<Vec<Job>>());
+        let ids = ids.unwrap_or_default().into_iter();
+        ids.filter_map(|job| self.job_status(partition, job).ok()).collect()
+    }
+
+    fn explain(&self, now: Instant, partition: Partition, job: Job) -> Result<Tell> {
+        let status = self.job_status(partition, job)?;
+        let explanation = self.jobs.cell(partition).and_then(|cell| cell.explain(job));
+        Ok(Tell::Explained(convert::explanation(now, &status, explanation.as_ref())))
+    }
+
+    /// Lists entries and targets.
+    fn list_vms(&self) -> Vec<VmStatus> {
+        let states = self.tenure.view();
+        let state_of = |id: u32| states.rows.iter().find(|row| row.vm.0 == id).map(|row| format!("{:?}", row.state));
+        let mut vms = Vec::new();
+        for vm in &self.vms.vms {
+            let (role, state) = match vm.role {
+                Role::Entry => ("entry", state_of(vm.id).unwrap_or_default().to_lowercase()),
+                Role::Target { .. } => ("target", listed_state(vm.state).to_owned()),
+                Role::Worker { .. } => continue,
+            };
+            vms.push(VmStatus {
+                id: vm.id,
+                role: role.to_owned(),
+                state,
+                data_centre: vm.data_centre.clone(),
+                address: vm.address.to_string(),
+                size: None,
+                committed: None,
+            });
+        }
+        vms
+    }
+
+    /// Lists the workers of a partition with what is committed on them.
+    fn list_workers(&self, partition: Partition) -> Vec<VmStatus> {
+        let Some(cell) = self.jobs.cell(partition) else {
+            return Vec::new();
+        };
+        let vm_of = |id: u32| self.vms.vms.iter().find(|vm| vm.id == id);
+        let workers = cell.workers().map(|worker| {
+            let vm = vm_of(worker.id.0);
+            convert::worker(&worker, vm)
+        });
+        workers.collect()
+    }
+
+    /// Returns the state of the control part.
+    fn dump(&self, now: Instant) -> serde_json::Value {
+        let cells = self.jobs.partitions().filter_map(|partition| {
+            let dump = serde_json::to_value(self.jobs.cell(partition)?.dump()).ok()?;
+            Some((partition.0.to_string(), dump))
+        });
+        json!({
+            "node": self.tenure.node().to_string(),
+            "log_up": self.journal.is_up(),
+            "config_version": self.configuration.version().0,
+            "vm_list_version": self.vms.version,
+            "entries": self.tenure.view(),
+            "leases": self.tenure.leases(now),
+            "keys": self.keys.sizes(),
+            "slots": self.slots.counted(now),
+            "cells": cells.collect::<serde_json::Map<_, _>>(),
+            "archived_records": self.archive.len(),
+            "records_pending": self.pending.len(),
+            "in_flight": self.context.in_flight(),
+            "draining": self.context.is_draining(),
+        })
+    }
+}
+
+/// Returns the word for a state of the VM list.
+fn listed_state(state: State) -> &'static str {
+    match state {
+        State::Live => "live",
+        State::Leaving => "leaving",
+    }
+}
--- /dev/null
+++ b/src/daemon/control/worker_io.rs
@@ -0,0 +1,103 @@
+//! Messages to workers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Event;
+use crate::core::id::{Partition, Worker};
+use crate::core::placement::Start;
+use crate::core::time::Instant;
+use crate::daemon::Context;
+use crate::platform::client::Client;
+use crate::platform::worker::{self, Control, Renew};
+use crate::util::metric::label;
+
+/// How many connections to workers a daemon opens.
+pub(super) const CONNECTIONS: usize = 256;
+
+/// How long a worker may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where a message to a worker goes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Receiver {
+    /// The partition whose cell sends it.
+    pub(super) partition: Partition,
+    /// The worker.
+    pub(super) worker: Worker,
+    /// Where the worker answers.
+    pub(super) address: SocketAddr,
+}
+
+/// Sends messages to workers and hands their answers to the control part.
+#[derive(Clone)]
+pub(super) struct Sender {
+    context: Context,
+    client: Client,
+}
+
+impl Sender {
+    /// Makes a sender with connections of its own.
+    pub(super) fn new(context: &Context) -> Sender {
+        Sender { context: context.clone(), client: Client::new(CONNECTIONS) }
+    }
+
+    /// Starts a task.
+    pub(super) fn start(&self, to: Receiver, start: Start) {
+        self.count("start");
+        let not_after = self.wall_clock(start.not_after);
+        let message = worker::Start {
+            attempt: start.attempt,
+            size: start.size,
+            command: start.command,
+            lease_ms: start.lease.as_millis() as u64,
+            not_after_ms: not_after,
+        };
+        let sender = self.clone();
+        actix_rt::spawn(async move {
+            let result = sender.client.start(to.address, &message, TIMEOUT).await;
+            let event = Event::Started { partition: to.partition, attempt: message.attempt, result };
+            sender.context.control(event);
+        });
+    }
+
+    /// Renews leases; a renewal that is too late is not sent.
+    pub(super) fn renew(&self, to: Receiver, renew: Renew, not_after: Instant) {
+        self.count("renew");
+        let sender = self.clone();
+        actix_rt::spawn(async move {
+            let left = not_after.since(sender.context.clock.now());
+            let _ = sender.client.renew(to.address, &renew, left.min(TIMEOUT)).await;
+        });
+    }
+
+    /// Acts on a task; the next inventory shows whether it worked.
+    pub(super) fn control(&self, to: Receiver, control: Control) {
+        self.count("control");
+        let sender = self.clone();
+        actix_rt::spawn(async move {
+            let _ = sender.client.control(to.address, &control, TIMEOUT).await;
+        });
+    }
+
+    /// Asks for an inventory.
+    pub(super) fn inventory(&self, to: Receiver, request: u64) {
+        self.count("inventory");
+        let sender = self.clone();
+        actix_rt::spawn(async move {
+            let result = sender.client.inventory(to.address, TIMEOUT).await;
+            let event = Event::Inventory { partition: to.partition, worker: to.worker, request, result };
+            sender.context.control(event);
+        });
+    }
+
+    /// Returns a point on the monotonic clock as wall-clock time, in Unix milliseconds.
+    fn wall_clock(&self, at: Instant) -> u64 {
+        let left = at.since(self.context.clock.now());
+        self.context.clock.stamp().0 + left.as_millis() as u64
+    }
+
+    fn count(&self, command: &'static str) {
+        self.context.metrics.worker_commands.add(1, &label("command", command));
+    }
+}
