Add membership, the model explorer and a first lease model

The explorer visits states breadth first and prints the shortest trace to a violation. The lease model runs four real tables around one log.

--- a/crates/laburnum-testkit/src/lib.rs
+++ b/crates/laburnum-testkit/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins for the platform and targets, and process control for tests.
+//! Stand-ins for the platform and targets, process control and a model explorer for tests.
+
+pub mod explore;
--- /dev/null
+++ b/tests/testsuite/lease/mod.rs
@@ -0,0 +1,4 @@
+//! Leases: one owner at any time, whatever is delayed, lost, repeated or paused.
+
+mod explore;
+mod world;
