--- a/src/core/placement/cell/query.rs
+++ b/src/core/placement/cell/query.rs
@@ -10,7 +10,9 @@
 use crate::core::placement::job::End;
 use crate::core::placement::policy::{Ask, Policy, Refusal, check};
 use crate::core::placement::settings::Quota;
-use crate::core::placement::table::{JobEntry, JobKey, Standing, TaskPhase, WorkerEntry};
+use crate::core::placement::table::{
+    JobEntry, JobKey, Phase, Standing, TaskEntry, TaskPhase, WorkerEntry,
+};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 use crate::core::workload::Class;
@@ -50,6 +52,33 @@
     pub queued: u32,
 }
 
+/// How far a task has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// It waits for a place.
+    Pending,
+    /// It was lost with its worker and waits to be queued again.
+    Lost,
+    /// It has a place and is not seen to run.
+    Starting,
+    /// It runs.
+    Running,
+    /// It succeeded.
+    Succeeded,
+}
+
+/// A task as operators see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct TaskStatus {
+    /// How far it has come.
+    pub state: TaskState,
+    /// The number of the latest attempt, 0 before the first.
+    pub attempt: u32,
+    /// Where it has a place.
+    pub worker: Option<id::Worker>,
+}
+
 /// What a job waits for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -176,6 +205,38 @@
         self.jobs.values().map(status)
     }
 
+    /// Returns the ids of all jobs, those that ended lately included.
+    pub fn ids(&self) -> impl Iterator<Item = id::Job> {
+        self.job_ids.keys().chain(self.summaries().keys()).copied()
+    }
+
+    /// Returns the tasks of a job that has not ended, in the order of their indexes.
+    pub fn tasks(&self, id: id::Job) -> Vec<TaskStatus> {
+        let Some(&key) = self.job_ids.get(&id) else {
+            return Vec::new();
+        };
+        let tasks = self.jobs[key].tasks.iter();
+        tasks.map(|task| self.task_status(task)).collect()
+    }
+
+    /// Returns a task as operators see it.
+    fn task_status(&self, task: &TaskEntry) -> TaskStatus {
+        let (state, worker) = match task.phase {
+            TaskPhase::Pending => (TaskState::Pending, None),
+            TaskPhase::Delayed => (TaskState::Lost, None),
+            TaskPhase::Succeeded => (TaskState::Succeeded, None),
+            TaskPhase::Live(key) => {
+                let attempt = &self.attempts[key];
+                let worker = self.workers[attempt.worker].id;
+                match attempt.phase {
+                    Phase::Running => (TaskState::Running, Some(worker)),
+                    _ => (TaskState::Starting, Some(worker)),
+                }
+            }
+        };
+        TaskStatus { state, attempt: task.number, worker }
+    }
+
     /// Returns all workers.
     pub fn workers(&self) -> impl Iterator<Item = WorkerStatus> {
         self.workers
--- a/src/daemon/control/answer.rs
+++ b/src/daemon/control/answer.rs
@@ -83,7 +83,7 @@
     /// Answers as the owner of a worker partition.
     fn answer_owned(&mut self, now: Instant, partition: Partition, ask: Ask, reply: Reply) {
         let result = match ask {
-            Ask::SubmitJob(job) => return self.submit(now, partition, *job, reply),
+            Ask::SubmitJob(job) => return self.submit(partition, *job, reply),
             Ask::CancelJob(job) => return self.cancel(now, partition, job, reply),
             Ask::GetJob(job) => self.job_status(partition, job).map(Tell::Job),
             Ask::ExplainJob(job) => self.explain(now, partition, job),
@@ -105,7 +105,7 @@
     }
 
     /// Makes a job durable; a repeat of a known job is answered at once.
-    fn submit(&mut self, now: Instant, partition: Partition, job: placement::Job, reply: Reply) {
+    fn submit(&mut self, partition: Partition, job: placement::Job, reply: Reply) {
         let id = job.id;
         match self.check_submit(partition, &job) {
             Ok(true) => {
@@ -119,11 +119,11 @@
             }
         }
         let body = Body::Cell(vec![placement::Record::Accepted(Box::new(job.clone()))]);
-        match self.journal.push(Stream::Work, &Record { partition, body }) {
+        let record = Record { partition, body };
+        match self.journal.push(Stream::Work, &record) {
             Ok(ticket) => {
                 self.jobs.begin_accept(partition, job);
-                self.pending.insert(ticket, Pending::Accepted(id, reply));
-                self.work(now);
+                self.pending.insert(ticket, (Pending::Accepted(id, reply), record));
             }
             Err(error) => {
                 let _ = reply.send(Err(error));
@@ -179,7 +179,7 @@
             Ok(_) => {
                 self.canceling.entry(job).or_default().push(reply);
                 let outputs = self.jobs.step(now, partition, Input::Cancel(job));
-                self.follow_cell(now, partition, outputs);
+                self.follow_cell(partition, outputs);
             }
             Err(error) => {
                 let _ = reply.send(Err(error));
--- a/src/daemon/control/archive.rs
+++ b/src/daemon/control/archive.rs
@@ -42,6 +42,7 @@
 struct Shelf {
     keys: Vec<dedup::Record>,
     cell: Vec<placement::Record>,
+    jobs: HashMap<Job, Box<placement::Job>>,
     compact_at: usize,
 }
 
@@ -57,7 +58,7 @@
         let shelf = self.shelves.entry(record.partition).or_default();
         match &record.body {
             Body::Key(record) => shelf.keys.push(record.clone()),
-            Body::Cell(records) => shelf.cell.extend(records.iter().cloned()),
+            Body::Cell(records) => shelf.keep_cell(records),
         }
         if shelf.len() >= shelf.compact_at.max(COMPACT_AFTER) {
             shelf.compact(now, retention);
@@ -74,6 +75,11 @@
         self.shelves.get(&partition).map_or(&[], |shelf| &shelf.cell)
     }
 
+    /// Returns a job of a partition as it was submitted.
+    pub(super) fn job(&self, partition: Partition, id: Job) -> Option<&placement::Job> {
+        self.shelves.get(&partition)?.jobs.get(&id).map(AsRef::as_ref)
+    }
+
     /// Returns how many records are kept.
     pub(super) fn len(&self) -> usize {
         self.shelves.values().map(Shelf::len).sum()
@@ -85,6 +91,15 @@
         self.keys.len() + self.cell.len()
     }
 
+    fn keep_cell(&mut self, records: &[placement::Record]) {
+        for record in records {
+            if let placement::Record::Accepted(job) = record {
+                self.jobs.insert(job.id, job.clone());
+            }
+            self.cell.push(record.clone());
+        }
+    }
+
     /// Leaves out what no later owner needs; the next compaction waits until as much is new.
     fn compact(&mut self, now: Stamp, retention: Duration) {
         let oldest = now - retention;
--- a/src/daemon/control/jobs.rs
+++ b/src/daemon/control/jobs.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -90,7 +91,7 @@
     }
 
     /// Opens the cell of a partition from its records.
-    pub(super) fn open(&mut self, now: Instant, acquired: &Acquired, until: Instant, records: Vec<Record>) {
+    pub(super) fn open(&mut self, now: Instant, acquired: &Acquired, until: Instant, records: Vec<Record>) -> Vec<Output> {
         let mut recovery = Recovery::new(now, until, self.settings.clone());
         recovery.unrecorded = acquired.exposed;
         let mut cell = Cell::recover(recovery, records);
@@ -103,7 +104,7 @@
             }
         }
         self.cells.insert(acquired.partition, cell);
-        self.follow(acquired.partition, out);
+        self.follow(acquired.partition, out)
     }
 
     /// Drops the cell of a partition that is not owned any more.
@@ -154,7 +155,7 @@
         self.workers.get(&worker).map(|listed| listed.address)
     }
 
-    /// Returns a worker's name of its data centre.
+    /// Returns the partitions whose cells this entry has.
     pub(super) fn partitions(&self) -> impl Iterator<Item = Partition> + '_ {
         self.cells.keys().copied()
     }
@@ -171,6 +172,16 @@
         Some((accepting.partition, self.step(now, accepting.partition, input)))
     }
 
+    /// Returns a job that is being made durable.
+    pub(super) fn accepting(&self, job: Job) -> Option<&placement::Job> {
+        self.accepting.get(&job).map(|accepting| &accepting.job)
+    }
+
+    /// Returns how long a job is remembered after its end, so that a repeat is recognized.
+    pub(super) fn remembered(&self) -> Duration {
+        self.settings.knobs.ended_for
+    }
+
     /// Forgets a job of which it is not known whether it is durable.
     pub(super) fn forget_accept(&mut self, job: Job) {
         self.accepting.remove(&job);
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -51,6 +51,8 @@
     told: HashMap<Partition, Owner>,
     asked_end: Option<Instant>,
     is_ready: bool,
+    /// When the live state of an open partition was last written anew.
+    rewritten: HashMap<Partition, Instant>,
 }
 
 impl Tenure {
@@ -71,6 +73,7 @@
             told: HashMap::new(),
             asked_end: None,
             is_ready: false,
+            rewritten: HashMap::new(),
         }
     }
 
@@ -188,6 +191,7 @@
     pub(super) fn note_lost(&mut self, partition: Partition) {
         self.own.remove(&partition);
         self.told.remove(&partition);
+        self.rewritten.remove(&partition);
     }
 
     /// Returns whether the end of the work stream should be asked for now.
@@ -218,12 +222,28 @@
     }
 
     /// Notes that a partition is acted on.
-    pub(super) fn set_open(&mut self, partition: Partition) {
+    pub(super) fn set_open(&mut self, partition: Partition, now: Instant) {
         if let Some(own) = self.own.get_mut(&partition) {
             own.stage = Stage::Open;
+            self.rewritten.insert(partition, now);
         }
     }
 
+    /// Returns whether a partition belongs to this entry, open or not.
+    pub(super) fn is_own(&self, partition: Partition) -> bool {
+        self.own.contains_key(&partition)
+    }
+
+    /// Returns open partitions whose live state is due to be written anew after `period`.
+    pub(super) fn take_rewrites(&mut self, now: Instant, period: Duration) -> Vec<Partition> {
+        let due = self.rewritten.iter().filter(|(_, at)| now.since(**at) >= period);
+        let due: Vec<Partition> = due.map(|(&partition, _)| partition).collect();
+        for &partition in &due {
+            self.rewritten.insert(partition, now);
+        }
+        due
+    }
+
     /// Returns the request partitions whose owner the dispatch part is to be told anew.
     pub(super) fn changed_owners(&mut self, now: Instant) -> Vec<(Partition, Option<Owner>)> {
         let mut changes = Vec::new();
