--- /dev/null
+++ b/tests/testsuite/stream/cell.rs
@@ -0,0 +1,416 @@
+//! A few nodes on one stream of a faulty log, driven by a list of operations.
+//!
+//! The log can answer, lose the answer, lose the append, or take it later than its retry. Nodes die
+//! and come back as new incarnations, start from a snapshot or a peer, and meet expired offsets.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Debug;
+use std::time::Duration;
+
+use laburnumplank::core::stream::reader::{self, Reader};
+use laburnumplank::core::stream::snapshot::{self, Assembly, Content};
+use laburnumplank::core::stream::writer::{self, Builder, Ticket, Writer};
+use laburnumplank::core::stream::{Id, Name, Record, Rules, decode, encode};
+use laburnumplank::core::time::Instant;
+use proptest::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::{Log, node};
+
+/// What the nodes build from the stream.
+pub(crate) trait Machine: Clone + Debug {
+    type Value: Serialize + DeserializeOwned + Clone + Debug;
+    type State: Serialize + DeserializeOwned;
+    /// Makes the `number`th value that is pushed, on a node in this state.
+    fn value(&self, number: u64, choice: u8) -> Self::Value;
+    fn apply(&mut self, record: &Record<Self::Value>);
+    fn state(&self) -> Self::State;
+    fn restore(&mut self, state: Self::State);
+}
+
+/// What happens to an append.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fate {
+    Answered,
+    AnswerLost,
+    Lost,
+    Delayed,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Op {
+    Push {
+        node: usize,
+        choice: u8,
+    },
+    Tick {
+        node: usize,
+        fate: Fate,
+        millis: u64,
+    },
+    Land {
+        index: usize,
+    },
+    Read {
+        node: usize,
+        most: usize,
+    },
+    Kill {
+        node: usize,
+        peer: Option<usize>,
+    },
+    Snapshot {
+        node: usize,
+        torn: bool,
+    },
+    Expire {
+        count: u64,
+    },
+    Outage {
+        on: bool,
+    },
+}
+
+pub(crate) const NODES: usize = 3;
+
+pub(crate) fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let fate = prop_oneof![
+        5 => Just(Fate::Answered),
+        2 => Just(Fate::AnswerLost),
+        1 => Just(Fate::Lost),
+        3 => Just(Fate::Delayed),
+    ];
+    let op = prop_oneof![
+        6 => (0..NODES, any::<u8>()).prop_map(|(node, choice)| Op::Push { node, choice }),
+        10 => (0..NODES, fate, 1..3_000_u64)
+            .prop_map(|(node, fate, millis)| Op::Tick { node, fate, millis }),
+        3 => (0..8_usize).prop_map(|index| Op::Land { index }),
+        6 => (0..NODES, 1..6_usize).prop_map(|(node, most)| Op::Read { node, most }),
+        1 => (0..NODES, proptest::option::of(0..NODES))
+            .prop_map(|(node, peer)| Op::Kill { node, peer }),
+        1 => (0..NODES, any::<bool>()).prop_map(|(node, torn)| Op::Snapshot { node, torn }),
+        1 => (1..12_u64).prop_map(|count| Op::Expire { count }),
+        1 => any::<bool>().prop_map(|on| Op::Outage { on }),
+    ];
+    proptest::collection::vec(op, 20..200)
+}
+
+/// One node.
+pub(crate) struct Member<M: Machine> {
+    pub(crate) machine: M,
+    writer: Writer,
+    reader: Reader<M::Value>,
+    /// Values by ticket, as long as they aren't settled.
+    pushed: BTreeMap<Ticket, u64>,
+    id: laburnumplank::core::id::Node,
+}
+
+pub(crate) struct Cell<M: Machine> {
+    pub(crate) members: Vec<Member<M>>,
+    pub(crate) log: Log,
+    /// The numbers of the values that a writer said are in the log.
+    pub(crate) durable: BTreeSet<u64>,
+    /// The numbers of the values that a writer said nobody knows about.
+    pub(crate) unknown: BTreeSet<u64>,
+    /// Every record that any node applied, in order of id.
+    pub(crate) applied: BTreeMap<Id, u64>,
+    blank: M,
+    rules: Rules,
+    stream: Name,
+    now: Instant,
+    delayed: Vec<Vec<u8>>,
+    snapshots: Assembly,
+    down: bool,
+    pushes: u64,
+    incarnations: u64,
+}
+
+impl<M: Machine> Cell<M> {
+    pub(crate) fn new(blank: M, rules: Rules) -> Cell<M> {
+        let mut cell = Cell {
+            members: Vec::new(),
+            log: Log::default(),
+            durable: BTreeSet::new(),
+            unknown: BTreeSet::new(),
+            applied: BTreeMap::new(),
+            blank,
+            rules,
+            stream: Name("test".to_owned()),
+            now: Instant(0),
+            delayed: Vec::new(),
+            snapshots: Assembly::default(),
+            down: false,
+            pushes: 0,
+            incarnations: 0,
+        };
+        for index in 0..NODES {
+            let member = cell.start(index);
+            cell.members.push(member);
+        }
+        cell
+    }
+
+    pub(crate) fn run(&mut self, ops: &[Op]) {
+        for op in ops {
+            self.op(*op);
+        }
+        self.settle();
+    }
+
+    fn op(&mut self, op: Op) {
+        match op {
+            Op::Push { node, choice } => self.push(node, choice),
+            Op::Tick { node, fate, millis } => {
+                self.now = self.now + Duration::from_millis(millis);
+                let fate = if self.down { Fate::Lost } else { fate };
+                self.write(node, writer::Input::Tick, fate);
+            }
+            Op::Land { index } if !self.down && index < self.delayed.len() => {
+                let bytes = self.delayed.remove(index);
+                self.log.append(&bytes);
+            }
+            Op::Land { .. } => {}
+            Op::Read { node, most } => self.read(node, most),
+            Op::Kill { node, peer } => self.kill(node, peer),
+            Op::Snapshot { node, torn } => self.snapshot(node, torn),
+            Op::Expire { count } => self.expire(count),
+            Op::Outage { on } => self.down = on,
+        }
+    }
+
+    fn start(&mut self, index: usize) -> Member<M> {
+        self.incarnations += 1;
+        let id = node(index as u32, self.incarnations);
+        let builder = Builder::new(id, self.incarnations);
+        let mut member = Member {
+            machine: self.blank.clone(),
+            writer: builder.window(self.rules.window).build(),
+            reader: Reader::with_rules(self.rules, self.incarnations),
+            pushed: BTreeMap::new(),
+            id,
+        };
+        member.tell_writer(&self.stream, false, self.now, &mut Vec::new());
+        member
+    }
+
+    fn push(&mut self, node: usize, choice: u8) {
+        let member = &mut self.members[node];
+        let value = member.machine.value(self.pushes, choice);
+        if let Ok(ticket) = member.writer.push(&self.stream, &value) {
+            member.pushed.insert(ticket, self.pushes);
+        }
+        self.pushes += 1;
+    }
+
+    /// Steps a writer; its appends meet `fate`.
+    fn write(&mut self, node: usize, input: writer::Input, fate: Fate) {
+        let mut out = Vec::new();
+        self.members[node].writer.step(self.now, input, &mut out);
+        for output in out {
+            self.written(node, output, fate);
+        }
+    }
+
+    fn written(&mut self, node: usize, output: writer::Output, fate: Fate) {
+        match output {
+            writer::Output::Append {
+                stream,
+                copy,
+                bytes,
+            } => {
+                let offset = match fate {
+                    Fate::Answered | Fate::AnswerLost => Some(self.log.append(&bytes)),
+                    Fate::Lost => None,
+                    Fate::Delayed => {
+                        self.delayed.push(bytes);
+                        None
+                    }
+                };
+                let input = match (fate, offset) {
+                    (Fate::Answered, Some(offset)) => writer::Input::Appended {
+                        stream,
+                        copy,
+                        offset,
+                    },
+                    _ => writer::Input::Failed { stream, copy },
+                };
+                self.write(node, input, Fate::Lost);
+            }
+            writer::Output::Durable { tickets, .. } => {
+                let pushed = &mut self.members[node].pushed;
+                self.durable
+                    .extend(tickets.iter().filter_map(|ticket| pushed.remove(ticket)));
+            }
+            writer::Output::Unknown { tickets, .. } => {
+                let pushed = &mut self.members[node].pushed;
+                self.unknown
+                    .extend(tickets.iter().filter_map(|ticket| pushed.remove(ticket)));
+            }
+        }
+    }
+
+    fn read(&mut self, node: usize, most: usize) {
+        if self.down {
+            return;
+        }
+        let member = &mut self.members[node];
+        let page = self.log.page(member.reader.next(), most);
+        let mut out = Vec::new();
+        member
+            .reader
+            .step(self.now, reader::Input::Page(page), &mut out);
+        for output in out {
+            if let reader::Output::Record(record) = output {
+                member.machine.apply(&record);
+                self.applied.insert(record.id, record.offset);
+            }
+        }
+        if self.members[node].reader.is_expired() {
+            self.recover(node, None);
+        } else {
+            self.told(node, false);
+        }
+    }
+
+    /// Tells the writer how far its reader is.
+    fn told(&mut self, node: usize, jumped: bool) {
+        let mut out = Vec::new();
+        self.members[node].tell_writer(&self.stream, jumped, self.now, &mut out);
+        for output in out {
+            self.written(node, output, Fate::Lost);
+        }
+    }
+
+    fn kill(&mut self, node: usize, peer: Option<usize>) {
+        let others = (0..NODES).filter(|other| *other != node);
+        let kept = others.map(|other| self.members[other].reader.next()).max();
+        if kept.max(self.snapshots.best().map(|best| best.covers)) < Some(self.log.first) {
+            return;
+        }
+        self.members[node] = self.start(node);
+        self.recover(node, peer.filter(|peer| *peer != node));
+    }
+
+    /// Restores a node from a peer, or from the snapshot, or from the peer that is furthest.
+    fn recover(&mut self, node: usize, peer: Option<usize>) {
+        let snapshot = self.snapshots.best().map(|whole| whole.bytes.clone());
+        let bytes = match peer {
+            Some(peer) => Some(self.members[peer].content()),
+            None => snapshot,
+        };
+        if let Some(bytes) = bytes {
+            self.restore(node, &bytes);
+        }
+        if self.members[node].reader.next() < self.log.first {
+            let furthest = (0..NODES).max_by_key(|node| self.members[*node].reader.next());
+            let bytes = self.members[furthest.unwrap()].content();
+            self.restore(node, &bytes);
+        }
+    }
+
+    fn restore(&mut self, node: usize, bytes: &[u8]) {
+        let content: Content<M::State> = decode(bytes).unwrap();
+        let member = &mut self.members[node];
+        let (next, seen) = (content.next, content.seen);
+        if next <= member.reader.next() {
+            return;
+        }
+        let input = reader::Input::Restored { next, seen };
+        member.reader.step(self.now, input, &mut Vec::new());
+        member.machine.restore(content.state);
+        self.told(node, true);
+    }
+
+    /// Writes a snapshot; a torn one lacks its last byte.
+    fn snapshot(&mut self, node: usize, torn: bool) {
+        let member = &self.members[node];
+        let id = snapshot::Id {
+            node: member.id,
+            number: self.now.0,
+        };
+        let mut parts = snapshot::split(id, member.reader.next(), &member.content()).unwrap();
+        if torn {
+            parts.last_mut().unwrap().data.0.pop();
+        }
+        for part in parts {
+            self.snapshots.insert(part);
+        }
+    }
+
+    /// Lets retention pass, but never beyond what a node or a snapshot holds.
+    fn expire(&mut self, count: u64) {
+        let nodes = self.members.iter().map(|member| member.reader.next()).max();
+        let kept = nodes.max(self.snapshots.best().map(|best| best.covers));
+        self.log.first = (self.log.first + count).min(kept.unwrap_or(0));
+    }
+
+    /// Ends all faults and lets everything arrive.
+    fn settle(&mut self) {
+        self.down = false;
+        for bytes in std::mem::take(&mut self.delayed) {
+            self.log.append(&bytes);
+        }
+        for _ in 0..50 {
+            for node in 0..NODES {
+                self.now = self.now + Duration::from_secs(10);
+                self.write(node, writer::Input::Tick, Fate::Answered);
+                self.read(node, 1_000);
+            }
+        }
+    }
+
+    /// Returns a node that reads the whole log from its start, expired or not.
+    pub(crate) fn replay(&self) -> M {
+        let mut machine = self.blank.clone();
+        let mut reader: Reader<M::Value> = Reader::with_rules(self.rules, 0);
+        let mut log = self.log.clone();
+        log.first = 0;
+        let mut out = Vec::new();
+        reader.step(
+            self.now,
+            reader::Input::Page(log.page(0, usize::MAX)),
+            &mut out,
+        );
+        for output in out {
+            if let reader::Output::Record(record) = output {
+                machine.apply(&record);
+            }
+        }
+        machine
+    }
+
+    /// Returns how many pushed values are not settled.
+    pub(crate) fn unsettled(&self) -> usize {
+        self.members.iter().map(|member| member.pushed.len()).sum()
+    }
+}
+
+impl<M: Machine> Member<M> {
+    fn content(&self) -> Vec<u8> {
+        let content = Content {
+            next: self.reader.next(),
+            seen: self.reader.seen().clone(),
+            state: self.machine.state(),
+        };
+        encode(&content).unwrap()
+    }
+
+    fn tell_writer(
+        &mut self,
+        stream: &Name,
+        jumped: bool,
+        now: Instant,
+        out: &mut Vec<writer::Output>,
+    ) {
+        let stream = stream.clone();
+        let next = self.reader.next();
+        let last = self.reader.seen().last(self.id);
+        let input = if jumped {
+            writer::Input::Jumped { stream, next, last }
+        } else {
+            writer::Input::Read { stream, next, last }
+        };
+        self.writer.step(now, input, out);
+    }
+}
