--- a/src/api/convert.rs
+++ b/src/api/convert.rs
@@ -5,9 +5,14 @@
 use super::schema;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{self, Family, Team};
-use crate::core::placement::Job;
+use crate::core::placement::job::End;
+use crate::core::placement::{
+    Explanation, Job, JobStatus, QuotaStatus, Stage, TaskState, TaskStatus, Waiting, WorkerStatus,
+};
 use crate::core::resource::Amount;
+use crate::core::time::Instant;
 use crate::core::workload::Class;
+use crate::platform::vms;
 
 /// The most tasks of one job.
 const MAX_TASKS: u32 = 100_000;
@@ -131,3 +136,145 @@
         Class::Batch => schema::JobClass::Batch,
     }
 }
+
+/// Returns whether a job has ended.
+pub fn is_ended(job: &schema::JobStatus) -> bool {
+    use schema::JobState::{Cancelled, Failed, Succeeded};
+    matches!(job.state(), Succeeded | Failed | Cancelled)
+}
+
+/// Makes the schema's form of a job's status.
+pub fn job_status(
+    status: &JobStatus,
+    job: Option<&Job>,
+    tasks: Vec<TaskStatus>,
+) -> schema::JobStatus {
+    let tasks = tasks
+        .into_iter()
+        .enumerate()
+        .map(|(index, task)| task_status(index as u32, task));
+    let mut out = schema::JobStatus {
+        job_id: status.id.to_string(),
+        spec: job.map(spec),
+        state: state(status.stage).into(),
+        reason: reason(status).to_owned(),
+        revision: 0,
+        tasks: tasks.collect(),
+    };
+    out.revision = revision(&out);
+    out
+}
+
+/// Returns a number that differs after each change; never 0, which stands for no revision.
+fn revision(status: &schema::JobStatus) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&prost::Message::encode_to_vec(status)).max(1)
+}
+
+fn state(stage: Stage) -> schema::JobState {
+    match stage {
+        Stage::Queued => schema::JobState::Pending,
+        Stage::Running | Stage::Ending(_) => schema::JobState::Running,
+        Stage::Ended(End::Succeeded) => schema::JobState::Succeeded,
+        Stage::Ended(End::Failed) => schema::JobState::Failed,
+        Stage::Ended(End::Canceled) => schema::JobState::Cancelled,
+    }
+}
+
+fn reason(status: &JobStatus) -> &'static str {
+    match status.stage {
+        Stage::Queued => "waits for a place",
+        Stage::Running if status.queued > 0 => "some tasks wait for a place",
+        Stage::Running => "",
+        Stage::Ending(End::Canceled) => "cancelled; its tasks are being stopped",
+        Stage::Ending(End::Failed) => "a task failed too often; the others are being stopped",
+        Stage::Ending(End::Succeeded) => "all tasks succeeded; the end is being recorded",
+        Stage::Ended(End::Succeeded) => "all tasks succeeded",
+        Stage::Ended(End::Failed) => "a task failed on every worker that it was tried on",
+        Stage::Ended(End::Canceled) => "cancelled",
+    }
+}
+
+fn task_status(index: u32, task: TaskStatus) -> schema::TaskStatus {
+    let state = match task.state {
+        TaskState::Pending => "pending",
+        TaskState::Lost => "lost",
+        TaskState::Starting => "starting",
+        TaskState::Running => "running",
+        TaskState::Succeeded => "succeeded",
+    };
+    schema::TaskStatus {
+        index,
+        state: state.to_owned(),
+        attempt: task.attempt,
+        worker: task.worker.map_or(0, |worker| worker.0),
+    }
+}
+
+/// Makes the schema's form of why a job waits.
+pub fn explanation(
+    now: Instant,
+    status: &schema::JobStatus,
+    explanation: Option<&Explanation>,
+) -> schema::ExplainJobResponse {
+    let Some(explanation) = explanation else {
+        return schema::ExplainJobResponse {
+            job_id: status.job_id.clone(),
+            waiting_for: format!("nothing: {}", status.reason),
+            ..schema::ExplainJobResponse::default()
+        };
+    };
+    let refusals = explanation
+        .refused
+        .iter()
+        .map(|(refusal, workers)| schema::Refusal {
+            filter: format!("{refusal:?}").to_lowercase(),
+            workers: *workers as u32,
+        });
+    schema::ExplainJobResponse {
+        job_id: status.job_id.clone(),
+        waiting_for: waiting(&explanation.waiting).to_owned(),
+        refusals: refusals.collect(),
+        position: explanation.position.map_or(0, |before| before as u32 + 1),
+        estimate_ms: explanation
+            .expected
+            .map_or(0, |at| at.since(now).as_millis() as u64),
+    }
+}
+
+fn waiting(waiting: &Waiting) -> &'static str {
+    match waiting {
+        Waiting::Nothing => "nothing: no task waits",
+        Waiting::Takeover => "the end of leases that a former owner may have given",
+        Waiting::Turn => "its turn",
+        Waiting::Quota => "its team's quota",
+        Waiting::Worker => "a worker with room",
+        Waiting::Reservation => "the workers that are reserved for it",
+        Waiting::Pace => "the pace at which lost tasks are queued again",
+    }
+}
+
+/// Makes the schema's form of a worker.
+pub fn worker(worker: &WorkerStatus, vm: Option<&vms::Vm>) -> schema::VmStatus {
+    let state = match worker.quarantined_until {
+        Some(_) => "quarantined".to_owned(),
+        None => format!("{:?}", worker.standing).to_lowercase(),
+    };
+    schema::VmStatus {
+        id: worker.id.0,
+        role: "worker".to_owned(),
+        state,
+        data_centre: vm.map_or_else(String::new, |vm| vm.data_centre.clone()),
+        address: vm.map_or_else(String::new, |vm| vm.address.to_string()),
+        size: Some(worker.size.into()),
+        committed: Some(worker.used.into()),
+    }
+}
+
+/// Makes the schema's form of a quota.
+pub fn quota(status: QuotaStatus) -> schema::QuotaStatus {
+    schema::QuotaStatus {
+        team: status.team.0,
+        quota: status.quota.map(|quota| quota.ceiling.into()),
+        used: Some(status.used.into()),
+    }
+}
--- a/src/core/placement/cell/mod.rs
+++ b/src/core/placement/cell/mod.rs
@@ -21,7 +21,9 @@
 
 use slotmap::SlotMap;
 
-pub use query::{Dump, Explanation, JobStatus, QuotaStatus, Stage, Waiting, WorkerStatus};
+pub use query::{
+    Dump, Explanation, JobStatus, QuotaStatus, Stage, TaskState, TaskStatus, Waiting, WorkerStatus,
+};
 pub use recover::Recovery;
 
 use super::history::History;
--- a/src/core/placement/cell/query.rs
+++ b/src/core/placement/cell/query.rs
@@ -234,7 +234,11 @@
                 }
             }
         };
-        TaskStatus { state, attempt: task.number, worker }
+        TaskStatus {
+            state,
+            attempt: task.number,
+            worker,
+        }
     }
 
     /// Returns all workers.
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -20,8 +20,8 @@
 pub mod table;
 
 pub use cell::{
-    Cell, Counters, Dump, Explanation, JobStatus, QuotaStatus, Recovery, Stage, Waiting,
-    WorkerStatus,
+    Cell, Counters, Dump, Explanation, JobStatus, QuotaStatus, Recovery, Stage, TaskState,
+    TaskStatus, Waiting, WorkerStatus,
 };
 pub use history::History;
 pub use job::{Job, Spread};
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -119,6 +119,11 @@
         self.counters
     }
 
+    /// Returns when the final answer of a request is due.
+    pub fn deadline(&self, id: Id) -> Option<Instant> {
+        self.flights.get(&id).map(|flight| flight.call.deadline)
+    }
+
     /// Returns how many requests wait in the queue.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -11,6 +11,7 @@
 use super::{control, dispatch, peer};
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Incarnation, Node, Vm};
+use crate::core::request::Origin;
 use crate::settings::Settings;
 use crate::util::clock::Clock;
 use crate::util::metric::Metrics;
@@ -72,7 +73,7 @@
     ) -> Context {
         let shared = Shared {
             senders,
-            incarnation: AtomicU64::new(rand::random()),
+            incarnation: AtomicU64::new(incarnation(clock)),
             asks: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
             is_stop_requested: AtomicBool::new(false),
@@ -155,16 +156,17 @@
         }
     }
 
-    /// Runs an idempotent call from this entry and waits for its answer.
+    /// Runs a call, here or through the owner of its key, and waits for its answer.
     ///
     /// # Errors
     ///
     /// Whatever stopped the call.
-    pub async fn call_any(&self, call: Call, timeout: Duration) -> Result<Tell> {
+    pub async fn call(&self, call: Call, origin: Origin, timeout: Duration) -> Result<Tell> {
         let (reply, answer) = oneshot::channel();
         let deadline = self.clock.now() + timeout;
         self.dispatch(dispatch::Event::Call {
             call,
+            origin,
             deadline,
             reply,
         });
@@ -215,3 +217,12 @@
 
 /// How much longer than its deadline an ask waits for its own final answer.
 const ANSWER_GRACE: Duration = Duration::from_millis(250);
+
+/// How many of the lowest bits of an incarnation are random.
+const INCARNATION_RANDOM_BITS: u32 = 10;
+
+/// Draws an incarnation; one that is drawn later on the same VM is higher.
+fn incarnation(clock: Clock) -> u64 {
+    let random = u64::from(rand::random::<u32>() >> (u32::BITS - INCARNATION_RANDOM_BITS));
+    (clock.stamp().0 << INCARNATION_RANDOM_BITS) | random
+}
--- a/src/daemon/control/answer.rs
+++ b/src/daemon/control/answer.rs
@@ -17,6 +17,7 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Job, Partition};
 use crate::core::placement::{self, Input};
+use crate::core::stream::Ticket;
 use crate::core::time::Instant;
 use crate::daemon::peer;
 use crate::platform::vms::{Role, State};
@@ -27,21 +28,39 @@
 
 impl Control {
     /// Answers an ask here, or hands it to the owner.
-    pub(super) fn answer(&mut self, now: Instant, ask: Ask, deadline: Instant, is_forwarded: bool, reply: Reply) {
+    pub(super) fn answer(
+        &mut self,
+        now: Instant,
+        ask: Ask,
+        deadline: Instant,
+        is_forwarded: bool,
+        reply: Reply,
+    ) {
         let Some(partition) = self.partition_of(&ask) else {
             return self.answer_local(now, ask, deadline, reply);
         };
         if self.tenure.deadline(partition, now).is_some() {
             return self.answer_owned(now, partition, ask, reply);
         }
-        let owner = self.tenure.owner(partition).filter(|owner| *owner != self.tenure.node());
+        let owner = self
+            .tenure
+            .owner(partition)
+            .filter(|owner| *owner != self.tenure.node());
         match owner {
             Some(owner) if !is_forwarded => {
                 let timeout = deadline.since(now);
-                self.context.peer(peer::Command::Ask { to: owner.vm, ask, timeout, reply });
+                self.context.peer(peer::Command::Ask {
+                    to: owner.vm,
+                    ask,
+                    timeout,
+                    reply,
+                });
             }
             _ => {
-                let message = format!("partition {} has no owner that may act now; come back", partition.0);
+                let message = format!(
+                    "partition {} has no owner that may act now; come back",
+                    partition.0
+                );
                 let _ = reply.send(Err(Error::new(Kind::NoOwner, message)));
             }
         }
@@ -51,31 +70,54 @@
     fn partition_of(&self, ask: &Ask) -> Option<Partition> {
         match ask {
             Ask::SubmitJob(job) => Some(self.jobs.partition_of(job.id)),
-            Ask::GetJob(job) | Ask::CancelJob(job) | Ask::ExplainJob(job) => Some(self.jobs.partition_of(*job)),
-            Ask::ListJobs { partition, .. } | Ask::ListWorkers(partition) | Ask::ListQuotas(partition) => {
-                Some(*partition)
-            }
-            Ask::Call(_) | Ask::ListVms | Ask::GetConfig(_) | Ask::PutConfig { .. } | Ask::ListConfig | Ask::Dump => {
-                None
+            Ask::GetJob(job) | Ask::CancelJob(job) | Ask::ExplainJob(job) => {
+                Some(self.jobs.partition_of(*job))
             }
+            Ask::ListJobs { partition, .. }
+            | Ask::ListWorkers(partition)
+            | Ask::ListQuotas(partition) => Some(*partition),
+            Ask::Call(_)
+            | Ask::ListVms
+            | Ask::GetConfig(_)
+            | Ask::PutConfig { .. }
+            | Ask::ListConfig
+            | Ask::Dump => None,
         }
     }
 
     /// Answers what every entry knows.
     fn answer_local(&mut self, now: Instant, ask: Ask, deadline: Instant, reply: Reply) {
         let result = match ask {
-            Ask::PutConfig { base, author, document } => {
+            Ask::PutConfig {
+                base,
+                author,
+                document,
+            } => {
                 let deadline = deadline - ANSWER_MARGIN;
-                let wish = Wish { base, author, document, at: self.context.clock.stamp(), deadline };
+                let wish = Wish {
+                    base,
+                    author,
+                    document,
+                    at: self.context.clock.stamp(),
+                    deadline,
+                };
                 let answers = self.configuration.put(now, &mut self.journal, wish, reply);
-                answers.into_iter().for_each(super::configuration::Answer::send);
+                answers
+                    .into_iter()
+                    .for_each(super::configuration::Answer::send);
                 return;
             }
-            Ask::GetConfig(version) => self.configuration.get(version).map(|version| Tell::Config(vec![version])),
+            Ask::GetConfig(version) => self
+                .configuration
+                .get(version)
+                .map(|version| Tell::Config(vec![version])),
             Ask::ListConfig => Ok(Tell::Config(self.configuration.list())),
             Ask::ListVms => Ok(Tell::Vms(self.list_vms())),
             Ask::Dump => Ok(Tell::State(self.dump(now).to_string())),
-            _ => Err(Error::new(Kind::Internal, "the ask is not for the control part")),
+            _ => Err(Error::new(
+                Kind::Internal,
+                "the ask is not for the control part",
+            )),
         };
         let _ = reply.send(result);
     }
@@ -89,17 +131,31 @@
             Ask::ExplainJob(job) => self.explain(now, partition, job),
             Ask::ListJobs { team, ended, .. } => {
                 let is_listed = |job: &JobStatus| {
-                    let is_team = team.as_ref().is_none_or(|team| job.spec.as_ref().is_some_and(|s| s.team == team.0));
+                    let is_team = team
+                        .as_ref()
+                        .is_none_or(|team| job.spec.as_ref().is_some_and(|s| s.team == team.0));
                     is_team && (ended || !convert::is_ended(job))
                 };
-                Ok(Tell::Jobs(self.job_list(partition).into_iter().filter(is_listed).take(MAX_LISTED).collect()))
+                Ok(Tell::Jobs(
+                    self.job_list(partition)
+                        .into_iter()
+                        .filter(is_listed)
+                        .take(MAX_LISTED)
+                        .collect(),
+                ))
             }
             Ask::ListWorkers(_) => Ok(Tell::Vms(self.list_workers(partition))),
             Ask::ListQuotas(_) => {
-                let quotas = self.jobs.cell(partition).map(|cell| cell.quotas().map(convert::quota).collect());
+                let quotas = self
+                    .jobs
+                    .cell(partition)
+                    .map(|cell| cell.quotas().map(convert::quota).collect());
                 Ok(Tell::Quotas(quotas.unwrap_or_default()))
             }
-            _ => Err(Error::new(Kind::Internal, "the ask is not for the owner of a partition")),
+            _ => Err(Error::new(
+                Kind::Internal,
+                "the ask is not for the owner of a partition",
+            )),
         };
         let _ = reply.send(result);
     }
@@ -118,12 +174,12 @@
                 return;
             }
         }
-        let body = Body::Cell(vec![placement::Record::Accepted(Box::new(job.clone()))]);
-        let record = Record { partition, body };
-        match self.journal.push(Stream::Work, &record) {
-            Ok(ticket) => {
+        let result = self.push_accepted(partition, &job);
+        match result {
+            Ok((ticket, record)) => {
                 self.jobs.begin_accept(partition, job);
-                self.pending.insert(ticket, (Pending::Accepted(id, reply), record));
+                self.pending
+                    .insert(ticket, (Pending::Accepted(id, reply), record));
             }
             Err(error) => {
                 let _ = reply.send(Err(error));
@@ -131,6 +187,24 @@
         }
     }
 
+    /// Sends the record of an accepted job to the log.
+    fn push_accepted(
+        &mut self,
+        partition: Partition,
+        job: &placement::Job,
+    ) -> Result<(Ticket, Record)> {
+        let missing = || Error::new(Kind::NoOwner, "the partition has changed hands; come back");
+        let epoch = self.tenure.epoch(partition).ok_or_else(missing)?;
+        let body = Body::Cell(vec![placement::Record::Accepted(Box::new(job.clone()))]);
+        let record = Record {
+            partition,
+            epoch,
+            body,
+        };
+        let ticket = self.journal.push(Stream::Work, &record)?;
+        Ok((ticket, record))
+    }
+
     /// Returns whether the job is known already, or why it is refused.
     fn check_submit(&self, partition: Partition, job: &placement::Job) -> Result<bool> {
         let missing = || Error::new(Kind::NoOwner, "the partition is being opened; come back");
@@ -145,7 +219,10 @@
         self.check_age(job.id)?;
         cell.admit(job)?;
         if !self.journal.is_up() {
-            return Err(Error::new(Kind::LogDown, "a job cannot be made durable now; come back"));
+            return Err(Error::new(
+                Kind::LogDown,
+                "a job cannot be made durable now; come back",
+            ));
         }
         Ok(false)
     }
@@ -158,7 +235,9 @@
         if created <= now + skew && created + self.jobs.remembered() >= now {
             return Ok(());
         }
-        let message = format!("key {job} was created outside the accepted window; use a new key for a new job");
+        let message = format!(
+            "key {job} was created outside the accepted window; use a new key for a new job"
+        );
         Err(Error::new(Kind::KeyExpired, message))
     }
 
@@ -196,7 +275,12 @@
 
     /// Returns the status of a job.
     fn job_status(&self, partition: Partition, job: Job) -> Result<JobStatus> {
-        let missing = || Error::new(Kind::NotFound, format!("there is no job {job}, or it ended long ago"));
+        let missing = || {
+            Error::new(
+                Kind::NotFound,
+                format!("there is no job {job}, or it ended long ago"),
+            )
+        };
         let cell = self.jobs.cell(partition).ok_or_else(missing)?;
         let status = cell.job(job).ok_or_else(missing)?;
         let spec = self.archive.job(partition, job);
@@ -205,21 +289,35 @@
 
     /// Returns the status of all jobs of a partition.
     fn job_list(&self, partition: Partition) -> Vec<JobStatus> {
-        let ids = self.jobs.cell(partition).map(|cell| cell.ids().collect::<Vec<Job>>());
+        let ids = self
+            .jobs
+            .cell(partition)
+            .map(|cell| cell.ids().collect::<Vec<Job>>());
         let ids = ids.unwrap_or_default().into_iter();
-        ids.filter_map(|job| self.job_status(partition, job).ok()).collect()
+        ids.filter_map(|job| self.job_status(partition, job).ok())
+            .collect()
     }
 
     fn explain(&self, now: Instant, partition: Partition, job: Job) -> Result<Tell> {
         let status = self.job_status(partition, job)?;
         let explanation = self.jobs.cell(partition).and_then(|cell| cell.explain(job));
-        Ok(Tell::Explained(convert::explanation(now, &status, explanation.as_ref())))
+        Ok(Tell::Explained(convert::explanation(
+            now,
+            &status,
+            explanation.as_ref(),
+        )))
     }
 
     /// Lists entries and targets.
     fn list_vms(&self) -> Vec<VmStatus> {
         let states = self.tenure.view();
-        let state_of = |id: u32| states.rows.iter().find(|row| row.vm.0 == id).map(|row| format!("{:?}", row.state));
+        let state_of = |id: u32| {
+            states
+                .rows
+                .iter()
+                .find(|row| row.vm.0 == id)
+                .map(|row| format!("{:?}", row.state))
+        };
         let mut vms = Vec::new();
         for vm in &self.vms.vms {
             let (role, state) = match vm.role {
--- a/src/daemon/control/archive.rs
+++ b/src/daemon/control/archive.rs
@@ -5,6 +5,10 @@
 //! those of ended jobs and of keys that are older than the retention of keys. An owner writes the
 //! live state anew well before the log drops the records behind it; records may be repeated, so no
 //! reader needs to know which ones those are.
+//!
+//! A new owner first writes [`Body::Open`] and starts from what stands before it. What an earlier
+//! owner wrote of its cell and the log took after it is void for every reader; that owner's lease
+//! had ended, so it did not act on it. Records of keys carry their own term and are kept.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,6 +16,7 @@
 use laburnum_derive::message;
 
 use crate::core::id::{Job, Partition};
+use crate::core::lease::Epoch;
 use crate::core::placement;
 use crate::core::request::dedup;
 use crate::core::time::Stamp;
@@ -22,6 +27,8 @@
 /// What an owner records.
 #[message]
 pub enum Body {
+    /// A new ownership begins.
+    Open,
     /// The history of a key.
     Key(dedup::Record),
     /// What a cell commits as a whole.
@@ -33,6 +40,8 @@
 pub struct Record {
     /// The partition.
     pub partition: Partition,
+    /// The ownership under which it is recorded.
+    pub epoch: Epoch,
     /// What is recorded.
     pub body: Body,
 }
@@ -40,6 +49,7 @@
 /// The records of one partition that a later owner needs.
 #[derive(Debug, Default)]
 struct Shelf {
+    epoch: Option<Epoch>,
     keys: Vec<dedup::Record>,
     cell: Vec<placement::Record>,
     jobs: HashMap<Job, Box<placement::Job>>,
@@ -56,9 +66,12 @@
     /// Keeps a record.
     pub(super) fn keep(&mut self, now: Stamp, retention: Duration, record: &Record) {
         let shelf = self.shelves.entry(record.partition).or_default();
+        let is_void = shelf.epoch.is_some_and(|newest| record.epoch < newest);
+        shelf.epoch = shelf.epoch.max(Some(record.epoch));
         match &record.body {
             Body::Key(record) => shelf.keys.push(record.clone()),
-            Body::Cell(records) => shelf.keep_cell(records),
+            Body::Cell(records) if !is_void => shelf.keep_cell(records),
+            Body::Cell(_) | Body::Open => {}
         }
         if shelf.len() >= shelf.compact_at.max(COMPACT_AFTER) {
             shelf.compact(now, retention);
@@ -67,17 +80,25 @@
 
     /// Returns the records of the keys of a partition.
     pub(super) fn keys(&self, partition: Partition) -> &[dedup::Record] {
-        self.shelves.get(&partition).map_or(&[], |shelf| &shelf.keys)
+        self.shelves
+            .get(&partition)
+            .map_or(&[], |shelf| &shelf.keys)
     }
 
     /// Returns the records of the cell of a partition.
     pub(super) fn cell(&self, partition: Partition) -> &[placement::Record] {
-        self.shelves.get(&partition).map_or(&[], |shelf| &shelf.cell)
+        self.shelves
+            .get(&partition)
+            .map_or(&[], |shelf| &shelf.cell)
     }
 
     /// Returns a job of a partition as it was submitted.
     pub(super) fn job(&self, partition: Partition, id: Job) -> Option<&placement::Job> {
-        self.shelves.get(&partition)?.jobs.get(&id).map(AsRef::as_ref)
+        self.shelves
+            .get(&partition)?
+            .jobs
+            .get(&id)
+            .map(AsRef::as_ref)
     }
 
     /// Returns how many records are kept.
@@ -103,7 +124,8 @@
     /// Leaves out what no later owner needs; the next compaction waits until as much is new.
     fn compact(&mut self, now: Stamp, retention: Duration) {
         let oldest = now - retention;
-        self.keys.retain(|record| created(record).is_none_or(|created| created >= oldest));
+        self.keys
+            .retain(|record| created(record).is_none_or(|created| created >= oldest));
         let ended = ended_jobs(&self.cell);
         self.cell.retain(|record| is_needed(record, &ended));
         self.compact_at = self.len() * 2;
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -7,7 +7,9 @@
 
 use super::journal::{Journal, Stream};
 use crate::api::schema::ConfigVersion;
-use crate::core::config::{Body, Change, Config, FORMAT, Input, Output, Pending, Store, Verdict, Version};
+use crate::core::config::{
+    Body, Change, Config, FORMAT, Input, Output, Pending, Store, Verdict, Version,
+};
 use crate::core::error::{Error, Kind, Result};
 use crate::core::stream::{Record, Ticket};
 use crate::core::time::{Instant, Stamp};
@@ -63,7 +65,13 @@
     }
 
     /// Sends a change to the log, or refuses at once what is bound to be refused.
-    pub(super) fn put(&mut self, now: Instant, journal: &mut Journal, wish: Wish, reply: Reply) -> Vec<Answer> {
+    pub(super) fn put(
+        &mut self,
+        now: Instant,
+        journal: &mut Journal,
+        wish: Wish,
+        reply: Reply,
+    ) -> Vec<Answer> {
         let change = Change {
             id: Uuid::new_v4(),
             format: FORMAT,
@@ -73,22 +81,35 @@
             body: Body::Whole(wish.document),
         };
         if let Err(error) = self.check(journal, &change) {
-            return vec![Answer { reply, result: Err(error) }];
+            return vec![Answer {
+                reply,
+                result: Err(error),
+            }];
         }
         match journal.push(Stream::Config, &change) {
             Ok(ticket) => {
                 self.replies.insert(change.id, reply);
-                let input = Input::Submitted { id: change.id, ticket, deadline: wish.deadline };
+                let input = Input::Submitted {
+                    id: change.id,
+                    ticket,
+                    deadline: wish.deadline,
+                };
                 self.step(now, input).0
             }
-            Err(error) => vec![Answer { reply, result: Err(error) }],
+            Err(error) => vec![Answer {
+                reply,
+                result: Err(error),
+            }],
         }
     }
 
     /// Refuses what is bound to be refused.
     fn check(&mut self, journal: &Journal, change: &Change) -> Result<()> {
         if !self.pending.has_room() {
-            return Err(Error::new(Kind::Overloaded, "too many changes wait for a verdict; come back"));
+            return Err(Error::new(
+                Kind::Overloaded,
+                "too many changes wait for a verdict; come back",
+            ));
         }
         match self.store.preview(change) {
             Verdict::Conflict { in_force } => {
@@ -102,7 +123,10 @@
             _ => {}
         }
         if !journal.is_up() {
-            return Err(Error::new(Kind::LogDown, "the log cannot be written now; come back"));
+            return Err(Error::new(
+                Kind::LogDown,
+                "the log cannot be written now; come back",
+            ));
         }
         Ok(())
     }
@@ -110,7 +134,14 @@
     /// Judges a change that was read from the log.
     pub(super) fn apply(&mut self, now: Instant, record: &Record<Change>) -> Vec<Answer> {
         let verdict = self.store.apply(record);
-        self.step(now, Input::Judged { id: record.value.id, verdict }).0
+        self.step(
+            now,
+            Input::Judged {
+                id: record.value.id,
+                verdict,
+            },
+        )
+        .0
     }
 
     /// Notes records that may or may not be in the log.
@@ -135,20 +166,35 @@
     ///
     /// [`Kind::NotFound`] for a version that is not kept.
     pub(super) fn get(&self, version: u64) -> Result<ConfigVersion> {
-        let version = if version == 0 { self.store.version() } else { Version(version) };
+        let version = if version == 0 {
+            self.store.version()
+        } else {
+            Version(version)
+        };
         let document = self.store.document_at(version)?;
-        let document = serde_json::to_string_pretty(&document)
-            .map_err(|error| Error::new(Kind::Internal, format!("cannot write the document: {error}")))?;
+        let document = serde_json::to_string_pretty(&document).map_err(|error| {
+            Error::new(
+                Kind::Internal,
+                format!("cannot write the document: {error}"),
+            )
+        })?;
         let entry = self.store.history().find(|entry| entry.version == version);
         let author = entry.map_or_else(String::new, |entry| entry.author.clone());
-        Ok(ConfigVersion { version: version.0, author, document })
+        Ok(ConfigVersion {
+            version: version.0,
+            author,
+            document,
+        })
     }
 
     /// Returns the latest versions, newest first.
     pub(super) fn list(&self) -> Vec<ConfigVersion> {
         let newest = self.store.version().0;
         let oldest = newest.saturating_sub(LISTED as u64) + 1;
-        (oldest..=newest).rev().filter_map(|version| self.get(version).ok()).collect()
+        (oldest..=newest)
+            .rev()
+            .filter_map(|version| self.get(version).ok())
+            .collect()
     }
 
     /// Gives an input to the list of operators; returns answers and records to withdraw.
--- a/src/daemon/control/follow.rs
+++ b/src/daemon/control/follow.rs
@@ -27,19 +27,24 @@
         for output in outputs {
             match output {
                 dedup::Output::Append { serial, record } => {
-                    let record = Record { partition, body: Body::Key(record) };
-                    self.push_work(record, Pending::Key(partition, serial));
+                    self.push_body(
+                        partition,
+                        Body::Key(record),
+                        Pending::Key(partition, serial),
+                    );
                 }
                 dedup::Output::Run { id, key } => {
                     if let Some(service) = self.keys.service(partition, id).cloned() {
                         let verdict = Verdict::Run(id, key);
-                        self.context.dispatch(dispatch::Event::Verdict { service, verdict });
+                        self.context
+                            .dispatch(dispatch::Event::Verdict { service, verdict });
                     }
                 }
                 dedup::Output::Answer { id, answer } => {
                     if let Some(service) = self.keys.take_service(partition, id) {
                         let verdict = Verdict::Answer(id, answer);
-                        self.context.dispatch(dispatch::Event::Verdict { service, verdict });
+                        self.context
+                            .dispatch(dispatch::Event::Verdict { service, verdict });
                     }
                 }
             }
@@ -51,8 +56,11 @@
         for output in outputs {
             match output {
                 placement::Output::Commit(Batch { number, records }) => {
-                    let record = Record { partition, body: Body::Cell(records) };
-                    self.push_work(record, Pending::Batch(partition, number));
+                    self.push_body(
+                        partition,
+                        Body::Cell(records),
+                        Pending::Batch(partition, number),
+                    );
                 }
                 placement::Output::Canceled(job) => self.answer_canceled(partition, job),
                 placement::Output::Fenced => {
@@ -63,6 +71,20 @@
         }
     }
 
+    /// Queues a record of an own partition; without the ownership it is dropped.
+    pub(super) fn push_body(&mut self, partition: Partition, body: Body, pending: Pending) {
+        if let Some(epoch) = self.tenure.epoch(partition) {
+            self.push_work(
+                Record {
+                    partition,
+                    epoch,
+                    body,
+                },
+                pending,
+            );
+        }
+    }
+
     /// Queues a record of a partition; one that the journal refuses is tried again later.
     pub(super) fn push_work(&mut self, record: Record, pending: Pending) {
         match self.journal.push(Stream::Work, &record) {
@@ -79,7 +101,7 @@
     /// Queues the records that the journal refused, unless their partition is not owned any more.
     pub(super) fn push_refused(&mut self) {
         for (pending, record) in std::mem::take(&mut self.refused) {
-            if self.tenure.is_own(record.partition) {
+            if self.tenure.epoch(record.partition) == Some(record.epoch) {
                 self.push_work(record, pending);
             }
         }
@@ -117,13 +139,14 @@
         let retention = Duration::from_secs(self.context.settings.log.retention_s);
         for partition in self.tenure.take_rewrites(now, retention / REWRITE_SHARE) {
             for record in self.keys.snapshot(partition) {
-                let record = Record { partition, body: Body::Key(record) };
-                self.push_work(record, Pending::Rewrite);
+                self.push_body(partition, Body::Key(record), Pending::Nothing);
             }
-            let records = self.jobs.cell(partition).map_or_else(Vec::new, placement::Cell::snapshot);
+            let records = self
+                .jobs
+                .cell(partition)
+                .map_or_else(Vec::new, placement::Cell::snapshot);
             for chunk in records.chunks(REWRITE_CHUNK) {
-                let record = Record { partition, body: Body::Cell(chunk.to_vec()) };
-                self.push_work(record, Pending::Rewrite);
+                self.push_body(partition, Body::Cell(chunk.to_vec()), Pending::Nothing);
             }
         }
     }
--- a/src/daemon/control/jobs.rs
+++ b/src/daemon/control/jobs.rs
@@ -91,12 +91,21 @@
     }
 
     /// Opens the cell of a partition from its records.
-    pub(super) fn open(&mut self, now: Instant, acquired: &Acquired, until: Instant, records: Vec<Record>) -> Vec<Output> {
+    pub(super) fn open(
+        &mut self,
+        now: Instant,
+        acquired: &Acquired,
+        until: Instant,
+        records: Vec<Record>,
+    ) -> Vec<Output> {
         let mut recovery = Recovery::new(now, until, self.settings.clone());
         recovery.unrecorded = acquired.exposed;
         let mut cell = Cell::recover(recovery, records);
         let mut out = Vec::new();
-        let own = self.workers.values().filter(|listed| listed.partition == acquired.partition);
+        let own = self
+            .workers
+            .values()
+            .filter(|listed| listed.partition == acquired.partition);
         for listed in own {
             cell.step(now, Input::Joined(listed.worker), &mut out);
             if listed.is_leaving {
@@ -114,7 +123,8 @@
 
     /// Adopts the workers of a newer VM list.
     pub(super) fn adopt(&mut self, now: Instant, list: &List) -> Wishes {
-        let workers: BTreeMap<Worker, Listed> = list.vms.iter().filter_map(|vm| self.listed(vm)).collect();
+        let workers: BTreeMap<Worker, Listed> =
+            list.vms.iter().filter_map(|vm| self.listed(vm)).collect();
         let mut inputs = Vec::new();
         for (id, listed) in &workers {
             let known = self.workers.get(id);
@@ -131,7 +141,10 @@
             }
         }
         self.workers = workers;
-        inputs.into_iter().map(|(partition, input)| (partition, self.step(now, partition, input))).collect()
+        inputs
+            .into_iter()
+            .map(|(partition, input)| (partition, self.step(now, partition, input)))
+            .collect()
     }
 
     /// Returns a worker as the cells take it.
@@ -140,7 +153,12 @@
             return None;
         };
         let data_centre = place_of(&self.context.settings, &vm.data_centre).data_centre;
-        let worker = placement::Worker { id: Worker(vm.id), rack, data_centre, size };
+        let worker = placement::Worker {
+            id: Worker(vm.id),
+            rack,
+            data_centre,
+            size,
+        };
         let listed = Listed {
             worker,
             partition: self.partition_of_rack(rack),
@@ -169,7 +187,10 @@
     pub(super) fn accepted(&mut self, now: Instant, job: Job) -> Option<(Partition, Vec<Output>)> {
         let accepting = self.accepting.remove(&job)?;
         let input = Input::Accept(Box::new(accepting.job));
-        Some((accepting.partition, self.step(now, accepting.partition, input)))
+        Some((
+            accepting.partition,
+            self.step(now, accepting.partition, input),
+        ))
     }
 
     /// Returns a job that is being made durable.
@@ -189,7 +210,11 @@
 
     /// Puts the configuration in force.
     pub(super) fn configure(&mut self, now: Instant, config: &config::Config) {
-        self.settings.quotas = config.teams.iter().map(|(team, quota)| (team.clone(), self::quota(quota))).collect();
+        self.settings.quotas = config
+            .teams
+            .iter()
+            .map(|(team, quota)| (team.clone(), self::quota(quota)))
+            .collect();
         self.settings.knobs.overrun_grace = config.placement.overrun_grace;
         self.settings.knobs.reserve_timeout = config.placement.reservation;
         self.settings.knobs.quarantine = config.placement.quarantine;
@@ -225,7 +250,15 @@
         request: u64,
         inventory: Inventory,
     ) -> Vec<Output> {
-        self.step(now, partition, Input::Inventory { worker, request, inventory })
+        self.step(
+            now,
+            partition,
+            Input::Inventory {
+                worker,
+                request,
+                inventory,
+            },
+        )
     }
 
     /// Lets time pass and tells the cells until when they may act.
@@ -252,7 +285,10 @@
 
     /// Sends what goes to workers and returns the rest.
     fn follow(&self, partition: Partition, outputs: Vec<Output>) -> Vec<Output> {
-        outputs.into_iter().filter_map(|output| self.send(partition, output)).collect()
+        outputs
+            .into_iter()
+            .filter_map(|output| self.send(partition, output))
+            .collect()
     }
 
     /// Sends a message to a worker; returns any other output.
@@ -263,13 +299,25 @@
                     self.sender.start(to, start);
                 }
             }
-            Output::Renew { worker, attempts, lease, not_after } => {
-                let renew = Renew { attempts, lease_ms: lease.as_millis() as u64 };
+            Output::Renew {
+                worker,
+                attempts,
+                lease,
+                not_after,
+            } => {
+                let renew = Renew {
+                    attempts,
+                    lease_ms: lease.as_millis() as u64,
+                };
                 if let Some(to) = self.receiver(partition, worker) {
                     self.sender.renew(to, renew, not_after);
                 }
             }
-            Output::Control { worker, attempt, action } => {
+            Output::Control {
+                worker,
+                attempt,
+                action,
+            } => {
                 if let Some(to) = self.receiver(partition, worker) {
                     self.sender.control(to, Control { attempt, action });
                 }
@@ -286,11 +334,18 @@
 
     fn receiver(&self, partition: Partition, worker: Worker) -> Option<Receiver> {
         let address = self.address(worker)?;
-        Some(Receiver { partition, worker, address })
+        Some(Receiver {
+            partition,
+            worker,
+            address,
+        })
     }
 }
 
 /// Returns a team's quota as the cells take it.
 fn quota(quota: &config::Quota) -> Quota {
-    Quota { share: quota.amount, ceiling: quota.amount }
+    Quota {
+        share: quota.amount,
+        ceiling: quota.amount,
+    }
 }
--- a/src/daemon/control/journal.rs
+++ b/src/daemon/control/journal.rs
@@ -61,15 +61,6 @@
         /// Where it landed.
         offset: std::result::Result<u64, Failure>,
     },
-    /// The end of a stream was asked for.
-    End {
-        /// The stream.
-        stream: Stream,
-        /// When it was asked for.
-        asked: Instant,
-        /// The offset of the next append.
-        next: std::result::Result<u64, Failure>,
-    },
 }
 
 /// What was learnt from the log.
@@ -166,11 +157,6 @@
         self.is_up
     }
 
-    /// Returns the next offset that is read from the work stream.
-    pub(super) fn work_next(&self) -> u64 {
-        self.work.next()
-    }
-
     /// Sets how many entries share the cell's rate of appends.
     pub(super) fn set_entries(&mut self, now: Instant, entries: u32, facts: &mut Vec<Fact>) {
         self.write(now, writer::Input::Entries(entries), facts);
@@ -187,7 +173,11 @@
     }
 
     /// Queues a record of another stream.
-    pub(super) fn push<T: serde::Serialize>(&mut self, stream: Stream, record: &T) -> Result<Ticket> {
+    pub(super) fn push<T: serde::Serialize>(
+        &mut self,
+        stream: Stream,
+        record: &T,
+    ) -> Result<Ticket> {
         self.writer.push(&name(stream), record)
     }
 
@@ -196,19 +186,6 @@
         self.writer.withdraw(&name(stream), ticket)
     }
 
-    /// Asks where a stream ends, as of after now.
-    pub(super) fn ask_end(&self, stream: Stream) {
-        let context = self.context.clone();
-        let client = self.client.clone();
-        actix_rt::spawn(async move {
-            let asked = context.clock.now();
-            let base = &context.settings.platform.log;
-            let page = client.read(base, stream.name(), u64::MAX, 1, Duration::ZERO).await;
-            let next = page.map(|page| page.next);
-            context.control(Input::Log(Event::End { stream, asked, next }));
-        });
-    }
-
     /// Lets time pass.
     pub(super) fn tick(&mut self, now: Instant, facts: &mut Vec<Fact>) {
         for stream in [Stream::Lease, Stream::Config, Stream::Work] {
@@ -224,8 +201,11 @@
                 let input = page.map_or(reader::Input::Failed, reader::Input::Page);
                 self.read(now, stream, input, facts);
             }
-            Event::Appended { stream, copy, offset } => self.appended(now, stream, copy, offset, facts),
-            Event::End { .. } => {}
+            Event::Appended {
+                stream,
+                copy,
+                offset,
+            } => self.appended(now, stream, copy, offset, facts),
         }
     }
 
@@ -240,7 +220,11 @@
         self.note_state(offset.is_ok());
         let stream = name(stream);
         let input = match offset {
-            Ok(offset) => writer::Input::Appended { stream, copy, offset },
+            Ok(offset) => writer::Input::Appended {
+                stream,
+                copy,
+                offset,
+            },
             Err(_) => writer::Input::Failed { stream, copy },
         };
         self.write(now, input, facts);
@@ -249,7 +233,10 @@
     /// Counts an append and reports a change between up and down.
     fn note_state(&mut self, is_up: bool) {
         let outcome = if is_up { "ok" } else { "failed" };
-        self.context.metrics.appends.add(1, &label("outcome", outcome));
+        self.context
+            .metrics
+            .appends
+            .add(1, &label("outcome", outcome));
         if is_up != self.is_up {
             info!(self.context.log, "log changed state"; "up" => is_up);
             self.is_up = is_up;
@@ -278,7 +265,9 @@
                 let mut out = Vec::new();
                 self.work.step(now, input, &mut out);
                 let lag = self.work.lag();
-                self.deliver(now, stream, lag, out, facts, |record| Fact::Work(record.value));
+                self.deliver(now, stream, lag, out, facts, |record| {
+                    Fact::Work(record.value)
+                });
             }
         }
     }
@@ -298,7 +287,10 @@
                 reader::Output::Fetch { from } => self.fetch(stream, from),
                 reader::Output::Batch(_) => {}
                 reader::Output::Record(record) => {
-                    self.context.metrics.records.add(1, &label("stream", stream.name()));
+                    self.context
+                        .metrics
+                        .records
+                        .add(1, &label("stream", stream.name()));
                     facts.push(fact(record));
                 }
                 reader::Output::Read { next } => {
@@ -335,7 +327,15 @@
             Stream::Work => self.work.seen(),
         };
         let last = seen.last(node);
-        self.write(now, writer::Input::Read { stream: name(stream), next, last }, facts);
+        self.write(
+            now,
+            writer::Input::Read {
+                stream: name(stream),
+                next,
+                last,
+            },
+            facts,
+        );
     }
 
     /// Gives `input` to the writer and carries out what it wants.
@@ -344,12 +344,22 @@
         self.writer.step(now, input, &mut out);
         for output in out {
             match output {
-                writer::Output::Append { stream, copy, bytes } => self.append(Stream::of(&stream), copy, bytes),
+                writer::Output::Append {
+                    stream,
+                    copy,
+                    bytes,
+                } => self.append(Stream::of(&stream), copy, bytes),
                 writer::Output::Durable { stream, tickets } => {
-                    facts.push(Fact::Durable { stream: Stream::of(&stream), tickets });
+                    facts.push(Fact::Durable {
+                        stream: Stream::of(&stream),
+                        tickets,
+                    });
                 }
                 writer::Output::Unknown { stream, tickets } => {
-                    facts.push(Fact::Unknown { stream: Stream::of(&stream), tickets });
+                    facts.push(Fact::Unknown {
+                        stream: Stream::of(&stream),
+                        tickets,
+                    });
                 }
             }
         }
@@ -361,7 +371,9 @@
         let client = self.client.clone();
         actix_rt::spawn(async move {
             let base = &context.settings.platform.log;
-            let page = client.read(base, stream.name(), from, PAGE_BYTES, READ_WAIT).await;
+            let page = client
+                .read(base, stream.name(), from, PAGE_BYTES, READ_WAIT)
+                .await;
             context.control(Input::Log(Event::Page { stream, page }));
         });
     }
@@ -373,8 +385,14 @@
         actix_rt::spawn(async move {
             let base = &context.settings.platform.log;
             let entry = Bytes::from(bytes);
-            let offset = client.append(base, stream.name(), entry, APPEND_TIMEOUT).await;
-            context.control(Input::Log(Event::Appended { stream, copy, offset }));
+            let offset = client
+                .append(base, stream.name(), entry, APPEND_TIMEOUT)
+                .await;
+            context.control(Input::Log(Event::Appended {
+                stream,
+                copy,
+                offset,
+            }));
         });
     }
 }
--- a/src/daemon/control/keys.rs
+++ b/src/daemon/control/keys.rs
@@ -7,7 +7,9 @@
 use crate::core::id::{Partition, Service};
 use crate::core::lease::{Acquired, Origin};
 use crate::core::request::call::Id;
-use crate::core::request::dedup::{self, How, Input, Now, Output, Record, Rules, Standing, Table, Term};
+use crate::core::request::dedup::{
+    self, How, Input, Now, Output, Record, Rules, Standing, Table, Term,
+};
 use crate::daemon::Context;
 use crate::util::clock::Clock;
 
@@ -29,7 +31,13 @@
     /// Makes no tables.
     pub(super) fn new(context: &Context) -> Keys {
         let skew = Duration::from_millis(context.settings.lease.clock_skew_ms);
-        Keys { rules: Rules { skew, ..Rules::default() }, entries: BTreeMap::new() }
+        Keys {
+            rules: Rules {
+                skew,
+                ..Rules::default()
+            },
+            entries: BTreeMap::new(),
+        }
     }
 
     /// Returns how long keys are remembered.
@@ -38,13 +46,26 @@
     }
 
     /// Opens the table of a partition from its records.
-    pub(super) fn open(&mut self, clock: Clock, acquired: &Acquired, records: &[Record]) -> Vec<Output> {
+    pub(super) fn open(
+        &mut self,
+        clock: Clock,
+        acquired: &Acquired,
+        records: &[Record],
+    ) -> Vec<Output> {
         let before = records.iter().filter_map(opened_term).max();
         let how = how(acquired, before.is_some());
-        let claim = dedup::Acquired { term: Term(acquired.epoch.0), before, how };
+        let claim = dedup::Acquired {
+            term: Term(acquired.epoch.0),
+            before,
+            how,
+        };
         let mut out = Vec::new();
         let table = dedup::recover(self.rules, now(clock), records, claim, &mut out);
-        let entry = Entry { table, standing: Standing::default(), services: BTreeMap::new() };
+        let entry = Entry {
+            table,
+            standing: Standing::default(),
+            services: BTreeMap::new(),
+        };
         self.entries.insert(acquired.partition, entry);
         out
     }
@@ -77,12 +98,22 @@
     }
 
     /// Takes a record of the log; a table needs only those of earlier owners.
-    pub(super) fn read(&mut self, clock: Clock, partition: Partition, record: &Record) -> Vec<Output> {
+    pub(super) fn read(
+        &mut self,
+        clock: Clock,
+        partition: Partition,
+        record: &Record,
+    ) -> Vec<Output> {
         self.step(clock, partition, Input::Read(record.clone()))
     }
 
     /// Lets time pass and tells the tables what the owner may do.
-    pub(super) fn tick(&mut self, clock: Clock, tenure: &Tenure, is_log_up: bool) -> Vec<(Partition, Vec<Output>)> {
+    pub(super) fn tick(
+        &mut self,
+        clock: Clock,
+        tenure: &Tenure,
+        is_log_up: bool,
+    ) -> Vec<(Partition, Vec<Output>)> {
         let now = now(clock);
         let mut all = Vec::new();
         for (&partition, entry) in &mut self.entries {
@@ -114,24 +145,35 @@
 
     /// Returns the partitions whose runs are all described by the log.
     pub(super) fn described(&self) -> Vec<Partition> {
-        let described = self.entries.iter().filter(|(_, entry)| entry.table.undescribed() == 0);
+        let described = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.table.undescribed() == 0);
         described.map(|(&partition, _)| partition).collect()
     }
 
     /// Returns the records that describe the table of a partition.
     pub(super) fn snapshot(&self, partition: Partition) -> Vec<Record> {
-        self.entries.get(&partition).map_or_else(Vec::new, |entry| entry.table.snapshot())
+        self.entries
+            .get(&partition)
+            .map_or_else(Vec::new, |entry| entry.table.snapshot())
     }
 
     /// Returns how many keys each table remembers.
     pub(super) fn sizes(&self) -> BTreeMap<u16, usize> {
-        self.entries.iter().map(|(partition, entry)| (partition.0, entry.table.len())).collect()
+        self.entries
+            .iter()
+            .map(|(partition, entry)| (partition.0, entry.table.len()))
+            .collect()
     }
 }
 
 /// Reads both clocks.
 fn now(clock: Clock) -> Now {
-    Now { instant: clock.now(), stamp: clock.stamp() }
+    Now {
+        instant: clock.now(),
+        stamp: clock.stamp(),
+    }
 }
 
 /// Returns the term that a record opened.
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -30,6 +30,7 @@
 use super::{dispatch, peer};
 use crate::core::error::{Effect, Error, Kind};
 use crate::core::id::{Attempt, Job, Node, Partition, Service, Vm, Worker};
+use crate::core::placement::Input;
 use crate::core::request::dispatcher::Verdict;
 use crate::core::request::{Answer, dedup, slot};
 use crate::core::stream::Ticket;
@@ -41,13 +42,14 @@
 use crate::util::metric::label;
 use crate::util::timer;
 use crate::wire::{Ask, Frame, Reply, Tell};
-use archive::Archive;
+use archive::{Archive, Body};
 use configuration::Configuration;
 use jobs::Jobs;
 use journal::{Fact, Journal, Stream};
 use keys::Keys;
 use slots::Slots;
 use tenure::Tenure;
+pub(super) use tenure::place_of;
 
 /// How often leases, cells and tables are looked after.
 const TICK: Duration = Duration::from_millis(25);
@@ -151,8 +153,8 @@
     Batch(Partition, u64),
     /// An accepted job.
     Accepted(Job, Reply),
-    /// A record that was written anew.
-    Rewrite,
+    /// Nothing waits for the record.
+    Nothing,
 }
 
 /// The state of the control part.
@@ -247,21 +249,32 @@
     fn handle(&mut self, event: Event) {
         let now = self.context.clock.now();
         match event {
-            Event::Ask { ask, deadline, is_forwarded, reply } => {
+            Event::Ask {
+                ask,
+                deadline,
+                is_forwarded,
+                reply,
+            } => {
                 self.answer(now, ask, deadline, is_forwarded, reply);
             }
-            Event::Greeted { node } => slog::debug!(self.context.log, "entry greeted"; "node" => %node),
+            Event::Greeted { node } => {
+                slog::debug!(self.context.log, "entry greeted"; "node" => %node)
+            }
             Event::Membership(heartbeat) => {
                 let outputs = self.tenure.hear(now, &heartbeat);
                 self.follow_view(now, outputs);
             }
             Event::Lease { from, message } => {
                 let outputs = self.tenure.deliver(now, from, &message);
-                self.follow_leases(now, outputs);
+                self.follow_leases(outputs);
             }
             Event::Log(event) => self.take_log(now, event),
             Event::Vms(list) => self.take_vms(now, list),
-            Event::Admit { service, partition, submission } => {
+            Event::Admit {
+                service,
+                partition,
+                submission,
+            } => {
                 self.admit(service, partition, submission);
             }
             Event::Report { partition, input } => {
@@ -269,13 +282,24 @@
                 self.follow_keys(partition, outputs);
             }
             Event::SlotAsk(ask) => self.grant(now, &ask),
-            Event::Started { partition, attempt, result } => {
+            Event::Started {
+                partition,
+                attempt,
+                result,
+            } => {
                 let outputs = self.jobs.started(now, partition, attempt, result);
                 self.follow_cell(partition, outputs);
             }
-            Event::Inventory { partition, worker, request, result } => {
+            Event::Inventory {
+                partition,
+                worker,
+                request,
+                result,
+            } => {
                 if let Ok(inventory) = result {
-                    let outputs = self.jobs.inventory(now, partition, worker, request, inventory);
+                    let outputs = self
+                        .jobs
+                        .inventory(now, partition, worker, request, inventory);
                     self.follow_cell(partition, outputs);
                 }
             }
@@ -309,11 +333,13 @@
     fn tend_tenure(&mut self, now: Instant) {
         let outputs = self.tenure.tick_view(now);
         self.follow_view(now, outputs);
-        let outputs = self.tenure.tick(now, self.context.clock.stamp(), self.journal.is_up());
-        self.follow_leases(now, outputs);
-        self.ask_ends(now);
+        let outputs = self
+            .tenure
+            .tick(now, self.context.clock.stamp(), self.journal.is_up());
+        self.follow_leases(outputs);
         for (partition, owner) in self.tenure.changed_owners(now) {
-            self.context.dispatch(dispatch::Event::Owner(partition, owner));
+            self.context
+                .dispatch(dispatch::Event::Owner(partition, owner));
         }
         if self.tenure.is_idle() && self.drain.is_some() {
             self.finish_drain();
@@ -327,21 +353,10 @@
         }
     }
 
-    /// Asks where the work stream ends, for partitions that are to be brought up to there.
-    fn ask_ends(&mut self, now: Instant) {
-        if self.tenure.wants_end(now) {
-            self.journal.ask_end(Stream::Work);
-        }
-    }
-
     fn take_log(&mut self, now: Instant, event: journal::Event) {
-        if let journal::Event::End { stream: Stream::Work, asked, next: Ok(next) } = &event {
-            self.tenure.note_end(*asked, *next);
-        }
         let mut facts = Vec::new();
         self.journal.take(now, event, &mut facts);
         self.learn(now, facts);
-        self.open_caught_up(now);
     }
 
     /// Takes what was learnt from the log.
@@ -350,17 +365,15 @@
             match fact {
                 Fact::Lease { offset, record } => {
                     let outputs = self.tenure.read(now, offset, &record);
-                    self.follow_leases(now, outputs);
+                    self.follow_leases(outputs);
                 }
                 Fact::Config(record) => {
                     for answer in self.configuration.apply(now, &record) {
                         answer.send();
                     }
                     self.jobs.configure(now, self.configuration.config());
-                    let config = self.configuration.config().clone();
-                    self.context.dispatch(dispatch::Event::Config(config));
                 }
-                Fact::Work(record) => self.learn_work(&record),
+                Fact::Work(record) => self.learn_work(now, &record),
                 Fact::Read { stream, lag, .. } => {
                     if stream == Stream::Lease && lag == 0 {
                         self.tenure.set_ready(now);
@@ -376,12 +389,19 @@
     }
 
     /// Keeps a record of a partition and gives one of an earlier owner to the present one.
-    fn learn_work(&mut self, record: &archive::Record) {
+    fn learn_work(&mut self, now: Instant, record: &archive::Record) {
         let retention = self.keys.retention();
-        self.archive.keep(self.context.clock.stamp(), retention, record);
-        if let archive::Body::Key(key_record) = &record.body {
-            let outputs = self.keys.read(self.context.clock, record.partition, key_record);
-            self.follow_keys(record.partition, outputs);
+        self.archive
+            .keep(self.context.clock.stamp(), retention, record);
+        match &record.body {
+            Body::Key(key_record) => {
+                let outputs = self
+                    .keys
+                    .read(self.context.clock, record.partition, key_record);
+                self.follow_keys(record.partition, outputs);
+            }
+            Body::Open => self.open(now, record),
+            Body::Cell(_) => {}
         }
     }
 
@@ -398,16 +418,16 @@
                     self.follow_keys(partition, outputs);
                 }
                 Some(Pending::Batch(partition, number)) => {
-                    let outputs = self.jobs.durable(now, partition, number);
+                    let outputs = self.jobs.step(now, partition, Input::Durable(number));
                     self.follow_cell(partition, outputs);
                 }
                 Some(Pending::Accepted(job, reply)) => {
-                    let _ = reply.send(Ok(Tell::Submitted(job)));
+                    self.answer_accepted(now, job, reply);
                     if let Some((partition, outputs)) = self.jobs.accepted(now, job) {
                         self.follow_cell(partition, outputs);
                     }
                 }
-                Some(Pending::Rewrite) | None => {}
+                Some(Pending::Nothing) | None => {}
             }
         }
     }
@@ -423,50 +443,64 @@
             match self.pending.remove(ticket) {
                 Some((Pending::Accepted(job, reply), _)) => {
                     self.jobs.forget_accept(job);
-                    let message = format!("job {job} may or may not be accepted; read it by its id");
-                    let _ = reply.send(Err(Error::new(Kind::AnswerLost, message)));
+                    let _ = reply.send(Err(accept_unknown(job)));
                 }
-                Some((Pending::Rewrite, _)) | None => {}
+                Some((Pending::Nothing, _)) | None => {}
                 // A record may stand in the log twice, so what waits for it is written again.
                 Some((pending, record)) => self.push_work(record, pending),
             }
         }
     }
 
+    /// Says that a job is durable; a record that the log took after the ownership may be void.
+    fn answer_accepted(&self, now: Instant, job: Job, reply: Reply) {
+        let partition = self.jobs.partition_of(job);
+        let answer = match self.tenure.deadline(partition, now) {
+            Some(_) => Ok(Tell::Submitted(job)),
+            None => Err(accept_unknown(job)),
+        };
+        let _ = reply.send(answer);
+    }
+
     /// Asks the table of a partition about a request.
     fn admit(&mut self, service: Service, partition: Partition, submission: dedup::Submission) {
         let id = submission.id;
         let clock = self.context.clock;
-        match self.keys.submit(clock, service.clone(), partition, submission) {
+        match self
+            .keys
+            .submit(clock, service.clone(), partition, submission)
+        {
             Some(outputs) => self.follow_keys(partition, outputs),
             None => {
                 let message = "the owner of the key has changed; come back";
                 let answer = Answer::refused(Kind::NoOwner, message).with_effect(Effect::Unknown);
                 let verdict = Verdict::Answer(id, answer);
-                self.context.dispatch(dispatch::Event::Verdict { service, verdict });
+                self.context
+                    .dispatch(dispatch::Event::Verdict { service, verdict });
             }
         }
     }
 
-    /// Hands partitions whose records are read to the part that acts on them.
-    fn open_caught_up(&mut self, now: Instant) {
-        for acquired in self.tenure.take_caught_up(self.journal.work_next()) {
-            let partition = acquired.partition;
-            self.tenure.set_open(partition, now);
-            let Some(until) = self.tenure.deadline(partition, now) else {
-                continue;
-            };
-            info!(self.context.log, "partition opened"; "partition" => partition.0, "epoch" => acquired.epoch.0);
-            if self.jobs.is_worker_partition(partition) {
-                let records = self.archive.cell(partition).to_vec();
-                let outputs = self.jobs.open(now, &acquired, until, records);
-                self.follow_cell(partition, outputs);
-            } else {
-                let records = self.archive.keys(partition);
-                let outputs = self.keys.open(self.context.clock, &acquired, records);
-                self.follow_keys(partition, outputs);
-                self.slots.open(now, partition);
-            }
+    /// Hands a partition whose records are read to the part that acts on it.
+    fn open(&mut self, now: Instant, record: &archive::Record) {
+        let partition = record.partition;
+        let Some(acquired) = self.tenure.opening(partition, record.epoch) else {
+            return;
+        };
+        self.tenure.set_open(partition, now);
+        let Some(until) = self.tenure.deadline(partition, now) else {
+            return;
+        };
+        info!(self.context.log, "partition opened"; "partition" => partition.0, "epoch" => acquired.epoch.0);
+        if self.jobs.is_worker_partition(partition) {
+            let records = self.archive.cell(partition).to_vec();
+            let outputs = self.jobs.open(now, &acquired, until, records);
+            self.follow_cell(partition, outputs);
+        } else {
+            let records = self.archive.keys(partition);
+            let outputs = self.keys.open(self.context.clock, &acquired, records);
+            self.follow_keys(partition, outputs);
+            self.slots.open(now, partition);
         }
     }
 
@@ -475,7 +509,9 @@
         let context = self.context.clone();
         let client = self.client.clone();
         actix_rt::spawn(async move {
-            let list = client.vms(&context.settings.platform.vms, VMS_TIMEOUT).await;
+            let list = client
+                .vms(&context.settings.platform.vms, VMS_TIMEOUT)
+                .await;
             context.control(Event::Vms(list));
         });
     }
@@ -487,7 +523,8 @@
         if list.version <= self.vms.version && !self.vms.vms.is_empty() {
             return;
         }
-        self.context.peer(peer::Command::Addresses(tenure::addresses(&list)));
+        self.context
+            .peer(peer::Command::Addresses(tenure::addresses(&list)));
         self.context.dispatch(dispatch::Event::Vms(list.clone()));
         let outputs = self.tenure.adopt(now, &list);
         self.follow_view(now, outputs);
@@ -518,15 +555,16 @@
         }
         if is_changed {
             let mut facts = Vec::new();
-            self.journal.set_entries(now, self.tenure.live_entries(), &mut facts);
+            self.journal
+                .set_entries(now, self.tenure.live_entries(), &mut facts);
             self.learn(now, facts);
             let outputs = self.tenure.prefer(now);
-            self.follow_leases(now, outputs);
+            self.follow_leases(outputs);
         }
     }
 
     /// Carries out what the lease table wants.
-    fn follow_leases(&mut self, now: Instant, outputs: Vec<lease::Output>) {
+    fn follow_leases(&mut self, outputs: Vec<lease::Output>) {
         for output in outputs {
             match output {
                 lease::Output::Append(append) => {
@@ -540,7 +578,8 @@
                 }
                 lease::Output::Acquired(acquired) => {
                     self.note_ownership("acquired", acquired.partition);
-                    self.tenure.note_acquired(now, acquired);
+                    self.tenure.note_acquired(acquired);
+                    self.push_body(acquired.partition, Body::Open, Pending::Nothing);
                 }
                 lease::Output::Lost { partition, .. } => {
                     self.note_ownership("lost", partition);
@@ -551,7 +590,10 @@
     }
 
     fn note_ownership(&self, change: &'static str, partition: Partition) {
-        self.context.metrics.ownership.add(1, &label("change", change));
+        self.context
+            .metrics
+            .ownership
+            .add(1, &label("change", change));
         info!(self.context.log, "partition changed hands"; "change" => change, "partition" => partition.0);
     }
 
@@ -569,3 +611,9 @@
         self.context.peer(peer::Command::Send { to, frame });
     }
 }
+
+/// Makes the error of a job of which it is not known whether it is durable.
+fn accept_unknown(job: Job) -> Error {
+    let message = format!("job {job} may or may not be accepted; read it by its id");
+    Error::new(Kind::AnswerLost, message)
+}
--- a/src/daemon/control/slots.rs
+++ b/src/daemon/control/slots.rs
@@ -41,11 +41,14 @@
     /// but an entry that lists late cannot know that it is new, so every grantor waits.
     pub(super) fn adopt(&mut self, now: Instant, list: &List) {
         let targets = list.vms.iter().filter_map(|vm| match vm.role {
-            Role::Target { slots, connections, .. } => Some((Target(vm.id), Capacity { slots, connections })),
+            Role::Target {
+                slots, connections, ..
+            } => Some((Target(vm.id), Capacity { slots, connections })),
             _ => None,
         });
         self.targets = targets.collect();
-        self.grantors.retain(|target, _| self.targets.contains_key(target));
+        self.grantors
+            .retain(|target, _| self.targets.contains_key(target));
         self.add_grantors(now);
     }
 
@@ -59,7 +62,8 @@
     pub(super) fn close(&mut self, partition: Partition) {
         self.open.remove(&partition);
         let partitions = self.partitions;
-        self.grantors.retain(|&target, _| partitions.of_target(target) != partition);
+        self.grantors
+            .retain(|&target, _| partitions.of_target(target) != partition);
     }
 
     /// Answers an ask, if this entry owns the target's partition.
@@ -72,14 +76,19 @@
 
     /// Returns how many slots of each target may be filled.
     pub(super) fn counted(&self, now: Instant) -> BTreeMap<u32, u32> {
-        self.grantors.iter().map(|(target, grantor)| (target.0, grantor.counted(now))).collect()
+        self.grantors
+            .iter()
+            .map(|(target, grantor)| (target.0, grantor.counted(now)))
+            .collect()
     }
 
     fn add_grantors(&mut self, now: Instant) {
         for (&target, &capacity) in &self.targets {
             if self.open.contains(&self.partitions.of_target(target)) {
                 let rules = self.rules;
-                self.grantors.entry(target).or_insert_with(|| Grantor::after_takeover(now, rules, capacity));
+                self.grantors
+                    .entry(target)
+                    .or_insert_with(|| Grantor::after_takeover(now, rules, capacity));
             }
         }
     }
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -1,16 +1,15 @@
 //! Which entries live and which partitions this entry owns.
 //!
 //! The view of the entries and the lease table stand here side by side: the view says who should
-//! own a partition, the table who does. A partition that was acquired is first brought up to the
-//! end of the work stream as of after the acquisition, because the former owner's last records may
-//! not have been read yet; then it is open.
+//! own a partition, the table who does. A partition that was acquired is opened when this entry has
+//! read its own opening record in the work stream, and with it all that stands before.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::core::id::{DataCentre, Node, Partition, Region, Vm};
-use crate::core::lease::{self, Acquired};
+use crate::core::lease::{self, Acquired, Epoch};
 use crate::core::membership::{self, Site, View};
 use crate::core::request::dispatcher::Owner;
 use crate::core::request::route::Place;
@@ -19,25 +18,11 @@
 use crate::platform::vms::{List, Role};
 use crate::settings::Settings;
 
-/// How long an answer about the end of the work stream may take before it is asked for again.
-const END_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// How far an acquired partition has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// The end of the work stream is not known as of after the acquisition.
-    AskEnd { acquired_at: Instant },
-    /// The work stream is to be read up to this offset.
-    CatchUp { end: u64 },
-    /// The partition is acted on.
-    Open,
-}
-
 /// A partition of this entry.
 #[derive(Clone, Copy, Debug)]
 struct Own {
     acquired: Acquired,
-    stage: Stage,
+    is_open: bool,
 }
 
 /// The view of the entries and the lease table.
@@ -49,7 +34,6 @@
     own: BTreeMap<Partition, Own>,
     /// What the dispatch part was last told.
     told: HashMap<Partition, Owner>,
-    asked_end: Option<Instant>,
     is_ready: bool,
     /// When the live state of an open partition was last written anew.
     rewritten: HashMap<Partition, Instant>,
@@ -63,7 +47,9 @@
         let partitions = settings.cell.request_partitions + settings.cell.worker_partitions;
         let duration = Duration::from_millis(settings.lease.duration_ms);
         let lease_settings = lease::Settings::builder().duration(duration).build();
-        let view_settings = membership::Settings::builder().places(places(settings)).build();
+        let view_settings = membership::Settings::builder()
+            .places(places(settings))
+            .build();
         Tenure {
             node,
             partitions,
@@ -71,7 +57,6 @@
             table: lease::Table::new(node, partitions, lease_settings),
             own: BTreeMap::new(),
             told: HashMap::new(),
-            asked_end: None,
             is_ready: false,
             rewritten: HashMap::new(),
         }
@@ -90,7 +75,7 @@
     /// Returns until when this entry may act on an open partition.
     pub(super) fn deadline(&self, partition: Partition, now: Instant) -> Option<Instant> {
         let own = self.own.get(&partition)?;
-        if own.stage != Stage::Open || self.table.may_act(partition, now).is_none() {
+        if !own.is_open || self.table.may_act(partition, now).is_none() {
             return None;
         }
         self.table.deadline(partition)
@@ -122,7 +107,11 @@
     }
 
     /// Takes a heartbeat of another entry.
-    pub(super) fn hear(&mut self, now: Instant, heartbeat: &membership::Heartbeat) -> Vec<membership::Output> {
+    pub(super) fn hear(
+        &mut self,
+        now: Instant,
+        heartbeat: &membership::Heartbeat,
+    ) -> Vec<membership::Output> {
         self.step_view(now, membership::Input::Heartbeat(heartbeat))
     }
 
@@ -146,12 +135,22 @@
     }
 
     /// Takes a notice of another entry's lease table.
-    pub(super) fn deliver(&mut self, now: Instant, from: Node, message: &lease::Message) -> Vec<lease::Output> {
+    pub(super) fn deliver(
+        &mut self,
+        now: Instant,
+        from: Node,
+        message: &lease::Message,
+    ) -> Vec<lease::Output> {
         self.step_table(now, lease::Input::Deliver { from, message })
     }
 
     /// Takes a record of the lease stream.
-    pub(super) fn read(&mut self, now: Instant, offset: u64, record: &lease::Record) -> Vec<lease::Output> {
+    pub(super) fn read(
+        &mut self,
+        now: Instant,
+        offset: u64,
+        record: &lease::Record,
+    ) -> Vec<lease::Output> {
         self.step_table(now, lease::Input::Read { offset, record })
     }
 
@@ -169,7 +168,12 @@
     }
 
     /// Lets time pass for the leases.
-    pub(super) fn tick(&mut self, now: Instant, stamp: Stamp, is_log_up: bool) -> Vec<lease::Output> {
+    pub(super) fn tick(
+        &mut self,
+        now: Instant,
+        stamp: Stamp,
+        is_log_up: bool,
+    ) -> Vec<lease::Output> {
         let mut out = self.step_table(now, lease::Input::Log { up: is_log_up });
         out.extend(self.step_table(now, lease::Input::Tick(stamp)));
         out
@@ -182,9 +186,17 @@
     }
 
     /// Notes a partition that was acquired.
-    pub(super) fn note_acquired(&mut self, now: Instant, acquired: Acquired) {
-        let stage = Stage::AskEnd { acquired_at: now };
-        self.own.insert(acquired.partition, Own { acquired, stage });
+    pub(super) fn note_acquired(&mut self, acquired: Acquired) {
+        let own = Own {
+            acquired,
+            is_open: false,
+        };
+        self.own.insert(acquired.partition, own);
+    }
+
+    /// Returns the ownership of a partition of this entry.
+    pub(super) fn epoch(&self, partition: Partition) -> Option<Epoch> {
+        self.own.get(&partition).map(|own| own.acquired.epoch)
     }
 
     /// Notes a partition that was lost.
@@ -194,49 +206,27 @@
         self.rewritten.remove(&partition);
     }
 
-    /// Returns whether the end of the work stream should be asked for now.
-    pub(super) fn wants_end(&mut self, now: Instant) -> bool {
-        let is_wanted = self.own.values().any(|own| matches!(own.stage, Stage::AskEnd { .. }));
-        let is_asked = self.asked_end.is_some_and(|asked| now.since(asked) < END_TIMEOUT);
-        if !is_wanted || is_asked {
-            return false;
-        }
-        self.asked_end = Some(now);
-        true
-    }
-
-    /// Notes where the work stream ended when it was asked for at `asked`.
-    pub(super) fn note_end(&mut self, asked: Instant, end: u64) {
-        self.asked_end = None;
-        for own in self.own.values_mut() {
-            if matches!(own.stage, Stage::AskEnd { acquired_at } if acquired_at <= asked) {
-                own.stage = Stage::CatchUp { end };
-            }
-        }
-    }
-
-    /// Returns the partitions whose records are read, now that `next` is the next offset.
-    pub(super) fn take_caught_up(&self, next: u64) -> Vec<Acquired> {
-        let is_caught_up = |own: &&Own| matches!(own.stage, Stage::CatchUp { end } if end <= next);
-        self.own.values().filter(is_caught_up).map(|own| own.acquired).collect()
+    /// Returns the ownership that an opening record begins, unless it has begun or ended.
+    pub(super) fn opening(&self, partition: Partition, epoch: Epoch) -> Option<Acquired> {
+        let own = self.own.get(&partition)?;
+        let is_due = !own.is_open && own.acquired.epoch == epoch;
+        is_due.then_some(own.acquired)
     }
 
     /// Notes that a partition is acted on.
     pub(super) fn set_open(&mut self, partition: Partition, now: Instant) {
         if let Some(own) = self.own.get_mut(&partition) {
-            own.stage = Stage::Open;
+            own.is_open = true;
             self.rewritten.insert(partition, now);
         }
     }
 
-    /// Returns whether a partition belongs to this entry, open or not.
-    pub(super) fn is_own(&self, partition: Partition) -> bool {
-        self.own.contains_key(&partition)
-    }
-
     /// Returns open partitions whose live state is due to be written anew after `period`.
     pub(super) fn take_rewrites(&mut self, now: Instant, period: Duration) -> Vec<Partition> {
-        let due = self.rewritten.iter().filter(|(_, at)| now.since(**at) >= period);
+        let due = self
+            .rewritten
+            .iter()
+            .filter(|(_, at)| now.since(**at) >= period);
         let due: Vec<Partition> = due.map(|(&partition, _)| partition).collect();
         for &partition in &due {
             self.rewritten.insert(partition, now);
@@ -263,10 +253,21 @@
     /// Returns the owner of a partition as the dispatch part needs it.
     fn dispatch_owner(&self, partition: Partition, now: Instant) -> Option<Owner> {
         let node = self.table.owner(partition)?;
-        let until = if node == self.node { self.deadline(partition, now)? } else { Instant(0) };
+        let until = if node == self.node {
+            self.deadline(partition, now)?
+        } else {
+            Instant(0)
+        };
         let candidates = self.view.candidates();
-        let site = candidates.iter().find(|candidate| candidate.node == node)?.site;
-        Some(Owner { node, place: place(site), until })
+        let site = candidates
+            .iter()
+            .find(|candidate| candidate.node == node)?
+            .site;
+        Some(Owner {
+            node,
+            place: place(site),
+            until,
+        })
     }
 
     fn step_view(&mut self, now: Instant, input: membership::Input<'_>) -> Vec<membership::Output> {
@@ -284,7 +285,10 @@
 
 /// Returns a site as the request rules take it.
 fn place(site: Site) -> Place {
-    Place { region: site.region, data_centre: site.data_centre }
+    Place {
+        region: site.region,
+        data_centre: site.data_centre,
+    }
 }
 
 /// Returns the data centres of the settings by name.
@@ -292,8 +296,14 @@
     let mut places = Vec::new();
     for (region, entry) in settings.cell.regions.iter().enumerate() {
         for name in &entry.data_centres {
-            let site = Site { data_centre: DataCentre(places.len() as u16), region: Region(region as u16) };
-            places.push(membership::Place { name: name.clone(), site });
+            let site = Site {
+                data_centre: DataCentre(places.len() as u16),
+                region: Region(region as u16),
+            };
+            places.push(membership::Place {
+                name: name.clone(),
+                site,
+            });
         }
     }
     places
@@ -301,7 +311,9 @@
 
 /// Returns where a data centre is.
 pub(in crate::daemon) fn place_of(settings: &Settings, data_centre: &str) -> Place {
-    let known = places(settings).into_iter().find(|place| place.name == data_centre);
+    let known = places(settings)
+        .into_iter()
+        .find(|place| place.name == data_centre);
     place(known.map_or(Site::UNKNOWN, |place| place.site))
 }
 
--- a/src/daemon/control/worker_io.rs
+++ b/src/daemon/control/worker_io.rs
@@ -39,7 +39,10 @@
 impl Sender {
     /// Makes a sender with connections of its own.
     pub(super) fn new(context: &Context) -> Sender {
-        Sender { context: context.clone(), client: Client::new(CONNECTIONS) }
+        Sender {
+            context: context.clone(),
+            client: Client::new(CONNECTIONS),
+        }
     }
 
     /// Starts a task.
@@ -56,7 +59,11 @@
         let sender = self.clone();
         actix_rt::spawn(async move {
             let result = sender.client.start(to.address, &message, TIMEOUT).await;
-            let event = Event::Started { partition: to.partition, attempt: message.attempt, result };
+            let event = Event::Started {
+                partition: to.partition,
+                attempt: message.attempt,
+                result,
+            };
             sender.context.control(event);
         });
     }
@@ -67,7 +74,10 @@
         let sender = self.clone();
         actix_rt::spawn(async move {
             let left = not_after.since(sender.context.clock.now());
-            let _ = sender.client.renew(to.address, &renew, left.min(TIMEOUT)).await;
+            let _ = sender
+                .client
+                .renew(to.address, &renew, left.min(TIMEOUT))
+                .await;
         });
     }
 
@@ -86,7 +96,12 @@
         let sender = self.clone();
         actix_rt::spawn(async move {
             let result = sender.client.inventory(to.address, TIMEOUT).await;
-            let event = Event::Inventory { partition: to.partition, worker: to.worker, request, result };
+            let event = Event::Inventory {
+                partition: to.partition,
+                worker: to.worker,
+                request,
+                result,
+            };
             sender.context.control(event);
         });
     }
@@ -98,6 +113,9 @@
     }
 
     fn count(&self, command: &'static str) {
-        self.context.metrics.worker_commands.add(1, &label("command", command));
+        self.context
+            .metrics
+            .worker_commands
+            .add(1, &label("command", command));
     }
 }
--- /dev/null
+++ b/src/daemon/dispatch/connection.rs
@@ -0,0 +1,206 @@
+//! Connections to targets.
+//!
+//! Each connection that a dispatcher names is one client with one connection of its own, so the
+//! count of connections is the dispatcher's to decide. A request that ends tells the dispatcher
+//! what is known of it; closing a connection drops the request on it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+
+use super::Event;
+use crate::core::error::{Error, Kind};
+use crate::core::id::{Key, Target};
+use crate::core::request::call::Id;
+use crate::core::request::dispatcher::{Input, Reply};
+use crate::core::request::link::Connection;
+use crate::daemon::Context;
+use crate::platform::client::{Call, Client, Failure};
+use crate::util::metric::label;
+
+/// How long a target may take to answer a heartbeat.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+/// The status of a request that a target refused before it ran.
+const REFUSED: u16 = 503;
+
+/// A request to a target.
+pub(super) struct Request {
+    /// The id that the target repeats.
+    pub(super) id: Id,
+    /// The method.
+    pub(super) method: String,
+    /// The key of a request that runs at most once.
+    pub(super) key: Option<Key>,
+    /// The body.
+    pub(super) body: Bytes,
+    /// How long the target may take.
+    pub(super) timeout: Duration,
+}
+
+/// One connection.
+struct Link {
+    client: Client,
+    address: SocketAddr,
+    /// The request on it.
+    task: Option<JoinHandle<()>>,
+    /// Whether the request on it runs at most once.
+    is_keyed: bool,
+}
+
+/// All connections of the dispatch part.
+pub(super) struct Pool {
+    context: Context,
+    links: HashMap<(Target, Connection), Link>,
+}
+
+impl Pool {
+    /// Makes an empty pool.
+    pub(super) fn new(context: &Context) -> Pool {
+        Pool {
+            context: context.clone(),
+            links: HashMap::new(),
+        }
+    }
+
+    /// Adds a connection, which is opened by the first message on it.
+    pub(super) fn open(&mut self, target: Target, connection: Connection, address: SocketAddr) {
+        let link = Link {
+            client: Client::new(1),
+            address,
+            task: None,
+            is_keyed: false,
+        };
+        self.links.insert((target, connection), link);
+    }
+
+    /// Closes a connection and drops the request on it.
+    pub(super) fn close(&mut self, target: Target, connection: Connection) {
+        let link = self.links.remove(&(target, connection));
+        if let Some(task) = link.and_then(|link| link.task) {
+            task.abort();
+        }
+    }
+
+    /// Takes note of what is told to a dispatcher.
+    pub(super) fn observe(&mut self, input: &Input) {
+        match input {
+            Input::Replied {
+                target, connection, ..
+            } => {
+                if let Some(link) = self.links.get_mut(&(*target, *connection)) {
+                    link.task = None;
+                }
+            }
+            Input::Closed {
+                target, connection, ..
+            } => self.close(*target, *connection),
+            _ => {}
+        }
+    }
+
+    /// Sends a request.
+    pub(super) fn send(&mut self, target: Target, connection: Connection, request: Request) {
+        let context = self.context.clone();
+        let Some(link) = self.links.get_mut(&(target, connection)) else {
+            let input = Input::Closed {
+                target,
+                connection,
+                may_have_sent: false,
+            };
+            context.dispatch(Event::Target { target, input });
+            return;
+        };
+        link.is_keyed = request.key.is_some();
+        let (client, address) = (link.client.clone(), link.address);
+        link.task = Some(actix_rt::spawn(async move {
+            let call = Call {
+                method: &request.method,
+                request_id: request.id.0,
+                key: request.key,
+                body: request.body,
+                timeout: request.timeout,
+            };
+            let result = client.call(address, &call).await;
+            context
+                .metrics
+                .dispatches
+                .add(1, &label("outcome", outcome(&result)));
+            let input = input(target, connection, request.id, result);
+            context.dispatch(Event::Target { target, input });
+        }));
+    }
+
+    /// Asks for a sign of life.
+    ///
+    /// A connection carries one request at a time, so one that is busy cannot be asked. A request
+    /// that may run again is better tried elsewhere than waited for; one that runs at most once is
+    /// waited for until its deadline, because giving it up early would lose its answer.
+    pub(super) fn ping(&mut self, target: Target, connection: Connection) {
+        let Some(link) = self.links.get(&(target, connection)) else {
+            return;
+        };
+        let context = self.context.clone();
+        let heard = move || {
+            let input = Input::Heard { target, connection };
+            context.dispatch(Event::Target { target, input });
+        };
+        if link.task.is_some() {
+            if link.is_keyed {
+                heard();
+            }
+            return;
+        }
+        let (client, address) = (link.client.clone(), link.address);
+        actix_rt::spawn(async move {
+            if client.ping(address, PING_TIMEOUT).await {
+                heard();
+            }
+        });
+    }
+}
+
+/// Returns what a dispatcher is told of a request that ended.
+fn input(target: Target, connection: Connection, id: Id, result: Result<Bytes, Failure>) -> Input {
+    let reply = match result {
+        Ok(body) => Reply::Done(body),
+        Err(Failure::Status(REFUSED, _)) => Reply::Refused,
+        Err(Failure::Status(status, body)) => {
+            let message = format!("target {} answered {status}: {body}", target.0);
+            Reply::Failed(Error::new(Kind::TargetFailed, message))
+        }
+        Err(Failure::NotSent(_)) => {
+            return Input::Closed {
+                target,
+                connection,
+                may_have_sent: false,
+            };
+        }
+        Err(Failure::Unknown(_)) => {
+            return Input::Closed {
+                target,
+                connection,
+                may_have_sent: true,
+            };
+        }
+    };
+    Input::Replied {
+        target,
+        connection,
+        id,
+        reply,
+    }
+}
+
+/// Returns the metric label of how a request ended.
+fn outcome(result: &Result<Bytes, Failure>) -> &'static str {
+    match result {
+        Ok(_) => "answered",
+        Err(Failure::Status(REFUSED, _)) => "refused",
+        Err(Failure::Status(..)) => "failed",
+        Err(Failure::NotSent(_)) => "not_sent",
+        Err(Failure::Unknown(_)) => "lost",
+    }
+}
--- /dev/null
+++ b/src/daemon/dispatch/mod.rs
@@ -0,0 +1,486 @@
+//! The dispatch part: calls on their way to targets.
+//!
+//! One thread holds a [`Dispatcher`] for each service and carries out what it wants: it keeps the
+//! bodies of calls, holds the connections to targets, forwards calls to the owners of their keys
+//! and asks the control part about them. A call arrives from a traffic thread or another entry and
+//! leaves with one final answer.
+
+mod connection;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::context::Context;
+use super::control;
+use super::control::place_of;
+use super::peer;
+use super::supervisor::Inbox;
+use crate::core::error::{Error, Kind, Result};
+use crate::core::id::{Partition, Service, Target};
+use crate::core::request::call::{Answer, Id};
+use crate::core::request::dispatcher::{self, Input, Listed, Output, Owner, Report, Verdict};
+use crate::core::request::link::Connection;
+use crate::core::request::route::Partitions;
+use crate::core::request::slot::{Capacity, Grant, Member};
+use crate::core::request::{self, Dispatcher, Origin, Safety, dedup};
+use crate::core::time::Instant;
+use crate::platform::vms::{List, Role, State};
+use crate::util::metric::label;
+use crate::wire::{Call, Reply, Tell};
+use connection::Pool;
+
+/// The longest sleep between two ticks.
+const MAX_SLEEP: Duration = Duration::from_millis(100);
+
+/// What the dispatch part is told.
+pub enum Event {
+    /// A call arrived.
+    Call {
+        /// The call.
+        call: Call,
+        /// Who sent it.
+        origin: Origin,
+        /// When the answer is due.
+        deadline: Instant,
+        /// Where the answer goes.
+        reply: Reply,
+    },
+    /// A table of keys has decided.
+    Verdict {
+        /// The service of the request.
+        service: Service,
+        /// The decision.
+        verdict: Verdict,
+    },
+    /// The owner answered a forwarded call.
+    Returned {
+        /// The service of the call.
+        service: Service,
+        /// The request.
+        id: Id,
+        /// The answer.
+        tell: Result<Tell>,
+    },
+    /// A forwarded call could not be sent or its answer was lost.
+    ForwardFailed {
+        /// The service of the call.
+        service: Service,
+        /// The request.
+        id: Id,
+    },
+    /// Slots were granted.
+    Granted(Grant),
+    /// The VM list changed.
+    Vms(List),
+    /// The ownership of a partition changed.
+    Owner(Partition, Option<Owner>),
+    /// A target answered, or a connection to it closed.
+    Target {
+        /// The target.
+        target: Target,
+        /// What happened.
+        input: Input,
+    },
+    /// A planned stop began.
+    Drain,
+}
+
+/// A call without its final answer.
+struct Pending {
+    call: Call,
+    body: Bytes,
+    reply: Option<Reply>,
+    target: Option<Target>,
+}
+
+/// A target's service and address.
+#[derive(Clone)]
+struct Place {
+    service: Service,
+    address: SocketAddr,
+}
+
+/// The state of the dispatch part.
+struct Dispatch {
+    context: Context,
+    dispatchers: HashMap<Service, Dispatcher<Pcg32>>,
+    owners: HashMap<Partition, Owner>,
+    targets: HashMap<Target, Place>,
+    pending: HashMap<Id, Pending>,
+    pool: Pool,
+    next_id: u64,
+    is_listed: bool,
+}
+
+/// Runs the dispatch part until its inbox closes.
+pub async fn run(context: Context, inbox: Inbox<Event>) {
+    let mut inbox = inbox.open().await;
+    let mut dispatch = Dispatch {
+        pool: Pool::new(&context),
+        context,
+        dispatchers: HashMap::new(),
+        owners: HashMap::new(),
+        targets: HashMap::new(),
+        pending: HashMap::new(),
+        next_id: rand::random::<u64>() >> 1,
+        is_listed: false,
+    };
+    loop {
+        let now = dispatch.context.clock.now();
+        let wake = dispatch.wake_at(now).since(now).min(MAX_SLEEP);
+        match actix_rt::time::timeout(wake, inbox.recv()).await {
+            Ok(Some(event)) => dispatch.handle(event),
+            Ok(None) => return,
+            Err(_) => dispatch.tick(),
+        }
+    }
+}
+
+impl Dispatch {
+    /// Returns when the next tick is due.
+    fn wake_at(&self, now: Instant) -> Instant {
+        let wakes = self
+            .dispatchers
+            .values()
+            .map(|dispatcher| dispatcher.wake_at(now));
+        wakes.min().unwrap_or(now + MAX_SLEEP)
+    }
+
+    fn tick(&mut self) {
+        let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
+        for service in services {
+            self.step(&service, Input::Tick);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Call {
+                call,
+                origin,
+                deadline,
+                reply,
+            } => self.arrive(call, origin, deadline, reply),
+            Event::Verdict { service, verdict } => self.step(&service, Input::Verdict(verdict)),
+            Event::Returned { service, id, tell } => {
+                let answer = self.returned(id, tell);
+                self.step(&service, Input::Returned(id, answer));
+            }
+            Event::ForwardFailed { service, id } => self.step(&service, Input::ForwardFailed(id)),
+            Event::Granted(grant) => {
+                if let Some(service) = self.service_of(grant.target) {
+                    self.step(&service, Input::Granted(grant));
+                }
+            }
+            Event::Vms(list) => self.adopt(&list),
+            Event::Owner(partition, owner) => self.own(partition, owner),
+            Event::Target { target, input } => {
+                self.pool.observe(&input);
+                if let Some(service) = self.service_of(target) {
+                    self.step(&service, input);
+                }
+            }
+            Event::Drain => {
+                let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
+                for service in services {
+                    self.step(&service, Input::Drain);
+                }
+            }
+        }
+    }
+
+    fn service_of(&self, target: Target) -> Option<Service> {
+        self.targets.get(&target).map(|place| place.service.clone())
+    }
+
+    /// Takes a call that arrived.
+    fn arrive(&mut self, call: Call, origin: Origin, deadline: Instant, reply: Reply) {
+        let service = call.service.clone();
+        if !self.dispatchers.contains_key(&service) {
+            let _ = reply.send(Err(self.unknown_service(&service)));
+            return;
+        }
+        let id = Id(self.next_id);
+        self.next_id += 1;
+        let request = request::Call {
+            id,
+            caller: call.caller.clone(),
+            priority: call.priority,
+            safety: safety(&call),
+            origin,
+            deadline,
+            size: call.body.len() as u32,
+        };
+        let body = Bytes::copy_from_slice(&call.body);
+        self.pending.insert(
+            id,
+            Pending {
+                call,
+                body,
+                reply: Some(reply),
+                target: None,
+            },
+        );
+        self.step(&service, Input::Arrived(request));
+    }
+
+    /// Makes the error of a call to a service that no target answers.
+    fn unknown_service(&self, service: &Service) -> Error {
+        if self.is_listed {
+            let message = format!("no target answers service `{}`; check its name", service.0);
+            return Error::new(Kind::NotFound, message);
+        }
+        Error::new(
+            Kind::NoTarget,
+            "the VM list has not been read yet; come back",
+        )
+    }
+
+    /// Makes the answer of a forwarded call.
+    fn returned(&mut self, id: Id, tell: Result<Tell>) -> Answer {
+        match tell {
+            Ok(Tell::Called { body, target, .. }) => {
+                if let Some(pending) = self.pending.get_mut(&id) {
+                    pending.target = target;
+                }
+                Answer::done(Bytes::from(body))
+            }
+            Ok(_) => Answer::refused(Kind::Internal, "the owner answered another question"),
+            Err(error) => {
+                let effect = error.effect;
+                Answer::from(error).with_effect(effect)
+            }
+        }
+    }
+
+    /// Adopts a newer VM list.
+    fn adopt(&mut self, list: &List) {
+        self.is_listed = true;
+        self.targets.clear();
+        let mut listed: HashMap<Service, Vec<Listed>> = HashMap::new();
+        for vm in &list.vms {
+            if let Role::Target {
+                service,
+                slots,
+                connections,
+            } = &vm.role
+            {
+                let target = Target(vm.id);
+                let place = Place {
+                    service: service.clone(),
+                    address: vm.address,
+                };
+                self.targets.insert(target, place);
+                listed.entry(service.clone()).or_default().push(Listed {
+                    target,
+                    place: place_of(&self.context.settings, &vm.data_centre),
+                    capacity: Capacity {
+                        slots: *slots,
+                        connections: *connections,
+                    },
+                    is_leaving: vm.state == State::Leaving,
+                });
+            }
+        }
+        for service in listed.keys() {
+            self.ensure_dispatcher(service);
+        }
+        let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
+        for service in services {
+            let targets = listed.remove(&service).unwrap_or_default();
+            self.step(&service, Input::Targets(targets));
+        }
+    }
+
+    /// Makes the dispatcher of a service, if there is none.
+    fn ensure_dispatcher(&mut self, service: &Service) {
+        if self.dispatchers.contains_key(service) {
+            return;
+        }
+        let settings = &self.context.settings;
+        let partitions = Partitions(settings.cell.request_partitions);
+        let rules = dispatcher::Settings::builder()
+            .partitions(partitions)
+            .build();
+        let member = Member {
+            node: self.context.node(),
+            thread: 0,
+        };
+        let place = place_of(settings, &settings.node.data_centre);
+        let random = Pcg32::seed_from_u64(rand::random());
+        let dispatcher = Dispatcher::new(rules, member, place, random);
+        self.dispatchers.insert(service.clone(), dispatcher);
+        let owners: Vec<(Partition, Owner)> =
+            self.owners.iter().map(|(&p, &owner)| (p, owner)).collect();
+        for (partition, owner) in owners {
+            self.step(service, Input::Owner(partition, Some(owner)));
+        }
+    }
+
+    /// Tells all dispatchers who owns a partition.
+    fn own(&mut self, partition: Partition, owner: Option<Owner>) {
+        match owner {
+            Some(owner) => self.owners.insert(partition, owner),
+            None => self.owners.remove(&partition),
+        };
+        let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
+        for service in services {
+            self.step(&service, Input::Owner(partition, owner));
+        }
+    }
+
+    /// Gives an event to the dispatcher of a service and carries out what it wants.
+    fn step(&mut self, service: &Service, input: Input) {
+        let now = self.context.clock.now();
+        let mut outputs = Vec::new();
+        if let Some(dispatcher) = self.dispatchers.get_mut(service) {
+            dispatcher.step(now, input, &mut outputs);
+        }
+        for output in outputs {
+            self.follow(now, service, output);
+        }
+    }
+
+    fn follow(&mut self, now: Instant, service: &Service, output: Output) {
+        match output {
+            Output::Answer(id, answer) => self.answer(id, answer),
+            Output::Forward(id, node) => self.forward(now, service, id, node.vm),
+            Output::Admit(partition, submission) => {
+                let service = service.clone();
+                self.context.control(control::Event::Admit {
+                    service,
+                    partition,
+                    submission,
+                });
+            }
+            Output::Report {
+                partition,
+                id,
+                key,
+                report,
+            } => self.report(partition, id, key, report),
+            Output::Ask(_, ask) => self.context.control(control::Event::SlotAsk(ask)),
+            Output::Open(target, connection) => {
+                if let Some(place) = self.targets.get(&target) {
+                    self.pool.open(target, connection, place.address);
+                }
+            }
+            Output::Send {
+                target,
+                connection,
+                id,
+                until,
+            } => self.send(now, target, connection, id, until),
+            Output::Ping(target, connection) => self.pool.ping(target, connection),
+            Output::Close(target, connection) => self.pool.close(target, connection),
+            Output::Drained => {}
+        }
+    }
+
+    /// Gives a call its final answer.
+    fn answer(&mut self, id: Id, answer: Answer) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let effect = answer.effect;
+        let result = answer
+            .result
+            .map_err(|error| error.with_effect(effect))
+            .map(|body| Tell::Called {
+                body: body.to_vec(),
+                target: pending.target,
+                recorded: pending.target.is_none(),
+            });
+        if let Some(reply) = pending.reply {
+            let _ = reply.send(result);
+        }
+    }
+
+    /// Forwards a call to the owner of its key.
+    fn forward(&self, now: Instant, service: &Service, id: Id, to: crate::core::id::Vm) {
+        let Some(pending) = self.pending.get(&id) else {
+            return;
+        };
+        let dispatcher = self.dispatchers.get(service);
+        let deadline = dispatcher
+            .and_then(|dispatcher| dispatcher.deadline(id))
+            .unwrap_or(now);
+        let command = peer::Command::Forward {
+            to,
+            service: service.clone(),
+            id,
+            call: pending.call.clone(),
+            timeout: deadline.since(now),
+        };
+        self.context.peer(command);
+    }
+
+    /// Tells a table of keys about a request.
+    fn report(&self, partition: Partition, id: Id, key: crate::core::id::Key, report: Report) {
+        let input = match report {
+            Report::Finished(outcome) => dedup::Input::Finished { key, outcome },
+            Report::GaveUp(answer) => dedup::Input::GaveUp { id, key, answer },
+            Report::Left => dedup::Input::Left { id, key },
+        };
+        self.context
+            .control(control::Event::Report { partition, input });
+    }
+
+    /// Sends a request on a connection.
+    fn send(
+        &mut self,
+        now: Instant,
+        target: Target,
+        connection: Connection,
+        id: Id,
+        until: Instant,
+    ) {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        pending.target = Some(target);
+        self.context
+            .metrics
+            .dispatches
+            .add(1, &label("outcome", "sent"));
+        let request = connection::Request {
+            id,
+            method: pending.call.method.clone(),
+            key: pending.call.key,
+            body: pending.body.clone(),
+            timeout: until.since(now),
+        };
+        self.pool.send(target, connection, request);
+    }
+}
+
+/// Returns whether a call may be repeated at the targets.
+fn safety(call: &Call) -> Safety {
+    match call.key {
+        Some(key) if !call.idempotent => Safety::AtMostOnce {
+            key,
+            fingerprint: fingerprint(call),
+        },
+        _ => Safety::Idempotent,
+    }
+}
+
+/// Returns a hash over what a repeat of a call has to match.
+fn fingerprint(call: &Call) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in [
+        call.service.0.as_bytes(),
+        call.method.as_bytes(),
+        &call.body,
+    ] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -19,12 +19,14 @@
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
 use super::context::Context;
-use super::control;
 use super::supervisor::Inbox;
+use super::{control, dispatch};
 use crate::core::error::{Error, Kind, Result};
-use crate::core::id::{Node, Vm};
+use crate::core::id::{Node, Service, Vm};
+use crate::core::request::Origin;
+use crate::core::request::call::Id;
 use crate::util::metric::label;
-use crate::wire::{Ask, Frame, Reply, Tell};
+use crate::wire::{Ask, Call, Frame, Reply, Tell};
 
 /// How often a link carries a heartbeat.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(800);
@@ -61,6 +63,19 @@
         /// Where the answer goes.
         reply: Reply,
     },
+    /// Forwards a call for the dispatch part, which is told how that ended.
+    Forward {
+        /// The receiver.
+        to: Vm,
+        /// The service of the call.
+        service: Service,
+        /// The request.
+        id: Id,
+        /// The call.
+        call: Call,
+        /// How long to wait.
+        timeout: Duration,
+    },
     /// Answers an ask on the link it came from.
     Tell {
         /// The link.
@@ -105,7 +120,46 @@
 /// An ask that waits for its answer.
 struct Waiting {
     link: u64,
-    reply: Reply,
+    asker: Asker,
+}
+
+/// Who is told the answer to an ask.
+enum Asker {
+    /// Whoever holds the other end of the channel.
+    Reply(Reply),
+    /// The dispatch part.
+    Dispatch {
+        /// The service of the call.
+        service: Service,
+        /// The request.
+        id: Id,
+    },
+}
+
+impl Asker {
+    /// Passes on the answer.
+    fn tell(self, context: &Context, tell: Result<Tell>) {
+        match self {
+            Asker::Reply(reply) => {
+                let _ = reply.send(tell);
+            }
+            Asker::Dispatch { service, id } => {
+                context.dispatch(dispatch::Event::Returned { service, id, tell });
+            }
+        }
+    }
+
+    /// Says that there will be no answer.
+    fn fail(self, context: &Context, error: Error) {
+        match self {
+            Asker::Reply(reply) => {
+                let _ = reply.send(Err(error));
+            }
+            Asker::Dispatch { service, id } => {
+                context.dispatch(dispatch::Event::ForwardFailed { service, id });
+            }
+        }
+    }
 }
 
 /// The state of the peer part.
@@ -150,7 +204,21 @@
                 ask,
                 timeout,
                 reply,
-            } => self.ask(to, ask, timeout, reply),
+            } => self.ask(to, ask, timeout, Asker::Reply(reply)),
+            Command::Forward {
+                to,
+                service,
+                id,
+                call,
+                timeout,
+            } => {
+                self.ask(
+                    to,
+                    Ask::Call(call),
+                    timeout,
+                    Asker::Dispatch { service, id },
+                );
+            }
             Command::Tell { link, id, tell } => self.tell(link, id, tell),
             Command::Arrived { link, frame } => self.arrived(link, frame),
             Command::Dialled { link, vm } => {
@@ -182,30 +250,29 @@
         ))
     }
 
-    fn ask(&mut self, to: Vm, ask: Ask, timeout: Duration, reply: Reply) {
+    fn ask(&mut self, to: Vm, ask: Ask, timeout: Duration, asker: Asker) {
         let id = self.take_id();
         let timeout_ms = timeout.as_millis() as u64;
-        match self.send(
-            to,
-            Frame::Ask {
-                id,
-                timeout_ms,
-                ask,
-            },
-        ) {
+        let frame = Frame::Ask {
+            id,
+            timeout_ms,
+            ask: Box::new(ask),
+        };
+        match self.send(to, frame) {
             Ok(link) => {
-                self.waiting.insert(id, Waiting { link, reply });
+                self.waiting.insert(id, Waiting { link, asker });
                 self.notify_later(timeout, Command::Expired { id });
             }
-            Err(error) => {
-                let _ = reply.send(Err(error));
-            }
+            Err(error) => asker.fail(&self.context, error),
         }
     }
 
     fn tell(&mut self, link: u64, id: u64, tell: Result<Tell>) {
         if let Some(link) = self.links.get(&link) {
-            let _ = link.queue.try_send(Frame::Tell { id, tell });
+            let _ = link.queue.try_send(Frame::Tell {
+                id,
+                tell: Box::new(tell),
+            });
         }
     }
 
@@ -216,16 +283,25 @@
             .add(1, &label("direction", "received"));
         match frame {
             Frame::Hello { node } => self.greeted(link, node),
-            Frame::Heartbeat => {}
+            Frame::KeepAlive => {}
             Frame::Ask {
                 id,
                 timeout_ms,
                 ask,
             } => {
                 let timeout = Duration::from_millis(timeout_ms);
-                self.serve(link, id, ask, timeout);
+                self.serve(link, id, *ask, timeout);
+            }
+            Frame::Tell { id, tell } => self.answered(link, id, *tell),
+            Frame::Membership(heartbeat) => {
+                self.context.control(control::Event::Membership(heartbeat));
+            }
+            Frame::Lease(from, message) => {
+                self.context
+                    .control(control::Event::Lease { from, message });
             }
-            Frame::Tell { id, tell } => self.answered(link, id, tell),
+            Frame::SlotAsk(ask) => self.context.control(control::Event::SlotAsk(ask)),
+            Frame::SlotGrant(grant) => self.context.dispatch(dispatch::Event::Granted(grant)),
         }
     }
 
@@ -242,7 +318,10 @@
     fn serve(&self, link: u64, id: u64, ask: Ask, timeout: Duration) {
         let context = self.context.clone();
         actix_rt::spawn(async move {
-            let tell = context.ask(ask, timeout, true).await;
+            let tell = match ask {
+                Ask::Call(call) => context.call(call, Origin::Peer, timeout).await,
+                ask => context.ask(ask, timeout, true).await,
+            };
             context.peer(Command::Tell { link, id, tell });
         });
     }
@@ -257,13 +336,15 @@
             return;
         }
         if let Some(waiting) = self.waiting.remove(&id) {
-            let _ = waiting.reply.send(tell);
+            waiting.asker.tell(&self.context, tell);
         }
     }
 
     fn expired(&mut self, id: u64) {
         if let Some(waiting) = self.waiting.remove(&id) {
-            let _ = waiting.reply.send(Err(lost("no answer came in time")));
+            waiting
+                .asker
+                .fail(&self.context, lost("no answer came in time"));
         }
     }
 
@@ -285,7 +366,7 @@
             .collect();
         for orphan in orphans {
             if let Some(waiting) = self.waiting.remove(&orphan) {
-                let _ = waiting.reply.send(Err(lost("the link broke")));
+                waiting.asker.fail(&self.context, lost("the link broke"));
             }
         }
     }
@@ -403,7 +484,7 @@
         let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
         let frame = match queued {
             Ok(frame) => frame?,
-            Err(_) => Frame::Heartbeat,
+            Err(_) => Frame::KeepAlive,
         };
         write(&mut sink, &frame).await?;
     }
--- a/src/ops/call.rs
+++ b/src/ops/call.rs
@@ -7,9 +7,10 @@
 use crate::api::schema::{self, CallRequest, CallResponse};
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Caller, Key, Service};
+use crate::core::request::Origin;
 use crate::core::workload::Priority;
 use crate::daemon::Context;
-use crate::wire::{Ask, Call, Tell};
+use crate::wire::{Call, Tell};
 
 /// The longest name of a service, method or caller, in bytes.
 const MAX_NAME_BYTES: usize = 128;
@@ -24,11 +25,7 @@
     let timeout = timeout(context, request.timeout_ms);
     let request_id = Uuid::now_v7().to_string();
     let call = parse(request)?;
-    let tell = if call.idempotent {
-        context.call_any(call, timeout).await?
-    } else {
-        context.ask(Ask::Call(call), timeout, false).await?
-    };
+    let tell = context.call(call, Origin::Caller, timeout).await?;
     match tell {
         Tell::Called {
             body,
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -191,6 +191,18 @@
         answer(request.send_body(call.body.clone()).await).await
     }
 
+    /// Asks for any answer, whatever its status; returns whether one came.
+    pub async fn ping(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let request = self
+            .http
+            .get(format!("http://{address}/healthz"))
+            .timeout(timeout);
+        !matches!(
+            answer(request.send().await).await,
+            Err(Failure::NotSent(_) | Failure::Unknown(_))
+        )
+    }
+
     async fn post<B: Serialize>(
         &self,
         worker: SocketAddr,
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -52,8 +52,9 @@
     /// [`Kind::Internal`] when the frame cannot be written, which is a defect.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut out = Vec::new();
-        ciborium::into_writer(self, &mut out)
-            .map_err(|error| Error::new(Kind::Internal, format!("cannot write a frame: {error}")))?;
+        ciborium::into_writer(self, &mut out).map_err(|error| {
+            Error::new(Kind::Internal, format!("cannot write a frame: {error}"))
+        })?;
         Ok(out)
     }
 
