Add the demonstration and a load tool

cargo xtask demo builds the programs, starts a cell and takes a call of each priority and a job of each class through it, checking every answer. It has not run yet: the daemon does not compile on the base of this commit.

laburnum-load sends calls as a seeded Poisson process and counts times from when a call was due, since a closed loop would hide queueing.

--- a/crates/laburnum-testkit/src/bin/laburnum-standin.rs
+++ b/crates/laburnum-testkit/src/bin/laburnum-standin.rs
@@ -17,8 +17,9 @@
 /// A port that the system chooses.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// stand-ins for the platform and targets; example: laburnum-standin --control 127.0.0.1:7000 log
+/// play the platform and targets for tests
 #[derive(FromArgs)]
+#[argh(example = "{command_name} --control 127.0.0.1:7000 all --workers 4")]
 struct Options {
     /// address of the control port (default: 127.0.0.1:0, which is any port)
     #[argh(option, default = "ANY_PORT")]
@@ -38,9 +39,13 @@
     All(AllOptions),
 }
 
-/// a log service in memory; example: laburnum-standin log --listen 127.0.0.1:7001
+/// play the log service
 #[derive(FromArgs)]
-#[argh(subcommand, name = "log")]
+#[argh(
+    subcommand,
+    name = "log",
+    example = "{command_name} --listen 127.0.0.1:7001 --rate 300"
+)]
 struct LogOptions {
     /// address to listen on (default: 127.0.0.1:0)
     #[argh(option, default = "ANY_PORT")]
@@ -59,9 +64,13 @@
     rate: u32,
 }
 
-/// a list of VMs; example: laburnum-standin vms --file vms.json --lag-ms 2000
+/// play the list of VMs
 #[derive(FromArgs)]
-#[argh(subcommand, name = "vms")]
+#[argh(
+    subcommand,
+    name = "vms",
+    example = "{command_name} --file vms.json --lag-ms 2000"
+)]
 struct VmsOptions {
     /// address to listen on (default: 127.0.0.1:0)
     #[argh(option, default = "ANY_PORT")]
@@ -76,9 +85,13 @@
     lag_ms: u64,
 }
 
-/// workers; example: laburnum-standin worker --count 10 --cpu-millis 16000 --memory-mib 65536
+/// play workers
 #[derive(FromArgs)]
-#[argh(subcommand, name = "worker")]
+#[argh(
+    subcommand,
+    name = "worker",
+    example = "{command_name} --count 10 --accelerators 2"
+)]
 struct WorkerOptions {
     /// address of the first worker (default: 127.0.0.1:0); others take the ports that follow, or
     /// any port when it is 0
@@ -106,9 +119,13 @@
     usage_lag_ms: u64,
 }
 
-/// targets; example: laburnum-standin target --count 5 --slots 8 --connections 64
+/// play targets
 #[derive(FromArgs)]
-#[argh(subcommand, name = "target")]
+#[argh(
+    subcommand,
+    name = "target",
+    example = "{command_name} --count 5 --slots 8"
+)]
 struct TargetOptions {
     /// address of the first target (default: 127.0.0.1:0); others take the ports that follow, or
     /// any port when it is 0
@@ -128,10 +145,13 @@
     connections: u32,
 }
 
-/// a log service, a VM list, workers and targets in one process, all with their defaults; example:
-/// laburnum-standin all --workers 4 --targets 2
+/// play a log service, a VM list, workers and targets, all with their defaults
 #[derive(FromArgs)]
-#[argh(subcommand, name = "all")]
+#[argh(
+    subcommand,
+    name = "all",
+    example = "{command_name} --workers 4 --targets 2"
+)]
 struct AllOptions {
     /// how many workers (default: 2)
     #[argh(option, default = "2")]
--- a/crates/laburnum-testkit/src/lib.rs
+++ b/crates/laburnum-testkit/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! [`standin`] serves the messages of `laburnumplank::platform` from memory and brings about
 //! failures on request. [`process`] starts programs, and [`cell`] starts stand-ins and daemons
-//! that form a whole cell. [`http`] is the client that tests speak to all of them with.
+//! that form a whole cell. [`http`] is the client that tests speak to all of them with, and [`load`]
+//! sends calls at a steady rate.
 
 pub mod cell;
 pub mod clock;
 pub mod http;
+pub mod load;
 pub mod process;
 pub mod standin;
--- /dev/null
+++ b/crates/laburnum-testkit/src/load/plan.rs
@@ -0,0 +1,135 @@
+//! When calls are due.
+
+use std::time::Duration;
+
+use laburnum_derive::state;
+use laburnumplank::core::workload::Priority;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+/// The part of one priority in the load.
+#[state]
+pub struct Share {
+    /// The weight beside those of other priorities.
+    pub weight: u32,
+    /// The method that is called.
+    pub method: String,
+}
+
+/// The parts of all priorities in the load.
+#[state]
+pub struct Mix {
+    /// Quick lookups.
+    pub lookup: Share,
+    /// Single filings or route builds.
+    pub normal: Share,
+    /// Many filings or route builds.
+    pub bulk: Share,
+}
+
+impl Default for Mix {
+    fn default() -> Mix {
+        let share = |weight, method: &str| Share {
+            weight,
+            method: method.to_owned(),
+        };
+        Mix {
+            lookup: share(60, "sleep/2"),
+            normal: share(30, "sleep/10"),
+            bulk: share(10, "sleep/50"),
+        }
+    }
+}
+
+impl Mix {
+    /// Returns the part of a priority.
+    pub fn share(&self, priority: Priority) -> &Share {
+        match priority {
+            Priority::Lookup => &self.lookup,
+            Priority::Normal => &self.normal,
+            Priority::Bulk => &self.bulk,
+        }
+    }
+
+    /// Returns the part of a priority, to change it.
+    pub fn share_mut(&mut self, priority: Priority) -> &mut Share {
+        match priority {
+            Priority::Lookup => &mut self.lookup,
+            Priority::Normal => &mut self.normal,
+            Priority::Bulk => &mut self.bulk,
+        }
+    }
+
+    fn total(&self) -> u32 {
+        let weights = Priority::ALL.map(|priority| self.share(priority).weight);
+        weights.iter().sum()
+    }
+
+    /// Returns the priority that `point`, below the total of the weights, falls into.
+    fn priority_at(&self, point: u32) -> Priority {
+        let mut left = point;
+        for priority in Priority::ALL {
+            let weight = self.share(priority).weight;
+            if left < weight {
+                return priority;
+            }
+            left -= weight;
+        }
+        Priority::Bulk
+    }
+}
+
+/// A call that is due.
+#[state]
+#[derive(Copy)]
+pub struct Arrival {
+    /// When, from the start of the load.
+    pub at: Duration,
+    /// The priority.
+    pub priority: Priority,
+}
+
+/// All calls in the order in which they are due.
+#[derive(Debug)]
+pub struct Plan {
+    random: Pcg64Mcg,
+    rate: f64,
+    span: Duration,
+    mix: Mix,
+    at: Duration,
+}
+
+impl Plan {
+    /// Plans `rate` calls a second on average for `span`; the same seed gives the same plan.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the rate is not above 0 or all weights are 0.
+    pub fn new(seed: u64, rate: f64, span: Duration, mix: &Mix) -> eyre::Result<Plan> {
+        eyre::ensure!(rate > 0.0, "the rate must be above 0");
+        eyre::ensure!(mix.total() > 0, "at least one weight must be above 0");
+        Ok(Plan {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            rate,
+            span,
+            mix: mix.clone(),
+            at: Duration::ZERO,
+        })
+    }
+}
+
+impl Iterator for Plan {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let uniform: f64 = self.random.random();
+        let gap = -(1.0 - uniform).ln() / self.rate;
+        self.at += Duration::from_secs_f64(gap);
+        let point = self.random.random_range(0..self.mix.total());
+        let arrival = Arrival {
+            at: self.at,
+            priority: self.mix.priority_at(point),
+        };
+        (self.at < self.span).then_some(arrival)
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Maintenance tasks: tests, generated code, the demonstration and measurements.
 
 mod codegen;
+mod demo;
 mod measure;
 mod test;
 
@@ -17,6 +18,7 @@
 #[argh(subcommand)]
 enum Task {
     Codegen(codegen::Options),
+    Demo(demo::Options),
     Measure(measure::Options),
     Test(test::Options),
 }
@@ -25,6 +27,7 @@
     let options: Options = argh::from_env();
     match options.task {
         Task::Codegen(options) => codegen::exec(&options),
+        Task::Demo(options) => demo::exec(&options),
         Task::Measure(options) => measure::exec(&options),
         Task::Test(options) => test::exec(&options),
     }
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -17,7 +17,7 @@
 }
 
 /// Runs `cargo` with `arguments`.
-fn cargo(arguments: &[&str]) -> eyre::Result<()> {
+pub(crate) fn cargo(arguments: &[&str]) -> eyre::Result<()> {
     let program = env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
     let status = Command::new(program).args(arguments).status()?;
     eyre::ensure!(status.success(), "`cargo {}` failed", arguments.join(" "));
