--- /dev/null
+++ b/src/daemon/control/follow.rs
@@ -0,0 +1,130 @@
+//! What tables of keys and cells want done.
+
+use std::time::Duration;
+
+use slog::warn;
+
+use super::archive::{Body, Record};
+use super::journal::Stream;
+use super::{Control, Pending};
+use crate::core::id::{Partition, Vm};
+use crate::core::placement::{self, Batch};
+use crate::core::request::dedup;
+use crate::core::request::dispatcher::Verdict;
+use crate::core::request::slot::{Ask, Grant};
+use crate::core::time::Instant;
+use crate::daemon::dispatch;
+use crate::wire::Frame;
+
+/// Live state is written anew after this share of the log's retention.
+const REWRITE_SHARE: u32 = 4;
+/// How many records of a cell are written anew as one record of the log.
+const REWRITE_CHUNK: usize = 256;
+
+impl Control {
+    /// Carries out what the table of a partition wants.
+    pub(super) fn follow_keys(&mut self, partition: Partition, outputs: Vec<dedup::Output>) {
+        for output in outputs {
+            match output {
+                dedup::Output::Append { serial, record } => {
+                    let record = Record { partition, body: Body::Key(record) };
+                    self.push_work(record, Pending::Key(partition, serial));
+                }
+                dedup::Output::Run { id, key } => {
+                    if let Some(service) = self.keys.service(partition, id).cloned() {
+                        let verdict = Verdict::Run(id, key);
+                        self.context.dispatch(dispatch::Event::Verdict { service, verdict });
+                    }
+                }
+                dedup::Output::Answer { id, answer } => {
+                    if let Some(service) = self.keys.take_service(partition, id) {
+                        let verdict = Verdict::Answer(id, answer);
+                        self.context.dispatch(dispatch::Event::Verdict { service, verdict });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Carries out what the cell of a partition wants.
+    pub(super) fn follow_cell(&mut self, partition: Partition, outputs: Vec<placement::Output>) {
+        for output in outputs {
+            match output {
+                placement::Output::Commit(Batch { number, records }) => {
+                    let record = Record { partition, body: Body::Cell(records) };
+                    self.push_work(record, Pending::Batch(partition, number));
+                }
+                placement::Output::Canceled(job) => self.answer_canceled(partition, job),
+                placement::Output::Fenced => {
+                    warn!(self.context.log, "lease ended before it was renewed"; "partition" => partition.0);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Queues a record of a partition; one that the journal refuses is tried again later.
+    pub(super) fn push_work(&mut self, record: Record, pending: Pending) {
+        match self.journal.push(Stream::Work, &record) {
+            Ok(ticket) => {
+                self.pending.insert(ticket, (pending, record));
+            }
+            Err(error) => {
+                slog::debug!(self.context.log, "record waits"; "error" => %error);
+                self.refused.push((pending, record));
+            }
+        }
+    }
+
+    /// Queues the records that the journal refused, unless their partition is not owned any more.
+    pub(super) fn push_refused(&mut self) {
+        for (pending, record) in std::mem::take(&mut self.refused) {
+            if self.tenure.is_own(record.partition) {
+                self.push_work(record, pending);
+            }
+        }
+    }
+
+    /// Answers an ask for slots, here or to the entry that asked.
+    pub(super) fn grant(&mut self, now: Instant, ask: &Ask) {
+        let Some(grant) = self.slots.ask(now, &self.tenure, ask) else {
+            self.pass_on(ask);
+            return;
+        };
+        self.deliver_grant(grant);
+    }
+
+    /// Sends an ask of this entry to the owner of the target's partition.
+    fn pass_on(&self, ask: &Ask) {
+        let is_own = ask.member.node == self.tenure.node();
+        let owner = self.tenure.owner(self.slots.partition_of(ask.target));
+        if let Some(owner) = owner.filter(|owner| is_own && *owner != self.tenure.node()) {
+            self.send(owner.vm, Frame::SlotAsk(ask.clone()));
+        }
+    }
+
+    fn deliver_grant(&self, grant: Grant) {
+        let Vm(vm) = grant.member.node.vm;
+        if grant.member.node == self.tenure.node() {
+            self.context.dispatch(dispatch::Event::Granted(grant));
+        } else {
+            self.send(Vm(vm), Frame::SlotGrant(grant));
+        }
+    }
+
+    /// Writes the live state of own partitions anew before the log drops the records behind it.
+    pub(super) fn rewrite(&mut self, now: Instant) {
+        let retention = Duration::from_secs(self.context.settings.log.retention_s);
+        for partition in self.tenure.take_rewrites(now, retention / REWRITE_SHARE) {
+            for record in self.keys.snapshot(partition) {
+                let record = Record { partition, body: Body::Key(record) };
+                self.push_work(record, Pending::Rewrite);
+            }
+            let records = self.jobs.cell(partition).map_or_else(Vec::new, placement::Cell::snapshot);
+            for chunk in records.chunks(REWRITE_CHUNK) {
+                let record = Record { partition, body: Body::Cell(chunk.to_vec()) };
+                self.push_work(record, Pending::Rewrite);
+            }
+        }
+    }
+}
--- a/src/daemon/control/journal.rs
+++ b/src/daemon/control/journal.rs
@@ -15,7 +15,7 @@
 use crate::core::config;
 use crate::core::error::Result;
 use crate::core::lease;
-use crate::core::stream::{Name, Reader, Ticket, Writer, reader, writer};
+use crate::core::stream::{Name, Reader, Record, Ticket, Writer, reader, writer};
 use crate::core::time::Instant;
 use crate::daemon::Context;
 use crate::platform::client::{Client, Failure};
@@ -83,14 +83,7 @@
         record: lease::Record,
     },
     /// A change of the configuration.
-    Config {
-        /// Where it stands.
-        offset: u64,
-        /// The change.
-        change: config::Change,
-        /// Whether this process wrote it, and as which record.
-        own: Option<Ticket>,
-    },
+    Config(Record<config::Change>),
     /// A record of a partition.
     Work(archive::Record),
     /// The stream was read up to this offset; `lag` entries are known to follow.
@@ -279,11 +272,7 @@
                 let mut out = Vec::new();
                 self.config.step(now, input, &mut out);
                 let lag = self.config.lag();
-                self.deliver(now, stream, lag, out, facts, |record| Fact::Config {
-                    offset: record.offset,
-                    change: record.value,
-                    own: None,
-                });
+                self.deliver(now, stream, lag, out, facts, Fact::Config);
             }
             Stream::Work => {
                 let mut out = Vec::new();
@@ -302,7 +291,7 @@
         lag: u64,
         outputs: Vec<reader::Output<T>>,
         facts: &mut Vec<Fact>,
-        fact: impl Fn(crate::core::stream::Record<T>) -> Fact,
+        fact: impl Fn(Record<T>) -> Fact,
     ) {
         for output in outputs {
             match output {
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -4,12 +4,14 @@
 //! entries, answers of the log service, the VM list and workers, and notices of other entries.
 //! [`journal`] follows and writes the log, [`tenure`] runs leases and membership, [`keys`] the
 //! at-most-once tables, [`jobs`] the cells, [`slots`] the grants of targets' slots, and
-//! [`settings_log`] the configuration. A partition that this entry acquires is first brought up to
+//! [`configuration`] what operators set. [`follow`] carries out what tables and cells want, and
+//! [`answer`] answers what is asked. A partition that this entry acquires is first brought up to
 //! the end of the work stream, and only then handed to the part that acts on it.
 
 mod answer;
 mod archive;
 mod configuration;
+mod follow;
 mod jobs;
 pub mod journal;
 mod keys;
@@ -26,17 +28,19 @@
 use super::context::Context;
 use super::supervisor::Inbox;
 use super::{dispatch, peer};
-use crate::core::error::{Error, Kind};
-use crate::core::id::{Attempt, Job, Node, Partition, Vm, Worker};
-use crate::core::request::{dedup, slot};
+use crate::core::error::{Effect, Error, Kind};
+use crate::core::id::{Attempt, Job, Node, Partition, Service, Vm, Worker};
+use crate::core::request::dispatcher::Verdict;
+use crate::core::request::{Answer, dedup, slot};
 use crate::core::stream::Ticket;
 use crate::core::time::Instant;
 use crate::core::{lease, membership};
 use crate::platform::client::{Client, Failure};
 use crate::platform::vms::List;
 use crate::platform::worker::Inventory;
+use crate::util::metric::label;
 use crate::util::timer;
-use crate::wire::{Ask, Reply, Tell};
+use crate::wire::{Ask, Frame, Reply, Tell};
 use archive::Archive;
 use configuration::Configuration;
 use jobs::Jobs;
@@ -86,7 +90,7 @@
     /// A dispatcher asks its partition's table about a request.
     Admit {
         /// The service of the dispatcher.
-        service: crate::core::id::Service,
+        service: Service,
         /// The partition.
         partition: Partition,
         /// The request.
@@ -164,7 +168,10 @@
     slots: Slots,
     configuration: Configuration,
     vms: List,
-    pending: HashMap<Ticket, Pending>,
+    /// Records of this process that are on their way into the log.
+    pending: HashMap<Ticket, (Pending, archive::Record)>,
+    /// Records that the journal had no room for.
+    refused: Vec<(Pending, archive::Record)>,
     /// Answers that wait for the end of a job's cancellation.
     canceling: HashMap<Job, Vec<Reply>>,
     drain: Option<oneshot::Sender<()>>,
@@ -214,6 +221,7 @@
             configuration: Configuration::default(),
             vms: List::default(),
             pending: HashMap::new(),
+            refused: Vec::new(),
             canceling: HashMap::new(),
             drain: None,
             context,
@@ -254,8 +262,7 @@
             Event::Log(event) => self.take_log(now, event),
             Event::Vms(list) => self.take_vms(now, list),
             Event::Admit { service, partition, submission } => {
-                let outputs = self.keys.submit(self.context.clock, service, partition, submission);
-                self.follow_keys(partition, outputs);
+                self.admit(service, partition, submission);
             }
             Event::Report { partition, input } => {
                 let outputs = self.keys.step(self.context.clock, partition, input);
@@ -264,12 +271,12 @@
             Event::SlotAsk(ask) => self.grant(now, &ask),
             Event::Started { partition, attempt, result } => {
                 let outputs = self.jobs.started(now, partition, attempt, result);
-                self.follow_cell(now, partition, outputs);
+                self.follow_cell(partition, outputs);
             }
             Event::Inventory { partition, worker, request, result } => {
                 if let Ok(inventory) = result {
                     let outputs = self.jobs.inventory(now, partition, worker, request, inventory);
-                    self.follow_cell(now, partition, outputs);
+                    self.follow_cell(partition, outputs);
                 }
             }
             Event::Drain { done } => {
@@ -285,7 +292,7 @@
         self.journal.tick(now, &mut facts);
         self.learn(now, facts);
         for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
-            self.follow_cell(now, partition, outputs);
+            self.follow_cell(partition, outputs);
         }
         let is_up = self.journal.is_up();
         for (partition, outputs) in self.keys.tick(self.context.clock, &self.tenure, is_up) {
@@ -294,6 +301,7 @@
         for answer in self.configuration.tick(now, &mut self.journal) {
             answer.send();
         }
+        self.push_refused();
         self.rewrite(now);
     }
 
@@ -383,7 +391,7 @@
             return;
         }
         for ticket in tickets {
-            match self.pending.remove(ticket) {
+            match self.pending.remove(ticket).map(|(pending, _)| pending) {
                 Some(Pending::Key(partition, serial)) => {
                     let input = dedup::Input::Durable(serial);
                     let outputs = self.keys.step(self.context.clock, partition, input);
@@ -391,12 +399,13 @@
                 }
                 Some(Pending::Batch(partition, number)) => {
                     let outputs = self.jobs.durable(now, partition, number);
-                    self.follow_cell(now, partition, outputs);
+                    self.follow_cell(partition, outputs);
                 }
                 Some(Pending::Accepted(job, reply)) => {
-                    let (partition, outputs) = self.jobs.accepted(now, job);
                     let _ = reply.send(Ok(Tell::Submitted(job)));
-                    self.follow_cell(now, partition, outputs);
+                    if let Some((partition, outputs)) = self.jobs.accepted(now, job) {
+                        self.follow_cell(partition, outputs);
+                    }
                 }
                 Some(Pending::Rewrite) | None => {}
             }
@@ -411,9 +420,30 @@
             }
         }
         for ticket in tickets {
-            if let Some(Pending::Accepted(job, reply)) = self.pending.remove(ticket) {
-                let message = format!("job {job} may or may not be accepted; read it by its id");
-                let _ = reply.send(Err(Error::new(Kind::AnswerLost, message)));
+            match self.pending.remove(ticket) {
+                Some((Pending::Accepted(job, reply), _)) => {
+                    self.jobs.forget_accept(job);
+                    let message = format!("job {job} may or may not be accepted; read it by its id");
+                    let _ = reply.send(Err(Error::new(Kind::AnswerLost, message)));
+                }
+                Some((Pending::Rewrite, _)) | None => {}
+                // A record may stand in the log twice, so what waits for it is written again.
+                Some((pending, record)) => self.push_work(record, pending),
+            }
+        }
+    }
+
+    /// Asks the table of a partition about a request.
+    fn admit(&mut self, service: Service, partition: Partition, submission: dedup::Submission) {
+        let id = submission.id;
+        let clock = self.context.clock;
+        match self.keys.submit(clock, service.clone(), partition, submission) {
+            Some(outputs) => self.follow_keys(partition, outputs),
+            None => {
+                let message = "the owner of the key has changed; come back";
+                let answer = Answer::refused(Kind::NoOwner, message).with_effect(Effect::Unknown);
+                let verdict = Verdict::Answer(id, answer);
+                self.context.dispatch(dispatch::Event::Verdict { service, verdict });
             }
         }
     }
@@ -422,18 +452,21 @@
     fn open_caught_up(&mut self, now: Instant) {
         for acquired in self.tenure.take_caught_up(self.journal.work_next()) {
             let partition = acquired.partition;
+            self.tenure.set_open(partition, now);
+            let Some(until) = self.tenure.deadline(partition, now) else {
+                continue;
+            };
             info!(self.context.log, "partition opened"; "partition" => partition.0, "epoch" => acquired.epoch.0);
             if self.jobs.is_worker_partition(partition) {
                 let records = self.archive.cell(partition).to_vec();
-                let config = self.configuration.config();
-                self.jobs.open(now, &acquired, &self.tenure, records, config, &self.vms);
+                let outputs = self.jobs.open(now, &acquired, until, records);
+                self.follow_cell(partition, outputs);
             } else {
                 let records = self.archive.keys(partition);
                 let outputs = self.keys.open(self.context.clock, &acquired, records);
                 self.follow_keys(partition, outputs);
+                self.slots.open(now, partition);
             }
-            self.slots.open(now, partition);
-            self.tenure.set_open(partition);
         }
     }
 
@@ -458,9 +491,9 @@
         self.context.dispatch(dispatch::Event::Vms(list.clone()));
         let outputs = self.tenure.adopt(now, &list);
         self.follow_view(now, outputs);
-        self.slots.adopt(&list);
+        self.slots.adopt(now, &list);
         for (partition, outputs) in self.jobs.adopt(now, &list) {
-            self.follow_cell(now, partition, outputs);
+            self.follow_cell(partition, outputs);
         }
         self.vms = list;
     }
@@ -471,7 +504,7 @@
         for output in outputs {
             match output {
                 membership::Output::Send { to, heartbeat } => {
-                    self.send(to, crate::wire::Frame::Membership(heartbeat));
+                    self.send(to, Frame::Membership(heartbeat));
                 }
                 membership::Output::Changed { vm, state } => {
                     info!(self.context.log, "entry changed state"; "vm" => vm.0, "state" => ?state);
@@ -503,7 +536,7 @@
                 }
                 lease::Output::Send { to, message } => {
                     let own = self.tenure.node();
-                    self.send(to.vm, crate::wire::Frame::Lease(own, message));
+                    self.send(to.vm, Frame::Lease(own, message));
                 }
                 lease::Output::Acquired(acquired) => {
                     self.note_ownership("acquired", acquired.partition);
@@ -518,7 +551,7 @@
     }
 
     fn note_ownership(&self, change: &'static str, partition: Partition) {
-        self.context.metrics.ownership.add(1, &crate::util::metric::label("change", change));
+        self.context.metrics.ownership.add(1, &label("change", change));
         info!(self.context.log, "partition changed hands"; "change" => change, "partition" => partition.0);
     }
 
@@ -532,7 +565,7 @@
         self.context.dispatch(owner);
     }
 
-    fn send(&self, to: Vm, frame: crate::wire::Frame) {
+    fn send(&self, to: Vm, frame: Frame) {
         self.context.peer(peer::Command::Send { to, frame });
     }
 }
