--- a/crates/laburnum-testkit/src/cell/mod.rs
+++ b/crates/laburnum-testkit/src/cell/mod.rs
@@ -62,7 +62,7 @@
     ///
     /// Fails with the daemon's output when it ends or does not become ready in time.
     pub async fn ready(&mut self, entry: usize) -> eyre::Result<()> {
-        let url = self.url(entry, "/healthz");
+        let url = self.url(entry, "/readyz");
         let deadline = Instant::now() + READY_LIMIT;
         while !is_healthy(&self.http, &url).await {
             let process = &mut self.entries[entry].process;
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -1,7 +1,8 @@
 //! The HTTP side of the daemon.
 //!
 //! `POST /laburnum.v1.<Service>/<Method>` is a remote procedure call; each goes to one module of
-//! [`ops`]. `GET /healthz`, `/metrics` and `/dump` serve operators' tools.
+//! [`ops`]. `GET /healthz` says that the daemon runs, `/readyz` whether it can take
+//! requests; `/metrics` and `/dump` serve operators' tools.
 
 use std::future::Future;
 use std::time::Instant;
@@ -27,6 +28,7 @@
     let path = request.path().to_owned();
     match path.as_str() {
         "/healthz" => return text(StatusCode::OK, "text/plain", "ok\n".to_owned()),
+        "/readyz" => return ready(&context),
         "/metrics" => return metrics(&context),
         "/dump" => return dump(&context).await,
         _ => {}
@@ -182,6 +184,18 @@
     )
 }
 
+/// Says to the balancer whether the daemon can take requests.
+fn ready(context: &Context) -> Response<BoxBody> {
+    if context.is_ready() {
+        return text(StatusCode::OK, "text/plain", "ready\n".to_owned());
+    }
+    text(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "text/plain",
+        "not ready\n".to_owned(),
+    )
+}
+
 fn metrics(context: &Context) -> Response<BoxBody> {
     match context.metrics.render() {
         Ok(body) => text(StatusCode::OK, "text/plain; version=0.0.4", body),
--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -51,6 +51,7 @@
     in_flight: AtomicUsize,
     is_stop_requested: AtomicBool,
     is_draining: AtomicBool,
+    is_ready: AtomicBool,
 }
 
 /// Counts one request in flight until it is dropped.
@@ -78,6 +79,7 @@
             in_flight: AtomicUsize::new(0),
             is_stop_requested: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            is_ready: AtomicBool::new(false),
         };
         Context {
             settings: Arc::new(settings),
@@ -99,9 +101,9 @@
 
     /// Draws a new incarnation, because the state of the former one is lost.
     pub fn renew_incarnation(&self) {
-        self.shared
-            .incarnation
-            .store(rand::random(), Ordering::Relaxed);
+        let newer = self.node().incarnation.0 + 1;
+        let drawn = incarnation(self.clock).max(newer);
+        self.shared.incarnation.store(drawn, Ordering::Relaxed);
     }
 
     /// Hands an event to the control part.
@@ -204,6 +206,16 @@
         self.shared.is_stop_requested.load(Ordering::Relaxed)
     }
 
+    /// Notes whether the daemon knows an owner of every partition.
+    pub fn set_ready(&self, is_ready: bool) {
+        self.shared.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// Returns whether the daemon can take new requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready.load(Ordering::Relaxed) && !self.is_draining()
+    }
+
     /// Marks the daemon as stopping.
     pub fn begin_drain(&self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
--- a/src/daemon/control/jobs.rs
+++ b/src/daemon/control/jobs.rs
@@ -231,7 +231,7 @@
         now: Instant,
         partition: Partition,
         attempt: Attempt,
-        result: Result<(), Failure>,
+        result: &Result<(), Failure>,
     ) -> Vec<Output> {
         let input = match result {
             Ok(()) => Input::Started(attempt),
--- a/src/daemon/control/journal.rs
+++ b/src/daemon/control/journal.rs
@@ -77,15 +77,8 @@
     Config(Record<config::Change>),
     /// A record of a partition.
     Work(archive::Record),
-    /// The stream was read up to this offset; `lag` entries are known to follow.
-    Read {
-        /// The stream.
-        stream: Stream,
-        /// The next offset to be read.
-        next: u64,
-        /// How many entries follow.
-        lag: u64,
-    },
+    /// The stream was read to its end.
+    End(Stream),
     /// Records of this process are in the log for good.
     Durable {
         /// The stream.
@@ -198,14 +191,30 @@
     pub(super) fn take(&mut self, now: Instant, event: Event, facts: &mut Vec<Fact>) {
         match event {
             Event::Page { stream, page } => {
+                let is_page = page.is_ok();
                 let input = page.map_or(reader::Input::Failed, reader::Input::Page);
                 self.read(now, stream, input, facts);
+                if is_page {
+                    self.note_position(now, stream, facts);
+                }
+                if is_page && self.lag(stream) == 0 {
+                    facts.push(Fact::End(stream));
+                }
             }
             Event::Appended {
                 stream,
                 copy,
                 offset,
-            } => self.appended(now, stream, copy, offset, facts),
+            } => self.appended(now, stream, copy, offset.ok(), facts),
+        }
+    }
+
+    /// Returns how many entries are known to follow what was read.
+    fn lag(&self, stream: Stream) -> u64 {
+        match stream {
+            Stream::Lease => self.lease.lag(),
+            Stream::Config => self.config.lag(),
+            Stream::Work => self.work.lag(),
         }
     }
 
@@ -214,18 +223,18 @@
         now: Instant,
         stream: Stream,
         copy: writer::Copy,
-        offset: std::result::Result<u64, Failure>,
+        offset: Option<u64>,
         facts: &mut Vec<Fact>,
     ) {
-        self.note_state(offset.is_ok());
+        self.note_state(offset.is_some());
         let stream = name(stream);
         let input = match offset {
-            Ok(offset) => writer::Input::Appended {
+            Some(offset) => writer::Input::Appended {
                 stream,
                 copy,
                 offset,
             },
-            Err(_) => writer::Input::Failed { stream, copy },
+            None => writer::Input::Failed { stream, copy },
         };
         self.write(now, input, facts);
     }
@@ -249,8 +258,7 @@
             Stream::Lease => {
                 let mut out = Vec::new();
                 self.lease.step(now, input, &mut out);
-                let lag = self.lease.lag();
-                self.deliver(now, stream, lag, out, facts, |record| Fact::Lease {
+                self.deliver(stream, out, facts, |record| Fact::Lease {
                     offset: record.offset,
                     record: record.value,
                 });
@@ -258,16 +266,12 @@
             Stream::Config => {
                 let mut out = Vec::new();
                 self.config.step(now, input, &mut out);
-                let lag = self.config.lag();
-                self.deliver(now, stream, lag, out, facts, Fact::Config);
+                self.deliver(stream, out, facts, Fact::Config);
             }
             Stream::Work => {
                 let mut out = Vec::new();
                 self.work.step(now, input, &mut out);
-                let lag = self.work.lag();
-                self.deliver(now, stream, lag, out, facts, |record| {
-                    Fact::Work(record.value)
-                });
+                self.deliver(stream, out, facts, |record| Fact::Work(record.value));
             }
         }
     }
@@ -275,9 +279,7 @@
     /// Carries out what a reader wants.
     fn deliver<T>(
         &mut self,
-        now: Instant,
         stream: Stream,
-        lag: u64,
         outputs: Vec<reader::Output<T>>,
         facts: &mut Vec<Fact>,
         fact: impl Fn(Record<T>) -> Fact,
@@ -293,10 +295,7 @@
                         .add(1, &label("stream", stream.name()));
                     facts.push(fact(record));
                 }
-                reader::Output::Read { next } => {
-                    facts.push(Fact::Read { stream, next, lag });
-                    self.note_position(now, stream, next, facts);
-                }
+                reader::Output::Read { .. } => {}
                 reader::Output::Expired { wanted, first } => {
                     warn!(self.context.log, "entries expired unread";
                         "stream" => stream.name(), "wanted" => wanted, "first" => first);
@@ -319,12 +318,12 @@
     }
 
     /// Tells the writer what its process has read.
-    fn note_position(&mut self, now: Instant, stream: Stream, next: u64, facts: &mut Vec<Fact>) {
+    fn note_position(&mut self, now: Instant, stream: Stream, facts: &mut Vec<Fact>) {
         let node = self.context.node();
-        let seen = match stream {
-            Stream::Lease => self.lease.seen(),
-            Stream::Config => self.config.seen(),
-            Stream::Work => self.work.seen(),
+        let (next, seen) = match stream {
+            Stream::Lease => (self.lease.next(), self.lease.seen()),
+            Stream::Config => (self.config.next(), self.config.seen()),
+            Stream::Work => (self.work.next(), self.work.seen()),
         };
         let last = seen.last(node);
         self.write(
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -71,11 +71,6 @@
         /// Where the answer goes.
         reply: Reply,
     },
-    /// Another entry showed itself on a link.
-    Greeted {
-        /// The entry.
-        node: Node,
-    },
     /// A heartbeat of another entry.
     Membership(membership::Heartbeat),
     /// A notice of another entry's lease table.
@@ -257,9 +252,6 @@
             } => {
                 self.answer(now, ask, deadline, is_forwarded, reply);
             }
-            Event::Greeted { node } => {
-                slog::debug!(self.context.log, "entry greeted"; "node" => %node)
-            }
             Event::Membership(heartbeat) => {
                 let outputs = self.tenure.hear(now, &heartbeat);
                 self.follow_view(now, outputs);
@@ -287,7 +279,7 @@
                 attempt,
                 result,
             } => {
-                let outputs = self.jobs.started(now, partition, attempt, result);
+                let outputs = self.jobs.started(now, partition, attempt, &result);
                 self.follow_cell(partition, outputs);
             }
             Event::Inventory {
@@ -318,6 +310,7 @@
         for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
             self.follow_cell(partition, outputs);
         }
+        self.describe(now);
         let is_up = self.journal.is_up();
         for (partition, outputs) in self.keys.tick(self.context.clock, &self.tenure, is_up) {
             self.follow_keys(partition, outputs);
@@ -329,6 +322,19 @@
         self.rewrite(now);
     }
 
+    /// Tells the leases of which partitions the log describes all that was done. While the log is
+    /// down nothing is told, so that the standbys' promises allow work without a record.
+    fn describe(&mut self, now: Instant) {
+        if !self.journal.is_up() {
+            return;
+        }
+        let mut described = self.keys.described();
+        described.extend(self.jobs.partitions());
+        for partition in described {
+            self.tenure.set_described(now, partition);
+        }
+    }
+
     /// Lets time pass for leases and membership, and tells the dispatch part who owns what.
     fn tend_tenure(&mut self, now: Instant) {
         let outputs = self.tenure.tick_view(now);
@@ -341,6 +347,9 @@
             self.context
                 .dispatch(dispatch::Event::Owner(partition, owner));
         }
+        let is_listed = !self.vms.vms.is_empty();
+        self.context
+            .set_ready(is_listed && self.tenure.has_owners());
         if self.tenure.is_idle() && self.drain.is_some() {
             self.finish_drain();
         }
@@ -374,11 +383,8 @@
                     self.jobs.configure(now, self.configuration.config());
                 }
                 Fact::Work(record) => self.learn_work(now, &record),
-                Fact::Read { stream, lag, .. } => {
-                    if stream == Stream::Lease && lag == 0 {
-                        self.tenure.set_ready(now);
-                    }
-                }
+                Fact::End(Stream::Lease) => self.tenure.set_ready(now),
+                Fact::End(_) => {}
                 Fact::Durable { stream, tickets } => self.durable(now, stream, &tickets),
                 Fact::Unknown { stream, tickets } => self.unknown(now, stream, &tickets),
                 Fact::Expired(stream) => {
@@ -500,7 +506,7 @@
             let records = self.archive.keys(partition);
             let outputs = self.keys.open(self.context.clock, &acquired, records);
             self.follow_keys(partition, outputs);
-            self.slots.open(now, partition);
+            self.slots.open(now, &acquired);
         }
     }
 
@@ -528,7 +534,7 @@
         self.context.dispatch(dispatch::Event::Vms(list.clone()));
         let outputs = self.tenure.adopt(now, &list);
         self.follow_view(now, outputs);
-        self.slots.adopt(now, &list);
+        self.slots.adopt(&list);
         for (partition, outputs) in self.jobs.adopt(now, &list) {
             self.follow_cell(partition, outputs);
         }
--- a/src/daemon/control/slots.rs
+++ b/src/daemon/control/slots.rs
@@ -1,22 +1,31 @@
 //! The grants of the slots of targets whose partitions this entry owns.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 use super::tenure::Tenure;
 use crate::core::id::{Partition, Target};
+use crate::core::lease::{Acquired, Origin};
 use crate::core::request::route::Partitions;
 use crate::core::request::slot::{Ask, Capacity, Grant, Grantor, Rules};
 use crate::core::time::Instant;
 use crate::daemon::Context;
 use crate::platform::vms::{List, Role};
 
+/// How this entry came to own a partition.
+#[derive(Clone, Copy, Debug)]
+struct Opened {
+    at: Instant,
+    /// Whether no other entry ever owned it.
+    is_first: bool,
+}
+
 /// The grantors of this entry.
 pub(super) struct Slots {
     rules: Rules,
     partitions: Partitions,
     targets: BTreeMap<Target, Capacity>,
-    /// Targets that were on a VM list while this entry owned their partition from before.
-    open: HashSet<Partition>,
+    /// The partitions that this entry owns.
+    open: HashMap<Partition, Opened>,
     grantors: BTreeMap<Target, Grantor>,
 }
 
@@ -27,7 +36,7 @@
             rules: Rules::default(),
             partitions: Partitions(context.settings.cell.request_partitions),
             targets: BTreeMap::new(),
-            open: HashSet::new(),
+            open: HashMap::new(),
             grantors: BTreeMap::new(),
         }
     }
@@ -37,9 +46,8 @@
         self.partitions.of_target(target)
     }
 
-    /// Adopts the targets of a newer VM list; a target that is new to the cell has no grants yet,
-    /// but an entry that lists late cannot know that it is new, so every grantor waits.
-    pub(super) fn adopt(&mut self, now: Instant, list: &List) {
+    /// Adopts the targets of a newer VM list.
+    pub(super) fn adopt(&mut self, list: &List) {
         let targets = list.vms.iter().filter_map(|vm| match vm.role {
             Role::Target {
                 slots, connections, ..
@@ -49,13 +57,15 @@
         self.targets = targets.collect();
         self.grantors
             .retain(|target, _| self.targets.contains_key(target));
-        self.add_grantors(now);
+        self.add_grantors();
     }
 
     /// Begins to grant the slots of a partition's targets.
-    pub(super) fn open(&mut self, now: Instant, partition: Partition) {
-        self.open.insert(partition);
-        self.add_grantors(now);
+    pub(super) fn open(&mut self, now: Instant, acquired: &Acquired) {
+        let is_first = acquired.origin == Origin::First;
+        self.open
+            .insert(acquired.partition, Opened { at: now, is_first });
+        self.add_grantors();
     }
 
     /// Stops granting.
@@ -82,14 +92,20 @@
             .collect()
     }
 
-    fn add_grantors(&mut self, now: Instant) {
+    /// Makes the grantors that are missing. Grants of an earlier owner end some time after this
+    /// entry took over, whenever it learnt of the target.
+    fn add_grantors(&mut self) {
         for (&target, &capacity) in &self.targets {
-            if self.open.contains(&self.partitions.of_target(target)) {
-                let rules = self.rules;
-                self.grantors
-                    .entry(target)
-                    .or_insert_with(|| Grantor::after_takeover(now, rules, capacity));
-            }
+            let Some(opened) = self.open.get(&self.partitions.of_target(target)) else {
+                continue;
+            };
+            let rules = self.rules;
+            self.grantors
+                .entry(target)
+                .or_insert_with(|| match opened.is_first {
+                    true => Grantor::first(rules, capacity),
+                    false => Grantor::after_takeover(opened.at, rules, capacity),
+                });
         }
     }
 }
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -163,8 +163,8 @@
     }
 
     /// Notes that the log describes all that was dispatched without a record.
-    pub(super) fn described(&mut self, now: Instant, partition: Partition) -> Vec<lease::Output> {
-        self.step_table(now, lease::Input::Described(partition))
+    pub(super) fn set_described(&mut self, now: Instant, partition: Partition) {
+        let _ = self.step_table(now, lease::Input::Described(partition));
     }
 
     /// Lets time pass for the leases.
@@ -179,6 +179,11 @@
         out
     }
 
+    /// Returns whether every partition has an owner that is known.
+    pub(super) fn has_owners(&self) -> bool {
+        (0..self.partitions).all(|partition| self.table.owner(Partition(partition)).is_some())
+    }
+
     /// Begins to hand all partitions over.
     pub(super) fn stop(&mut self, now: Instant) {
         let _ = self.step_view(now, membership::Input::Leave);
--- a/src/daemon/dispatch/mod.rs
+++ b/src/daemon/dispatch/mod.rs
@@ -261,7 +261,7 @@
 
     /// Adopts a newer VM list.
     fn adopt(&mut self, list: &List) {
-        self.is_listed = true;
+        self.is_listed = !list.vms.is_empty();
         self.targets.clear();
         let mut listed: HashMap<Service, Vec<Listed>> = HashMap::new();
         for vm in &list.vms {
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -311,7 +311,6 @@
             link.vm = Some(node.vm);
             self.best.insert(node.vm, id);
         }
-        self.context.control(control::Event::Greeted { node });
     }
 
     /// Hands an ask to the control part and sends its answer back on the same link.
