--- a/tests/testsuite/config/mod.rs
+++ b/tests/testsuite/config/mod.rs
@@ -1,1 +1,43 @@
-//! Stub.
+//! Configuration: races and recoveries against a naive oracle, and focused tests.
+
+mod document;
+mod fuzz;
+mod store;
+
+use laburnumplank::core::config::{Body, Change, FORMAT, Version};
+use laburnumplank::core::id::Node;
+use laburnumplank::core::stream::{Id, Record, Sequence};
+use laburnumplank::core::time::Stamp;
+use uuid::Uuid;
+
+use crate::stream::node;
+
+/// Returns a change that draws its id from `number`.
+fn change(number: u64, base: Version, body: Body) -> Change {
+    Change {
+        id: Uuid::from_u128(u128::from(number)),
+        format: FORMAT,
+        base,
+        author: "operator".to_owned(),
+        at: Stamp(number),
+        body,
+    }
+}
+
+/// Returns a patch of one team's weight.
+fn weight(team: &str, weight: u64) -> Body {
+    Body::Patch(format!(
+        r#"{{"teams": {{"{team}": {{"weight": {weight}}}}}}}"#
+    ))
+}
+
+/// Returns a record at an offset of its own.
+fn record(offset: u64, value: Change) -> Record<Change> {
+    let node: Node = node(1, 1);
+    let sequence = Sequence(offset + 1);
+    Record {
+        id: Id { node, sequence },
+        offset,
+        value,
+    }
+}
--- a/tests/testsuite/stream/cell.rs
+++ b/tests/testsuite/stream/cell.rs
@@ -10,7 +10,7 @@
 use laburnumplank::core::stream::reader::{self, Reader};
 use laburnumplank::core::stream::snapshot::{self, Assembly, Content};
 use laburnumplank::core::stream::writer::{self, Builder, Ticket, Writer};
-use laburnumplank::core::stream::{Id, Name, Record, Rules, decode, encode};
+use laburnumplank::core::stream::{Name, Record, Rules, decode, encode};
 use laburnumplank::core::time::Instant;
 use proptest::prelude::*;
 use serde::Serialize;
@@ -113,8 +113,6 @@
     pub(crate) durable: BTreeSet<u64>,
     /// The numbers of the values that a writer said nobody knows about.
     pub(crate) unknown: BTreeSet<u64>,
-    /// Every record that any node applied, in order of id.
-    pub(crate) applied: BTreeMap<Id, u64>,
     blank: M,
     rules: Rules,
     stream: Name,
@@ -133,7 +131,6 @@
             log: Log::default(),
             durable: BTreeSet::new(),
             unknown: BTreeSet::new(),
-            applied: BTreeMap::new(),
             blank,
             rules,
             stream: Name("test".to_owned()),
@@ -263,7 +260,6 @@
         for output in out {
             if let reader::Output::Record(record) = output {
                 member.machine.apply(&record);
-                self.applied.insert(record.id, record.offset);
             }
         }
         if self.members[node].reader.is_expired() {
--- a/tests/testsuite/stream/fuzz.rs
+++ b/tests/testsuite/stream/fuzz.rs
@@ -1,8 +1,9 @@
 //! Every node delivers the same records, each once, and nothing durable is missing.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use laburnumplank::core::stream::{Record, Rules};
+use laburnumplank::core::id::Node;
+use laburnumplank::core::stream::{Id, Record, Rules};
 use proptest::prelude::*;
 use proptest::test_runner::{TestCaseError, TestRunner};
 
@@ -12,27 +13,27 @@
 /// A window that the short runs of a test exceed.
 const WINDOW: u64 = 8;
 
-/// The list of all delivered values.
+/// The list of all delivered values, with their ids.
 #[derive(Clone, Debug, Default, PartialEq)]
-struct List(Vec<u64>);
+struct List(Vec<(Id, u64)>);
 
 impl Machine for List {
     type Value = u64;
-    type State = Vec<u64>;
+    type State = Vec<(Id, u64)>;
 
     fn value(&self, number: u64, _choice: u8) -> u64 {
         number
     }
 
     fn apply(&mut self, record: &Record<u64>) {
-        self.0.push(record.value);
+        self.0.push((record.id, record.value));
     }
 
-    fn state(&self) -> Vec<u64> {
+    fn state(&self) -> Vec<(Id, u64)> {
         self.0.clone()
     }
 
-    fn restore(&mut self, state: Vec<u64>) {
+    fn restore(&mut self, state: Vec<(Id, u64)>) {
         self.0 = state;
     }
 }
@@ -41,9 +42,10 @@
     let mut cell = Cell::new(List::default(), rules);
     cell.run(ops);
     let all = cell.replay().0;
-    let once: BTreeSet<u64> = all.iter().copied().collect();
+    let once: BTreeSet<u64> = all.iter().map(|(_, value)| *value).collect();
     prop_assert_eq!(once.len(), all.len(), "a record was delivered twice");
     prop_assert!(cell.durable.is_subset(&once), "a durable record is missing");
+    prop_assert!(is_in_order(&all), "a writer's records are out of order");
     prop_assert_eq!(cell.unsettled(), 0, "a record was never settled");
     for member in &cell.members {
         prop_assert_eq!(&member.machine.0, &all, "a node delivered something else");
@@ -51,6 +53,15 @@
     Ok(())
 }
 
+/// Returns whether the records of each writer come in the order of their pushes.
+fn is_in_order(all: &[(Id, u64)]) -> bool {
+    let mut last: BTreeMap<Node, (Id, u64)> = BTreeMap::new();
+    all.iter().all(|item| {
+        let before = last.insert(item.0.node, *item);
+        before.is_none_or(|before| before.0 < item.0 && before.1 < item.1)
+    })
+}
+
 fn rules() -> Rules {
     Rules {
         window: WINDOW,
