--- a/src/core/stream/relay/mod.rs
+++ b/src/core/stream/relay/mod.rs
@@ -43,6 +43,9 @@
 /// How many relays may be suspected at once before the log is read directly.
 pub const SOURCES: usize = 2;
 
+/// How long a fetch may stay unanswered; above [`LOG_WAIT`].
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How often a follower renews its subscription.
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -131,7 +134,7 @@
     suspects: BTreeMap<Node, Instant>,
     source: Source,
     wanted: u64,
-    is_fetching: bool,
+    fetching_since: Option<Instant>,
     wants_page: bool,
     fresh_at: Instant,
     backlog: Backlog,
@@ -148,7 +151,7 @@
             suspects: BTreeMap::new(),
             source: Source::Log,
             wanted: 0,
-            is_fetching: false,
+            fetching_since: None,
             wants_page: false,
             fresh_at: Instant(0),
             backlog: Backlog::default(),
@@ -179,7 +182,12 @@
                 Some(subscribe.min(*heard_at + SILENCE))
             }
         };
-        source.into_iter().chain(self.audience.wake_at()).min()
+        let others = [self.fetch_expires_at(), self.audience.wake_at()];
+        source.into_iter().chain(others.into_iter().flatten()).min()
+    }
+
+    fn fetch_expires_at(&self) -> Option<Instant> {
+        self.fetching_since.map(|since| since + FETCH_TIMEOUT)
     }
 
     /// Takes `input`, and fetches, subscribes and hands on what is due.
@@ -191,7 +199,7 @@
                 self.wants_page = true;
             }
             Input::Page(page) => {
-                self.is_fetching = false;
+                self.fetching_since = None;
                 self.fresh_at = now;
                 self.deliver(page, out);
             }
@@ -199,6 +207,9 @@
             Input::Received { from, message } => self.receive(now, from, message, out),
             Input::Tick => {}
         }
+        if self.fetch_expires_at().is_some_and(|at| now >= at) {
+            self.failed(out);
+        }
         self.watch(now);
         self.choose(now);
         self.ask(now, out);
@@ -222,7 +233,7 @@
                     self.deliver(page, out);
                 } else {
                     // The source doesn't keep what is wanted any more.
-                    self.fetch(out);
+                    self.fetch(now, out);
                 }
             }
         }
@@ -249,7 +260,7 @@
     }
 
     fn failed(&mut self, out: &mut Vec<Output>) {
-        self.is_fetching = false;
+        self.fetching_since = None;
         self.wants_page = false;
         out.push(Output::Failed);
     }
@@ -316,7 +327,7 @@
         match &mut self.source {
             Source::Log => {
                 if self.wants_page {
-                    self.fetch(out);
+                    self.fetch(now, out);
                 }
             }
             Source::Node {
@@ -335,11 +346,11 @@
     }
 
     /// Asks the log, unless it was asked already.
-    fn fetch(&mut self, out: &mut Vec<Output>) {
-        if self.is_fetching {
+    fn fetch(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.fetching_since.is_some() {
             return;
         }
-        self.is_fetching = true;
+        self.fetching_since = Some(now);
         out.push(Output::Fetch { from: self.wanted });
     }
 
--- a/src/core/stream/snapshot/publisher.rs
+++ b/src/core/stream/snapshot/publisher.rs
@@ -204,10 +204,19 @@
         }
     }
 
+    /// Drops a snapshot that is due again and has no part on its way, so a fresh one is written.
+    fn drop_overdue(&mut self, now: Instant) {
+        let is_idle = |job: &Job| !job.offered && job.tickets.is_empty();
+        if now >= self.due_at && self.job.as_ref().is_some_and(is_idle) {
+            self.job = None;
+        }
+    }
+
     fn go_on(&mut self, now: Instant, out: &mut Vec<Output>) {
         if !self.owner || self.asked {
             return;
         }
+        self.drop_overdue(now);
         if let Some(job) = self.job.as_mut() {
             if now < self.hold_until || job.offered || job.tickets.len() >= PARTS_IN_FLIGHT {
                 return;
--- a/tests/testsuite/stream/snapshot.rs
+++ b/tests/testsuite/stream/snapshot.rs
@@ -1,1 +1,268 @@
-//! Stub.
+//! Snapshots: never half a state, the newest whole one is found, and it is renewed in time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use laburnumplank::core::stream::snapshot::{
+    self, Finder, FinderInput, FinderOutput, Part, Publisher, PublisherInput, PublisherOutput,
+    Rules, Whole, split,
+};
+use laburnumplank::core::stream::writer::Ticket;
+use laburnumplank::core::stream::{Batch, Body, Sequence, encode};
+use laburnumplank::core::time::Instant;
+use proptest::prelude::*;
+use proptest::test_runner::{TestCaseError, TestRunner};
+
+use super::{Log, config, node};
+
+/// What happens to a part on its way into the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Harm {
+    None,
+    Missing,
+    Torn,
+    Twice,
+}
+
+#[derive(Clone, Debug)]
+struct Case {
+    /// For each snapshot: its size in kilobytes and what happens to its parts.
+    snapshots: Vec<(usize, Vec<Harm>)>,
+    expired: u64,
+    page: usize,
+}
+
+fn cases() -> impl Strategy<Value = Case> {
+    let harm = prop_oneof![
+        8 => Just(Harm::None),
+        1 => Just(Harm::Missing),
+        1 => Just(Harm::Torn),
+        1 => Just(Harm::Twice),
+    ];
+    let snapshot = (0..300_usize, proptest::collection::vec(harm, 5));
+    let snapshots = proptest::collection::vec(snapshot, 0..6);
+    (snapshots, 0..6_u64, 1..5_usize).prop_map(|(snapshots, expired, page)| Case {
+        snapshots,
+        expired,
+        page,
+    })
+}
+
+fn entry(part: &Part) -> Vec<u8> {
+    let batch = Batch {
+        node: node(1, 1),
+        first: Sequence(1),
+        seen: 0,
+        records: vec![Body(encode(part).unwrap())],
+    };
+    encode(&batch).unwrap()
+}
+
+/// Puts the parts of one snapshot into the log; returns the offset of its first part if all parts
+/// are there as they were written.
+fn put(log: &mut Log, parts: &[Part], harms: &[Harm]) -> Option<u64> {
+    let start = log.next();
+    let mut is_whole = true;
+    for (part, harm) in parts.iter().zip(harms) {
+        let mut part = part.clone();
+        match harm {
+            Harm::Missing => is_whole = false,
+            Harm::Torn if part.data.0.pop().is_some() => is_whole = false,
+            Harm::Twice => {
+                log.append(&entry(&part));
+            }
+            Harm::None | Harm::Torn => {}
+        }
+        if *harm != Harm::Missing {
+            log.append(&entry(&part));
+        }
+    }
+    is_whole.then_some(start)
+}
+
+fn find(log: &Log, page: usize, rules: Rules) -> Option<Whole> {
+    let mut finder = Finder::with_rules(rules, 1);
+    let mut out = Vec::new();
+    finder.step(Instant(0), FinderInput::Tick, &mut out);
+    for _ in 0..10_000 {
+        match out.pop()? {
+            FinderOutput::Fetch { from, bounds_only } => {
+                let most = if bounds_only { 0 } else { page };
+                let input = FinderInput::Page(log.page(from, most));
+                finder.step(Instant(0), input, &mut out);
+            }
+            FinderOutput::Found(whole) => return Some(whole),
+            FinderOutput::Missing => return None,
+        }
+    }
+    panic!("the search doesn't end");
+}
+
+fn check(case: &Case, rules: Rules) -> Result<(), TestCaseError> {
+    let mut log = Log::default();
+    let mut states = BTreeMap::new();
+    let mut newest = None;
+    for (number, (size, harms)) in case.snapshots.iter().enumerate() {
+        let number = number as u64;
+        let state: Vec<u8> = (0..size * 1_000)
+            .map(|n| (n as u64 * (number + 3)) as u8)
+            .collect();
+        let id = snapshot::Id {
+            node: node(1, 1),
+            number,
+        };
+        let parts = split(id, number * 10, &state).unwrap();
+        if let Some(start) = put(&mut log, &parts, harms).filter(|start| *start >= case.expired) {
+            newest = Some(start).and(Some(number * 10));
+        }
+        states.insert(number * 10, state);
+    }
+    log.first = case.expired.min(log.next());
+    let found = find(&log, case.page, rules);
+    prop_assert_eq!(found.as_ref().map(|whole| whole.covers), newest);
+    if let Some(whole) = found {
+        prop_assert!(
+            whole.bytes == states[&whole.covers],
+            "the state is not as it was written"
+        );
+    }
+    Ok(())
+}
+
+fn is_caught(rules: Rules) -> bool {
+    let mut runner = TestRunner::new(config(200));
+    runner.run(&cases(), |case| check(&case, rules)).is_err()
+}
+
+proptest! {
+    #![proptest_config(config(60))]
+
+    #[test]
+    fn newest_whole_snapshot_is_found(case in cases()) {
+        check(&case, Rules::default())?;
+    }
+}
+
+#[test]
+fn oracle_catches_checksum_off() {
+    assert!(is_caught(Rules {
+        checksum: false,
+        ..Rules::default()
+    }));
+}
+
+#[test]
+fn oracle_catches_part_count_off() {
+    assert!(is_caught(Rules {
+        count: false,
+        checksum: false
+    }));
+}
+
+/// A publisher, with a writer that settles at once unless the log is down.
+struct Owner {
+    publisher: Publisher,
+    captured: u64,
+    written: Vec<(Instant, u64)>,
+    tickets: u64,
+    is_down: bool,
+}
+
+impl Owner {
+    fn new(retention: Duration) -> Owner {
+        Owner {
+            publisher: Publisher::new(node(1, 1), retention),
+            captured: 0,
+            written: Vec::new(),
+            tickets: 0,
+            is_down: false,
+        }
+    }
+
+    fn step(&mut self, now: Instant, input: PublisherInput) {
+        let mut out = Vec::new();
+        self.publisher.step(now, input, &mut out).unwrap();
+        for output in out {
+            self.act(now, output);
+        }
+    }
+
+    fn act(&mut self, now: Instant, output: PublisherOutput) {
+        match output {
+            PublisherOutput::Capture => {
+                self.captured += 1;
+                let bytes = vec![7; 150_000];
+                let covers = self.captured;
+                self.step(now, PublisherInput::Captured { covers, bytes });
+            }
+            PublisherOutput::Push(part) if self.is_down => {
+                self.step(now, PublisherInput::Refused(part));
+            }
+            PublisherOutput::Push(_) => {
+                self.tickets += 1;
+                let ticket = Ticket(self.tickets);
+                self.step(now, PublisherInput::Pushed(ticket));
+                self.step(now, PublisherInput::Durable(vec![ticket]));
+            }
+            PublisherOutput::Written { covers } => self.written.push((now, covers)),
+        }
+    }
+
+    fn run(&mut self, from: u64, to: u64) {
+        for second in from..to {
+            self.step(Instant(second * 1_000_000), PublisherInput::Tick);
+        }
+    }
+}
+
+#[test]
+fn snapshot_is_renewed_before_retention() {
+    let mut owner = Owner::new(Duration::from_secs(400));
+    owner.run(0, 10);
+    assert!(
+        owner.written.is_empty(),
+        "a node that isn't the owner wrote a snapshot"
+    );
+    owner.step(Instant(10_000_000), PublisherInput::Owner(true));
+    owner.run(10, 1_000);
+    let times: Vec<u64> = owner
+        .written
+        .iter()
+        .map(|(at, _)| at.0 / 1_000_000)
+        .collect();
+    assert_eq!(times.len(), 10);
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] <= 101));
+}
+
+#[test]
+fn snapshot_is_written_at_once_after_an_outage() {
+    let mut owner = Owner::new(Duration::from_secs(400));
+    owner.step(Instant(0), PublisherInput::Owner(true));
+    owner.is_down = true;
+    owner.run(1, 1_000);
+    let before = owner.written.len();
+    owner.is_down = false;
+    owner.run(1_000, 1_002);
+    assert_eq!(owner.written.len(), before + 1);
+}
+
+#[test]
+fn snapshot_with_a_lost_part_is_written_anew() {
+    let mut publisher = Publisher::new(node(1, 1), Duration::from_secs(400));
+    let mut out = Vec::new();
+    publisher
+        .step(Instant(0), PublisherInput::Owner(true), &mut out)
+        .unwrap();
+    let captured = PublisherInput::Captured {
+        covers: 5,
+        bytes: vec![1],
+    };
+    publisher.step(Instant(0), captured, &mut out).unwrap();
+    publisher
+        .step(Instant(0), PublisherInput::Pushed(Ticket(1)), &mut out)
+        .unwrap();
+    out.clear();
+    let unknown = PublisherInput::Unknown(vec![Ticket(1)]);
+    publisher.step(Instant(0), unknown, &mut out).unwrap();
+    assert_eq!(out, [PublisherOutput::Capture]);
+}
