--- a/src/core/config/field.rs
+++ b/src/core/config/field.rs
@@ -33,6 +33,15 @@
         }
     }
 
+    /// Returns an object without fields.
+    pub(super) fn empty() -> Object<'static> {
+        Object {
+            path: String::new(),
+            map: None,
+            known: Vec::new(),
+        }
+    }
+
     /// Returns the path of the field `key`.
     pub(super) fn path(&self, key: &str) -> String {
         if self.path.is_empty() {
--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -14,16 +14,21 @@
 mod document;
 mod fault;
 mod field;
+mod history;
+mod parse;
 mod patch;
 mod pending;
 mod store;
 mod touched;
+mod verdict;
 
 pub use change::{Body, Change, FORMAT, Version};
 pub use document::{Config, DOCUMENT_BYTES, Limits, Placement, Queue, Quota, Service, Weights};
 pub use fault::Fault;
+pub use history::{Entry, HISTORY};
 pub use patch::{apply, diff};
 pub use pending::{Input, Output, Pending};
 #[doc(hidden)]
 pub use store::Rules;
-pub use store::{Entry, HISTORY, Place, State, Store, Verdict};
+pub use store::{State, Store};
+pub use verdict::{Place, Verdict};
--- a/src/core/config/pending.rs
+++ b/src/core/config/pending.rs
@@ -10,7 +10,7 @@
 use uuid::Uuid;
 
 use super::change::Version;
-use super::store::Verdict;
+use super::verdict::Verdict;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::stream::Ticket;
 use crate::core::time::Instant;
--- a/src/core/config/store.rs
+++ b/src/core/config/store.rs
@@ -1,6 +1,6 @@
 //! The document in force and the verdict on each change.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
 
@@ -11,17 +11,12 @@
 use super::change::{Body, Change, FORMAT, Version};
 use super::document::{Config, DOCUMENT_BYTES};
 use super::fault::Fault;
+use super::history::{Entry, History};
 use super::patch;
-use super::touched::{self, Touched};
+use super::touched::{self, Path, Touched};
+use super::verdict::{Place, Verdict};
 use crate::core::error::{Error, Kind, Result};
-use crate::core::stream::{Record, Sequence};
-use crate::core::time::Stamp;
-
-/// How many versions can be looked back to.
-pub const HISTORY: usize = 64;
-
-/// How many bytes the history may take.
-const HISTORY_BYTES: usize = 1 << 20;
+use crate::core::stream::Record;
 
 /// The mechanisms of this module, each of which a test can switch off.
 #[doc(hidden)]
@@ -42,50 +37,6 @@
     }
 }
 
-/// Where a change stands in the stream.
-#[value]
-#[derive(Default)]
-pub struct Place {
-    /// The offset of its batch.
-    pub offset: u64,
-    /// Its sequence number; from 1, so the default stands before every change.
-    pub sequence: Option<Sequence>,
-}
-
-/// What became of a change; the same on every node.
-#[message]
-pub enum Verdict {
-    /// The change is in force as this version.
-    Accepted(Version),
-    /// The same change was accepted before, as this version.
-    Repeated(Version),
-    /// What the change touches was changed after its base.
-    Conflict {
-        /// The version in force.
-        in_force: Version,
-    },
-    /// The document would have faults.
-    Invalid(Vec<Fault>),
-    /// The change stands before the last one applied.
-    Stale,
-    /// The change has a format that this code doesn't know; nothing is applied from here on, until
-    /// the daemon is replaced by a newer one.
-    Unsupported,
-}
-
-/// One version in the history.
-#[message]
-pub struct Entry {
-    /// The version.
-    pub version: Version,
-    /// Who made it.
-    pub author: String,
-    /// When it was made.
-    pub at: Stamp,
-    /// The merge patch back to the version before, as JSON.
-    undo: String,
-}
-
 /// Everything that a verdict depends on, for snapshots and peers.
 #[message]
 pub struct State {
@@ -94,7 +45,13 @@
     document: String,
     touched: Touched,
     accepted: BTreeMap<Uuid, Version>,
-    history: VecDeque<Entry>,
+    history: History,
+}
+
+/// The body of a change, read.
+enum Edit {
+    Whole(Value),
+    Patch(Value),
 }
 
 /// Applies changes in the order of the log.
@@ -106,8 +63,7 @@
     config: Arc<Config>,
     touched: Touched,
     accepted: BTreeMap<Uuid, Version>,
-    history: VecDeque<Entry>,
-    history_bytes: usize,
+    history: History,
     blocked: bool,
     rules: Rules,
 }
@@ -121,8 +77,7 @@
             config: Arc::default(),
             touched: Touched::default(),
             accepted: BTreeMap::new(),
-            history: VecDeque::new(),
-            history_bytes: 0,
+            history: History::default(),
             blocked: false,
             rules: Rules::default(),
         }
@@ -166,7 +121,7 @@
 
     /// Returns the versions that can be looked back to, oldest first.
     pub fn history(&self) -> impl ExactSizeIterator<Item = &Entry> {
-        self.history.iter()
+        self.history.entries()
     }
 
     /// Judges the next record of the stream and puts it in force if it is accepted.
@@ -196,10 +151,11 @@
         if self.blocked || change.format > FORMAT {
             return Verdict::Unsupported;
         }
-        if let Some(refusal) = self.refusal(change) {
-            return refusal;
-        }
-        match self.attempt(change) {
+        let edit = match self.admit(change) {
+            Ok(edit) => edit,
+            Err(verdict) => return verdict,
+        };
+        match self.attempt(edit) {
             Ok((_, undo)) => {
                 patch::apply(&mut self.document, &undo);
                 Verdict::Accepted(self.version.next())
@@ -215,17 +171,11 @@
     /// Fails with [`Kind::NotFound`] for a version that is not in force yet or no longer kept.
     pub fn document_at(&self, version: Version) -> Result<Value> {
         let back = self.version.0.checked_sub(version.0);
-        let back = back.filter(|back| *back <= self.history.len() as u64);
-        let Some(back) = back else {
+        let document = back.and_then(|back| self.history.go_back(&self.document, back));
+        document.ok_or_else(|| {
             let message = format!("version {version} is not kept; see the history");
-            return Err(Error::new(Kind::NotFound, message));
-        };
-        let mut document = self.document.clone();
-        for entry in self.history.iter().rev().take(back as usize) {
-            let undo = serde_json::from_str(&entry.undo).map_err(internal)?;
-            patch::apply(&mut document, &undo);
-        }
-        Ok(document)
+            Error::new(Kind::NotFound, message)
+        })
     }
 
     /// Returns the merge patch from one version to another.
@@ -274,57 +224,54 @@
         self.config = Arc::new(config);
         self.touched = state.touched;
         self.accepted = state.accepted;
-        self.history_bytes = state.history.iter().map(|entry| entry.undo.len()).sum();
         self.history = state.history;
         Ok(true)
     }
 
     fn judge(&mut self, change: &Change) -> Verdict {
-        if let Some(refusal) = self.refusal(change) {
-            return refusal;
-        }
-        match self.attempt(change) {
-            Ok((config, undo)) => self.accept(change, config, &undo),
+        let edit = match self.admit(change) {
+            Ok(edit) => edit,
+            Err(verdict) => return verdict,
+        };
+        let touched = edit.touched();
+        match self.attempt(edit) {
+            Ok((config, undo)) => self.accept(change, config, touched, &undo),
             Err(faults) => Verdict::Invalid(faults),
         }
     }
 
-    /// Returns the verdict if it doesn't depend on what the change holds.
-    fn refusal(&self, change: &Change) -> Option<Verdict> {
+    /// Reads the change; fails with the verdict if that is clear before trying.
+    fn admit(&self, change: &Change) -> std::result::Result<Edit, Verdict> {
         if let Some(version) = self.accepted.get(&change.id) {
-            return Some(Verdict::Repeated(*version));
+            return Err(Verdict::Repeated(*version));
         }
-        (self.rules.base && self.is_overtaken(change)).then_some(Verdict::Conflict {
-            in_force: self.version,
-        })
+        let edit = Edit::read(&change.body).map_err(Verdict::Invalid)?;
+        if self.rules.base && self.is_overtaken(change.base, &edit) {
+            let in_force = self.version;
+            return Err(Verdict::Conflict { in_force });
+        }
+        Ok(edit)
     }
 
-    fn is_overtaken(&self, change: &Change) -> bool {
-        match &change.body {
-            Body::Whole(_) => change.base != self.version,
-            Body::Patch(_) if change.base > self.version => true,
-            Body::Patch(text) => {
-                let patch = serde_json::from_str(text).unwrap_or_default();
-                let paths = touched::paths(&patch);
-                self.touched
-                    .is_changed_after(change.base, self.version, &paths)
-            }
+    fn is_overtaken(&self, base: Version, edit: &Edit) -> bool {
+        match edit.touched() {
+            None => base != self.version,
+            Some(_) if base > self.version => true,
+            Some(paths) => self.touched.is_changed_after(base, self.version, &paths),
         }
     }
 
     /// Puts the change into the document; leaves the document as it was when there are faults.
-    fn attempt(&mut self, change: &Change) -> std::result::Result<(Config, Value), Vec<Fault>> {
-        let undo = match &change.body {
-            Body::Whole(text) => {
-                let next = parse(text)?;
+    fn attempt(&mut self, edit: Edit) -> std::result::Result<(Config, Value), Vec<Fault>> {
+        let undo = match edit {
+            Edit::Whole(next) => {
                 let undo = patch::diff(&next, &self.document);
                 self.document = next;
                 undo
             }
-            Body::Patch(text) => patch::apply(&mut self.document, &parse(text)?),
+            Edit::Patch(patch) => patch::apply(&mut self.document, &patch),
         };
-        let checked = check(&self.document);
-        match checked {
+        match check(&self.document) {
             Ok(config) => Ok((config, undo)),
             Err(faults) => {
                 patch::apply(&mut self.document, &undo);
@@ -333,38 +280,42 @@
         }
     }
 
-    fn accept(&mut self, change: &Change, config: Config, undo: &Value) -> Verdict {
+    fn accept(
+        &mut self,
+        change: &Change,
+        config: Config,
+        touched: Option<Vec<Path>>,
+        undo: &Value,
+    ) -> Verdict {
         self.version = self.version.next();
         self.config = Arc::new(config);
-        match &change.body {
-            Body::Whole(_) => self.touched.mark_whole(self.version),
-            Body::Patch(text) => {
-                let patch = serde_json::from_str(text).unwrap_or_default();
-                self.touched.mark(self.version, touched::paths(&patch));
-            }
+        match touched {
+            None => self.touched.mark_whole(self.version),
+            Some(paths) => self.touched.mark(self.version, paths),
         }
-        self.remember(change, undo.to_string());
-        Verdict::Accepted(self.version)
-    }
-
-    fn remember(&mut self, change: &Change, undo: String) {
         self.accepted.insert(change.id, self.version);
         if self.version.0.is_multiple_of(touched::WINDOW / 4) {
             let floor = self.version.0.saturating_sub(touched::WINDOW);
             self.accepted.retain(|_, version| version.0 >= floor);
         }
-        self.history_bytes += undo.len();
-        self.history.push_back(Entry {
-            version: self.version,
-            author: change.author.clone(),
-            at: change.at,
-            undo,
-        });
-        while self.history.len() > HISTORY || self.history_bytes > HISTORY_BYTES {
-            let Some(entry) = self.history.pop_front() else {
-                return;
-            };
-            self.history_bytes -= entry.undo.len();
+        self.history.push(self.version, change, undo);
+        Verdict::Accepted(self.version)
+    }
+}
+
+impl Edit {
+    fn read(body: &Body) -> std::result::Result<Edit, Vec<Fault>> {
+        Ok(match body {
+            Body::Whole(text) => Edit::Whole(parse(text)?),
+            Body::Patch(text) => Edit::Patch(parse(text)?),
+        })
+    }
+
+    /// Returns the keys that change, or `None` for all.
+    fn touched(&self) -> Option<Vec<Path>> {
+        match self {
+            Edit::Whole(_) => None,
+            Edit::Patch(patch) => Some(touched::paths(patch)),
         }
     }
 }
@@ -413,11 +364,3 @@
     let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
     lines.join("\n")
 }
-
-#[allow(clippy::needless_pass_by_value, reason = "used by map_err")]
-fn internal(error: serde_json::Error) -> Error {
-    Error::new(
-        Kind::Internal,
-        format!("the history can't be read: {error}"),
-    )
-}
--- a/src/core/stream/mod.rs
+++ b/src/core/stream/mod.rs
@@ -12,8 +12,6 @@
 mod backoff;
 mod batch;
 mod codec;
-mod lane;
-mod pace;
 pub mod reader;
 pub mod relay;
 mod seen;
@@ -23,10 +21,9 @@
 pub use backoff::Backoff;
 pub use batch::{Batch, Body, Header, Id, Name, Record, Sequence};
 pub use codec::{decode, encode};
-pub use pace::{CELL_APPENDS_PER_SECOND, Pace};
 pub use reader::Reader;
 pub use relay::Relay;
 #[doc(hidden)]
 pub use seen::Rules;
 pub use seen::{Admission, Seen, WINDOW};
-pub use writer::{Ticket, Writer};
+pub use writer::{CELL_APPENDS_PER_SECOND, Ticket, Writer};
--- a/src/core/stream/reader.rs
+++ b/src/core/stream/reader/mod.rs
@@ -5,14 +5,17 @@
 //! log or from a relay. When the log has dropped what it wants, it says so once and waits for a
 //! snapshot; it never goes back to an earlier position.
 
+mod message;
+
 use std::marker::PhantomData;
 use std::time::Duration;
 
-use laburnum_derive::{state, value};
+use laburnum_derive::state;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use serde::de::DeserializeOwned;
 
+pub use self::message::{Input, Output, Void};
 use super::backoff::Backoff;
 use super::batch::{Batch, Header, Id, Record};
 use super::codec::decode;
@@ -23,84 +26,6 @@
 /// How long a request for a page may stay unanswered; longer than any wait in the log.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// What a reader takes.
-#[state]
-pub enum Input {
-    /// A page arrived.
-    Page(Page),
-    /// A request for a page failed.
-    Failed,
-    /// A snapshot holds everything before `next`.
-    Restored {
-        /// The offset after the last one that the snapshot covers.
-        next: u64,
-        /// The table of writers at that offset.
-        seen: Seen,
-    },
-    /// Time has passed.
-    Tick,
-}
-
-/// What a reader delivers or wants done.
-#[state]
-pub enum Output<T> {
-    /// Ask for the page at `from`.
-    Fetch {
-        /// The offset of the first entry that is wanted.
-        from: u64,
-    },
-    /// A batch counts; its records follow.
-    Batch(Header),
-    /// A record of the last batch.
-    Record(Record<T>),
-    /// An entry doesn't count.
-    Void {
-        /// Its offset.
-        offset: u64,
-        /// Why not.
-        cause: Void,
-    },
-    /// Everything before `next` was delivered.
-    Read {
-        /// The next offset to be read.
-        next: u64,
-    },
-    /// The wanted offset has expired; a snapshot must be restored.
-    Expired {
-        /// The next offset to be read.
-        wanted: u64,
-        /// The oldest offset that the log still has.
-        first: u64,
-    },
-    /// Entries are missing or out of order in a page; it is asked for again.
-    Gap {
-        /// The next offset to be read.
-        wanted: u64,
-        /// The offset that came instead.
-        found: u64,
-    },
-    /// The log ends before the position of this reader, so it lost entries.
-    Truncated {
-        /// The next offset to be read.
-        wanted: u64,
-        /// The offset that the next append would get.
-        next: u64,
-    },
-}
-
-/// Why an entry doesn't count.
-#[value]
-pub enum Void {
-    /// It holds no batch, or a record has another type.
-    Malformed,
-    /// It is a copy of an earlier batch.
-    Repeat,
-    /// It landed too long after it was sealed.
-    Late,
-    /// It leaves out sequence numbers.
-    Broken,
-}
-
 /// What a reader waits for.
 #[state]
 enum Phase {
--- a/src/core/stream/lane.rs
+++ b/src/core/stream/writer/lane.rs
@@ -9,9 +9,9 @@
 
 use laburnum_derive::state;
 
-use super::backoff::Backoff;
-use super::batch::{Batch, Body, Sequence};
-use super::writer::{Copy, Ticket};
+use super::super::backoff::Backoff;
+use super::super::batch::{Batch, Body, Sequence};
+use super::message::{Copy, Ticket};
 use crate::core::id::Node;
 use crate::core::time::Instant;
 
--- a/src/core/stream/writer.rs
+++ b/src/core/stream/writer/mod.rs
@@ -1,28 +1,36 @@
 //! Group commit within a VM's share of appends.
 //!
 //! One [`Writer`] serves all streams of a process. Each stream has a lane with at most one batch in
-//! flight; the lanes take turns, and together they append at the pace of the VM. When the load
+//! flight; the lanes take turns, and together they append at the pace of the VM. Urgent streams get
+//! every second turn, so what must spread within seconds doesn't wait for all others. When the load
 //! grows, batches grow and the rate stays. A full lane refuses records at once.
 //!
 //! A record is durable when an append was answered, or when the reader of this process met it in
 //! the log. A lost answer leads to a retry of the same batch, which readers drop if it is a copy.
 
+mod builder;
+mod lane;
+mod message;
+mod pace;
+mod turns;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use laburnum_derive::{state, value};
+use laburnum_derive::state;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use serde::Serialize;
 
+pub use self::builder::Builder;
+use self::lane::{Lane, Settled};
+pub use self::message::{Copy, Input, Output, Ticket};
+pub use self::pace::{CELL_APPENDS_PER_SECOND, Pace};
+use self::turns::Turns;
 use super::backoff::Backoff;
-use super::batch::{Body, Name, Sequence};
+use super::batch::{Body, Name};
 use super::codec::encode;
-use super::lane::{Lane, Settled};
-use super::pace::Pace;
-use super::seen::WINDOW;
 use crate::core::error::{Error, Kind, Result};
-use crate::core::id::Node;
 use crate::core::time::Instant;
 
 /// How many bytes of records may wait in one lane.
@@ -37,101 +45,6 @@
 /// How long an append may stay unanswered before it is tried again.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The place of a pushed record in its writer, for as long as the record isn't settled.
-#[value]
-pub struct Ticket(pub u64);
-
-/// One copy of a batch, to be given back with the answer to its append.
-#[value]
-pub struct Copy {
-    /// The first sequence number of the batch.
-    pub first: Sequence,
-    /// The read position that the copy names.
-    pub seen: u64,
-}
-
-/// What a writer takes.
-#[state]
-pub enum Input {
-    /// An append was answered.
-    Appended {
-        /// The stream.
-        stream: Name,
-        /// The copy that was appended.
-        copy: Copy,
-        /// Where the copy landed.
-        offset: u64,
-    },
-    /// An append failed or wasn't answered; it may have taken effect, or may yet.
-    Failed {
-        /// The stream.
-        stream: Name,
-        /// The copy that was to be appended.
-        copy: Copy,
-    },
-    /// The reader of this process has read everything before `next`.
-    Read {
-        /// The stream.
-        stream: Name,
-        /// The next offset to be read.
-        next: u64,
-        /// The last record of this writer that counted ([`Seen::last`](super::Seen::last)).
-        last: Option<Sequence>,
-    },
-    /// The reader of this process was restored from a snapshot and left out records.
-    Jumped {
-        /// The stream.
-        stream: Name,
-        /// The next offset to be read.
-        next: u64,
-        /// The last record of this writer that counted, in the snapshot's table.
-        last: Option<Sequence>,
-    },
-    /// The number of live entry VMs that share the cell's rate.
-    Entries(u32),
-    /// Time has passed.
-    Tick,
-}
-
-/// What a writer wants done.
-#[state]
-pub enum Output {
-    /// Append `bytes` to the stream.
-    Append {
-        /// The stream.
-        stream: Name,
-        /// The copy, to be given back with the answer.
-        copy: Copy,
-        /// The encoded batch.
-        bytes: Vec<u8>,
-    },
-    /// Records are in the log for good.
-    Durable {
-        /// The stream.
-        stream: Name,
-        /// The records, in the order of their sequence numbers.
-        tickets: Vec<Ticket>,
-    },
-    /// Records may or may not be in the log and will never be appended again.
-    Unknown {
-        /// The stream.
-        stream: Name,
-        /// The records.
-        tickets: Vec<Ticket>,
-    },
-}
-
-/// The settings of a [`Writer`].
-#[state]
-pub struct Builder {
-    node: Node,
-    seed: u64,
-    entries: u32,
-    lane_bytes: usize,
-    window: u64,
-    timeout: Duration,
-}
-
 /// Appends the records of one process.
 #[state]
 pub struct Writer {
@@ -139,60 +52,10 @@
     lanes: BTreeMap<Name, Lane>,
     pace: Pace,
     random: Pcg32,
-    turn: Option<Name>,
+    turns: Turns,
     next_ticket: u64,
 }
 
-impl Builder {
-    /// Starts the settings of a writer for `node` that draws its jitter from `seed`.
-    pub fn new(node: Node, seed: u64) -> Builder {
-        Builder {
-            node,
-            seed,
-            entries: 1,
-            lane_bytes: LANE_BYTES,
-            window: WINDOW,
-            timeout: APPEND_TIMEOUT,
-        }
-    }
-
-    /// Sets how many entry VMs share the cell's rate at the start.
-    pub fn entries(mut self, entries: u32) -> Builder {
-        self.entries = entries;
-        self
-    }
-
-    /// Sets how many bytes of records may wait per stream.
-    pub fn lane_bytes(mut self, bytes: usize) -> Builder {
-        self.lane_bytes = bytes;
-        self
-    }
-
-    /// Sets the window of [`Seen`](super::Seen); all nodes must use the same.
-    pub fn window(mut self, offsets: u64) -> Builder {
-        self.window = offsets;
-        self
-    }
-
-    /// Sets how long an append may stay unanswered.
-    pub fn timeout(mut self, span: Duration) -> Builder {
-        self.timeout = span;
-        self
-    }
-
-    /// Makes the writer.
-    pub fn build(self) -> Writer {
-        Writer {
-            lanes: BTreeMap::new(),
-            pace: Pace::new(self.entries),
-            random: Pcg32::seed_from_u64(self.seed),
-            turn: None,
-            next_ticket: 1,
-            settings: self,
-        }
-    }
-}
-
 impl Writer {
     /// Takes a record for `stream`; the ticket comes back when the record is settled.
     ///
@@ -295,7 +158,14 @@
 
     /// Appends the batch of the next lane in turn, if the pace allows.
     fn append(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let Some(stream) = self.due(now) else {
+        let timeout = self.settings.timeout;
+        let is_due = |lane: &Lane| lane.due(timeout).is_some_and(|due| due <= now);
+        let due = self
+            .lanes
+            .iter()
+            .filter(|(_, lane)| is_due(lane))
+            .map(|(name, _)| name);
+        let Some(stream) = self.turns.next(due).cloned() else {
             return;
         };
         if !self.pace.take(now) {
@@ -316,21 +186,7 @@
             },
             bytes,
         });
-        self.turn = Some(stream);
-    }
-
-    /// Returns the first stream after the last one in turn that has something to append.
-    fn due(&self, now: Instant) -> Option<Name> {
-        let timeout = self.settings.timeout;
-        let is_due = |lane: &Lane| lane.due(timeout).is_some_and(|due| due <= now);
-        let names = || {
-            self.lanes
-                .iter()
-                .filter(|(_, lane)| is_due(lane))
-                .map(|(name, _)| name)
-        };
-        let after = names().find(|name| Some(*name) > self.turn.as_ref());
-        after.or_else(|| names().next()).cloned()
+        self.turns.end(stream);
     }
 
     fn known(&mut self, stream: &Name) -> Option<&mut Lane> {
--- a/tests/testsuite/config/fuzz.rs
+++ b/tests/testsuite/config/fuzz.rs
@@ -262,9 +262,11 @@
         documents.push(store.document().clone());
     }
     assert_eq!(store.history().len(), config::HISTORY);
-    for number in 100 - config::HISTORY..=100 {
-        let document = store.document_at(Version(number as u64)).unwrap();
-        assert_eq!(document, documents[number]);
+    for (number, document) in documents.iter().enumerate().skip(100 - config::HISTORY) {
+        assert_eq!(
+            &store.document_at(Version(number as u64)).unwrap(),
+            document
+        );
     }
     assert!(store.document_at(Version(10)).is_err());
     let diff = store.diff(Version(99), Version(100)).unwrap();
--- a/tests/testsuite/stream/pace.rs
+++ b/tests/testsuite/stream/pace.rs
@@ -174,3 +174,47 @@
     writer.step(Instant(0) + Duration::from_secs(1), read, &mut out);
     assert_eq!(appends(&out)[0].1.seen, 9);
 }
+
+#[test]
+fn urgent_stream_waits_for_one_other_turn() {
+    let builder = Builder::new(node(1, 1), 1)
+        .entries(200)
+        .urgent(stream("urgent"));
+    let mut writer = builder.build();
+    let names: Vec<Name> = (0..20).map(|n| stream(&format!("s{n}"))).collect();
+    let read = |stream: &Name| Input::Read {
+        stream: stream.clone(),
+        next: 0,
+        last: None,
+    };
+    for name in names.iter().chain([&stream("urgent")]) {
+        writer.step(Instant(0), read(name), &mut Vec::new());
+    }
+    let mut order = Vec::new();
+    for second in 1..40 {
+        let now = Instant(second * 1_000_000);
+        for name in &names {
+            writer.push(name, &second).unwrap();
+        }
+        if second % 10 == 0 {
+            writer.push(&stream("urgent"), &second).unwrap();
+        }
+        let mut out = Vec::new();
+        writer.step(now, Input::Tick, &mut out);
+        for (stream, copy) in appends(&out) {
+            order.push(stream.0.clone());
+            let input = Input::Appended {
+                stream: stream.clone(),
+                copy,
+                offset: 0,
+            };
+            writer.step(now, input, &mut Vec::new());
+        }
+    }
+    let turns = order
+        .iter()
+        .enumerate()
+        .filter(|(_, name)| *name == "urgent");
+    let turns: Vec<usize> = turns.map(|(turn, _)| turn + 1).collect();
+    assert_eq!(turns, [10, 20, 30]);
+}
