--- a/src/core/placement/cell/hold.rs
+++ b/src/core/placement/cell/hold.rs
@@ -140,7 +140,7 @@
     fn is_within_share(&self, key: JobKey) -> bool {
         let job = &self.jobs[key];
         let team = &self.teams[job.team];
-        let fits = |share: Amount| (team.used + job.spec.size).fits(share);
+        let fits = |share: Amount| (team.used + job.claim).fits(share);
         team.quota.is_none_or(|quota| fits(quota.share))
     }
 
--- a/src/core/placement/cell/jobs.rs
+++ b/src/core/placement/cell/jobs.rs
@@ -205,9 +205,13 @@
         self.end_if_idle(key);
     }
 
-    /// Writes the end of a job when nothing of it runs any more.
+    /// Writes the end of a job when nothing of it runs any more. A held job may still run where the
+    /// cell does not know.
     pub(super) fn end_if_idle(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
+        if job.is_held {
+            return;
+        }
         let Some(end) = job.ending.filter(|_| job.live == 0 && !job.ended) else {
             return;
         };
@@ -317,6 +321,10 @@
             outcome,
         });
         let index = id.task.index;
+        let tried = Tried {
+            task: index,
+            worker: worker_id,
+        };
         let entry = &mut self.jobs[job];
         entry.live -= 1;
         entry.tasks[index as usize].phase = TaskPhase::Pending;
@@ -329,10 +337,7 @@
                 self.workers[attempt.worker].health.succeed();
             }
             Outcome::Failed => {
-                entry.tried.push(Tried {
-                    task: index,
-                    worker: worker_id,
-                });
+                entry.tried.push(tried);
                 entry.give_back(index);
                 self.blame(attempt.worker, job);
                 self.judge(job, index);
@@ -342,10 +347,10 @@
                 self.delay(job, index);
             }
             Outcome::Stopped | Outcome::NotStarted => {
+                entry.give_back(index);
                 if attempt.intent == Intent::Overrun {
-                    self.grow(job, attempt.accounted);
+                    self.outgrow(job, tried, attempt.accounted);
                 }
-                self.jobs[job].give_back(index);
             }
         }
         self.settle(job, outcome, out);
@@ -397,15 +402,18 @@
         }
     }
 
-    /// Places the tasks of a job with what one of them was seen to use.
-    fn grow(&mut self, key: JobKey, used: Amount) {
-        let fits = |size: &Amount| used.fits(*size);
-        if !self.sizes.keys().any(fits) {
+    /// Takes note that an attempt was ended because it used `used`: the job is granted that much
+    /// from now on, or the attempt counts as a failure when that could never be placed.
+    fn outgrow(&mut self, key: JobKey, tried: Tried, used: Amount) {
+        let mut wish = self.jobs[key].spec.clone();
+        wish.size = self.jobs[key].claim.max(used);
+        if self.admit(&wish).is_ok() {
+            self.dequeue(key);
+            self.jobs[key].claim = wish.size;
             return;
         }
-        self.dequeue(key);
-        let job = &mut self.jobs[key];
-        job.claim = job.claim.max(used);
+        self.jobs[key].tried.push(tried);
+        self.judge(key, tried.task);
     }
 
     /// Queues a lost task again when its turn comes.
--- a/src/core/placement/cell/ledger.rs
+++ b/src/core/placement/cell/ledger.rs
@@ -1,7 +1,7 @@
 //! What is committed on workers and held by teams.
 //!
 //! An attempt counts from the decision to place it until it surely runs nowhere any more. It counts
-//! against its worker with its accounted size and against its team with its declared size.
+//! against its worker with its accounted size and against its team with its granted size.
 
 use super::Cell;
 use crate::core::id::Team;
--- a/src/core/placement/cell/overrun.rs
+++ b/src/core/placement/cell/overrun.rs
@@ -25,12 +25,11 @@
         if intent != Intent::Run {
             return;
         }
-        let claim = attempt.job.map_or(size, |job| self.jobs[job].claim);
         if !is_over {
-            self.recount(key, claim);
+            self.recount(key, size);
             return;
         }
-        self.recount(key, claim.max(usage));
+        self.recount(key, size.max(usage));
         let grace = self.settings.knobs.overrun_grace;
         let has_waited = |control: Control| {
             control.action == Action::Throttle && self.now.since(control.at) >= grace
--- a/src/core/placement/cell/place.rs
+++ b/src/core/placement/cell/place.rs
@@ -9,7 +9,7 @@
 use crate::core::placement::policy::{Ask, Choose as _, Policy, View, check};
 use crate::core::placement::queue::Lane;
 use crate::core::placement::table::{
-    AttemptEntry, AttemptKey, Intent, JobKey, Phase, TaskPhase, TeamKey, WorkerKey,
+    AttemptEntry, AttemptKey, Intent, JobEntry, JobKey, Phase, TaskPhase, TeamKey, WorkerKey,
 };
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
@@ -109,7 +109,7 @@
     fn place_gang(&mut self, key: JobKey) -> Result<(), Miss> {
         let count = self.jobs[key].queued;
         let team = &self.teams[self.jobs[key].team];
-        if !team.allows(self.jobs[key].spec.size.times(u64::from(count))) {
+        if !team.allows(self.jobs[key].claim.times(u64::from(count))) {
             return Err(Miss::Quota);
         }
         let mut placed = Vec::with_capacity(count as usize);
@@ -137,7 +137,7 @@
     /// Finds a worker for one task and counts the task against it.
     fn place_one(&mut self, key: JobKey) -> Result<AttemptKey, Miss> {
         let team = &self.teams[self.jobs[key].team];
-        if !team.allows(self.jobs[key].spec.size) {
+        if !team.allows(self.jobs[key].claim) {
             return Err(Miss::Quota);
         }
         let index = self.jobs[key].take().ok_or(Miss::Worker)?;
@@ -154,6 +154,7 @@
         let job = &self.jobs[key];
         let mut ask = Ask::new(key, job, self.now, ends_at);
         ask.task = Some(index);
+        ask.is_aged = self.is_aged(job);
         if job.tried.len() * 2 >= self.roster.len() {
             ask.tried = &[];
         }
@@ -173,6 +174,11 @@
         self.chooser.choose(&ask, view)
     }
 
+    /// Returns whether a job has waited so long that rules of thrift no longer apply to it.
+    pub(super) fn is_aged(&self, job: &JobEntry) -> bool {
+        self.now.since(job.queued_at) >= self.settings.knobs.reserve_after
+    }
+
     /// Returns when a task of the job is expected to end if it starts now.
     pub(super) fn predict(&self, key: JobKey) -> Instant {
         let spec = &self.jobs[key].spec;
@@ -202,7 +208,7 @@
             id,
             job: Some(key),
             worker,
-            size: job.spec.size,
+            size: job.claim,
             accounted: job.claim,
             phase: Phase::Recording,
             intent: Intent::Run,
@@ -230,6 +236,7 @@
         let record = Record::Placed {
             attempt: attempt.id,
             worker: self.workers[attempt.worker].id,
+            size: attempt.size,
         };
         self.counters.placed += 1;
         self.write(record);
--- a/src/core/placement/cell/query.rs
+++ b/src/core/placement/cell/query.rs
@@ -198,7 +198,8 @@
     pub fn explain(&self, id: id::Job) -> Option<Explanation> {
         let key = *self.job_ids.get(&id)?;
         let job = &self.jobs[key];
-        let ask = Ask::new(key, job, self.now, self.predict(key));
+        let mut ask = Ask::new(key, job, self.now, self.predict(key));
+        ask.is_aged = self.is_aged(job);
         let mut refused = BTreeMap::new();
         let mut suited = 0;
         for worker in self.workers.values() {
@@ -233,7 +234,7 @@
                 false => Waiting::Nothing,
             };
         }
-        if !self.teams[job.team].allows(job.spec.size) {
+        if !self.teams[job.team].allows(job.claim) {
             return Waiting::Quota;
         }
         if self.reserved_start(key).is_some() {
--- a/src/core/placement/cell/recover.rs
+++ b/src/core/placement/cell/recover.rs
@@ -120,7 +120,11 @@
             Record::Accepted(job) => {
                 self.insert_job(*job);
             }
-            Record::Placed { attempt, worker } => self.apply_placed(attempt, worker),
+            Record::Placed {
+                attempt,
+                worker,
+                size,
+            } => self.apply_placed(attempt, worker, size),
             Record::Left { attempt, outcome } => self.apply_left(attempt, outcome),
             Record::Canceled(job) => self.apply_canceled(job),
             Record::Ended { job, end } => self.apply_ended(job, end),
@@ -135,7 +139,7 @@
     }
 
     /// Counts an attempt that may run.
-    fn apply_placed(&mut self, id: Attempt, worker: id::Worker) {
+    fn apply_placed(&mut self, id: Attempt, worker: id::Worker, size: Amount) {
         let Some(job) = self.job_of(id).filter(|&job| !self.is_known(job, id)) else {
             return;
         };
@@ -146,13 +150,12 @@
         }
         let worker = self.worker(worker);
         let knobs = &self.settings.knobs;
-        let spec = &self.jobs[job].spec;
         let entry = AttemptEntry {
             id,
             job: Some(job),
             worker,
-            size: spec.size,
-            accounted: spec.size,
+            size,
+            accounted: size,
             phase: Phase::Starting,
             intent: Intent::Run,
             counted: false,
@@ -166,6 +169,7 @@
         self.attempt_ids.insert(id, key);
         self.workers[worker].attempts.push(key);
         let entry = &mut self.jobs[job];
+        entry.claim = entry.claim.max(size);
         let task = &mut entry.tasks[index as usize];
         task.number = id.number;
         task.phase = TaskPhase::Live(key);
@@ -265,30 +269,30 @@
             if job.succeeded == job.spec.tasks && job.ending.is_none() {
                 job.ending = Some(End::Succeeded);
             }
-            if job.ending.is_some() {
+            if is_held {
+                self.held.push(key);
+            }
+            if self.jobs[key].ending.is_some() {
                 self.stopping.push_back(Stopping::new(key));
                 self.end_if_idle(key);
             } else {
-                self.resume_job(key, is_held);
+                self.resume_job(key);
             }
         }
     }
 
-    /// Queues a job, now or when no unknown attempt can hold a lease any more.
-    fn resume_job(&mut self, key: JobKey, is_held: bool) {
+    /// Queues a job that is not to end.
+    fn resume_job(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
         if job.spec.class == Class::Gang && job.live > 0 {
             let deadline = self.now + job.spec.gang_timeout;
             job.gang_deadline = Some(deadline);
             self.gangs.insert((deadline, key));
         }
-        if is_held {
-            self.held.push(key);
-        }
         self.enqueue(key);
     }
 
-    /// Queues the held jobs when their time has come.
+    /// Lets go of the held jobs when no unknown attempt can hold a lease any more.
     pub(super) fn release_held(&mut self) {
         if self.held.is_empty() || self.now < self.held_until {
             return;
@@ -296,6 +300,7 @@
         for key in std::mem::take(&mut self.held) {
             if let Some(job) = self.jobs.get_mut(key) {
                 job.is_held = false;
+                self.end_if_idle(key);
                 self.enqueue(key);
             }
         }
@@ -325,8 +330,12 @@
         };
         let outcome = match task.phase {
             TaskPhase::Live(key) => {
-                let worker = self.workers[self.attempts[key].worker].id;
-                return Some(Record::Placed { attempt, worker });
+                let live = &self.attempts[key];
+                return Some(Record::Placed {
+                    attempt,
+                    worker: self.workers[live.worker].id,
+                    size: live.size,
+                });
             }
             TaskPhase::Succeeded => Outcome::Succeeded,
             TaskPhase::Pending | TaskPhase::Delayed => Outcome::Stopped,
--- a/src/core/placement/message.rs
+++ b/src/core/placement/message.rs
@@ -131,7 +131,7 @@
     pub worker: id::Worker,
     /// The attempt.
     pub attempt: Attempt,
-    /// The declared size.
+    /// The size that is granted: the declared one, or more after an overrun.
     pub size: Amount,
     /// What to run.
     pub command: String,
@@ -161,6 +161,8 @@
         attempt: Attempt,
         /// The worker.
         worker: id::Worker,
+        /// The size that it was granted.
+        size: Amount,
     },
     /// An attempt runs nowhere any more.
     Left {
--- a/src/core/placement/policy/filter.rs
+++ b/src/core/placement/policy/filter.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// Keeps processors and memory for the accelerators that are still free.
+/// Keeps processors and memory for the accelerators that are still free, except from urgent work
+/// and from what has waited long.
 #[derive(Debug)]
 pub struct KeepAccelerators;
 
@@ -81,7 +82,8 @@
     fn refuse(ask: &Ask<'_>, worker: &WorkerEntry) -> Option<Refusal> {
         let total = worker.size.accelerators;
         let room = worker.room();
-        if ask.size.accelerators > 0 || total == 0 || ask.class == Class::Urgent {
+        let is_free = ask.class == Class::Urgent || ask.is_aged;
+        if ask.size.accelerators > 0 || total == 0 || is_free {
             return None;
         }
         let keep = |size: u64| size * room.accelerators * KEPT_PERCENT / (total * 100);
--- a/src/core/placement/policy/mod.rs
+++ b/src/core/placement/policy/mod.rs
@@ -83,6 +83,8 @@
     pub data_centres: &'a [(DataCentre, u32)],
     /// Workers that tasks of the job failed on.
     pub tried: &'a [Tried],
+    /// Whether the job has waited so long that rules of thrift no longer apply to it.
+    pub is_aged: bool,
     /// The current time.
     pub now: Instant,
 }
@@ -100,6 +102,7 @@
             racks: &entry.racks,
             data_centres: &entry.data_centres,
             tried: &entry.tried,
+            is_aged: false,
             now,
         }
     }
--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -128,9 +128,9 @@
     pub job: Option<JobKey>,
     /// The worker.
     pub worker: WorkerKey,
-    /// The declared size.
+    /// The size that it was granted.
     pub size: Amount,
-    /// What it is counted with: the declared size or what it was seen to use.
+    /// What it is counted with: the granted size or what it was seen to use.
     pub accounted: Amount,
     /// How far it has come.
     pub phase: Phase,
@@ -186,7 +186,7 @@
     pub spec: Job,
     /// Its team.
     pub team: TeamKey,
-    /// What a task is counted with when placed: the declared size, or more after an overrun.
+    /// What a task is granted: the declared size, or more after an overrun.
     pub claim: Amount,
     /// Its tasks.
     pub tasks: Vec<TaskEntry>,
--- /dev/null
+++ b/tests/testsuite/placement/case.rs
@@ -0,0 +1,1 @@
+//! Focused cases.
