--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -128,9 +128,9 @@
     pub job: Option<JobKey>,
     /// The worker.
     pub worker: WorkerKey,
-    /// The declared size.
+    /// The size that it was granted.
     pub size: Amount,
-    /// What it is counted with: the declared size or what it was seen to use.
+    /// What it is counted with: the granted size or what it was seen to use.
     pub accounted: Amount,
     /// How far it has come.
     pub phase: Phase,
@@ -186,11 +186,12 @@
     pub spec: Job,
     /// Its team.
     pub team: TeamKey,
-    /// What a task is counted with when placed: the declared size, or more after an overrun.
+    /// What a task is granted: the declared size, or more after an overrun.
     pub claim: Amount,
     /// Its tasks.
     pub tasks: Vec<TaskEntry>,
-    /// The first task that was never placed.
+    /// The first task that was never taken from the queue; each before it that waits is in
+    /// `returned`.
     pub(super) fresh: u32,
     /// Tasks that wait for another attempt; entries that no longer wait are skipped.
     pub(super) returned: Vec<u32>,
@@ -329,8 +330,7 @@
         while self.fresh < self.spec.tasks {
             let index = self.fresh;
             self.fresh += 1;
-            let task = &self.tasks[index as usize];
-            if task.number == 0 && task.phase == TaskPhase::Pending {
+            if self.tasks[index as usize].phase == TaskPhase::Pending {
                 return Some(index);
             }
         }
