--- a/tests/testsuite/request.rs
+++ b/tests/testsuite/request.rs
@@ -1,1 +1,8 @@
-//! Stub.
+//! Requests to targets: the parts one by one, then all of them together under faults.
+
+mod dedup;
+mod machine;
+mod oracle;
+mod parts;
+mod slot;
+mod world;
