--- a/src/core/request/dedup/mod.rs
+++ b/src/core/request/dedup/mod.rs
@@ -165,6 +165,8 @@
     Logging(Serial),
     /// Handed over for its run; the serial of the intent while it is not durable.
     Running {
+        /// The request whose run it is.
+        runner: Id,
         /// The intent's record while it is not durable.
         undurable: Option<Serial>,
     },
--- a/src/core/request/dedup/table.rs
+++ b/src/core/request/dedup/table.rs
@@ -243,7 +243,10 @@
         let Some(&id) = entry.waiting.first() else {
             return;
         };
-        entry.progress = Progress::Running { undurable };
+        entry.progress = Progress::Running {
+            runner: id,
+            undurable,
+        };
         self.set_ran(undurable, true);
         out.push(Output::Run { id, key });
     }
@@ -284,9 +287,12 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
-        let Progress::Running { undurable } = entry.progress else {
+        let Progress::Running { runner, undurable } = entry.progress else {
             return;
         };
+        if runner != id {
+            return;
+        }
         entry.waiting.retain(|waiting| *waiting != id);
         let has_others = !entry.waiting.is_empty();
         let is_known = now.instant < self.standing.until && !has_others;
@@ -320,7 +326,7 @@
             return;
         };
         let undurable = match entry.progress {
-            Progress::Running { undurable } => undurable,
+            Progress::Running { undurable, .. } => undurable,
             _ => None,
         };
         entry.progress = Progress::Void;
@@ -343,7 +349,7 @@
         };
         match &mut entry.progress {
             Progress::Logging(wanted) if *wanted == serial => self.begin(now, key, out),
-            Progress::Running { undurable } if *undurable == Some(serial) => *undurable = None,
+            Progress::Running { undurable, .. } if *undurable == Some(serial) => *undurable = None,
             _ => {}
         }
     }
--- a/src/core/request/dispatcher/arrival.rs
+++ b/src/core/request/dispatcher/arrival.rs
@@ -171,14 +171,14 @@
 
     /// Queues a request that the table of keys lets run, or gives the run back.
     pub(super) fn admitted(&mut self, id: Id, key: Key, out: &mut Vec<Output>) {
-        let flight = self.flights.get(&id);
-        let is_waiting = flight.is_some_and(|flight| matches!(flight.stage, Stage::Admitting));
-        if is_waiting {
-            self.enqueue(id);
-            return;
+        match self.flights.get(&id).map(|flight| &flight.stage) {
+            Some(Stage::Admitting) => self.enqueue(id),
+            Some(_) => {}
+            None => {
+                let answer = Answer::refused(Kind::Canceled, "the request no longer waits");
+                self.report(id, key, Report::GaveUp(answer), out);
+            }
         }
-        let answer = Answer::refused(Kind::Canceled, "the request no longer waits");
-        self.report(id, key, Report::GaveUp(answer), out);
     }
 
     /// Puts a request into the queue.
--- a/src/core/request/dispatcher/mod.rs
+++ b/src/core/request/dispatcher/mod.rs
@@ -25,7 +25,7 @@
 pub use self::counter::{Counters, Reason, Traffic};
 pub use self::state::Dispatcher;
 use super::call::{Answer, Call, Id};
-use super::link::Connection;
+use super::link::{Attempt, Connection};
 use super::route::{Partitions, Place};
 use super::{dedup, limit, link, outlier, queue, retry, slot};
 use crate::core::error::Error;
@@ -64,6 +64,15 @@
     pub is_leaving: bool,
 }
 
+/// The targets of the service in one version of the VM list.
+#[message]
+pub struct Listing {
+    /// Grows with each change of the list.
+    pub version: u64,
+    /// The targets.
+    pub targets: Vec<Listed>,
+}
+
 /// Who owns a partition.
 #[value]
 pub struct Owner {
@@ -110,8 +119,8 @@
     ForwardFailed(Id),
     /// A grant of slots came.
     Granted(slot::Grant),
-    /// The VM list changed.
-    Targets(Vec<Listed>),
+    /// A version of the VM list came; an older one than known is ignored.
+    Targets(Listing),
     /// The ownership of a partition changed or was extended.
     Owner(Partition, Option<Owner>),
     /// A target answered.
@@ -120,8 +129,8 @@
         target: Target,
         /// The connection that the answer came on.
         connection: Connection,
-        /// The request that it names.
-        id: Id,
+        /// The attempt that it names.
+        attempt: Attempt,
         /// The answer.
         reply: Reply,
     },
@@ -188,8 +197,8 @@
         target: Target,
         /// The connection.
         connection: Connection,
-        /// The request.
-        id: Id,
+        /// The request and the number of its attempt.
+        attempt: Attempt,
         /// The target must give the request up by then.
         until: Instant,
     },
--- a/src/core/request/dispatcher/pump.rs
+++ b/src/core/request/dispatcher/pump.rs
@@ -5,11 +5,11 @@
 use super::flight::Stage;
 use super::state::At;
 use super::target::Peer;
-use super::{Dispatcher, Listed, Output, Reason};
+use super::{Dispatcher, Listing, Output, Reason};
 use crate::core::error::Kind;
 use crate::core::id::Target;
 use crate::core::request::call::{Answer, Id};
-use crate::core::request::link::Connection;
+use crate::core::request::link::{Attempt, Connection};
 use crate::core::request::queue::{Item, Popped, Rooms};
 use crate::core::request::route::{self, Tier};
 use crate::core::request::slot::Grant;
@@ -93,23 +93,26 @@
         else {
             return false;
         };
-        peer.pool.assign(connection, id);
         let span = peer.holder.fill(now, id, flight.call.deadline);
         let tier = peer.tier;
         let size = u64::from(flight.call.size);
         flight.attempts += 1;
-        let is_first = flight.attempts == 1;
+        let attempt = Attempt {
+            request: id,
+            number: flight.attempts,
+        };
+        peer.pool.assign(connection, attempt);
         flight.stage = Stage::Sent {
             target,
             connection,
             at: now,
         };
-        self.count_attempt(is_first);
+        self.count_attempt(attempt.number == 1);
         self.count_remote(tier, Reason::Request, size);
         out.push(Output::Send {
             target,
             connection,
-            id,
+            attempt,
             until: now + span,
         });
         true
@@ -158,7 +161,12 @@
     }
 
     /// Takes the VM list; a target that is gone has lost its requests.
-    pub(super) fn list(&mut self, now: Instant, listed: &[Listed], out: &mut Vec<Output>) {
+    pub(super) fn list(&mut self, now: Instant, listing: &Listing, out: &mut Vec<Output>) {
+        if listing.version < self.list_version {
+            return;
+        }
+        self.list_version = listing.version;
+        let listed = &listing.targets;
         for entry in listed {
             self.peers.list(*entry);
         }
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -11,6 +11,7 @@
 use super::{Counters, Input, Output, Owner, Reason, Reply, Report, Settings, Verdict};
 use crate::core::id::{Key, Partition};
 use crate::core::request::call::{Answer, Call, Id};
+use crate::core::request::link::Attempt;
 use crate::core::request::queue::{Queue, Times};
 use crate::core::request::rate::Usual;
 use crate::core::request::retry::Budget;
@@ -36,6 +37,7 @@
     pub(super) counters: Counters,
     pub(super) connections: u64,
     pub(super) candidates: Vec<Candidate>,
+    pub(super) list_version: u64,
     asked: Instant,
     checked: Instant,
     is_draining: bool,
@@ -63,6 +65,7 @@
             counters: Counters::default(),
             connections: 0,
             candidates: Vec::new(),
+            list_version: 0,
             asked: Instant(0),
             checked: Instant(0),
             is_draining: false,
@@ -79,14 +82,14 @@
             Input::Returned(id, answer) => self.returned(id, answer, out),
             Input::ForwardFailed(id) => self.forward_failed(now, id, out),
             Input::Granted(grant) => self.granted(now, &grant, out),
-            Input::Targets(listed) => self.list(now, &listed, out),
+            Input::Targets(listing) => self.list(now, &listing, out),
             Input::Owner(partition, owner) => self.own(partition, owner, out),
             Input::Replied {
                 target,
                 connection,
-                id,
+                attempt,
                 reply,
-            } => self.replied(now, (target, connection), id, reply, out),
+            } => self.replied(now, (target, connection), attempt, reply, out),
             Input::Closed {
                 target,
                 connection,
@@ -278,7 +281,7 @@
         &mut self,
         now: Instant,
         (target, connection): At,
-        id: Id,
+        attempt: Attempt,
         reply: Reply,
         out: &mut Vec<Output>,
     ) {
@@ -286,12 +289,12 @@
             return;
         };
         peer.pool.heard(now, connection);
-        if !peer.pool.take(connection, id) {
+        if !peer.pool.take(connection, attempt) {
             self.counters.strays += 1;
             return;
         }
-        peer.holder.release(id);
-        self.end_attempt(now, target, id, reply, out);
+        peer.holder.release(attempt.request);
+        self.end_attempt(now, target, attempt.request, reply, out);
     }
 }
 
--- a/src/core/request/dispatcher/target.rs
+++ b/src/core/request/dispatcher/target.rs
@@ -1,8 +1,9 @@
 //! The targets of a service as one dispatcher sees them.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use laburnum_derive::state;
+use laburnum_derive::{state, value};
 
 use super::{Listed, Settings};
 use crate::core::id::Target;
@@ -22,11 +23,26 @@
     pub(super) holder: Holder,
     pub(super) pool: Pool,
     pub(super) limit: Limit,
-    /// Slots that were wanted at the last ask.
-    wanted: u32,
+    /// What was asked for last.
+    wanted: Wanted,
     asked: Instant,
 }
 
+/// Slots that a target is asked for.
+#[value]
+#[derive(Default)]
+struct Wanted {
+    needs: u32,
+    wants: u32,
+}
+
+/// Slots that are still to be asked for.
+#[value]
+struct Demand {
+    needs: u32,
+    spare: u32,
+}
+
 /// All targets of the service.
 #[state]
 pub(super) struct Peers {
@@ -64,6 +80,21 @@
         if can_connect { room } else { 0 }
     }
 
+    /// Returns how many slots the target will give; it is judged by what it gave when it was asked.
+    fn expected(&self, now: Instant, wanted: Wanted) -> u32 {
+        let held = self.holder.held(now);
+        let is_short = held < self.wanted.wants.min(wanted.wants);
+        if is_short { held } else { wanted.wants }
+    }
+
+    /// Returns whether the target is asked now: at intervals, or when more is needed.
+    fn is_ask_due(&self, now: Instant, wanted: Wanted, renewal: Duration) -> bool {
+        let is_due = now.since(self.asked) >= renewal || wanted.needs > self.wanted.needs;
+        let holds = self.holder.held(now) > 0 || self.holder.used() > 0;
+        let has_business = wanted.wants > 0 || holds;
+        is_due && has_business && !self.holder.is_asking(now)
+    }
+
     /// Closes all connections and returns them.
     pub(super) fn close(&mut self) -> Vec<Connection> {
         self.pool.clear()
@@ -98,7 +129,7 @@
             holder: Holder::new(settings.slot, member, target),
             pool: Pool::new(settings.link),
             limit: Limit::new(settings.limit),
-            wanted: 0,
+            wanted: Wanted::default(),
             asked: Instant(0),
         });
         peer.listed = listed;
@@ -151,49 +182,76 @@
     /// Asks for slots for `waiting` requests, nearest targets first.
     pub(super) fn ask(&mut self, now: Instant, waiting: u32, is_draining: bool) -> Vec<Ask> {
         let used: u32 = self.peers.values().map(|peer| peer.holder.used()).sum();
-        let mut need = used + waiting + if is_draining { 0 } else { HEADROOM };
+        let mut demand = Demand {
+            needs: used + waiting,
+            spare: if is_draining { 0 } else { HEADROOM },
+        };
         let mut asks = Vec::new();
         for tier in [Tier::DataCentre, Tier::Region, Tier::Remote] {
-            let idle = if tier == Tier::DataCentre && !is_draining {
-                IDLE_SLOTS
-            } else {
-                0
-            };
-            need = self.ask_tier(now, tier, need, idle, &mut asks);
+            let is_home = tier == Tier::DataCentre && !is_draining;
+            let idle = if is_home { IDLE_SLOTS } else { 0 };
+            demand = self.ask_tier(now, tier, demand, idle, &mut asks);
         }
         asks
     }
 
-    /// Asks the targets of one tier and returns the need that is left for the next.
+    /// Asks the targets of one tier and returns the demand that is left for the next.
     fn ask_tier(
         &mut self,
         now: Instant,
         tier: Tier,
-        need: u32,
+        demand: Demand,
         idle: u32,
         asks: &mut Vec<Ask>,
-    ) -> u32 {
+    ) -> Demand {
         let detector = &self.detector;
         let renewal = self.settings.slot.renewal;
         let of_tier = |peer: &Peer| peer.tier == tier && peer.is_usable(now, detector);
         let count = self.peers.values().filter(|peer| of_tier(peer)).count() as u32;
-        let share = need.div_ceil(count.max(1)).max(idle);
-        let mut left = need;
+        let share = demand.share(count.max(1), idle);
+        let mut left = demand;
         for peer in self.peers.values_mut().filter(|peer| peer.tier == tier) {
             let is_usable = peer.is_usable(now, detector);
-            let most = peer.listed.capacity.slots;
-            let wants = if is_usable { share.min(most) } else { 0 };
-            let held = peer.holder.held(now);
-            let is_short = held < peer.wanted.min(wants);
-            left = left.saturating_sub(if is_short { held } else { wants });
-            let is_due = now.since(peer.asked) >= renewal || wants > peer.wanted;
-            let has_business = wants > 0 || held > 0 || peer.holder.used() > 0;
-            if is_due && has_business && !peer.holder.is_asking(now) {
-                peer.wanted = wants;
+            let most = if is_usable {
+                peer.listed.capacity.slots
+            } else {
+                0
+            };
+            let wanted = share.at_most(most);
+            left.take(peer.expected(now, wanted));
+            if peer.is_ask_due(now, wanted, renewal) {
+                peer.wanted = wanted;
                 peer.asked = now;
-                asks.push(peer.holder.ask(now, wants));
+                asks.push(peer.holder.ask(now, wanted.needs, wanted.wants));
             }
         }
         left
     }
 }
+
+impl Demand {
+    /// Returns what each of `count` targets is asked for.
+    fn share(self, count: u32, idle: u32) -> Wanted {
+        let all = self.needs + self.spare;
+        Wanted {
+            needs: self.needs.div_ceil(count),
+            wants: all.div_ceil(count).max(idle),
+        }
+    }
+
+    /// Takes off the slots that a target is expected to give.
+    fn take(&mut self, slots: u32) {
+        let for_needs = slots.min(self.needs);
+        self.needs -= for_needs;
+        self.spare = self.spare.saturating_sub(slots - for_needs);
+    }
+}
+
+impl Wanted {
+    fn at_most(self, most: u32) -> Wanted {
+        Wanted {
+            needs: self.needs.min(most),
+            wants: self.wants.min(most),
+        }
+    }
+}
--- a/src/core/request/link.rs
+++ b/src/core/request/link.rs
@@ -2,8 +2,9 @@
 //!
 //! A connection carries one request at a time and answers heartbeats. One that was not heard for
 //! the silence timeout is closed and replaced by another with a new number, and is never used
-//! again. An answer counts only when it comes on the connection that the request was last sent on,
-//! so a late or repeated answer can't reach another request.
+//! again. An answer counts only when it names the attempt and comes on the connection that the
+//! request was last sent with, so a late or repeated answer reaches neither another request nor a
+//! later attempt of the same one.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,6 +18,15 @@
 #[value]
 pub struct Connection(pub u64);
 
+/// One attempt to run a request; the target repeats it in its answer.
+#[value]
+pub struct Attempt {
+    /// The request.
+    pub request: Id,
+    /// Counts the attempts of the request, from 1.
+    pub number: u32,
+}
+
 /// The rules of the connections.
 #[value]
 pub struct Rules {
@@ -36,7 +46,7 @@
 struct Link {
     heard: Instant,
     asked: Instant,
-    request: Option<Id>,
+    attempt: Option<Attempt>,
 }
 
 /// The connections to one target.
@@ -91,7 +101,7 @@
     pub fn idle(&self) -> Option<Connection> {
         self.links
             .iter()
-            .find(|(_, link)| link.request.is_none())
+            .find(|(_, link)| link.attempt.is_none())
             .map(|(&connection, _)| connection)
     }
 
@@ -100,15 +110,15 @@
         let link = Link {
             heard: now,
             asked: now,
-            request: None,
+            attempt: None,
         };
         self.links.insert(connection, link);
     }
 
-    /// Puts `request` on an unused connection.
-    pub fn assign(&mut self, connection: Connection, request: Id) {
+    /// Puts an attempt on an unused connection.
+    pub fn assign(&mut self, connection: Connection, attempt: Attempt) {
         if let Some(link) = self.links.get_mut(&connection) {
-            link.request = Some(request);
+            link.attempt = Some(attempt);
         }
     }
 
@@ -119,15 +129,15 @@
         }
     }
 
-    /// Takes the request off the connection that its answer came on and returns whether it was
+    /// Takes the attempt off the connection that its answer came on and returns whether it was
     /// there.
-    pub fn take(&mut self, connection: Connection, request: Id) -> bool {
+    pub fn take(&mut self, connection: Connection, attempt: Attempt) -> bool {
         if !self.rules.match_connection {
             return true;
         }
         match self.links.get_mut(&connection) {
-            Some(link) if link.request == Some(request) => {
-                link.request = None;
+            Some(link) if link.attempt == Some(attempt) => {
+                link.attempt = None;
                 true
             }
             _ => false,
@@ -136,7 +146,8 @@
 
     /// Removes a connection that was closed and returns the request on it.
     pub fn remove(&mut self, connection: Connection) -> Option<Id> {
-        self.links.remove(&connection)?.request
+        let attempt = self.links.remove(&connection)?.attempt;
+        attempt.map(|attempt| attempt.request)
     }
 
     /// Removes all connections and returns them.
@@ -148,7 +159,7 @@
     /// Takes unused connections out until no more than `most` are open, and returns them.
     pub fn trim(&mut self, now: Instant, most: u32) -> Vec<Connection> {
         let surplus = self.open(now).saturating_sub(most) as usize;
-        let idle = self.links.iter().filter(|(_, link)| link.request.is_none());
+        let idle = self.links.iter().filter(|(_, link)| link.attempt.is_none());
         let closed: Vec<Connection> = idle.map(|(&id, _)| id).take(surplus).collect();
         for connection in &closed {
             self.links.remove(connection);
@@ -163,7 +174,9 @@
         for (&connection, link) in &mut self.links {
             if now.since(link.heard) >= self.rules.silence {
                 check.silent.push(connection);
-                check.lost.extend(link.request);
+                check
+                    .lost
+                    .extend(link.attempt.map(|attempt| attempt.request));
             } else if now.since(link.asked) >= self.rules.heartbeat {
                 link.asked = now;
                 check.ping.push(connection);
--- a/src/core/request/slot/grantor.rs
+++ b/src/core/request/slot/grantor.rs
@@ -12,11 +12,19 @@
 struct Account {
     sequence: u64,
     counted: u32,
+    needs: u32,
     wants: u32,
     /// When the slots are surely free, unless renewed.
     until: Instant,
 }
 
+/// What a member asks for and is dealt.
+struct Hand {
+    needs: u32,
+    wants: u32,
+    dealt: u32,
+}
+
 /// Lends the slots of one target.
 #[state]
 pub struct Grantor {
@@ -69,6 +77,7 @@
         let account = Account {
             sequence: ask.sequence,
             counted: slots.max(ask.keeps),
+            needs: ask.needs,
             wants: ask.wants,
             until: now + self.rules.lifetime(),
         };
@@ -95,7 +104,7 @@
         }
         let others: u32 = self.others(ask.member).map(|account| account.counted).sum();
         let free = self.capacity.slots.saturating_sub(others);
-        self.fair_share(ask).min(free).min(ask.wants)
+        self.fair_share(now, ask).min(free)
     }
 
     /// Returns the accounts of all members but one.
@@ -106,21 +115,54 @@
             .map(|(_, account)| account)
     }
 
-    /// Returns the member's max-min fair share of the capacity by what all want.
-    fn fair_share(&self, ask: &Ask) -> u32 {
-        let mut wants: Vec<u32> = self.others(ask.member).map(|other| other.wants).collect();
-        wants.push(ask.wants);
-        wants.sort_unstable();
+    /// Returns the member's max-min fair share: slots are dealt out one by one, first for what
+    /// members need and then for what they want.
+    fn fair_share(&self, now: Instant, ask: &Ask) -> u32 {
+        let mut hands: Vec<Hand> = self.others(ask.member).map(Hand::of).collect();
+        let before = self.accounts.keys().filter(|other| **other < ask.member);
+        let own = before.count();
+        let hand = Hand {
+            needs: ask.needs,
+            wants: ask.wants,
+            dealt: 0,
+        };
+        hands.insert(own, hand);
+        let start = self.turn(now) % hands.len();
         let mut left = self.capacity.slots;
-        let mut members = wants.len() as u32;
-        for want in wants {
-            let level = left.div_ceil(members);
-            if want > level {
-                return level;
+        deal(&mut hands, start, &mut left, |hand| hand.needs);
+        deal(&mut hands, start, &mut left, |hand| hand.wants);
+        hands[own].dealt
+    }
+
+    /// Returns which member is dealt the first slot, so that all have a turn when slots are few.
+    fn turn(&self, now: Instant) -> usize {
+        (now.0 / self.rules.span.as_micros().max(1) as u64) as usize
+    }
+}
+
+impl Hand {
+    fn of(account: &Account) -> Hand {
+        Hand {
+            needs: account.needs,
+            wants: account.wants,
+            dealt: 0,
+        }
+    }
+}
+
+/// Deals slots round by round to those that have less than they ask for.
+fn deal(hands: &mut [Hand], start: usize, left: &mut u32, asks: impl Fn(&Hand) -> u32) {
+    let mut is_dealing = true;
+    while is_dealing {
+        is_dealing = false;
+        for step in 0..hands.len() {
+            let index = (start + step) % hands.len();
+            let is_short = hands[index].dealt < asks(&hands[index]);
+            if is_short && *left > 0 {
+                hands[index].dealt += 1;
+                *left -= 1;
+                is_dealing = true;
             }
-            left -= want;
-            members -= 1;
         }
-        ask.wants
     }
 }
--- a/src/core/request/slot/holder.rs
+++ b/src/core/request/slot/holder.rs
@@ -65,8 +65,8 @@
         }
     }
 
-    /// Asks for slots; `wants` counts filled ones.
-    pub fn ask(&mut self, now: Instant, wants: u32) -> Ask {
+    /// Asks for slots: those that there are requests for, and those to have at hand.
+    pub fn ask(&mut self, now: Instant, needs: u32, wants: u32) -> Ask {
         self.expire(now);
         let in_force = if self.is_in_force(now) {
             self.lease.slots
@@ -84,7 +84,8 @@
             target: self.target,
             sequence: self.sequence,
             keeps: in_force.min(wants).max(self.used()),
-            wants: wants.max(self.used()),
+            needs: needs.max(self.used()),
+            wants: wants.max(needs).max(self.used()),
         }
     }
 
--- a/src/core/request/slot/mod.rs
+++ b/src/core/request/slot/mod.rs
@@ -70,7 +70,9 @@
     pub sequence: u64,
     /// Slots that the member keeps until it has an answer to this ask.
     pub keeps: u32,
-    /// Slots that the member could use.
+    /// Slots that the member has requests for, sent or waiting.
+    pub needs: u32,
+    /// Slots that the member would like to have, needed ones included.
     pub wants: u32,
 }
 
--- a/tests/testsuite/request.rs
+++ b/tests/testsuite/request.rs
@@ -5,4 +5,5 @@
 mod oracle;
 mod parts;
 mod slot;
+mod switch;
 mod world;
--- a/tests/testsuite/request/world.rs
+++ b/tests/testsuite/request/world.rs
@@ -11,9 +11,9 @@
     self, Acquired, How, Now, Record, Serial, Standing, Term,
 };
 use laburnumplank::core::request::dispatcher::{
-    Input, Listed, Output, Owner, Reply, Report, Verdict,
+    Input, Listed, Listing, Output, Owner, Reply, Report, Verdict,
 };
-use laburnumplank::core::request::link::{self, Connection};
+use laburnumplank::core::request::link::{self, Attempt, Connection};
 use laburnumplank::core::request::retry;
 use laburnumplank::core::request::route::{Partitions, Place};
 use laburnumplank::core::request::slot::{self, Ask, Capacity, Grantor, Member};
@@ -87,6 +87,12 @@
         bulk: bool,
     },
     Cancel,
+    /// Kills the owner of the newest key.
+    KillOwner,
+    /// Pauses the owner of the newest key.
+    PauseOwner,
+    /// Ends all faults of processes, the network and the log.
+    Heal,
     Advance {
         ms: u64,
     },
@@ -158,7 +164,7 @@
         from: usize,
         target: Target,
         connection: Connection,
-        id: Id,
+        attempt: Attempt,
         span: Duration,
     },
     Land {
@@ -202,7 +208,7 @@
     from: usize,
     incarnation: u64,
     connection: Connection,
-    id: Id,
+    attempt: Attempt,
     key: Option<Key>,
     ends: Instant,
 }
@@ -229,10 +235,12 @@
     streams: Vec<Vec<Record>>,
     log_up: bool,
     loses_answers: bool,
+    pub(super) longest_run: Duration,
     cuts: Vec<(usize, usize)>,
     /// Events by time and order, with the process that they are for.
     events: BTreeMap<(Instant, u64), (usize, u64, Event)>,
     order: u64,
+    list_version: u64,
     keys: Vec<Key>,
     calls: BTreeMap<Id, Call>,
     incarnations: u64,
@@ -263,9 +271,11 @@
             streams: vec![Vec::new(); usize::from(PARTITIONS)],
             log_up: true,
             loses_answers: false,
+            longest_run: millis(300),
             cuts: Vec::new(),
             events: BTreeMap::new(),
             order: 0,
+            list_version: 0,
             keys: Vec::new(),
             calls: BTreeMap::new(),
             incarnations: 0,
@@ -294,6 +304,9 @@
                 bulk,
             } => self.submit(entry, key, span_ms, bulk),
             Op::Cancel => self.cancel(),
+            Op::KillOwner => self.kill(self.owner_of_newest()),
+            Op::PauseOwner => self.pause(self.owner_of_newest()),
+            Op::Heal => self.heal(),
             Op::Advance { ms } => self.advance(millis(ms)),
             Op::Kill { entry } => self.kill(entry),
             Op::Restart { entry } => self.restart(entry),
@@ -330,9 +343,22 @@
     }
 
     /// Returns the entry that owns the newest key.
-    pub(super) fn owner_of_newest(&self) -> usize {
-        let key = *self.keys.last().unwrap();
-        self.leases[usize::from(Partitions(PARTITIONS).of_key(key).0)].owner
+    fn owner_of_newest(&self) -> usize {
+        let partition = self
+            .keys
+            .last()
+            .map(|key| Partitions(PARTITIONS).of_key(*key).0);
+        self.leases[usize::from(partition.unwrap_or(0))].owner
+    }
+
+    fn heal(&mut self) {
+        self.log_up = true;
+        self.loses_answers = false;
+        self.cuts.clear();
+        for index in 0..ENTRIES {
+            self.resume(index);
+            self.restart(index);
+        }
     }
 
     fn start(&mut self, index: usize) -> Entry {
@@ -362,7 +388,7 @@
 
     /// Tells a new process the targets and the owners.
     fn introduce(&mut self, index: usize) {
-        let listed = self.listed();
+        let listed = self.listing();
         self.input(index, Input::Targets(listed));
         for partition in 0..self.leases.len() {
             let owner = self.owner(partition);
@@ -638,7 +664,8 @@
     fn leave(&mut self, target: u32, is_leaving: bool) {
         self.runners[target as usize].is_leaving = is_leaving;
         self.runners[target as usize].left_at = is_leaving.then_some(self.now);
-        let listed = self.listed();
+        self.list_version += 1;
+        let listed = self.listing();
         for index in 0..ENTRIES {
             let delay = self.random_span(millis(200));
             self.schedule(
@@ -649,7 +676,7 @@
         }
     }
 
-    fn listed(&self) -> Vec<Listed> {
+    fn listing(&self) -> Listing {
         let runners = self.runners.iter().enumerate();
         let listed = runners.map(|(index, runner)| Listed {
             target: Target(index as u32),
@@ -657,7 +684,10 @@
             capacity: CAPACITY,
             is_leaving: runner.is_leaving,
         });
-        listed.collect()
+        Listing {
+            version: self.list_version,
+            targets: listed.collect(),
+        }
     }
 
     fn tick(&mut self) {
@@ -727,10 +757,10 @@
                 from,
                 target,
                 connection,
-                id,
+                attempt,
                 span,
             } => {
-                return self.receive((from, incarnation, connection), target, id, span);
+                return self.receive((from, incarnation, connection), target, attempt, span);
             }
             _ => {}
         }
@@ -820,7 +850,17 @@
         let is_lost = !is_taken || !self.log_up || self.loses_answers;
         let entry = &mut self.entries[from];
         let is_same = entry.is_alive && entry.incarnation == incarnation;
-        if is_lost && is_same {
+        if is_lost && is_same && is_taken && self.random.random_bool(0.8) {
+            let delay = self.random_span(millis(400));
+            let event = Event::Land {
+                partition,
+                term,
+                from,
+                serial,
+                record,
+            };
+            self.schedule(delay, from, event);
+        } else if is_lost && is_same {
             entry.appends.push((partition, term, serial, record));
         } else if is_same {
             let delay = self.random_span(millis(5));
@@ -897,7 +937,7 @@
             Output::Send {
                 target,
                 connection,
-                id,
+                attempt,
                 until,
             } => {
                 let span = until.since(self.now);
@@ -906,7 +946,7 @@
                     from: index,
                     target,
                     connection,
-                    id,
+                    attempt,
                     span,
                 };
                 self.schedule(delay, index, event);
@@ -988,12 +1028,18 @@
     }
 
     /// A request reaches a target.
-    fn receive(&mut self, at: (usize, u64, Connection), target: Target, id: Id, span: Duration) {
+    fn receive(
+        &mut self,
+        at: (usize, u64, Connection),
+        target: Target,
+        attempt: Attempt,
+        span: Duration,
+    ) {
         let (from, incarnation, connection) = at;
         let is_faulty = self.runners[target.0 as usize].is_faulty;
         let is_silent = self.runners[target.0 as usize].silent.contains(&at);
         let is_refused = self.random.random_ratio(1, 15);
-        let takes = self.random_span(millis(400)).min(span);
+        let takes = self.random_span(self.longest_run).min(span);
         let runner = &mut self.runners[target.0 as usize];
         if is_silent {
             return;
@@ -1011,18 +1057,18 @@
                 true => Reply::Refused,
                 false => Reply::Failed(Error::new(Kind::TargetFailed, "it fails everything")),
             };
-            if let (false, Some(key)) = (is_refused, self.calls[&id].key()) {
+            if let (false, Some(key)) = (is_refused, self.calls[&attempt.request].key()) {
                 self.oracle.ran(key);
             }
-            return self.reply(from, incarnation, target, connection, id, reply);
+            return self.reply(from, incarnation, target, connection, attempt, reply);
         }
-        let key = self.calls[&id].key();
+        let key = self.calls[&attempt.request].key();
         let ends = self.now + takes;
         runner.runs.push(Run {
             from,
             incarnation,
             connection,
-            id,
+            attempt,
             key,
             ends,
         });
@@ -1054,14 +1100,14 @@
                     self.late_reply(index, &run);
                     continue;
                 }
-                let reply = Reply::Done(body_of(run.id, run.key));
+                let reply = Reply::Done(body_of(run.attempt.request, run.key));
                 let target = Target(index as u32);
                 self.reply(
                     run.from,
                     run.incarnation,
                     target,
                     run.connection,
-                    run.id,
+                    run.attempt,
                     reply,
                 );
             }
@@ -1075,13 +1121,16 @@
             return;
         }
         let others: Vec<Id> = self.calls.keys().copied().rev().take(4).collect();
-        for id in others.into_iter().chain([run.id]) {
+        let others = others
+            .into_iter()
+            .map(|request| Attempt { request, number: 1 });
+        for attempt in others.chain([run.attempt]) {
             let delay = millis(500) + self.random_span(millis(500));
             let event = Event::Dispatcher(Input::Replied {
                 target: Target(index as u32),
                 connection: run.connection,
-                id,
-                reply: Reply::Done(body_of(run.id, run.key)),
+                attempt,
+                reply: Reply::Done(body_of(run.attempt.request, run.key)),
             });
             self.schedule(delay, run.from, event);
         }
@@ -1093,7 +1142,7 @@
         incarnation: u64,
         target: Target,
         connection: Connection,
-        id: Id,
+        attempt: Attempt,
         reply: Reply,
     ) {
         if self.entries[from].incarnation != incarnation {
@@ -1104,7 +1153,7 @@
             let event = Event::Dispatcher(Input::Replied {
                 target,
                 connection,
-                id,
+                attempt,
                 reply: reply.clone(),
             });
             self.schedule(delay, from, event);
