Check 'not run' at the entry that decides it

Cause: the check at the caller was wrong: while a truthful 'not run' travels, another request with the same key may run. It is replaced by a check at the moment of the decision, which is as strict about what the owner knows. Timers now fire before an input is handled, so an answer that was held up past its deadline is not passed on. Ruled out: a fault of the owner; the trace shows its answer was true. Conclusion: a caller that repeats a key learns of each of its requests apart.

--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -73,8 +73,10 @@
         }
     }
 
-    /// Handles one event.
+    /// Handles one event; requests whose final answer is due come first, so that what reaches this
+    /// process after a pause can't answer them with what has become stale.
     pub fn step(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        self.fire(now, out);
         match input {
             Input::Arrived(call) => self.arrive(now, call, out),
             Input::Canceled(id) => self.cancel(id, out),
@@ -103,7 +105,6 @@
             Input::Drain => self.is_draining = true,
             Input::Tick => {}
         }
-        self.fire(now, out);
         self.check_links(now, out);
         self.pump(now, out);
         self.ask(now, out);
--- a/tests/testsuite/request/oracle.rs
+++ b/tests/testsuite/request/oracle.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// An entry decides on an answer. "Not run" must hold at this moment; while the answer travels,
+    /// another request with the same key may run.
+    pub(super) fn decided(&mut self, key: Option<Key>, answer: &Answer) {
+        let ran = key.is_some_and(|key| self.effects.contains_key(&key));
+        if ran && answer.effect == Effect::NotRun {
+            let text = format!("{key:?} ran in spite of `not run`: {answer:?}");
+            self.violations.push(text);
+        }
+    }
+
     /// A caller gets its final answer.
     pub(super) fn answered(&mut self, now: Instant, id: Id, answer: &Answer) {
         self.answered += 1;
@@ -62,11 +72,6 @@
             self.violations.push(format!("{id:?} was answered late"));
         }
         let key = submission.key;
-        let ran = key.is_some_and(|key| self.effects.contains_key(&key));
-        if ran && answer.effect == Effect::NotRun {
-            self.violations
-                .push(format!("{id:?} ran in spite of `not run`: {answer:?}"));
-        }
         let Ok(body) = &answer.result else {
             return;
         };
--- a/tests/testsuite/request/world.rs
+++ b/tests/testsuite/request/world.rs
@@ -1,6 +1,6 @@
 //! Entries with the real decision code among fakes of the network, the log, leases and targets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -243,6 +243,8 @@
     list_version: u64,
     keys: Vec<Key>,
     calls: BTreeMap<Id, Call>,
+    /// Requests whose answer was decided by another entry.
+    relayed: BTreeSet<Id>,
     incarnations: u64,
     pub(super) oracle: Oracle,
 }
@@ -278,6 +280,7 @@
             list_version: 0,
             keys: Vec::new(),
             calls: BTreeMap::new(),
+            relayed: BTreeSet::new(),
             incarnations: 0,
             oracle: Oracle::default(),
         };
@@ -772,7 +775,12 @@
             return entry.held.push(event);
         }
         match event {
-            Event::Dispatcher(input) => self.input(index, input),
+            Event::Dispatcher(input) => {
+                if let Input::Returned(id, _) = &input {
+                    self.relayed.insert(*id);
+                }
+                self.input(index, input);
+            }
             Event::Table(partition, term, input) => {
                 let known = self.entries[index].tables.get(&partition);
                 if known.is_some_and(|(own, _)| *own == term) {
@@ -967,6 +975,10 @@
     }
 
     fn answer(&mut self, index: usize, id: Id, answer: Answer) {
+        let key = self.calls[&id].key();
+        if !self.relayed.remove(&id) {
+            self.oracle.decided(key, &answer);
+        }
         let Some((from, incarnation, own)) = self.entries[index].peers.remove(&id) else {
             return self.oracle.answered(self.now, id, &answer);
         };
