Match target answers by attempt

Cause: the dispatcher now names the attempt in each request, so that a late answer of an earlier attempt is told from the present one's. Ruled out: matching by connection alone, which a repeated answer on a kept connection would pass. Conclusion: the request id that a target repeats carries the attempt.

--- a/src/daemon/dispatch/connection.rs
+++ b/src/daemon/dispatch/connection.rs
@@ -14,9 +14,8 @@
 use super::Event;
 use crate::core::error::{Error, Kind};
 use crate::core::id::{Key, Target};
-use crate::core::request::call::Id;
 use crate::core::request::dispatcher::{Input, Reply};
-use crate::core::request::link::Connection;
+use crate::core::request::link::{Attempt, Connection};
 use crate::daemon::Context;
 use crate::platform::client::{Call, Client, Failure};
 use crate::util::metric::label;
@@ -28,8 +27,8 @@
 
 /// A request to a target.
 pub(super) struct Request {
-    /// The id that the target repeats.
-    pub(super) id: Id,
+    /// The request and the number of its attempt.
+    pub(super) attempt: Attempt,
     /// The method.
     pub(super) method: String,
     /// The key of a request that runs at most once.
@@ -118,7 +117,7 @@
         link.task = Some(actix_rt::spawn(async move {
             let call = Call {
                 method: &request.method,
-                request_id: request.id.0,
+                request_id: &request_id(request.attempt),
                 key: request.key,
                 body: request.body,
                 timeout: request.timeout,
@@ -128,7 +127,7 @@
                 .metrics
                 .dispatches
                 .add(1, &label("outcome", outcome(&result)));
-            let input = input(target, connection, request.id, result);
+            let input = input(target, connection, request.attempt, result);
             context.dispatch(Event::Target { target, input });
         }));
     }
@@ -162,8 +161,18 @@
     }
 }
 
+/// Returns the id that the target repeats.
+fn request_id(attempt: Attempt) -> String {
+    format!("{:016x}-{}", attempt.request.0, attempt.number)
+}
+
 /// Returns what a dispatcher is told of a request that ended.
-fn input(target: Target, connection: Connection, id: Id, result: Result<Bytes, Failure>) -> Input {
+fn input(
+    target: Target,
+    connection: Connection,
+    attempt: Attempt,
+    result: Result<Bytes, Failure>,
+) -> Input {
     let reply = match result {
         Ok(body) => Reply::Done(body),
         Err(Failure::Status(REFUSED, _)) => Reply::Refused,
@@ -189,7 +198,7 @@
     Input::Replied {
         target,
         connection,
-        id,
+        attempt,
         reply,
     }
 }
--- a/src/daemon/dispatch/mod.rs
+++ b/src/daemon/dispatch/mod.rs
@@ -24,8 +24,10 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Partition, Service, Target};
 use crate::core::request::call::{Answer, Id};
-use crate::core::request::dispatcher::{self, Input, Listed, Output, Owner, Report, Verdict};
-use crate::core::request::link::Connection;
+use crate::core::request::dispatcher::{
+    self, Input, Listed, Listing, Output, Owner, Report, Verdict,
+};
+use crate::core::request::link::{Attempt, Connection};
 use crate::core::request::route::Partitions;
 use crate::core::request::slot::{Capacity, Grant, Member};
 use crate::core::request::{self, Dispatcher, Origin, Safety, dedup};
@@ -294,7 +296,8 @@
         let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
         for service in services {
             let targets = listed.remove(&service).unwrap_or_default();
-            self.step(&service, Input::Targets(targets));
+            let version = list.version;
+            self.step(&service, Input::Targets(Listing { version, targets }));
         }
     }
 
@@ -374,9 +377,11 @@
             Output::Send {
                 target,
                 connection,
-                id,
+                attempt,
                 until,
-            } => self.send(now, target, connection, id, until),
+            } => {
+                self.send(now, target, connection, attempt, until);
+            }
             Output::Ping(target, connection) => self.pool.ping(target, connection),
             Output::Close(target, connection) => self.pool.close(target, connection),
             Output::Drained => {}
@@ -438,10 +443,10 @@
         now: Instant,
         target: Target,
         connection: Connection,
-        id: Id,
+        attempt: Attempt,
         until: Instant,
     ) {
-        let Some(pending) = self.pending.get_mut(&id) else {
+        let Some(pending) = self.pending.get_mut(&attempt.request) else {
             return;
         };
         pending.target = Some(target);
@@ -450,7 +455,7 @@
             .dispatches
             .add(1, &label("outcome", "sent"));
         let request = connection::Request {
-            id,
+            attempt,
             method: pending.call.method.clone(),
             key: pending.call.key,
             body: pending.body.clone(),
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use awc::http::StatusCode;
+use awc::http::header::HeaderMap;
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -183,12 +184,16 @@
             .http
             .post(&url)
             .timeout(call.timeout)
-            .insert_header((target::REQUEST_ID, call.request_id.to_string()))
+            .insert_header((target::REQUEST_ID, call.request_id))
             .insert_header((target::TIMEOUT_MS, call.timeout.as_millis().to_string()));
         if let Some(key) = call.key {
             request = request.insert_header((target::KEY, key.to_string()));
         }
-        answer(request.send_body(call.body.clone()).await).await
+        let sent = request.send_body(call.body.clone()).await;
+        if let Ok(response) = &sent {
+            check_id(response.headers(), call.request_id)?;
+        }
+        answer(sent).await
     }
 
     /// Asks for any answer, whatever its status; returns whether one came.
@@ -222,7 +227,7 @@
     /// The method.
     pub method: &'a str,
     /// The id that the target repeats.
-    pub request_id: u64,
+    pub request_id: &'a str,
     /// The idempotency key.
     pub key: Option<Key>,
     /// The body.
@@ -231,6 +236,16 @@
     pub timeout: Duration,
 }
 
+/// Refuses an answer that names another request.
+fn check_id(headers: &HeaderMap, expected: &str) -> Result<(), Failure> {
+    match headers.get(target::REQUEST_ID) {
+        Some(id) if id.as_bytes() != expected.as_bytes() => Err(Failure::Unknown(
+            "the answer belongs to another request".to_owned(),
+        )),
+        _ => Ok(()),
+    }
+}
+
 /// What `awc` returns for a sent request.
 type Sent<S> = Result<awc::ClientResponse<S>, awc::error::SendRequestError>;
 
