--- /dev/null
+++ b/tests/testsuite/daemon/config.rs
@@ -0,0 +1,107 @@
+use laburnum_testkit::cell::Cell;
+use laburnumplank::api::schema::{
+    ConfigVersion, GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse,
+    PutConfigRequest, PutConfigResponse,
+};
+use laburnumplank::core::error::{Kind, Result};
+use serde_json::json;
+
+use super::{cell, client, eventually, run};
+
+/// Returns a document that gives a team a quota.
+fn document(cores: u64) -> String {
+    json!({ "teams": { "bars": { "quota": { "cpu_millis": cores * 1_000, "memory_mib": 1_024 } } } }).to_string()
+}
+
+async fn put(cell: &Cell, entry: usize, base: u64, document: String) -> Result<u64> {
+    let request = PutConfigRequest {
+        base_version: base,
+        author: "ana".to_owned(),
+        document,
+    };
+    let answer: PutConfigResponse = client(cell, entry)
+        .call("Operator", "PutConfig", &request)
+        .await?;
+    Ok(answer.version)
+}
+
+async fn get(cell: &Cell, entry: usize) -> ConfigVersion {
+    let request = GetConfigRequest { version: 0 };
+    let answer: GetConfigResponse = client(cell, entry)
+        .call("Operator", "GetConfig", &request)
+        .await
+        .unwrap();
+    answer.config.unwrap()
+}
+
+#[test]
+fn put_is_in_force_on_all_entries() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        assert_eq!(put(&cell, 0, 0, document(1)).await.unwrap(), 1);
+        assert_eq!(put(&cell, 0, 1, document(2)).await.unwrap(), 2);
+        let cell = &cell;
+        for entry in 0..3 {
+            eventually("version 2", || async move {
+                get(cell, entry).await.version == 2
+            })
+            .await;
+        }
+        let list = ListConfigRequest {};
+        let list: ListConfigResponse = client(cell, 1)
+            .call("Operator", "ListConfig", &list)
+            .await
+            .unwrap();
+        let versions: Vec<u64> = list
+            .versions
+            .iter()
+            .map(|version| version.version)
+            .collect();
+        assert_eq!(versions.first(), Some(&2));
+    });
+}
+
+#[test]
+fn put_of_racing_changes_has_one_winner() {
+    run(async {
+        let cell = std::rc::Rc::new(cell().start().await.unwrap());
+        let racers: Vec<_> = (0..6)
+            .map(|racer| {
+                let cell = std::rc::Rc::clone(&cell);
+                actix_rt::spawn(async move {
+                    put(&cell, racer % 3, 0, document(racer as u64 + 1)).await
+                })
+            })
+            .collect();
+        let mut winners = 0;
+        for racer in racers {
+            match racer.await.unwrap() {
+                Ok(version) => {
+                    assert_eq!(version, 1);
+                    winners += 1;
+                }
+                Err(error) => {
+                    assert_eq!(error.kind, Kind::Conflict, "{error}");
+                    assert!(error.message.contains("version 1"), "{error}");
+                }
+            }
+        }
+        assert_eq!(winners, 1);
+    });
+}
+
+#[test]
+fn put_of_faulty_document_lists_all_faults() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let faulty =
+            json!({ "teams": { "bars": { "quota": { "cpu_millis": -1 } } }, "no_such": 1 })
+                .to_string();
+        let error = put(&cell, 0, 0, faulty).await.unwrap_err();
+        assert_eq!(error.kind, Kind::InvalidConfig);
+        assert!(
+            error.message.contains("no_such") && error.message.contains("teams.bars"),
+            "{error}"
+        );
+    });
+}
--- /dev/null
+++ b/tests/testsuite/daemon/fault.rs
@@ -0,0 +1,299 @@
+use std::time::{Duration, Instant};
+
+use laburnum_testkit::cell::Cell;
+use laburnum_testkit::process::Signal;
+use laburnum_testkit::standin::fault::{Faults, Loss};
+use laburnum_testkit::standin::{Role, vms};
+use laburnumplank::api::schema::{DrainVmRequest, DrainVmResponse, JobClass, JobState};
+use laburnumplank::core::error::{Effect, Kind};
+
+use super::job::{check_workers, spec};
+use super::load::{Load, runs};
+use super::{LIMIT, call, cell, client, eventually, filing, lookup, pause, run, submit, watch};
+
+/// How many filers keep the cell busy.
+const FILERS: usize = 12;
+
+/// A pause that outlasts every lease of a test cell, in milliseconds.
+const PAST_LEASES_MS: u64 = 5_000;
+
+async fn set_log_faults(cell: &Cell, faults: &Faults) {
+    cell.platform
+        .log
+        .client
+        .set_faults(Role::Log, 0, faults)
+        .await
+        .unwrap();
+}
+
+/// Waits until some more filings have ended.
+async fn make_progress(load: &Load, more: usize) {
+    let wanted = load.ended() + more;
+    eventually("progress of the filings", || async {
+        load.ended() >= wanted
+    })
+    .await;
+}
+
+#[test]
+fn kill_of_entry_loses_and_doubles_nothing() {
+    run(async {
+        let mut cell = cell().start().await.unwrap();
+        let load = Load::start(&cell, FILERS, "sleep/30");
+        make_progress(&load, 50).await;
+        cell.entries[0].process.kill().unwrap();
+        pause(PAST_LEASES_MS).await;
+        cell.restart(0).unwrap();
+        make_progress(&load, 50).await;
+        cell.ready(0).await.unwrap();
+        make_progress(&load, 50).await;
+        let verdict = load.judge(&cell).await;
+        assert!(verdict.done >= 150, "{verdict:?}");
+        for error in &verdict.failed {
+            assert_eq!(error.effect, Effect::Unknown, "{error:?}");
+        }
+    });
+}
+
+#[test]
+fn pause_of_entry_past_its_leases_doubles_nothing() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let load = Load::start(&cell, FILERS, "sleep/30");
+        make_progress(&load, 50).await;
+        cell.entries[1].process.signal(Signal::Stop).unwrap();
+        pause(PAST_LEASES_MS).await;
+        cell.entries[1].process.signal(Signal::Continue).unwrap();
+        make_progress(&load, 100).await;
+        load.judge(&cell).await;
+    });
+}
+
+#[test]
+fn lost_answers_of_log_change_nothing() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let load = Load::start(&cell, FILERS, "echo");
+        make_progress(&load, 20).await;
+        let faults = Faults {
+            answer_lost: Loss::Next(30),
+            ..Faults::default()
+        };
+        set_log_faults(&cell, &faults).await;
+        make_progress(&load, 100).await;
+        set_log_faults(&cell, &Faults::default()).await;
+        let verdict = load.judge(&cell).await;
+        assert!(verdict.failed.is_empty(), "{verdict:?}");
+    });
+}
+
+#[test]
+fn outage_of_log_is_answered_truthfully() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let load = Load::start(&cell, FILERS, "echo");
+        make_progress(&load, 50).await;
+        set_log_faults(
+            &cell,
+            &Faults {
+                down: true,
+                ..Faults::default()
+            },
+        )
+        .await;
+        let job = spec(JobClass::Batch, 1, "sleep 10");
+        let client = client(&cell, 0);
+        eventually("the refusal of a job while the log is down", || async {
+            let answer = submit(&client, job.clone()).await;
+            answer.is_err_and(|error| error.kind == Kind::LogDown && error.effect == Effect::NotRun)
+        })
+        .await;
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(2 * PAST_LEASES_MS) {
+            assert_eq!(
+                call(&client, &lookup("echo", "address"))
+                    .await
+                    .unwrap()
+                    .body,
+                b"address"
+            );
+            pause(100).await;
+        }
+        set_log_faults(&cell, &Faults::default()).await;
+        make_progress(&load, 100).await;
+        load.judge(&cell).await;
+        let id = submit_until_taken(&cell).await;
+        watch(&client, &id, |job| job.state() == JobState::Succeeded).await;
+    });
+}
+
+/// Submits a job until the cell takes it.
+async fn submit_until_taken(cell: &Cell) -> String {
+    let deadline = Instant::now() + LIMIT;
+    loop {
+        match submit(&client(cell, 0), spec(JobClass::Batch, 1, "sleep 10")).await {
+            Ok(id) => return id,
+            Err(error) => assert!(Instant::now() < deadline, "{error}"),
+        }
+        pause(200).await;
+    }
+}
+
+#[test]
+fn silent_connections_are_replaced() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let client = client(&cell, 0);
+        for _ in 0..10 {
+            call(&client, &lookup("echo", "address")).await.unwrap();
+        }
+        let silent = Faults {
+            silent: true,
+            ..Faults::default()
+        };
+        for target in 0..2 {
+            cell.platform
+                .targets
+                .client
+                .set_faults(Role::Target, target, &silent)
+                .await
+                .unwrap();
+        }
+        for _ in 0..20 {
+            let answer = call(&client, &lookup("echo", "address")).await.unwrap();
+            assert_eq!(answer.body, b"address");
+        }
+        let load = Load::start(&cell, 4, "echo");
+        make_progress(&load, 20).await;
+        load.judge(&cell).await;
+    });
+}
+
+#[test]
+fn leaving_target_gets_nothing_new() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let list = cell.edit_vms(&vms::Edit::Leave(100_001)).await.unwrap();
+        assert_eq!(list.vms.len(), 9);
+        pause(3_000).await;
+        let before = cell.platform.targets.client.effects(0).await.unwrap();
+        for number in 0..30 {
+            call(&client(&cell, number % 3), &filing("echo", "dossier"))
+                .await
+                .unwrap();
+        }
+        let after = cell.platform.targets.client.effects(0).await.unwrap();
+        assert_eq!(before.by_key.len(), after.by_key.len());
+    });
+}
+
+#[test]
+fn planned_stop_cuts_no_request() {
+    run(async {
+        let mut cell = cell().start().await.unwrap();
+        let slow: Vec<_> = (0..3)
+            .map(|number| {
+                let client = client(&cell, 0);
+                actix_rt::spawn(async move {
+                    call(&client, &filing("sleep/1500", &number.to_string())).await
+                })
+            })
+            .collect();
+        let load = Load::start(&cell, FILERS, "sleep/30");
+        make_progress(&load, 30).await;
+        let _: DrainVmResponse = client(&cell, 0)
+            .call("Operator", "DrainVm", &DrainVmRequest {})
+            .await
+            .unwrap();
+        for request in slow {
+            request.await.unwrap().unwrap();
+        }
+        let status = cell.entries[0].process.wait(LIMIT).unwrap();
+        assert!(status.success(), "{status}");
+        make_progress(&load, 100).await;
+        let verdict = load.judge(&cell).await;
+        assert!(verdict.failed.is_empty(), "{verdict:?}");
+    });
+}
+
+#[test]
+fn kill_of_cell_owner_finishes_jobs_once() {
+    run(async {
+        let mut cell = cell().start().await.unwrap();
+        let batch = submit(&client(&cell, 0), spec(JobClass::Batch, 40, "sleep 700"))
+            .await
+            .unwrap();
+        let service = submit(&client(&cell, 0), spec(JobClass::Service, 3, "forever"))
+            .await
+            .unwrap();
+        watch(&client(&cell, 0), &service, |job| {
+            job.state() == JobState::Running
+        })
+        .await;
+        let owner = owner_of_last_partition(&cell).await;
+        cell.entries[owner].process.kill().unwrap();
+        let other = client(&cell, (owner + 1) % 3);
+        watch(&other, &batch, |job| job.state() == JobState::Succeeded).await;
+        watch(&other, &service, |job| {
+            job.tasks.iter().all(|task| task.state == "running")
+        })
+        .await;
+        check_workers(&cell).await;
+        let mut started = 0;
+        for worker in 0..cell.platform.workers.addresses.len() {
+            started += cell
+                .platform
+                .workers
+                .client
+                .worker_counts(worker)
+                .await
+                .unwrap()
+                .started;
+        }
+        assert_eq!(started, 43);
+    });
+}
+
+/// Returns the entry that owns the worker partition.
+async fn owner_of_last_partition(cell: &Cell) -> usize {
+    for entry in 0..cell.entries.len() {
+        let dump: serde_json::Value = cell.http.get(&cell.url(entry, "/dump")).await.unwrap();
+        if dump["cells"]
+            .as_object()
+            .is_some_and(|cells| !cells.is_empty())
+        {
+            return entry;
+        }
+    }
+    panic!("no entry owns the workers");
+}
+
+#[test]
+fn replacement_of_every_entry_loses_nothing() {
+    run(async {
+        let mut cell = cell().start().await.unwrap();
+        let service = submit(&client(&cell, 0), spec(JobClass::Service, 3, "forever"))
+            .await
+            .unwrap();
+        let load = Load::start(&cell, FILERS, "sleep/20");
+        make_progress(&load, 30).await;
+        for entry in 0..3 {
+            cell.entries[entry]
+                .process
+                .signal(Signal::Terminate)
+                .unwrap();
+            cell.entries[entry].process.wait(LIMIT).unwrap();
+            cell.restart(entry).unwrap();
+            cell.ready(entry).await.unwrap();
+            make_progress(&load, 30).await;
+        }
+        let verdict = load.judge(&cell).await;
+        assert!(verdict.failed.is_empty(), "{verdict:?}");
+        watch(&client(&cell, 0), &service, |job| {
+            job.tasks.iter().all(|task| task.state == "running")
+        })
+        .await;
+        check_workers(&cell).await;
+        runs(&cell).await;
+    });
+}
--- /dev/null
+++ b/tests/testsuite/daemon/operator.rs
@@ -0,0 +1,82 @@
+use laburnum_testkit::process::Builder;
+use laburnumplank::api::schema::{JobClass, ListVmsRequest, ListVmsResponse};
+use serde_json::Value;
+
+use super::job::spec;
+use super::{cell, client, find, run, submit, watch};
+
+#[test]
+fn list_vms_shows_all_roles() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let id = submit(&client(&cell, 0), spec(JobClass::Service, 2, "forever"))
+            .await
+            .unwrap();
+        watch(&client(&cell, 0), &id, |job| {
+            job.tasks.iter().all(|task| task.state == "running")
+        })
+        .await;
+        let answer: ListVmsResponse = client(&cell, 2)
+            .call("Operator", "ListVms", &ListVmsRequest {})
+            .await
+            .unwrap();
+        assert_eq!(answer.vms.len(), 3 + 4 + 2);
+        assert_eq!(find(&answer.vms, 1).state, "live");
+        let committed = answer.vms.iter().filter_map(|vm| vm.committed.as_ref());
+        assert_eq!(
+            committed.map(|amount| amount.cpu_millis).sum::<u64>(),
+            2_000
+        );
+    });
+}
+
+#[test]
+fn command_line_runs_a_job_to_its_end() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let entry = cell.url(1, "");
+        let laburnum = |arguments: &[&str]| {
+            Builder::new("laburnum")
+                .args(["--entry", &entry])
+                .args(arguments)
+                .run()
+                .unwrap()
+        };
+        let submitted = laburnum(&[
+            "job", "submit", "--class", "batch", "--team", "bars", "--run", "sleep 50",
+        ]);
+        let id = submitted.expect_success().out().trim().to_owned();
+        laburnum(&["job", "watch", &id])
+            .expect_success()
+            .expect_out("succeeded");
+        let listed: Value = laburnum(&["job", "list", "--ended", "--format", "json"])
+            .expect_success()
+            .json()
+            .unwrap();
+        assert_eq!(listed["jobs"][0]["jobId"], id.as_str());
+        laburnum(&["call", "licence", "echo", "--body", "hello"])
+            .expect_success()
+            .expect_out("hello");
+        laburnum(&["vm", "list"])
+            .expect_success()
+            .expect_out("worker");
+        laburnum(&["quota", "list"]).expect_success();
+        laburnum(&["dump"]).expect_success().expect_out("leases");
+        laburnum(&["job", "get", "nonsense"])
+            .expect_code(2)
+            .expect_err("not a UUID");
+        laburnum(&["job", "list", "--format", "yaml"]).expect_code(2);
+        laburnum(&["call", "no-such", "echo"])
+            .expect_code(1)
+            .expect_err("not_found");
+    });
+}
+
+#[test]
+fn command_line_without_entry_says_so() {
+    let finished = Builder::new("laburnum")
+        .args(["--entry", "http://127.0.0.1:9", "vm", "list"])
+        .run()
+        .unwrap();
+    finished.expect_code(4).expect_err("cannot connect");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The integration tests, one module per feature.
 #![allow(clippy::unwrap_used, missing_docs)]
 mod config;
+mod daemon;
 mod lease;
 mod load;
 mod membership;
