--- a/crates/laburnum-measure/src/request.rs
+++ b/crates/laburnum-measure/src/request.rs
@@ -1,12 +1,161 @@
-//! Stub.
+//! Requests to targets: waiting, goodput, amplification, bytes and processor time, against a
+//! baseline, on a simulated clock.
+//!
+//! The baseline is what a plain balancer does: one first-in-first-out queue per entry, a random
+//! target, immediate retries. Both run the same arrivals over the same targets and network.
 
-use crate::report::Report;
+mod baseline;
+mod fabric;
+mod owned;
+mod scenario;
+
+use std::time::Duration;
+
+use self::fabric::{Outcome, run as simulate};
+use self::scenario::Scenario;
+use crate::report::{Report, Table};
 
 /// Runs the measurement.
 ///
 /// # Errors
 ///
-/// Fails when the measured part answers wrongly.
+/// Fails when a target gets more requests at once than it has slots.
 pub fn run() -> eyre::Result<Report> {
-    Ok(Report::new("request"))
+    let mut report = Report::new("request");
+    report.tables.push(waiting()?);
+    report.tables.push(goodput()?);
+    report.tables.push(amplification()?);
+    report.tables.push(cost()?);
+    Ok(report)
+}
+
+/// The result of one scenario under both policies.
+struct Pair {
+    owned: Outcome,
+    baseline: Outcome,
+}
+
+impl Pair {
+    fn of(scenario: &Scenario) -> eyre::Result<Pair> {
+        let owned = simulate(scenario, owned::Policy::new(scenario));
+        let baseline = simulate(scenario, baseline::Policy::new(scenario));
+        eyre::ensure!(owned.crowded == 0, "a target got more than its slots hold");
+        Ok(Pair { owned, baseline })
+    }
+
+    fn each(&self) -> [(&'static str, &Outcome); 2] {
+        [("laburnumplank", &self.owned), ("baseline", &self.baseline)]
+    }
+}
+
+fn millis(span: Duration) -> String {
+    format!("{:.2}", span.as_secs_f64() * 1e3)
+}
+
+/// Measures how long lookups wait with and without a flood of bulk work.
+fn waiting() -> eyre::Result<Table> {
+    let columns = [
+        "lookups fill",
+        "policy",
+        "p50 alone, ms",
+        "p99 alone, ms",
+        "p50 in flood, ms",
+        "p99 in flood, ms",
+        "p99 ratio",
+        "lookups unanswered in flood, %",
+    ];
+    let mut table = Table::new("Lookup waiting until a slot serves it", &columns);
+    for share in [0.05, 0.2] {
+        let alone = Pair::of(&Scenario::lookups(share))?;
+        let flood = Pair::of(&Scenario::flood(share))?;
+        for ((name, alone), (_, flood)) in alone.each().into_iter().zip(flood.each()) {
+            let ratio =
+                flood.lookup_wait(0.99).as_secs_f64() / alone.lookup_wait(0.99).as_secs_f64();
+            table.row([
+                format!("{:.0} % of slots", share * 100.0),
+                name.to_owned(),
+                millis(alone.lookup_wait(0.5)),
+                millis(alone.lookup_wait(0.99)),
+                millis(flood.lookup_wait(0.5)),
+                millis(flood.lookup_wait(0.99)),
+                format!("{ratio:.2}"),
+                format!("{:.2}", flood.lookups_unanswered() * 100.0),
+            ]);
+        }
+    }
+    Ok(table)
+}
+
+/// Measures the work answered in time at twice the capacity.
+fn goodput() -> eyre::Result<Table> {
+    let columns = [
+        "policy",
+        "offered, of capacity",
+        "answered in time, % of capacity",
+        "refused or dropped, %",
+    ];
+    let mut table = Table::new("Goodput under overload", &columns);
+    for load in [0.8, 2.0] {
+        let scenario = Scenario::overload(load);
+        for (name, outcome) in Pair::of(&scenario)?.each() {
+            table.row([
+                name.to_owned(),
+                format!("{load:.1}"),
+                format!("{:.1}", outcome.good_work(&scenario) * 100.0),
+                format!("{:.1}", outcome.refused_share() * 100.0),
+            ]);
+        }
+    }
+    Ok(table)
+}
+
+/// Measures the extra attempts while a third of the targets fail everything.
+fn amplification() -> eyre::Result<Table> {
+    let columns = [
+        "policy",
+        "attempts per request sent",
+        "requests answered well, %",
+        "attempts at failing targets, %",
+    ];
+    let mut table = Table::new("A third of the targets fail everything", &columns);
+    for (name, outcome) in Pair::of(&Scenario::failing())?.each() {
+        table.row([
+            name.to_owned(),
+            format!("{:.3}", outcome.amplification()),
+            format!("{:.1}", outcome.answered_share() * 100.0),
+            format!("{:.1}", outcome.failing_share() * 100.0),
+        ]);
+    }
+    Ok(table)
+}
+
+/// Measures bytes over the inter-region link and processor time.
+fn cost() -> eyre::Result<Table> {
+    let columns = [
+        "load",
+        "policy",
+        "inter-region bytes of bodies per request",
+        "inter-region control messages per second",
+        "processor time per request, µs",
+        "processor time for control per entry, ms per second",
+    ];
+    let mut table = Table::new("Cost", &columns);
+    let loads = [
+        ("mixed, half of capacity", Scenario::mixed()),
+        ("overload, twice capacity", Scenario::overload(2.0)),
+        ("idle", Scenario::lookups(0.0001)),
+    ];
+    for (load, scenario) in loads {
+        for (name, outcome) in Pair::of(&scenario)?.each() {
+            table.row([
+                load.to_owned(),
+                name.to_owned(),
+                format!("{:.0}", outcome.remote_bytes_per_request()),
+                format!("{:.0}", outcome.remote_messages_per_second()),
+                format!("{:.2}", outcome.micros_per_request()),
+                format!("{:.3}", outcome.control_millis_per_second()),
+            ]);
+        }
+    }
+    Ok(table)
 }
--- a/src/core/request/dispatcher/pump.rs
+++ b/src/core/request/dispatcher/pump.rs
@@ -10,7 +10,7 @@
 use crate::core::id::Target;
 use crate::core::request::call::{Answer, Id};
 use crate::core::request::link::{Attempt, Connection};
-use crate::core::request::queue::{Item, Popped, Rooms};
+use crate::core::request::queue::{Item, Popped, Room, Rooms};
 use crate::core::request::route::{self, Tier};
 use crate::core::request::slot::Grant;
 use crate::core::time::Instant;
@@ -24,30 +24,36 @@
             let rooms = self.rooms(now);
             let times = self.times();
             let popped = self.queue.pop(now, &rooms, &times);
-            is_going = self.take(now, popped, out);
+            is_going = self.take(now, popped, &rooms, out);
         }
     }
 
-    /// Returns how far a class may go: bulk work crosses to another region only when its own has no
-    /// target at all, because the link is narrow and billed.
-    fn farthest(&self, now: Instant, priority: Priority) -> Tier {
-        let stays = priority == Priority::Bulk && self.peers.has_near(now);
-        if stays { Tier::Region } else { Tier::Remote }
-    }
-
-    /// Returns the slots that each class may use.
-    fn rooms(&self, now: Instant) -> Rooms {
-        let all = self.peers.count_room(now, Tier::Remote);
-        let bulk = match self.farthest(now, Priority::Bulk) {
-            Tier::Remote => all,
-            near => self.peers.count_room(now, near),
-        };
-        [all, all, bulk]
+    /// Returns the slots that each class may use, by tier.
+    ///
+    /// A class that stays near crosses to another region only when its own has no target at all,
+    /// because the link is narrow and billed.
+    fn rooms(&self, now: Instant) -> [Rooms; 3] {
+        let all = self.peers.rooms(now, self.reserve());
+        let has_near = self.peers.has_near(now);
+        Priority::ALL.map(|priority| {
+            let share = self.settings.queue.share(priority);
+            let mut rooms = all;
+            if share.stays_near && has_near {
+                rooms[Tier::Remote as usize] = Room::default();
+            }
+            rooms
+        })
     }
 
     /// Sends the request whose turn it is, ends those that are too late, and returns whether there
     /// may be more to send.
-    fn take(&mut self, now: Instant, popped: Popped, out: &mut Vec<Output>) -> bool {
+    fn take(
+        &mut self,
+        now: Instant,
+        popped: Popped,
+        rooms: &[Rooms; 3],
+        out: &mut Vec<Output>,
+    ) -> bool {
         for item in popped.dropped {
             self.counters.dropped += 1;
             let message = "the deadline can't be met any more";
@@ -55,13 +61,19 @@
             self.give_up(item.id, answer, out);
         }
         match popped.next {
-            Some(item) => self.dispatch(now, item, out),
+            Some(item) => self.dispatch(now, item, rooms, out),
             None => false,
         }
     }
 
     /// Sends a request to a target and returns whether that could be done.
-    fn dispatch(&mut self, now: Instant, item: Item, out: &mut Vec<Output>) -> bool {
+    fn dispatch(
+        &mut self,
+        now: Instant,
+        item: Item,
+        rooms: &[Rooms; 3],
+        out: &mut Vec<Output>,
+    ) -> bool {
         let Some(flight) = self.flights.get(&item.id) else {
             return true;
         };
@@ -71,9 +83,11 @@
             self.give_up(item.id, answer, out);
             return true;
         }
-        let farthest = self.farthest(now, item.priority);
+        let share = self.settings.queue.share(item.priority);
+        let allowed = rooms[item.priority as usize].map(|room| share.may_use(room));
+        let nearest = allowed.iter().position(|is_allowed| *is_allowed);
         let mut candidates = std::mem::take(&mut self.candidates);
-        self.peers.candidates(now, farthest, &mut candidates);
+        self.peers.candidates(now, nearest, &mut candidates);
         let target = route::choose(&candidates, &mut self.random);
         self.candidates = candidates;
         let is_sent = target.is_some_and(|target| self.send(now, target, item.id, out));
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -38,6 +38,8 @@
     pub(super) connections: u64,
     pub(super) candidates: Vec<Candidate>,
     pub(super) list_version: u64,
+    /// Lookups at targets, averaged over the recent past.
+    lookups: f64,
     asked: Instant,
     checked: Instant,
     is_draining: bool,
@@ -47,6 +49,12 @@
 /// How often connections are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The weight of the newest count of lookups.
+const LOOKUP_WEIGHT: f64 = 0.05;
+
+/// Standard deviations of the number of lookups that are kept free beyond their usual number.
+const RESERVE_DEVIATIONS: f64 = 2.5;
+
 impl<R: Rng> Dispatcher<R> {
     /// Makes the dispatcher of `member` at `place`.
     pub fn new(settings: Settings, member: Member, place: Place, random: R) -> Dispatcher<R> {
@@ -66,6 +74,7 @@
             connections: 0,
             candidates: Vec::new(),
             list_version: 0,
+            lookups: 0.0,
             asked: Instant(0),
             checked: Instant(0),
             is_draining: false,
@@ -212,6 +221,7 @@
             return;
         }
         self.checked = now;
+        self.count_lookups();
         let mut lost = Vec::new();
         for (&target, peer) in &mut self.peers.peers {
             peer.holder.expire(now);
@@ -228,6 +238,21 @@
         }
     }
 
+    /// Averages the number of lookups at targets.
+    fn count_lookups(&mut self) {
+        let is_lookup = |flight: &&Flight| flight.call.priority == Priority::Lookup;
+        let flights = self.flights.values().filter(is_lookup);
+        let sent = flights.filter(|flight| matches!(flight.stage, Stage::Sent { .. }));
+        let sent = sent.count() as f64;
+        self.lookups += LOOKUP_WEIGHT * (sent - self.lookups);
+    }
+
+    /// Returns the slots to keep for lookups: their usual number and some deviations, as arrivals
+    /// are close to a Poisson process.
+    pub(super) fn reserve(&self) -> u32 {
+        (RESERVE_DEVIATIONS * self.lookups.sqrt()).ceil() as u32
+    }
+
     /// Renews grants, and asks for more when the demand has grown.
     fn ask(&mut self, now: Instant, out: &mut Vec<Output>) {
         if now.since(self.asked) < self.settings.urgent_ask {
--- a/src/core/request/dispatcher/target.rs
+++ b/src/core/request/dispatcher/target.rs
@@ -10,7 +10,7 @@
 use crate::core::request::limit::Limit;
 use crate::core::request::link::{Connection, Pool};
 use crate::core::request::outlier::Detector;
-use crate::core::request::queue::Room;
+use crate::core::request::queue::Rooms;
 use crate::core::request::route::{Candidate, Place, Tier};
 use crate::core::request::slot::{Ask, Holder, Member};
 use crate::core::time::Instant;
@@ -53,9 +53,15 @@
     pub(super) detector: Detector,
 }
 
-/// Slots that are asked for beyond what the present load fills.
+/// Slots that are asked for beyond what the present load fills, at least.
 const HEADROOM: u32 = 4;
 
+/// Slots that are asked for beyond the present load, as a share of it.
+const HEADROOM_SHARE: u32 = 4;
+
+/// The largest share of the nearest slots that is kept for lookups.
+const MOST_KEPT_PERCENT: u32 = 75;
+
 /// Slots that are kept at each target of the same data centre without any load.
 const IDLE_SLOTS: u32 = 1;
 
@@ -83,8 +89,12 @@
     /// Returns how many slots the target will give; it is judged by what it gave when it was asked.
     fn expected(&self, now: Instant, wanted: Wanted) -> u32 {
         let held = self.holder.held(now);
-        let is_short = held < self.wanted.wants.min(wanted.wants);
-        if is_short { held } else { wanted.wants }
+        let is_short = held < self.wanted.wants && !self.holder.is_asking(now);
+        if is_short {
+            held.min(wanted.wants)
+        } else {
+            wanted.wants
+        }
     }
 
     /// Returns whether the target is asked now: at intervals, or when more is needed.
@@ -126,7 +136,7 @@
         let peer = self.peers.entry(target).or_insert_with(|| Peer {
             listed,
             tier,
-            holder: Holder::new(settings.slot, member, target),
+            holder: Holder::new(settings.slot, member, target, tier),
             pool: Pool::new(settings.link),
             limit: Limit::new(settings.limit),
             wanted: Wanted::default(),
@@ -154,22 +164,26 @@
         peers.any(|peer| peer.tier < Tier::Remote && peer.is_usable(now, &self.detector))
     }
 
-    /// Returns the slots up to a tier.
-    pub(super) fn count_room(&self, now: Instant, farthest: Tier) -> Room {
-        let mut room = Room::default();
-        for peer in self.peers.values().filter(|peer| peer.tier <= farthest) {
+    /// Returns the slots of each tier; `reserve` slots of the nearest are kept for lookups.
+    pub(super) fn rooms(&self, now: Instant, reserve: u32) -> Rooms {
+        let mut rooms = Rooms::default();
+        for peer in self.peers.values() {
+            let room = &mut rooms[peer.tier as usize];
             room.free += peer.room(now, &self.detector);
             room.held += peer.holder.held(now);
         }
-        room
+        if let Some(nearest) = rooms.iter_mut().find(|room| room.held > 0) {
+            nearest.kept = reserve.min(nearest.held * MOST_KEPT_PERCENT / 100);
+        }
+        rooms
     }
 
-    /// Fills `out` with the targets up to a tier that can take a request now.
-    pub(super) fn candidates(&self, now: Instant, farthest: Tier, out: &mut Vec<Candidate>) {
+    /// Fills `out` with the targets of a tier that can take a request now.
+    pub(super) fn candidates(&self, now: Instant, tier: Option<usize>, out: &mut Vec<Candidate>) {
         out.clear();
         for (&target, peer) in &self.peers {
-            let is_candidate = peer.tier <= farthest && peer.room(now, &self.detector) > 0;
-            if is_candidate {
+            let is_of_tier = Some(peer.tier as usize) == tier;
+            if is_of_tier && peer.room(now, &self.detector) > 0 {
                 out.push(Candidate {
                     target,
                     tier: peer.tier,
@@ -182,9 +196,10 @@
     /// Asks for slots for `waiting` requests, nearest targets first.
     pub(super) fn ask(&mut self, now: Instant, waiting: u32, is_draining: bool) -> Vec<Ask> {
         let used: u32 = self.peers.values().map(|peer| peer.holder.used()).sum();
+        let headroom = HEADROOM.max(used / HEADROOM_SHARE);
         let mut demand = Demand {
             needs: used + waiting,
-            spare: if is_draining { 0 } else { HEADROOM },
+            spare: if is_draining { 0 } else { headroom },
         };
         let mut asks = Vec::new();
         for tier in [Tier::DataCentre, Tier::Region, Tier::Remote] {
--- a/src/core/request/queue.rs
+++ b/src/core/request/queue.rs
@@ -3,10 +3,10 @@
 //! Classes share the slots by start-time fair queueing (Goyal, Vin and Cheng 1996): each class has a
 //! virtual time that grows by the inverse of its weight, and the class furthest behind is served.
 //! Within a class callers take turns, so a caller with many requests delays only itself. Some slots
-//! are reserved: a class is popped only while more slots are free than are kept for the classes
-//! above it. Queues are bounded by count and by time: a request that by the present rate would
-//! wait past its deadline is refused at once with when to come back, and one whose deadline can no
-//! longer be met is dropped when its turn comes.
+//! are reserved for lookups: another class is popped only while more slots are free than that. Queues are bounded by count and by time: a request that by the present rate would
+//! wait for more than half of its time is refused at once with when to come back, which leaves room
+//! for service times above the usual one; a request whose deadline can no longer be met is dropped
+//! when its turn comes.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -28,8 +28,10 @@
     pub most: usize,
     /// Requests of one caller that may wait in the class.
     pub most_per_caller: usize,
-    /// Free slots that this class leaves to the classes above it, in thousandths of all held.
+    /// Free slots that this class leaves to lookups at least, in thousandths of all held.
     pub leave_permille: u32,
+    /// Whether the class goes to another region only when its own has no target at all.
+    pub stays_near: bool,
 }
 
 /// The rules of the queue, by class.
@@ -63,7 +65,7 @@
     pub retry_after: Duration,
 }
 
-/// The slots at hand when a request is popped.
+/// The slots of one tier of targets when a request is popped.
 #[value]
 #[derive(Default)]
 pub struct Room {
@@ -71,10 +73,12 @@
     pub free: u32,
     /// Slots held in all, free or not.
     pub held: u32,
+    /// Slots that are kept for lookups by their recent number.
+    pub kept: u32,
 }
 
-/// The room for each class, in the order of [`Priority::ALL`].
-pub type Rooms = [Room; Priority::ALL.len()];
+/// The room in each tier, nearest first.
+pub type Rooms = [Room; 3];
 
 /// The usual time of a request of each class at a target, in the order of [`Priority::ALL`].
 pub type Times = [Duration; Priority::ALL.len()];
@@ -118,6 +122,12 @@
 /// Virtual time that one request takes at weight 1.
 const VIRTUAL_UNIT: u64 = 1 << 20;
 
+/// A request is refused when this many times its estimated wait would pass its deadline.
+const WAIT_MARGIN: u32 = 2;
+
+/// The part of the deadline that is left for the target, in usual times.
+const SERVICE_MARGIN: u32 = 3;
+
 /// The shortest and longest time to come back that an overloaded queue names.
 const COME_BACK: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(50)..=Duration::from_secs(30);
@@ -130,18 +140,21 @@
                 most: 4096,
                 most_per_caller: 1024,
                 leave_permille: 0,
+                stays_near: false,
             },
             normal: Share {
                 weight: 4,
                 most: 4096,
                 most_per_caller: 1024,
-                leave_permille: 150,
+                leave_permille: 20,
+                stays_near: false,
             },
             bulk: Share {
                 weight: 1,
                 most: 8192,
                 most_per_caller: 4096,
-                leave_permille: 250,
+                leave_permille: 40,
+                stays_near: true,
             },
         }
     }
@@ -149,7 +162,7 @@
 
 impl Rules {
     /// Returns the share of a class.
-    fn share(&self, priority: Priority) -> Share {
+    pub fn share(&self, priority: Priority) -> Share {
         match priority {
             Priority::Lookup => self.lookup,
             Priority::Normal => self.normal,
@@ -190,7 +203,7 @@
     pub fn check(&self, now: Instant, item: &Item, service: Duration) -> Result<(), Full> {
         let lane = &self.lanes[item.priority as usize];
         let wait = lane.wait(now);
-        let late = now + wait + service > item.deadline;
+        let late = now + wait * WAIT_MARGIN + service * SERVICE_MARGIN > item.deadline;
         let own = lane.line(&item.caller).map_or(0, |line| line.items.len());
         let full = lane.waiting >= lane.share.most || own >= lane.share.most_per_caller;
         if full || (late && lane.waiting > 0) {
@@ -211,8 +224,8 @@
         lane.push(item);
     }
 
-    /// Takes the request whose turn it is and that may use the room.
-    pub fn pop(&mut self, now: Instant, rooms: &Rooms, service: &Times) -> Popped {
+    /// Takes the request whose turn it is and that may use the rooms of its class.
+    pub fn pop(&mut self, now: Instant, rooms: &[Rooms; 3], service: &Times) -> Popped {
         let mut popped = Popped::default();
         while popped.next.is_none() {
             let Some(index) = self.due_lane(rooms) else {
@@ -236,9 +249,9 @@
     }
 
     /// Returns the lane furthest behind among those that may use the room.
-    fn due_lane(&self, rooms: &Rooms) -> Option<usize> {
+    fn due_lane(&self, rooms: &[Rooms; 3]) -> Option<usize> {
         let lanes = self.lanes.iter().zip(rooms).enumerate();
-        let usable = lanes.filter(|(_, (lane, room))| lane.may_use(**room));
+        let usable = lanes.filter(|(_, (lane, rooms))| lane.may_use(rooms));
         let due = usable.min_by_key(|(_, (lane, _))| lane.start);
         due.map(|(index, _)| index)
     }
@@ -261,10 +274,15 @@
 }
 
 impl Share {
-    /// Returns whether the class may use one of the free slots.
-    fn may_use(&self, room: Room) -> bool {
-        let left = u64::from(room.held) * u64::from(self.leave_permille) / 1000;
-        u64::from(room.free) > left
+    /// Returns whether the class may use one of the free slots of a tier.
+    pub fn may_use(&self, room: Room) -> bool {
+        let kept = if self.leave_permille > 0 {
+            room.kept
+        } else {
+            0
+        };
+        let least = (room.held * self.leave_permille).div_ceil(1000);
+        room.free > kept.max(least)
     }
 }
 
@@ -280,8 +298,9 @@
     }
 
     /// Returns whether a request waits that may use the room.
-    fn may_use(&self, room: Room) -> bool {
-        self.waiting > 0 && self.share.may_use(room)
+    fn may_use(&self, rooms: &Rooms) -> bool {
+        let mut rooms = rooms.iter();
+        self.waiting > 0 && rooms.any(|room| self.share.may_use(*room))
     }
 
     /// Returns the virtual time that one request takes.
--- a/src/core/request/slot/grantor.rs
+++ b/src/core/request/slot/grantor.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use laburnum_derive::state;
+use laburnum_derive::{state, value};
 
 use super::{Ask, Capacity, Grant, Member, Rules};
+use crate::core::request::route::Tier;
 use crate::core::time::Instant;
 
 /// What one member may hold.
@@ -12,19 +13,30 @@
 struct Account {
     sequence: u64,
     counted: u32,
-    needs: u32,
-    wants: u32,
+    demand: Demand,
+    /// When the member asked last.
+    asked: Instant,
     /// When the slots are surely free, unless renewed.
     until: Instant,
 }
 
-/// What a member asks for and is dealt.
-struct Hand {
+/// What a member asks for.
+#[value]
+struct Demand {
     needs: u32,
     wants: u32,
+    tier: Tier,
+}
+
+/// What a member asks for and is dealt.
+struct Hand {
+    demand: Demand,
     dealt: u32,
 }
 
+/// Distances, nearest first.
+const TIERS: [Tier; 3] = [Tier::DataCentre, Tier::Region, Tier::Remote];
+
 /// Lends the slots of one target.
 #[state]
 pub struct Grantor {
@@ -77,8 +89,8 @@
         let account = Account {
             sequence: ask.sequence,
             counted: slots.max(ask.keeps),
-            needs: ask.needs,
-            wants: ask.wants,
+            demand: Demand::of(ask),
+            asked: now,
             until: now + self.rules.lifetime(),
         };
         self.accounts.insert(ask.member, account);
@@ -115,51 +127,75 @@
             .map(|(_, account)| account)
     }
 
-    /// Returns the member's max-min fair share: slots are dealt out one by one, first for what
-    /// members need and then for what they want.
+    /// Returns the member's max-min fair share: slots are dealt out one by one, nearest members
+    /// first, for what members need before what they want.
     fn fair_share(&self, now: Instant, ask: &Ask) -> u32 {
-        let mut hands: Vec<Hand> = self.others(ask.member).map(Hand::of).collect();
+        let others = self.others(ask.member);
+        let mut hands: Vec<Hand> = others.map(|account| self.hand(now, account)).collect();
         let before = self.accounts.keys().filter(|other| **other < ask.member);
         let own = before.count();
-        let hand = Hand {
-            needs: ask.needs,
-            wants: ask.wants,
-            dealt: 0,
-        };
-        hands.insert(own, hand);
+        hands.insert(own, Hand::of(Demand::of(ask)));
         let start = self.turn(now) % hands.len();
         let mut left = self.capacity.slots;
-        deal(&mut hands, start, &mut left, |hand| hand.needs);
-        deal(&mut hands, start, &mut left, |hand| hand.wants);
+        for tier in TIERS {
+            deal(&mut hands, start, &mut left, tier, |demand| demand.needs);
+        }
+        for tier in TIERS {
+            deal(&mut hands, start, &mut left, tier, |demand| demand.wants);
+        }
         hands[own].dealt
     }
 
+    /// Returns what another member asks for; one that no longer asks gets nothing new.
+    fn hand(&self, now: Instant, account: &Account) -> Hand {
+        let is_silent = now.since(account.asked) > self.rules.renewal * 3;
+        let demand = Demand {
+            needs: if is_silent { 0 } else { account.demand.needs },
+            wants: if is_silent { 0 } else { account.demand.wants },
+            tier: account.demand.tier,
+        };
+        Hand::of(demand)
+    }
+
     /// Returns which member is dealt the first slot, so that all have a turn when slots are few.
     fn turn(&self, now: Instant) -> usize {
         (now.0 / self.rules.span.as_micros().max(1) as u64) as usize
     }
 }
 
-impl Hand {
-    fn of(account: &Account) -> Hand {
-        Hand {
-            needs: account.needs,
-            wants: account.wants,
-            dealt: 0,
+impl Demand {
+    fn of(ask: &Ask) -> Demand {
+        Demand {
+            needs: ask.needs,
+            wants: ask.wants,
+            tier: ask.tier,
         }
     }
 }
 
-/// Deals slots round by round to those that have less than they ask for.
-fn deal(hands: &mut [Hand], start: usize, left: &mut u32, asks: impl Fn(&Hand) -> u32) {
+impl Hand {
+    fn of(demand: Demand) -> Hand {
+        Hand { demand, dealt: 0 }
+    }
+}
+
+/// Deals slots round by round to the members of a tier that have less than they ask for.
+fn deal(
+    hands: &mut [Hand],
+    start: usize,
+    left: &mut u32,
+    tier: Tier,
+    asks: impl Fn(&Demand) -> u32,
+) {
     let mut is_dealing = true;
     while is_dealing {
         is_dealing = false;
         for step in 0..hands.len() {
             let index = (start + step) % hands.len();
-            let is_short = hands[index].dealt < asks(&hands[index]);
+            let hand = &mut hands[index];
+            let is_short = hand.demand.tier == tier && hand.dealt < asks(&hand.demand);
             if is_short && *left > 0 {
-                hands[index].dealt += 1;
+                hand.dealt += 1;
                 *left -= 1;
                 is_dealing = true;
             }
--- a/src/core/request/slot/holder.rs
+++ b/src/core/request/slot/holder.rs
@@ -8,6 +8,7 @@
 use super::{Ask, Grant, Member, Rules};
 use crate::core::id::Target;
 use crate::core::request::call::Id;
+use crate::core::request::route::Tier;
 use crate::core::time::Instant;
 
 /// The grant in force.
@@ -38,6 +39,7 @@
     rules: Rules,
     member: Member,
     target: Target,
+    tier: Tier,
     lease: Lease,
     pending: Option<Pending>,
     sequence: u64,
@@ -48,11 +50,12 @@
 
 impl Holder {
     /// Makes a holder without slots.
-    pub fn new(rules: Rules, member: Member, target: Target) -> Holder {
+    pub fn new(rules: Rules, member: Member, target: Target, tier: Tier) -> Holder {
         Holder {
             rules,
             member,
             target,
+            tier,
             lease: Lease {
                 slots: 0,
                 connections: 0,
@@ -86,6 +89,7 @@
             keeps: in_force.min(wants).max(self.used()),
             needs: needs.max(self.used()),
             wants: wants.max(needs).max(self.used()),
+            tier: self.tier,
         }
     }
 
--- a/src/core/request/slot/mod.rs
+++ b/src/core/request/slot/mod.rs
@@ -20,6 +20,7 @@
 
 pub use self::grantor::Grantor;
 pub use self::holder::Holder;
+use super::route::Tier;
 use crate::core::id::{Node, Target};
 
 /// One traffic thread of one entry, for one service.
@@ -74,6 +75,8 @@
     pub needs: u32,
     /// Slots that the member would like to have, needed ones included.
     pub wants: u32,
+    /// How far the member is from the target.
+    pub tier: Tier,
 }
 
 /// Answers an [`Ask`].
