Wait for the former holder after a reclaim; mark exposure when promises become complete

A node that accepted an offer waits until the former holder yields or its time is over. The wait was kept with the ownership, so a node whose claim had lapsed before it was read claimed again and acted without waiting. Trace (four nodes, 3 fast): offer to 3; 3 claims; two steps pass; the claim lands; 3 reads it, lapsed; 3 claims again; lands; 3 acts while 0 still may. The wait now stays with the partition, and a node that waits releases nothing. 2. Promises can become complete when a renewal is read that names fewer standbys. The ownership was then not marked as exposed, and a release after an unlogged dispatch denied it. The mark is now kept wherever time passes for a partition, and unlogged dispatch needs the mark.

--- a/crates/laburnum-testkit/src/explore.rs
+++ b/crates/laburnum-testkit/src/explore.rs
@@ -10,7 +10,7 @@
 use std::fmt::Debug;
 use std::hash::{Hash, Hasher};
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 /// A model to search.
 pub trait Model {
@@ -86,6 +86,7 @@
     model: &'a M,
     bounds: Bounds,
     seen: HashSet<u128>,
+    feed: Feed,
     origins: Vec<Origin>,
     roots: Vec<M::State>,
     frontier: Vec<(u32, M::State)>,
@@ -99,6 +100,7 @@
             model,
             bounds,
             seen: HashSet::new(),
+            feed: Feed::default(),
             origins: Vec::new(),
             roots: Vec::new(),
             frontier: Vec::new(),
@@ -162,7 +164,7 @@
 
     /// Visits a state; returns whether to go on.
     fn visit(&mut self, state: M::State, origin: Origin) -> bool {
-        if !self.seen.insert(fingerprint(&state)) {
+        if !self.seen.insert(fingerprint(&state, &mut self.feed)) {
             return true;
         }
         let id = self.origins.len() as u32;
@@ -205,24 +207,25 @@
     }
 }
 
-/// Returns the fingerprint of a state.
-fn fingerprint<S: Hash>(state: &S) -> u128 {
-    /// Feeds a state to the hash function.
-    struct Feed(Xxh3);
+/// Collects what a state feeds to its hash function.
+#[derive(Default)]
+struct Feed(Vec<u8>);
 
-    impl Hasher for Feed {
-        fn write(&mut self, bytes: &[u8]) {
-            self.0.update(bytes);
-        }
+impl Hasher for Feed {
+    fn write(&mut self, bytes: &[u8]) {
+        self.0.extend_from_slice(bytes);
+    }
 
-        fn finish(&self) -> u64 {
-            self.0.digest()
-        }
+    fn finish(&self) -> u64 {
+        xxh3_64(&self.0)
     }
+}
 
-    let mut feed = Feed(Xxh3::new());
-    state.hash(&mut feed);
-    feed.0.digest128()
+/// Returns the fingerprint of a state.
+fn fingerprint<S: Hash>(state: &S, feed: &mut Feed) -> u128 {
+    feed.0.clear();
+    state.hash(feed);
+    xxh3_128(&feed.0)
 }
 
 impl<A: Debug> fmt::Display for Outcome<A> {
--- a/src/core/lease/holder.rs
+++ b/src/core/lease/holder.rs
@@ -155,7 +155,9 @@
         let successor = self.successor(&self.slots[index]);
         let patience = self.settings.renew_after;
         let slot = &mut self.slots[index];
-        let is_waiting = slot.is_offer_fresh(now, patience) || slot.is_sending(now, patience);
+        let is_waiting = slot.is_offer_fresh(now, patience)
+            || slot.is_sending(now, patience)
+            || slot.is_gated(now);
         if !slot.is_held_by(self.node) || is_waiting {
             return;
         }
--- a/src/core/lease/reader.rs
+++ b/src/core/lease/reader.rs
@@ -6,7 +6,7 @@
 use super::message::{Message, Yield};
 use super::port::{Origin, Output};
 use super::record::{Claim, Epoch, Record, Release, Renewal};
-use super::slot::{Head, Slot};
+use super::slot::{Gate, Head, Slot};
 use super::table::{Table, begin, end};
 use super::view::{Entry, Grant, Snapshot};
 use crate::core::id::{Node, Partition};
@@ -82,24 +82,27 @@
         slot.advance(Head { grant, ends });
         if record.holder != node {
             slot.exposed = false;
+            slot.gate = None;
             return;
         }
+        let yielded = slot
+            .yielded
+            .take()
+            .filter(|yielded| yielded.claim == offset);
+        slot.exposed = yielded.map_or(exposed || claim.exposed, |yielded| yielded.exposed);
+        if let Some(offer) = offer.filter(|_| settings.rules.wait_for_yield) {
+            let until = offer.ends;
+            let claim = offset;
+            slot.gate = yielded.is_none().then_some(Gate { claim, until });
+        }
         let counted = if settings.rules.count_from_sending {
             record.sent
         } else {
             now
         };
         let deadline = counted + settings.duration;
-        let yielded = slot
-            .yielded
-            .take()
-            .filter(|yielded| yielded.claim == offset);
-        let gate = offer
-            .map(|offer| offer.ends)
-            .filter(|_| settings.rules.wait_for_yield);
-        slot.exposed = yielded.map_or(exposed || claim.exposed, |yielded| yielded.exposed);
         if now < deadline {
-            begin(slot, deadline, origin, gate.filter(|_| yielded.is_none()));
+            begin(slot, deadline, origin);
         }
         self.refresh(now, index, out);
     }
--- a/src/core/lease/slot.rs
+++ b/src/core/lease/slot.rs
@@ -27,6 +27,8 @@
     pub(super) given: Option<Given>,
     /// The offer that this node got.
     pub(super) offer: Option<Offered>,
+    /// What this node waits for before it acts on an accepted offer.
+    pub(super) gate: Option<Gate>,
     /// The yield that this node got.
     pub(super) yielded: Option<Yielded>,
     /// The offer that this node made.
@@ -56,8 +58,6 @@
     pub(super) deadline: Instant,
     /// How the ownership began.
     pub(super) origin: Origin,
-    /// Until when the former holder may still act, unless it yields.
-    pub(super) gate: Option<Instant>,
     /// Whether the owner was told that it may act.
     pub(super) is_open: bool,
     /// When the last record that denies exposure was sent; older promises allow no such request.
@@ -99,6 +99,15 @@
     pub(super) ends: Instant,
 }
 
+/// What the receiver of an offer waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Gate {
+    /// The claim by which it accepted the offer, and for which the former holder yields.
+    pub(super) claim: u64,
+    /// When the former holder stops at the latest.
+    pub(super) until: Instant,
+}
+
 /// An offer that this node made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Offering {
@@ -192,6 +201,11 @@
             .is_some_and(|since| since >= tenure.quiet && now < since + settings.duration)
     }
 
+    /// Returns whether a former holder may still act.
+    pub(super) fn is_gated(&self, now: Instant) -> bool {
+        self.gate.is_some_and(|gate| now < gate.until)
+    }
+
     /// Returns whether a promise still binds this node.
     pub(super) fn is_bound(&self, now: Instant) -> bool {
         self.given.is_some_and(|given| now < given.until)
--- a/src/core/lease/standby.rs
+++ b/src/core/lease/standby.rs
@@ -4,7 +4,7 @@
 use super::port::Output;
 use super::record::Claim;
 use super::slot::{Given, Head, Offered, Sent, Slot, Yielded};
-use super::table::{Table, open};
+use super::table::Table;
 use crate::core::id::{Node, Partition};
 use crate::core::time::Instant;
 
@@ -65,7 +65,8 @@
                 continue;
             };
             tenure.promise(from, asked);
-            slot.extend(now, &settings);
+            slot.extend(&settings);
+            self.refresh(now, index, out);
         }
     }
 
@@ -93,13 +94,10 @@
         }
         self.refresh(now, index, out);
         let slot = &mut self.slots[index];
-        let is_waiting = slot
-            .tenure
-            .as_ref()
-            .is_some_and(|tenure| tenure.epoch.0 == yielded.claim && !tenure.is_open);
-        if is_waiting {
+        if slot.gate.is_some_and(|gate| gate.claim == yielded.claim) {
+            slot.gate = None;
             slot.exposed = yielded.exposed;
-            open(slot, index, out);
+            self.refresh(now, index, out);
         } else if slot.head_offset() < Some(yielded.claim) {
             slot.yielded = Some(Yielded {
                 claim: yielded.claim,
@@ -251,7 +249,7 @@
     }
 
     /// Extends this node's ownership by the promises that it holds.
-    fn extend(&mut self, now: Instant, settings: &super::settings::Settings) {
+    fn extend(&mut self, settings: &super::settings::Settings) {
         let Some(since) = self.promised_since(settings) else {
             return;
         };
@@ -259,8 +257,5 @@
             return;
         };
         tenure.deadline = tenure.deadline.max(since + settings.duration);
-        if since >= tenure.quiet && now < since + settings.duration {
-            self.exposed = true;
-        }
     }
 }
--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -84,7 +84,7 @@
         self.may_act(partition, now).is_some()
             && self
                 .slot(partition)
-                .is_some_and(|slot| slot.has_promises(now, &self.settings))
+                .is_some_and(|slot| slot.exposed && slot.has_promises(now, &self.settings))
     }
 
     /// Returns whether no partition is held by this node, so that a stopping process may end.
@@ -162,18 +162,21 @@
     /// Ends an ownership that lapsed and begins one whose former holder has stopped.
     pub(super) fn refresh(&mut self, now: Instant, index: usize, out: &mut Vec<Output>) {
         let is_final = self.settings.rules.lapse_is_final;
+        let settings = self.settings;
         let slot = &mut self.slots[index];
-        let Some(tenure) = &mut slot.tenure else {
+        let Some(tenure) = &slot.tenure else {
             return;
         };
-        if now >= tenure.deadline {
-            if is_final {
-                end(slot, index, out);
-            }
-            return;
+        let has_lapsed = now >= tenure.deadline;
+        let may_open = !has_lapsed && !tenure.is_open && !slot.is_gated(now);
+        if has_lapsed && is_final {
+            end(slot, index, out);
         }
-        if !tenure.is_open && tenure.gate.is_none_or(|until| now >= until) {
+        if may_open {
+            slot.exposed |= slot.has_promises(now, &settings);
             open(slot, index, out);
+        } else if !has_lapsed {
+            slot.exposed |= slot.has_promises(now, &settings);
         }
     }
 
@@ -202,7 +205,7 @@
             return;
         };
         if let Some(tenure) = &mut slot.tenure {
-            tenure.quiet = now;
+            tenure.quiet = now + Duration::from_micros(1);
             slot.exposed = false;
         }
     }
@@ -258,7 +261,7 @@
 }
 
 /// Lets the owner of a slot act.
-pub(super) fn open(slot: &mut Slot, index: usize, out: &mut Vec<Output>) {
+fn open(slot: &mut Slot, index: usize, out: &mut Vec<Output>) {
     let (Some(tenure), Some(head)) = (&mut slot.tenure, &slot.head) else {
         return;
     };
@@ -273,7 +276,7 @@
 }
 
 /// Begins an ownership of this node.
-pub(super) fn begin(slot: &mut Slot, deadline: Instant, origin: Origin, gate: Option<Instant>) {
+pub(super) fn begin(slot: &mut Slot, deadline: Instant, origin: Origin) {
     let Some(head) = &slot.head else {
         return;
     };
@@ -281,7 +284,6 @@
         epoch: head.grant.epoch,
         deadline,
         origin,
-        gate,
         is_open: false,
         quiet: head.grant.sent,
         promises: Vec::new(),
--- a/tests/testsuite/lease/explore.rs
+++ b/tests/testsuite/lease/explore.rs
@@ -1,4 +1,6 @@
 //! The lease rules, searched exhaustively within small bounds on the real table.
+//!
+//! `EXPLORE_STATES` sets how many states each search visits at most.
 
 use laburnum_testkit::explore::{Bounds, Model, Outcome, search};
 use laburnumplank::core::lease::Rules;
@@ -25,7 +27,7 @@
     fn next(&self, world: &World, action: &Action) -> Option<World> {
         let mut next = world.clone();
         next.act(*action);
-        (next != *world).then_some(next)
+        Some(next)
     }
 
     fn property(&self, world: &World) -> Result<(), String> {
@@ -33,22 +35,117 @@
     }
 }
 
-fn shape(rules: Rules, slow: &[usize]) -> Shape {
+/// What happened before a search starts.
+#[derive(Clone, Copy, Debug)]
+enum Start {
+    /// Node 0 owns the partition.
+    Settled,
+    /// The owner's renewal is in the log, and nobody has read it.
+    Renewed,
+    /// The log is down and the owner got promises late in its lease.
+    Promised,
+    /// The log is down and the answers of both standbys are under way for two steps.
+    Answered,
+    /// The log is down, the owner holds promises and a request was dispatched unlogged.
+    Exposed,
+    /// The owner's renewal is in flight, and a standby may claim.
+    Ended,
+    /// A standby took over; the former owner has not read so.
+    TakenOver,
+    /// The owner offered the partition to the outsider, which claims it.
+    Offered,
+    /// As before, and later in its lease the owner asked for promises.
+    OfferedLate,
+}
+
+/// A slow owner among fast nodes, a slow owner and a slow standby, and a fast owner.
+const SLOW_NODES: [&[usize]; 3] = [&[0], &[0, 1], &[1, 2, 3]];
+
+fn world(rules: Rules, renumbers: bool, slow: &[usize]) -> World {
     let rate = |index| if slow.contains(&index) { SLOW } else { FAST };
-    Shape {
+    World::settled(Shape {
         settings: coarse(rules),
         rates: (0..4).map(rate).collect(),
-        renumbers: true,
+        renumbers,
         messages: 4,
+    })
+}
+
+fn start(mut world: World, start: Start) -> World {
+    match start {
+        Start::Settled => {}
+        Start::Renewed => {
+            world.act(Action::Advance);
+            world.act(Action::Tick(0));
+            let (record, stays) = (0, false);
+            world.act(Action::Land { record, stays });
+        }
+        Start::Promised | Start::Exposed => {
+            world.act(Action::Advance);
+            world.act(Action::Advance);
+            world.act(Action::Outage(true));
+            world.act(Action::Tick(0));
+            world.deliver_all();
+            if matches!(start, Start::Exposed) {
+                world.act(Action::Dispatch(0));
+            }
+        }
+        Start::Answered => {
+            world.act(Action::Outage(true));
+            world.act(Action::Tick(0));
+            world.act(Action::Deliver(0));
+            world.act(Action::Deliver(0));
+            world.act(Action::Advance);
+            world.act(Action::Advance);
+        }
+        Start::Ended => {
+            world.act(Action::Advance);
+            world.act(Action::Tick(0));
+            world.act(Action::Advance);
+            world.act(Action::Advance);
+        }
+        Start::TakenOver => {
+            (0..5).for_each(|_| world.act(Action::Advance));
+            world.act(Action::Tick(1));
+            let (record, stays) = (0, false);
+            world.act(Action::Land { record, stays });
+            world.act(Action::Read(1));
+        }
+        Start::Offered | Start::OfferedLate => {
+            world.act(Action::Shift(0));
+            world.act(Action::Tick(0));
+            world.deliver_all();
+            world.act(Action::Tick(3));
+            if matches!(start, Start::OfferedLate) {
+                world.act(Action::Advance);
+                world.act(Action::Advance);
+                world.act(Action::Tick(0));
+                world.deliver_all();
+            }
+        }
     }
+    world
 }
 
-/// Searches from a slow owner among fast nodes, from two slow ones, and from a fast owner.
-fn explore(rules: Rules, budget: Budget, bounds: Bounds) -> Outcome<Action> {
-    let slow: [&[usize]; 3] = [&[0], &[0, 1], &[1, 2, 3]];
-    let world = |slow: &[usize]| World::settled(shape(rules, slow), budget);
-    let worlds = slow.into_iter().map(world).collect();
-    search(&Cell { worlds }, bounds)
+fn states(default: usize) -> usize {
+    let set = std::env::var("EXPLORE_STATES").ok();
+    set.map_or(default, |text| text.parse().unwrap())
+}
+
+fn explore(worlds: Vec<World>, budget: Budget, from: Start, states: usize) -> Outcome<Action> {
+    let begin = |world: World| {
+        let mut world = start(world, from);
+        world.budget = budget;
+        world
+    };
+    let worlds = worlds.into_iter().map(begin).collect();
+    let depth = 100;
+    search(&Cell { worlds }, Bounds { depth, states })
+}
+
+fn worlds(rules: Rules, renumbers: bool) -> Vec<World> {
+    let world = |slow| world(rules, renumbers, slow);
+    SLOW_NODES.into_iter().map(world).collect()
 }
 
 const LEASES: Budget = Budget {
@@ -56,31 +153,192 @@
     ..Budget::NONE
 };
 
-#[test]
-fn one_owner_within_bounds() {
-    let states = std::env::var("EXPLORE_STATES").map_or(60_000, |text| text.parse().unwrap());
-    let budgets = [
-        LEASES,
-        Budget {
-            restarts: 1,
-            ..LEASES
-        },
-        Budget { kills: 3, ..LEASES },
-        Budget {
-            shifts: 1,
-            ..LEASES
-        },
-        Budget { stops: 1, ..LEASES },
-        Budget {
-            repeats: 1,
-            outage_flips: 2,
-            ..LEASES
-        },
-    ];
-    for budget in budgets {
-        let bounds = Bounds { depth: 100, states };
-        let outcome = explore(Rules::ALL, budget, bounds);
-        println!("{budget:?}: {outcome}");
+const RESTARTS: Budget = Budget {
+    restarts: 2,
+    ..LEASES
+};
+
+const SHIFTS: Budget = Budget {
+    shifts: 2,
+    ..LEASES
+};
+
+const KILLS: Budget = Budget { kills: 3, ..LEASES };
+
+const STOPS: Budget = Budget { stops: 1, ..LEASES };
+
+const ALL: Budget = Budget {
+    steps: 8,
+    restarts: 1,
+    kills: 1,
+    repeats: 1,
+    shifts: 1,
+    stops: 1,
+    outage_flips: 1,
+};
+
+/// Passes when no search from `from` finds a second owner.
+fn passes(from: Start) {
+    for budget in [LEASES, RESTARTS, KILLS, SHIFTS, STOPS, ALL] {
+        let outcome = explore(worlds(Rules::ALL, true), budget, from, states(4_000));
+        println!("{from:?} {budget:?}: {outcome}");
         assert!(outcome.failure.is_none(), "{outcome}");
     }
 }
+
+#[test]
+fn one_owner_from_settled() {
+    passes(Start::Settled);
+}
+
+#[test]
+fn one_owner_from_promised() {
+    passes(Start::Promised);
+}
+
+#[test]
+fn one_owner_from_renewed() {
+    passes(Start::Renewed);
+}
+
+#[test]
+fn one_owner_from_offered_late() {
+    passes(Start::OfferedLate);
+}
+
+#[test]
+fn one_owner_from_answered() {
+    passes(Start::Answered);
+}
+
+#[test]
+fn one_owner_from_exposed() {
+    passes(Start::Exposed);
+}
+
+#[test]
+fn one_owner_from_ended() {
+    passes(Start::Ended);
+}
+
+#[test]
+fn one_owner_from_taken_over() {
+    passes(Start::TakenOver);
+}
+
+#[test]
+fn one_owner_from_offered() {
+    passes(Start::Offered);
+}
+
+/// Passes when the search finds a violation with some rules switched off.
+fn caught(off: impl FnOnce(&mut Rules), budget: Budget, from: Start, slow: &[usize]) {
+    let mut rules = Rules::ALL;
+    off(&mut rules);
+    let worlds = vec![world(rules, true, slow)];
+    let outcome = explore(worlds, budget, from, states(300_000));
+    println!("{outcome}");
+    assert!(outcome.failure.is_some(), "not caught: {outcome}");
+}
+
+#[test]
+fn without_predecessor_is_caught() {
+    caught(
+        |rules| rules.predecessor = false,
+        LEASES,
+        Start::Ended,
+        &[0],
+    );
+}
+
+#[test]
+fn without_counting_from_asking_is_caught() {
+    caught(
+        |rules| rules.count_from_asking = false,
+        LEASES,
+        Start::Answered,
+        &[0],
+    );
+}
+
+#[test]
+fn without_counting_from_sending_is_caught() {
+    caught(
+        |rules| rules.count_from_sending = false,
+        LEASES,
+        Start::Renewed,
+        &[0],
+    );
+}
+
+#[test]
+fn without_final_lapse_and_barred_promise_is_caught() {
+    let off = |rules: &mut Rules| {
+        rules.lapse_is_final = false;
+        rules.claim_bars_promise = false;
+    };
+    caught(off, LEASES, Start::Ended, &[0]);
+}
+
+#[test]
+fn without_keeping_promises_is_caught() {
+    caught(
+        |rules| rules.keep_promises = false,
+        LEASES,
+        Start::Promised,
+        &[0],
+    );
+}
+
+#[test]
+fn without_margin_is_caught() {
+    caught(|rules| rules.margin = false, LEASES, Start::Settled, &[0]);
+}
+
+#[test]
+fn without_asking_proposed_is_caught() {
+    caught(
+        |rules| rules.ask_proposed = false,
+        LEASES,
+        Start::OfferedLate,
+        &[0],
+    );
+}
+
+#[test]
+fn without_waiting_for_yield_is_caught() {
+    caught(
+        |rules| rules.wait_for_yield = false,
+        SHIFTS,
+        Start::Offered,
+        &[0],
+    );
+}
+
+#[test]
+fn without_outsider_waiting_is_caught() {
+    caught(
+        |rules| rules.outsider_waits = false,
+        SHIFTS,
+        Start::Promised,
+        &[0],
+    );
+}
+
+#[test]
+fn without_telling_exposure_is_caught() {
+    caught(
+        |rules| rules.tell_exposure = false,
+        LEASES,
+        Start::Exposed,
+        &[0],
+    );
+}
+
+#[test]
+fn without_new_incarnation_is_caught() {
+    let worlds = vec![world(Rules::ALL, false, &[0])];
+    let outcome = explore(worlds, RESTARTS, Start::Promised, states(300_000));
+    println!("{outcome}");
+    assert!(outcome.failure.is_some(), "not caught: {outcome}");
+}
--- a/tests/testsuite/lease/mod.rs
+++ b/tests/testsuite/lease/mod.rs
@@ -1,4 +1,5 @@
 //! Leases: one owner at any time, whatever is delayed, lost, repeated or paused.
 
 mod explore;
+mod fuzz;
 mod world;
--- a/tests/testsuite/lease/world.rs
+++ b/tests/testsuite/lease/world.rs
@@ -66,8 +66,8 @@
     Kill(usize),
     /// A node learns which VMs and runs there are.
     List(usize),
-    /// Another node becomes the preferred owner.
-    Shift,
+    /// A node sees another one as the preferred owner.
+    Shift(usize),
     /// A node is to stop.
     Stop(usize),
     /// A node that may do so dispatches a request that the log does not describe.
@@ -84,7 +84,10 @@
     pub(crate) node: Node,
     pub(crate) clock: Instant,
     read: usize,
+    /// The node that it sees as the preferred owner.
+    preferred: usize,
     is_alive: bool,
+    is_stopping: bool,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash)]
@@ -113,7 +116,6 @@
     flying: Vec<Record>,
     letters: Vec<Letter>,
     version: u64,
-    preferred: usize,
     /// Whether a request was dispatched that the log does not describe.
     undescribed: bool,
     fault: Option<String>,
@@ -122,18 +124,17 @@
 impl World {
     /// Makes a world in which node 0 owns the partition, nodes 1 and 2 are its standbys and all
     /// have read so.
-    pub(crate) fn settled(shape: Shape, budget: Budget) -> World {
+    pub(crate) fn settled(shape: Shape) -> World {
         let mut world = World {
             procs: Vec::new(),
             shape,
-            budget,
+            budget: Budget::NONE,
             log: Vec::new(),
             next: 0,
             head: None,
             flying: Vec::new(),
             letters: Vec::new(),
             version: 1,
-            preferred: 0,
             undescribed: false,
             fault: None,
         };
@@ -145,13 +146,7 @@
             world.introduce(index);
         }
         world.act(Action::Tick(0));
-        world.act(Action::Land {
-            record: 0,
-            stays: false,
-        });
-        for index in 0..world.procs.len() {
-            world.act(Action::Read(index));
-        }
+        world.land_and_read();
         world
     }
 
@@ -165,7 +160,9 @@
             node,
             clock: START,
             read: 0,
+            preferred: 0,
             is_alive: true,
+            is_stopping: false,
         }
     }
 
@@ -191,9 +188,6 @@
             }
         }
         out.extend((0..self.letters.len()).map(Action::Deliver));
-        if budget.shifts > 0 {
-            out.push(Action::Shift);
-        }
         if budget.outage_flips > 0 {
             out.push(Action::Outage(budget.outage_flips.is_multiple_of(2)));
         }
@@ -217,6 +211,9 @@
         if self.budget.kills > 0 {
             out.push(Action::Kill(index));
         }
+        if self.budget.shifts > 0 {
+            out.push(Action::Shift(index));
+        }
         out.push(Action::List(index));
         if self.budget.stops > 0 && proc.table.may_act(PARTITION, proc.clock).is_some() {
             out.push(Action::Stop(index));
@@ -240,9 +237,10 @@
             Action::Restart(index) => self.restart(index),
             Action::Kill(index) => self.kill(index),
             Action::List(index) => self.list(index),
-            Action::Shift => self.shift(),
+            Action::Shift(index) => self.shift(index),
             Action::Stop(index) => {
-                self.budget.stops -= 1;
+                self.budget.stops = self.budget.stops.saturating_sub(1);
+                self.procs[index].is_stopping = true;
                 self.step(index, Input::Stop);
             }
             Action::Dispatch(_) => self.undescribed = true,
@@ -273,12 +271,51 @@
             .map(|proc| proc.node)
     }
 
-    pub(crate) fn flying(&self) -> usize {
-        self.flying.len()
+    /// Delivers all letters, and those sent in answer.
+    pub(crate) fn deliver_all(&mut self) {
+        while !self.letters.is_empty() {
+            self.act(Action::Deliver(0));
+        }
     }
 
-    pub(crate) fn letters(&self) -> usize {
-        self.letters.len()
+    /// Lands the oldest record in flight, and lets all nodes read it.
+    pub(crate) fn land_and_read(&mut self) {
+        let (record, stays) = (0, false);
+        self.act(Action::Land { record, stays });
+        for index in 0..self.procs.len() {
+            self.act(Action::Read(index));
+        }
+    }
+
+    /// Ends all faults: the log works, stopping processes end, everybody learns of it.
+    pub(crate) fn heal(&mut self) {
+        self.act(Action::Outage(false));
+        for index in 0..self.procs.len() {
+            if self.procs[index].is_stopping {
+                self.act(Action::Kill(index));
+            }
+        }
+    }
+
+    /// Lets every node do all that it can, and time go on by one step.
+    pub(crate) fn settle(&mut self) {
+        self.act(Action::Advance);
+        for index in 0..self.procs.len() {
+            if self.procs[index].is_alive {
+                self.act(Action::List(index));
+                self.act(Action::Tick(index));
+            }
+        }
+        while !self.flying.is_empty() {
+            let (record, stays) = (0, false);
+            self.act(Action::Land { record, stays });
+        }
+        for index in 0..self.procs.len() {
+            while self.procs[index].is_alive && self.procs[index].read < self.log.len() {
+                self.act(Action::Read(index));
+            }
+        }
+        self.deliver_all();
     }
 
     fn advance(&mut self) {
@@ -335,7 +372,7 @@
 
     fn land(&mut self, index: usize, stays: bool) {
         let record = if stays {
-            self.budget.repeats -= 1;
+            self.budget.repeats = self.budget.repeats.saturating_sub(1);
             self.flying[index].clone()
         } else {
             self.flying.remove(index)
@@ -372,7 +409,7 @@
     }
 
     fn restart(&mut self, index: usize) {
-        self.budget.restarts -= 1;
+        self.budget.restarts = self.budget.restarts.saturating_sub(1);
         let clock = self.procs[index].clock;
         let before = self.procs[index].node.incarnation.0;
         let incarnation = before + u64::from(self.shape.renumbers);
@@ -385,7 +422,7 @@
     }
 
     fn kill(&mut self, index: usize) {
-        self.budget.kills -= 1;
+        self.budget.kills = self.budget.kills.saturating_sub(1);
         self.procs[index].is_alive = false;
         self.version += 1;
         self.prune();
@@ -407,8 +444,9 @@
 
     fn prefer(&mut self, index: usize) {
         let count = self.procs.len();
+        let preferred = self.procs[index].preferred;
         let mut candidates = [None; STANDBYS + 1];
-        let order = (0..count).map(|rank| &self.procs[(self.preferred + rank) % count]);
+        let order = (0..count).map(|rank| &self.procs[(preferred + rank) % count]);
         let live = order.filter(|proc| proc.is_alive);
         for (place, proc) in candidates.iter_mut().zip(live) {
             *place = Some(proc.node);
@@ -420,18 +458,16 @@
         self.step(index, Input::Prefer(&[preference]));
     }
 
-    fn shift(&mut self) {
-        self.budget.shifts -= 1;
-        self.preferred = (self.preferred + self.procs.len() - 1) % self.procs.len();
-        for index in 0..self.procs.len() {
-            if self.procs[index].is_alive {
-                self.prefer(index);
-            }
-        }
+    fn shift(&mut self, index: usize) {
+        self.budget.shifts = self.budget.shifts.saturating_sub(1);
+        let count = self.procs.len();
+        let proc = &mut self.procs[index];
+        proc.preferred = (proc.preferred + count - 1) % count;
+        self.prefer(index);
     }
 
     fn outage(&mut self, down: bool) {
-        self.budget.outage_flips -= 1;
+        self.budget.outage_flips = self.budget.outage_flips.saturating_sub(1);
         for index in 0..self.procs.len() {
             self.step(index, Input::Log { up: !down });
         }
