Split the worker stand-in and the cell builder

The worker's state and its service, and the builder's processes and its VM list, are modules of their own now.

--- a/crates/laburnum-testkit/src/cell/builder.rs
+++ b/crates/laburnum-testkit/src/cell/builder.rs
@@ -5,30 +5,18 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use laburnumplank::core::id::{Rack, Service};
 use laburnumplank::core::resource::Amount;
-use laburnumplank::platform::vms::{Role as VmRole, State, Vm};
+use laburnumplank::platform::vms::Vm;
 use serde_json::{Value, json};
 
 use super::platform::Group;
 use super::settings;
+use super::vms::{Addresses, FIRST_ENTRY, Plan, data_centre};
 use super::{Cell, Entry, Platform};
 use crate::http;
 use crate::process::{self, Process};
 use crate::standin::{Role, vms};
 
-/// The number of the first entry VM.
-const FIRST_ENTRY: u32 = 1;
-
-/// The number of the first worker VM.
-const FIRST_WORKER: u32 = 1_001;
-
-/// The number of the first target VM.
-const FIRST_TARGET: u32 = 100_001;
-
-/// How many workers a rack holds.
-const RACK_SIZE: u32 = 8;
-
 /// What a cell consists of; everything has a default.
 #[derive(Clone, Debug)]
 pub struct Builder {
@@ -160,8 +148,7 @@
         let directory = tempfile::tempdir()?;
         let platform = self.start_platform(&http)?;
         let addresses = free_addresses(self.entries)?;
-        let vms = self.vms(&platform, &addresses);
-        let edit = vms::Edit::Replace(vms);
+        let edit = vms::Edit::Replace(self.vms(&platform, &addresses));
         platform.vms.client.edit_vms(&edit).await?;
         self.write_settings(&platform, &addresses, directory.path())?;
         let entries = self.start_entries(&addresses, directory.path())?;
@@ -197,7 +184,7 @@
             .map(|(vm, &address)| {
                 Ok(Entry {
                     vm,
-                    data_centre: self.data_centre(vm - FIRST_ENTRY),
+                    data_centre: data_centre(&self.regions, vm - FIRST_ENTRY),
                     address,
                     process: self.start_daemon(vm, directory)?,
                 })
@@ -234,52 +221,19 @@
         ])
     }
 
-    /// Returns the VMs of the cell.
     fn vms(&self, platform: &Platform, entries: &[SocketAddr]) -> Vec<Vm> {
-        let entry = |index, address| self.vm(FIRST_ENTRY + index, index, address, VmRole::Entry);
-        let worker = |index, address| {
-            let rack = index / RACK_SIZE;
-            let role = VmRole::Worker {
-                rack: Rack(rack + 1),
-                size: self.worker_size,
-            };
-            self.vm(FIRST_WORKER + index, rack, address, role)
+        let plan = Plan {
+            regions: &self.regions,
+            worker_size: self.worker_size,
+            service: &self.service,
+            slots: self.slots,
+            connections: self.connections,
         };
-        let target = |index, address| {
-            let role = VmRole::Target {
-                service: Service(self.service.clone()),
-                slots: self.slots,
-                connections: self.connections,
-            };
-            self.vm(FIRST_TARGET + index, index, address, role)
-        };
-        let mut vms = group(entries, entry);
-        vms.extend(group(&platform.workers.addresses, worker));
-        vms.extend(group(&platform.targets.addresses, target));
-        vms
-    }
-
-    /// Returns a live VM in the data centre of index `place`.
-    fn vm(&self, id: u32, place: u32, address: SocketAddr, role: VmRole) -> Vm {
-        Vm {
-            id,
-            state: State::Live,
-            address,
-            data_centre: self.data_centre(place),
-            role,
-        }
-    }
-
-    /// Returns the data centre of index `place`, counted over all regions and round again.
-    fn data_centre(&self, place: u32) -> String {
-        let regions = self.regions.as_array().into_iter().flatten();
-        let names: Vec<&str> = regions
-            .filter_map(|region| region["data_centres"].as_array())
-            .flatten()
-            .filter_map(Value::as_str)
-            .collect();
-        let index = place as usize % names.len().max(1);
-        names.get(index).copied().unwrap_or_default().to_owned()
+        plan.vms(&Addresses {
+            entries,
+            workers: &platform.workers.addresses,
+            targets: &platform.targets.addresses,
+        })
     }
 
     fn write_settings(
@@ -291,7 +245,7 @@
         for (vm, listen) in (FIRST_ENTRY..).zip(addresses) {
             let entry = settings::Entry {
                 vm,
-                data_centre: &self.data_centre(vm - FIRST_ENTRY),
+                data_centre: &data_centre(&self.regions, vm - FIRST_ENTRY),
                 listen: *listen,
                 log: platform.log.addresses[0],
                 vms: platform.vms.addresses[0],
@@ -304,14 +258,6 @@
     }
 }
 
-/// Makes a VM of each address and its index.
-fn group(addresses: &[SocketAddr], vm: impl Fn(u32, SocketAddr) -> Vm) -> Vec<Vm> {
-    let indexed = (0..).zip(addresses);
-    indexed
-        .map(|(index, &address)| vm(index, address))
-        .collect()
-}
-
 /// Returns the settings file of an entry VM.
 fn settings_file(vm: u32, directory: &Path) -> PathBuf {
     directory.join(format!("entry-{vm}.json5"))
--- a/crates/laburnum-testkit/src/cell/mod.rs
+++ b/crates/laburnum-testkit/src/cell/mod.rs
@@ -6,6 +6,7 @@
 mod builder;
 mod platform;
 mod settings;
+mod vms;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -17,7 +18,7 @@
 pub use self::platform::Platform;
 use crate::http;
 use crate::process::Process;
-use crate::standin::vms;
+use crate::standin::vms::Edit;
 
 /// How long a daemon may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
@@ -95,7 +96,7 @@
     /// # Errors
     ///
     /// Fails when the VM list does not answer.
-    pub async fn edit_vms(&self, edit: &vms::Edit) -> eyre::Result<List> {
+    pub async fn edit_vms(&self, edit: &Edit) -> eyre::Result<List> {
         self.platform.vms.client.edit_vms(edit).await
     }
 
--- a/crates/laburnum-testkit/src/standin/worker.rs
+++ b/crates/laburnum-testkit/src/standin/worker/tasks.rs
@@ -1,84 +1,23 @@
-//! A worker that runs imaginary tasks.
+//! The tasks of a worker, as plain state.
 //!
 //! A task ends when its command says so, on request, or when its lease ends, whichever is first.
-//! Ends are found whenever the state is looked at, at the time they were due. The worker starts
-//! what it is given and records [`Violation`]s of what a scheduler must never do.
+//! Ends are found whenever the state is looked at, at the time they were due.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use actix_http::{Method, StatusCode};
-use laburnum_derive::{message, state};
+use laburnum_derive::state;
 use laburnumplank::core::id::Attempt;
 use laburnumplank::core::resource::Amount;
 use laburnumplank::core::time::{Instant, Stamp};
 use laburnumplank::platform::worker::{Action, Control, Inventory, Renew, Report, Start, State};
 
-use super::command::{Command, End};
-use super::fault::Faults;
-use super::http::{Answer, Request};
-use super::server::Serve;
-use crate::clock;
+use super::{Counts, Options, Violation};
+use crate::standin::command::{Command, End};
 
 /// How long an ended task stays in the inventory.
 pub const ENDED_KEPT: Duration = Duration::from_secs(600);
 
-/// What a worker is.
-#[state]
-#[derive(Copy)]
-pub struct Options {
-    /// What the worker holds.
-    pub size: Amount,
-    /// How far reported usage lags behind.
-    pub usage_lag: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Options {
-        Options {
-            size: Amount {
-                cpu_millis: 16_000,
-                memory_mib: 65_536,
-                accelerators: 0,
-            },
-            usage_lag: Duration::from_secs(5),
-        }
-    }
-}
-
-/// Something that a scheduler must never do to a worker.
-#[message]
-#[serde(rename_all = "snake_case")]
-pub enum Violation {
-    /// The declared sizes of running tasks exceed the worker.
-    SizeExceeded {
-        /// The attempt whose start exceeded it.
-        attempt: Attempt,
-        /// The sum of the declared sizes.
-        committed: Amount,
-    },
-    /// Two attempts of one task ran at the same time.
-    TaskTwice {
-        /// The attempt that ran already.
-        running: Attempt,
-        /// The attempt that was started beside it.
-        started: Attempt,
-    },
-}
-
-/// What a worker has done since its start.
-#[message]
-#[derive(Copy, Default)]
-pub struct Counts {
-    /// Attempts started.
-    pub started: u64,
-    /// Starts refused because they came too late.
-    pub late: u64,
-    /// Attempts whose lease ended.
-    pub lapsed: u64,
-}
-
 /// An attempt that runs or ran.
 #[state]
 struct Run {
@@ -232,6 +171,12 @@
         &self.violations
     }
 
+    /// Returns what the worker has done by `now`.
+    pub fn counts(&mut self, now: Instant) -> Counts {
+        self.settle(now);
+        self.counts
+    }
+
     /// Records what starting `start` violates.
     fn check(&mut self, start: &Start) {
         let running = self.runs.iter().filter(|(_, run)| run.ended.is_none());
@@ -266,63 +211,3 @@
         });
     }
 }
-
-/// Serves [`Tasks`].
-#[derive(Debug)]
-pub(super) struct Service {
-    tasks: RefCell<Tasks>,
-}
-
-impl Service {
-    pub(super) fn new(options: Options) -> Service {
-        let tasks = RefCell::new(Tasks::new(options, rand::random()));
-        Service { tasks }
-    }
-
-    fn start(&self, request: &Request, broken: bool) -> Result<Answer, Answer> {
-        let start = request.json()?;
-        let mut tasks = self.tasks.borrow_mut();
-        let is_taken = tasks.start(clock::now(), clock::stamp(), &start, broken);
-        is_taken
-            .then(Answer::empty)
-            .ok_or_else(|| Answer::error(StatusCode::CONFLICT, "the start came too late"))
-    }
-
-    fn renew(&self, request: &Request) -> Result<Answer, Answer> {
-        let renew = request.json()?;
-        self.tasks.borrow_mut().renew(clock::now(), &renew);
-        Ok(Answer::empty())
-    }
-
-    fn act(&self, request: &Request) -> Result<Answer, Answer> {
-        let control = request.json()?;
-        let is_known = self.tasks.borrow_mut().control(clock::now(), &control);
-        is_known
-            .then(Answer::empty)
-            .ok_or_else(|| Answer::error(StatusCode::NOT_FOUND, "no such attempt"))
-    }
-}
-
-impl Serve for Service {
-    async fn serve(&self, request: Request, faults: Faults) -> Answer {
-        match (&request.method, request.path.as_str()) {
-            (&Method::POST, "/v1/tasks/start") => self.start(&request, faults.broken).into(),
-            (&Method::POST, "/v1/tasks/renew") => self.renew(&request).into(),
-            (&Method::POST, "/v1/tasks/control") => self.act(&request).into(),
-            (&Method::GET, "/v1/inventory") => {
-                Answer::json(&self.tasks.borrow_mut().inventory(clock::now()))
-            }
-            _ => Answer::not_found(&request),
-        }
-    }
-
-    fn control(&self, path: &str, request: &Request) -> Answer {
-        let mut tasks = self.tasks.borrow_mut();
-        tasks.settle(clock::now());
-        match path {
-            "violations" => Answer::json(&tasks.violations()),
-            "counts" => Answer::json(&tasks.counts),
-            _ => Answer::not_found(request),
-        }
-    }
-}
