--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -11,6 +11,7 @@
 use super::{control, dispatch, peer};
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Incarnation, Node, Vm};
+use crate::core::request::Origin;
 use crate::settings::Settings;
 use crate::util::clock::Clock;
 use crate::util::metric::Metrics;
@@ -50,6 +51,7 @@
     in_flight: AtomicUsize,
     is_stop_requested: AtomicBool,
     is_draining: AtomicBool,
+    is_ready: AtomicBool,
 }
 
 /// Counts one request in flight until it is dropped.
@@ -72,11 +74,12 @@
     ) -> Context {
         let shared = Shared {
             senders,
-            incarnation: AtomicU64::new(rand::random()),
+            incarnation: AtomicU64::new(incarnation(clock)),
             asks: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
             is_stop_requested: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            is_ready: AtomicBool::new(false),
         };
         Context {
             settings: Arc::new(settings),
@@ -98,9 +101,9 @@
 
     /// Draws a new incarnation, because the state of the former one is lost.
     pub fn renew_incarnation(&self) {
-        self.shared
-            .incarnation
-            .store(rand::random(), Ordering::Relaxed);
+        let newer = self.node().incarnation.0 + 1;
+        let drawn = incarnation(self.clock).max(newer);
+        self.shared.incarnation.store(drawn, Ordering::Relaxed);
     }
 
     /// Hands an event to the control part.
@@ -155,16 +158,17 @@
         }
     }
 
-    /// Runs an idempotent call from this entry and waits for its answer.
+    /// Runs a call, here or through the owner of its key, and waits for its answer.
     ///
     /// # Errors
     ///
     /// Whatever stopped the call.
-    pub async fn call_any(&self, call: Call, timeout: Duration) -> Result<Tell> {
+    pub async fn call(&self, call: Call, origin: Origin, timeout: Duration) -> Result<Tell> {
         let (reply, answer) = oneshot::channel();
         let deadline = self.clock.now() + timeout;
         self.dispatch(dispatch::Event::Call {
             call,
+            origin,
             deadline,
             reply,
         });
@@ -202,6 +206,16 @@
         self.shared.is_stop_requested.load(Ordering::Relaxed)
     }
 
+    /// Notes whether the daemon knows an owner of every partition.
+    pub fn set_ready(&self, is_ready: bool) {
+        self.shared.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// Returns whether the daemon can take new requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready.load(Ordering::Relaxed) && !self.is_draining()
+    }
+
     /// Marks the daemon as stopping.
     pub fn begin_drain(&self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
@@ -215,3 +229,12 @@
 
 /// How much longer than its deadline an ask waits for its own final answer.
 const ANSWER_GRACE: Duration = Duration::from_millis(250);
+
+/// How many of the lowest bits of an incarnation are random.
+const INCARNATION_RANDOM_BITS: u32 = 10;
+
+/// Draws an incarnation; one that is drawn later on the same VM is higher.
+fn incarnation(clock: Clock) -> u64 {
+    let random = u64::from(rand::random::<u32>() >> (u32::BITS - INCARNATION_RANDOM_BITS));
+    (clock.stamp().0 << INCARNATION_RANDOM_BITS) | random
+}
--- a/src/daemon/control/journal.rs
+++ b/src/daemon/control/journal.rs
@@ -61,15 +61,6 @@
         /// Where it landed.
         offset: std::result::Result<u64, Failure>,
     },
-    /// The end of a stream was asked for.
-    End {
-        /// The stream.
-        stream: Stream,
-        /// When it was asked for.
-        asked: Instant,
-        /// The offset of the next append.
-        next: std::result::Result<u64, Failure>,
-    },
 }
 
 /// What was learnt from the log.
@@ -86,15 +77,8 @@
     Config(Record<config::Change>),
     /// A record of a partition.
     Work(archive::Record),
-    /// The stream was read up to this offset; `lag` entries are known to follow.
-    Read {
-        /// The stream.
-        stream: Stream,
-        /// The next offset to be read.
-        next: u64,
-        /// How many entries follow.
-        lag: u64,
-    },
+    /// The stream was read to its end.
+    End(Stream),
     /// Records of this process are in the log for good.
     Durable {
         /// The stream.
@@ -166,11 +150,6 @@
         self.is_up
     }
 
-    /// Returns the next offset that is read from the work stream.
-    pub(super) fn work_next(&self) -> u64 {
-        self.work.next()
-    }
-
     /// Sets how many entries share the cell's rate of appends.
     pub(super) fn set_entries(&mut self, now: Instant, entries: u32, facts: &mut Vec<Fact>) {
         self.write(now, writer::Input::Entries(entries), facts);
@@ -187,7 +166,11 @@
     }
 
     /// Queues a record of another stream.
-    pub(super) fn push<T: serde::Serialize>(&mut self, stream: Stream, record: &T) -> Result<Ticket> {
+    pub(super) fn push<T: serde::Serialize>(
+        &mut self,
+        stream: Stream,
+        record: &T,
+    ) -> Result<Ticket> {
         self.writer.push(&name(stream), record)
     }
 
@@ -196,19 +179,6 @@
         self.writer.withdraw(&name(stream), ticket)
     }
 
-    /// Asks where a stream ends, as of after now.
-    pub(super) fn ask_end(&self, stream: Stream) {
-        let context = self.context.clone();
-        let client = self.client.clone();
-        actix_rt::spawn(async move {
-            let asked = context.clock.now();
-            let base = &context.settings.platform.log;
-            let page = client.read(base, stream.name(), u64::MAX, 1, Duration::ZERO).await;
-            let next = page.map(|page| page.next);
-            context.control(Input::Log(Event::End { stream, asked, next }));
-        });
-    }
-
     /// Lets time pass.
     pub(super) fn tick(&mut self, now: Instant, facts: &mut Vec<Fact>) {
         for stream in [Stream::Lease, Stream::Config, Stream::Work] {
@@ -221,11 +191,30 @@
     pub(super) fn take(&mut self, now: Instant, event: Event, facts: &mut Vec<Fact>) {
         match event {
             Event::Page { stream, page } => {
+                let is_page = page.is_ok();
                 let input = page.map_or(reader::Input::Failed, reader::Input::Page);
                 self.read(now, stream, input, facts);
+                if is_page {
+                    self.note_position(now, stream, facts);
+                }
+                if is_page && self.lag(stream) == 0 {
+                    facts.push(Fact::End(stream));
+                }
             }
-            Event::Appended { stream, copy, offset } => self.appended(now, stream, copy, offset, facts),
-            Event::End { .. } => {}
+            Event::Appended {
+                stream,
+                copy,
+                offset,
+            } => self.appended(now, stream, copy, offset.ok(), facts),
+        }
+    }
+
+    /// Returns how many entries are known to follow what was read.
+    fn lag(&self, stream: Stream) -> u64 {
+        match stream {
+            Stream::Lease => self.lease.lag(),
+            Stream::Config => self.config.lag(),
+            Stream::Work => self.work.lag(),
         }
     }
 
@@ -234,14 +223,18 @@
         now: Instant,
         stream: Stream,
         copy: writer::Copy,
-        offset: std::result::Result<u64, Failure>,
+        offset: Option<u64>,
         facts: &mut Vec<Fact>,
     ) {
-        self.note_state(offset.is_ok());
+        self.note_state(offset.is_some());
         let stream = name(stream);
         let input = match offset {
-            Ok(offset) => writer::Input::Appended { stream, copy, offset },
-            Err(_) => writer::Input::Failed { stream, copy },
+            Some(offset) => writer::Input::Appended {
+                stream,
+                copy,
+                offset,
+            },
+            None => writer::Input::Failed { stream, copy },
         };
         self.write(now, input, facts);
     }
@@ -249,7 +242,10 @@
     /// Counts an append and reports a change between up and down.
     fn note_state(&mut self, is_up: bool) {
         let outcome = if is_up { "ok" } else { "failed" };
-        self.context.metrics.appends.add(1, &label("outcome", outcome));
+        self.context
+            .metrics
+            .appends
+            .add(1, &label("outcome", outcome));
         if is_up != self.is_up {
             info!(self.context.log, "log changed state"; "up" => is_up);
             self.is_up = is_up;
@@ -262,8 +258,7 @@
             Stream::Lease => {
                 let mut out = Vec::new();
                 self.lease.step(now, input, &mut out);
-                let lag = self.lease.lag();
-                self.deliver(now, stream, lag, out, facts, |record| Fact::Lease {
+                self.deliver(stream, out, facts, |record| Fact::Lease {
                     offset: record.offset,
                     record: record.value,
                 });
@@ -271,14 +266,12 @@
             Stream::Config => {
                 let mut out = Vec::new();
                 self.config.step(now, input, &mut out);
-                let lag = self.config.lag();
-                self.deliver(now, stream, lag, out, facts, Fact::Config);
+                self.deliver(stream, out, facts, Fact::Config);
             }
             Stream::Work => {
                 let mut out = Vec::new();
                 self.work.step(now, input, &mut out);
-                let lag = self.work.lag();
-                self.deliver(now, stream, lag, out, facts, |record| Fact::Work(record.value));
+                self.deliver(stream, out, facts, |record| Fact::Work(record.value));
             }
         }
     }
@@ -286,9 +279,7 @@
     /// Carries out what a reader wants.
     fn deliver<T>(
         &mut self,
-        now: Instant,
         stream: Stream,
-        lag: u64,
         outputs: Vec<reader::Output<T>>,
         facts: &mut Vec<Fact>,
         fact: impl Fn(Record<T>) -> Fact,
@@ -298,13 +289,13 @@
                 reader::Output::Fetch { from } => self.fetch(stream, from),
                 reader::Output::Batch(_) => {}
                 reader::Output::Record(record) => {
-                    self.context.metrics.records.add(1, &label("stream", stream.name()));
+                    self.context
+                        .metrics
+                        .records
+                        .add(1, &label("stream", stream.name()));
                     facts.push(fact(record));
                 }
-                reader::Output::Read { next } => {
-                    facts.push(Fact::Read { stream, next, lag });
-                    self.note_position(now, stream, next, facts);
-                }
+                reader::Output::Read { .. } => {}
                 reader::Output::Expired { wanted, first } => {
                     warn!(self.context.log, "entries expired unread";
                         "stream" => stream.name(), "wanted" => wanted, "first" => first);
@@ -327,15 +318,23 @@
     }
 
     /// Tells the writer what its process has read.
-    fn note_position(&mut self, now: Instant, stream: Stream, next: u64, facts: &mut Vec<Fact>) {
+    fn note_position(&mut self, now: Instant, stream: Stream, facts: &mut Vec<Fact>) {
         let node = self.context.node();
-        let seen = match stream {
-            Stream::Lease => self.lease.seen(),
-            Stream::Config => self.config.seen(),
-            Stream::Work => self.work.seen(),
+        let (next, seen) = match stream {
+            Stream::Lease => (self.lease.next(), self.lease.seen()),
+            Stream::Config => (self.config.next(), self.config.seen()),
+            Stream::Work => (self.work.next(), self.work.seen()),
         };
         let last = seen.last(node);
-        self.write(now, writer::Input::Read { stream: name(stream), next, last }, facts);
+        self.write(
+            now,
+            writer::Input::Read {
+                stream: name(stream),
+                next,
+                last,
+            },
+            facts,
+        );
     }
 
     /// Gives `input` to the writer and carries out what it wants.
@@ -344,12 +343,22 @@
         self.writer.step(now, input, &mut out);
         for output in out {
             match output {
-                writer::Output::Append { stream, copy, bytes } => self.append(Stream::of(&stream), copy, bytes),
+                writer::Output::Append {
+                    stream,
+                    copy,
+                    bytes,
+                } => self.append(Stream::of(&stream), copy, bytes),
                 writer::Output::Durable { stream, tickets } => {
-                    facts.push(Fact::Durable { stream: Stream::of(&stream), tickets });
+                    facts.push(Fact::Durable {
+                        stream: Stream::of(&stream),
+                        tickets,
+                    });
                 }
                 writer::Output::Unknown { stream, tickets } => {
-                    facts.push(Fact::Unknown { stream: Stream::of(&stream), tickets });
+                    facts.push(Fact::Unknown {
+                        stream: Stream::of(&stream),
+                        tickets,
+                    });
                 }
             }
         }
@@ -361,7 +370,9 @@
         let client = self.client.clone();
         actix_rt::spawn(async move {
             let base = &context.settings.platform.log;
-            let page = client.read(base, stream.name(), from, PAGE_BYTES, READ_WAIT).await;
+            let page = client
+                .read(base, stream.name(), from, PAGE_BYTES, READ_WAIT)
+                .await;
             context.control(Input::Log(Event::Page { stream, page }));
         });
     }
@@ -373,8 +384,14 @@
         actix_rt::spawn(async move {
             let base = &context.settings.platform.log;
             let entry = Bytes::from(bytes);
-            let offset = client.append(base, stream.name(), entry, APPEND_TIMEOUT).await;
-            context.control(Input::Log(Event::Appended { stream, copy, offset }));
+            let offset = client
+                .append(base, stream.name(), entry, APPEND_TIMEOUT)
+                .await;
+            context.control(Input::Log(Event::Appended {
+                stream,
+                copy,
+                offset,
+            }));
         });
     }
 }
