Let the log test reach its age limit

With four entries kept and waits of at most 3 s, no entry of the property test ever reached the age of 10 s, so it passed with retention by age switched off. The limit is 4 s now. The test of a target's connection limit hung instead of failing with the limit off; it has a time limit now.

--- a/tests/testsuite/standin/log.rs
+++ b/tests/testsuite/standin/log.rs
@@ -16,7 +16,7 @@
 fn limits() -> Limits {
     Limits {
         entries: 4,
-        age: 10 * SECOND,
+        age: 4 * SECOND,
         appends_per_second: 100,
     }
 }
--- a/tests/testsuite/standin/target.rs
+++ b/tests/testsuite/standin/target.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
+use actix_rt::time::timeout;
 use laburnum_testkit::http::{self, Answer, Header};
 use laburnum_testkit::standin::target::Options;
 use laburnumplank::platform::target::{KEY, REQUEST_ID};
@@ -8,6 +10,9 @@
 
 use super::{ANY_PORT, Bench, run};
 
+/// How long a refusal may take.
+const LIMIT: Duration = Duration::from_secs(5);
+
 const ONE_SLOT: Options = Options {
     slots: 1,
     connections: 3,
@@ -89,7 +94,7 @@
             held.push(TcpStream::connect(address).await.unwrap());
         }
         let last = TcpStream::connect(address).await.unwrap();
-        last.readable().await.unwrap();
+        timeout(LIMIT, last.readable()).await.unwrap().unwrap();
         assert!(matches!(last.try_read(&mut [0; 1]), Ok(0) | Err(_)));
         let effects = bench.control.effects(0).await.unwrap();
         assert_eq!(
