Finish and record what was begun before partitions are handed over

Cause: a planned stop gave its leases up while filings were running, so the next owner found intents without outcomes and answered 'unknown'. Ruled out: lost connections to targets (none were counted).

--- a/src/core/request/dedup/table.rs
+++ b/src/core/request/dedup/table.rs
@@ -103,6 +103,18 @@
         self.undescribed_keys().count()
     }
 
+    /// Returns how many keys are being logged or run. An owner that hands the partition over waits
+    /// until there are none, so that the log describes every outcome.
+    pub fn unfinished(&self) -> usize {
+        let is_unfinished = |entry: &&Entry| {
+            matches!(
+                entry.progress,
+                Progress::Logging(_) | Progress::Running { .. }
+            )
+        };
+        self.entries.values().filter(is_unfinished).count()
+    }
+
     /// Returns how many keys are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/daemon/control/answer.rs
+++ b/src/daemon/control/answer.rs
@@ -207,6 +207,12 @@
 
     /// Returns whether the job is known already, or why it is refused.
     fn check_submit(&self, partition: Partition, job: &placement::Job) -> Result<bool> {
+        if self.drain.is_some() {
+            return Err(Error::new(
+                Kind::Stopping,
+                "the owner is stopping; come back",
+            ));
+        }
         let missing = || Error::new(Kind::NoOwner, "the partition is being opened; come back");
         let cell = self.jobs.cell(partition).ok_or_else(missing)?;
         if let Some(known) = self.known_spec(partition, job.id) {
--- a/src/daemon/control/keys.rs
+++ b/src/daemon/control/keys.rs
@@ -143,6 +143,14 @@
         self.entries.get(&partition)?.services.get(&id)
     }
 
+    /// Returns how many keys are being logged or run.
+    pub(super) fn unfinished(&self) -> usize {
+        self.entries
+            .values()
+            .map(|entry| entry.table.unfinished())
+            .sum()
+    }
+
     /// Returns the partitions whose runs are all described by the log.
     pub(super) fn described(&self) -> Vec<Partition> {
         let described = self
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -171,7 +171,16 @@
     refused: Vec<(Pending, archive::Record)>,
     /// Answers that wait for the end of a job's cancellation.
     canceling: HashMap<Job, Vec<Reply>>,
-    drain: Option<oneshot::Sender<()>>,
+    drain: Option<Drain>,
+}
+
+/// A planned stop. What was begun is first finished and recorded, so that the next owners find it
+/// in the log; only then are the partitions handed over.
+struct Drain {
+    done: oneshot::Sender<()>,
+    /// When the partitions are handed over whatever is unfinished.
+    give_up_at: Instant,
+    is_handing_over: bool,
 }
 
 /// Runs the control part until its inbox closes.
@@ -296,8 +305,13 @@
                 }
             }
             Event::Drain { done } => {
-                self.drain = Some(done);
-                self.tenure.stop(now);
+                let give_up_at =
+                    now + Duration::from_millis(self.context.settings.traffic.drain_ms / 2);
+                self.drain = Some(Drain {
+                    done,
+                    give_up_at,
+                    is_handing_over: false,
+                });
             }
         }
     }
@@ -307,8 +321,10 @@
         let mut facts = Vec::new();
         self.journal.tick(now, &mut facts);
         self.learn(now, facts);
-        for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
-            self.follow_cell(partition, outputs);
+        if self.drain.is_none() {
+            for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
+                self.follow_cell(partition, outputs);
+            }
         }
         self.describe(now);
         let is_up = self.journal.is_up();
@@ -350,18 +366,33 @@
         let is_listed = !self.vms.vms.is_empty();
         self.context
             .set_ready(is_listed && self.tenure.has_owners());
-        if self.tenure.is_idle() && self.drain.is_some() {
-            self.finish_drain();
-        }
+        self.tend_drain(now);
     }
 
-    fn finish_drain(&mut self) {
-        if let Some(done) = self.drain.take() {
+    /// Goes on with a planned stop.
+    fn tend_drain(&mut self, now: Instant) {
+        let is_finished = self.is_finished();
+        let Some(drain) = &mut self.drain else {
+            return;
+        };
+        if !drain.is_handing_over && (is_finished || now >= drain.give_up_at) {
+            drain.is_handing_over = true;
+            info!(self.context.log, "partitions are handed over"; "finished" => is_finished);
+            self.tenure.stop(now);
+        }
+        if self.tenure.is_idle()
+            && let Some(drain) = self.drain.take_if(|drain| drain.is_handing_over)
+        {
             info!(self.context.log, "nothing is owned any more");
-            let _ = done.send(());
+            let _ = drain.done.send(());
         }
     }
 
+    /// Returns whether everything that was begun is in the log.
+    fn is_finished(&self) -> bool {
+        self.pending.is_empty() && self.refused.is_empty() && self.keys.unfinished() == 0
+    }
+
     fn take_log(&mut self, now: Instant, event: journal::Event) {
         let mut facts = Vec::new();
         self.journal.take(now, event, &mut facts);
@@ -469,8 +500,9 @@
     }
 
     /// Asks the table of a partition about a request.
-    fn admit(&mut self, service: Service, partition: Partition, submission: dedup::Submission) {
+    fn admit(&mut self, service: Service, partition: Partition, mut submission: dedup::Submission) {
         let id = submission.id;
+        submission.room &= self.drain.is_none();
         let clock = self.context.clock;
         match self
             .keys
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -130,6 +130,7 @@
     let limit = Duration::from_millis(context.settings.traffic.drain_ms);
     let end = context.clock.now() + limit;
     let (handed_over, done) = tokio::sync::oneshot::channel();
+    context.dispatch(dispatch::Event::Drain);
     context.control(control::Event::Drain { done: handed_over });
     let mut done = done;
     let mut is_released = false;
--- a/tests/testsuite/daemon/call.rs
+++ b/tests/testsuite/daemon/call.rs
@@ -150,7 +150,7 @@
         ] {
             let answer = post(content_type, body).await;
             assert_eq!(answer.status, 400, "{body}");
-            let json: serde_json::Value = answer.json().unwrap();
+            let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
             assert_eq!(json["code"], "invalid_argument", "{json}");
             assert_eq!(json["details"][0]["type"], "laburnum.v1.ErrorDetail");
         }
--- a/tests/testsuite/daemon/config.rs
+++ b/tests/testsuite/daemon/config.rs
@@ -10,7 +10,7 @@
 
 /// Returns a document that gives a team a quota.
 fn document(cores: u64) -> String {
-    json!({ "teams": { "bars": { "quota": { "cpu_millis": cores * 1_000, "memory_mib": 1_024 } } } }).to_string()
+    json!({ "teams": { "bars": { "cpu_millis": cores * 1_000, "memory_mib": 1_024, "accelerators": 0 } } }).to_string()
 }
 
 async fn put(cell: &Cell, entry: usize, base: u64, document: String) -> Result<u64> {
--- a/tests/testsuite/daemon/job.rs
+++ b/tests/testsuite/daemon/job.rs
@@ -191,7 +191,7 @@
         let whole = Amount {
             cpu_millis: 16_000,
             memory_mib: 1_024,
-            accelerators: 0,
+            accelerators: 2,
         };
         let filler = JobSpec {
             size: Some(whole),
