--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -13,12 +13,17 @@
 //! costs time, and the [lease](super::lease) rules alone decide who may act. Only the VM list and
 //! the order of incarnations, handed on as a [`Roster`](super::lease::Roster), must be right.
 
+mod entry;
+mod gossip;
 mod message;
+mod port;
 pub mod rendezvous;
 mod ring;
 mod settings;
 mod view;
+mod watch;
 
 pub use message::{Heartbeat, Status, Update};
+pub use port::{Dump, Input, Output, Row, State};
 pub use settings::{Builder, Place, Settings, Site};
-pub use view::{Dump, Input, Output, Row, State, View};
+pub use view::View;
