Keep a reserve of slots from shutting a class out for good

Cause: an entry far from the targets held one slot and the reserve for lookups rounded up to one, so filings there waited until their deadline. The partitions' moves under load were a second cause of lost outcomes: an owner now finishes and records what it began before it offers a partition, and hands the grants of its targets to the next owner. Ruled out: takeover waits of the grantors (slots were dealt), ejection, the VM list's lag.

--- a/src/core/lease/holder.rs
+++ b/src/core/lease/holder.rs
@@ -139,7 +139,9 @@
         }
         let mut groups = Groups::new();
         for index in 0..self.slots.len() {
-            self.release(now, index, &mut groups, out);
+            if !self.slots[index].is_kept {
+                self.release(now, index, &mut groups, out);
+            }
         }
         let release = |(group, partitions): (Group, Vec<Partition>)| Release {
             predecessor: group.predecessor,
@@ -182,7 +184,7 @@
     }
 
     /// Returns the node that should own a partition instead of this one.
-    fn successor(&self, slot: &Slot) -> Option<Node> {
+    pub(super) fn successor(&self, slot: &Slot) -> Option<Node> {
         let others = slot.candidates.into_iter().flatten();
         let mut present = others.filter(|&node| self.is_present(node));
         if self.stopping {
@@ -195,6 +197,9 @@
     pub(super) fn hand_over(&mut self, now: Instant, out: &mut Vec<Output>) {
         let mut wishes: BTreeMap<Node, Vec<Wish>> = BTreeMap::new();
         for index in 0..self.slots.len() {
+            if self.slots[index].is_kept {
+                continue;
+            }
             let Some(successor) = self.successor(&self.slots[index]) else {
                 continue;
             };
--- a/src/core/lease/port.rs
+++ b/src/core/lease/port.rs
@@ -44,6 +44,9 @@
     /// The log describes every request that was dispatched unlogged in this partition, and none
     /// will be dispatched by promises asked for before.
     Described(Partition),
+    /// These partitions, and no others, have unfinished work of this owner; they are neither
+    /// offered nor given up meanwhile.
+    Keep(&'a [Partition]),
     /// The process is to stop: hand all partitions over.
     Stop,
 }
--- a/src/core/lease/slot.rs
+++ b/src/core/lease/slot.rs
@@ -35,6 +35,8 @@
     pub(super) offered: Option<Offering>,
     /// The nodes that should own the partition.
     pub(super) candidates: Candidates,
+    /// Whether the owner has unfinished work and does not hand the partition over yet.
+    pub(super) is_kept: bool,
     /// Whether requests may have been dispatched in this node's ownership that the log does not
     /// describe.
     pub(super) exposed: bool,
--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -56,6 +56,7 @@
             Input::Prefer(preferences) => self.prefer(preferences),
             Input::Log { up } => self.log_up = up,
             Input::Described(partition) => self.described(now, partition),
+            Input::Keep(partitions) => self.keep(partitions),
             Input::Stop => self.stopping = true,
         }
     }
@@ -87,6 +88,18 @@
                 .is_some_and(|slot| slot.exposed && slot.has_promises(now, &self.settings))
     }
 
+    /// Returns the partitions that this node holds and is to hand over, so that it can finish its
+    /// work on them.
+    pub fn moving(&self) -> Vec<Partition> {
+        let is_moving = |slot: &Slot| {
+            let is_leaving = self.stopping || self.successor(slot).is_some();
+            slot.is_held_by(self.node) && is_leaving
+        };
+        let slots = self.slots.iter().enumerate();
+        let moving = slots.filter(|(_, slot)| is_moving(slot));
+        moving.map(|(index, _)| Partition(index as u16)).collect()
+    }
+
     /// Returns whether no partition is held by this node, so that a stopping process may end.
     pub fn is_idle(&self) -> bool {
         !self.slots.iter().any(|slot| slot.is_held_by(self.node))
@@ -199,6 +212,13 @@
         }
     }
 
+    /// Adopts which partitions have unfinished work.
+    fn keep(&mut self, partitions: &[Partition]) {
+        for (index, slot) in self.slots.iter_mut().enumerate() {
+            slot.is_kept = partitions.contains(&Partition(index as u16));
+        }
+    }
+
     /// Notes that the log describes all that was dispatched.
     fn described(&mut self, now: Instant, partition: Partition) {
         let Some(slot) = self.slots.get_mut(usize::from(partition.0)) else {
--- a/src/core/request/dispatcher/mod.rs
+++ b/src/core/request/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 
 mod arrival;
 mod counter;
+mod dump;
 mod ending;
 mod flight;
 mod pump;
@@ -23,6 +24,7 @@
 use laburnum_derive::{message, state, value};
 
 pub use self::counter::{Counters, Reason, Traffic};
+pub use self::dump::{Dump, Row};
 pub use self::state::Dispatcher;
 use super::call::{Answer, Call, Id};
 use super::link::{Attempt, Connection};
--- a/src/core/request/queue.rs
+++ b/src/core/request/queue.rs
@@ -282,7 +282,9 @@
             0
         };
         let least = (room.held * self.leave_permille).div_ceil(1000);
-        room.free > kept.max(least)
+        let reserve = kept.max(least);
+        // A reserve of all that is held would shut the class out for good.
+        room.free > reserve.min(room.held.saturating_sub(1))
     }
 }
 
--- a/src/core/request/slot/grantor.rs
+++ b/src/core/request/slot/grantor.rs
@@ -1,10 +1,11 @@
 //! The owner's side of one target's slots.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use laburnum_derive::{state, value};
 
-use super::{Ask, Capacity, Grant, Member, Rules};
+use super::{Ask, Capacity, Grant, Lent, Member, Rules};
 use crate::core::request::route::Tier;
 use crate::core::time::Instant;
 
@@ -70,6 +71,49 @@
         }
     }
 
+    /// Makes the grantor of a partition that was handed over with the grants in force.
+    pub fn inherit(now: Instant, rules: Rules, capacity: Capacity, lent: &[Lent]) -> Grantor {
+        let mut grantor = Grantor::first(rules, capacity);
+        for lent in lent {
+            let account = Account {
+                sequence: lent.sequence,
+                counted: lent.counted,
+                demand: Demand {
+                    needs: lent.needs,
+                    wants: lent.wants,
+                    tier: lent.tier,
+                },
+                asked: now,
+                until: now + Duration::from_millis(lent.left_ms),
+            };
+            grantor.accounts.insert(lent.member, account);
+        }
+        grantor
+    }
+
+    /// Returns the grants that may be in force, for the next owner of the partition, or `None`
+    /// while grants of an earlier owner may be in force that are not known. The caller must not
+    /// grant afterwards.
+    pub fn lent(&self, now: Instant) -> Option<Vec<Lent>> {
+        if now < self.closed_until {
+            return None;
+        }
+        let living = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| now < account.until);
+        let lent = living.map(|(&member, account)| Lent {
+            member,
+            sequence: account.sequence,
+            counted: account.counted,
+            needs: account.demand.needs,
+            wants: account.demand.wants,
+            tier: account.demand.tier,
+            left_ms: account.until.since(now).as_millis() as u64 + 1,
+        });
+        Some(lent.collect())
+    }
+
     /// Notes until when this process surely owns the target's partition; nothing is granted after.
     pub fn extend(&mut self, until: Instant) {
         self.authority = until;
--- a/src/core/request/slot/mod.rs
+++ b/src/core/request/slot/mod.rs
@@ -79,6 +79,25 @@
     pub tier: Tier,
 }
 
+/// What a member may hold, as one owner of the target's partition tells it to the next.
+#[message]
+pub struct Lent {
+    /// The member.
+    pub member: Member,
+    /// The sequence number of its newest ask.
+    pub sequence: u64,
+    /// Slots that it may fill.
+    pub counted: u32,
+    /// Slots that it had requests for.
+    pub needs: u32,
+    /// Slots that it would have liked to have.
+    pub wants: u32,
+    /// How far it is from the target.
+    pub tier: Tier,
+    /// When the slots are surely free, in milliseconds from now.
+    pub left_ms: u64,
+}
+
 /// Answers an [`Ask`].
 #[message]
 pub struct Grant {
--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -185,6 +185,20 @@
         }
     }
 
+    /// Returns the state of the dispatch part.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when it does not answer within `timeout`.
+    pub async fn dump_dispatch(&self, timeout: Duration) -> Result<serde_json::Value> {
+        let (reply, answer) = oneshot::channel();
+        self.dispatch(dispatch::Event::Dump(reply));
+        let told = actix_rt::time::timeout(timeout, answer).await;
+        told.ok()
+            .and_then(std::result::Result::ok)
+            .ok_or_else(|| Error::new(Kind::Internal, "the dispatch part does not answer"))
+    }
+
     /// Counts a request in flight.
     pub fn begin_flight(&self) -> Flight {
         self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/src/daemon/control/jobs.rs
+++ b/src/daemon/control/jobs.rs
@@ -269,7 +269,10 @@
             if let Some(until) = tenure.deadline(partition, now) {
                 wishes.push((partition, self.step(now, partition, Input::Lease(until))));
             }
-            wishes.push((partition, self.step(now, partition, Input::Tick)));
+            // A partition that is to move gets no new placements, so that its records come to an end.
+            if !tenure.is_moving(partition) {
+                wishes.push((partition, self.step(now, partition, Input::Tick)));
+            }
         }
         wishes
     }
--- a/src/daemon/control/keys.rs
+++ b/src/daemon/control/keys.rs
@@ -143,12 +143,11 @@
         self.entries.get(&partition)?.services.get(&id)
     }
 
-    /// Returns how many keys are being logged or run.
-    pub(super) fn unfinished(&self) -> usize {
+    /// Returns how many keys of a partition are being logged or run.
+    pub(super) fn unfinished(&self, partition: Partition) -> usize {
         self.entries
-            .values()
-            .map(|entry| entry.table.unfinished())
-            .sum()
+            .get(&partition)
+            .map_or(0, |entry| entry.table.unfinished())
     }
 
     /// Returns the partitions whose runs are all described by the log.
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -19,7 +19,7 @@
 mod tenure;
 mod worker_io;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use slog::{info, warn};
@@ -41,7 +41,7 @@
 use crate::platform::worker::Inventory;
 use crate::util::metric::label;
 use crate::util::timer;
-use crate::wire::{Ask, Frame, Reply, Tell};
+use crate::wire::{Ask, Estate, Frame, Reply, Tell};
 use archive::{Archive, Body};
 use configuration::Configuration;
 use jobs::Jobs;
@@ -102,6 +102,8 @@
     },
     /// A dispatcher asks for slots of a target.
     SlotAsk(slot::Ask),
+    /// The former owner of a partition hands its grants over.
+    SlotEstate(Estate),
     /// A worker answered a start.
     Started {
         /// The partition whose cell sent the start.
@@ -171,16 +173,7 @@
     refused: Vec<(Pending, archive::Record)>,
     /// Answers that wait for the end of a job's cancellation.
     canceling: HashMap<Job, Vec<Reply>>,
-    drain: Option<Drain>,
-}
-
-/// A planned stop. What was begun is first finished and recorded, so that the next owners find it
-/// in the log; only then are the partitions handed over.
-struct Drain {
-    done: oneshot::Sender<()>,
-    /// When the partitions are handed over whatever is unfinished.
-    give_up_at: Instant,
-    is_handing_over: bool,
+    drain: Option<oneshot::Sender<()>>,
 }
 
 /// Runs the control part until its inbox closes.
@@ -304,14 +297,10 @@
                     self.follow_cell(partition, outputs);
                 }
             }
+            Event::SlotEstate(estate) => self.slots.inherit(estate),
             Event::Drain { done } => {
-                let give_up_at =
-                    now + Duration::from_millis(self.context.settings.traffic.drain_ms / 2);
-                self.drain = Some(Drain {
-                    done,
-                    give_up_at,
-                    is_handing_over: false,
-                });
+                self.drain = Some(done);
+                self.tenure.stop(now);
             }
         }
     }
@@ -321,10 +310,8 @@
         let mut facts = Vec::new();
         self.journal.tick(now, &mut facts);
         self.learn(now, facts);
-        if self.drain.is_none() {
-            for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
-                self.follow_cell(partition, outputs);
-            }
+        for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
+            self.follow_cell(partition, outputs);
         }
         self.describe(now);
         let is_up = self.journal.is_up();
@@ -355,6 +342,7 @@
     fn tend_tenure(&mut self, now: Instant) {
         let outputs = self.tenure.tick_view(now);
         self.follow_view(now, outputs);
+        self.keep_unfinished(now);
         let outputs = self
             .tenure
             .tick(now, self.context.clock.stamp(), self.journal.is_up());
@@ -366,31 +354,28 @@
         let is_listed = !self.vms.vms.is_empty();
         self.context
             .set_ready(is_listed && self.tenure.has_owners());
-        self.tend_drain(now);
+        self.tend_drain();
     }
 
-    /// Goes on with a planned stop.
-    fn tend_drain(&mut self, now: Instant) {
-        let is_finished = self.is_finished();
-        let Some(drain) = &mut self.drain else {
-            return;
-        };
-        if !drain.is_handing_over && (is_finished || now >= drain.give_up_at) {
-            drain.is_handing_over = true;
-            info!(self.context.log, "partitions are handed over"; "finished" => is_finished);
-            self.tenure.stop(now);
-        }
+    /// Ends a planned stop once nothing is owned any more.
+    fn tend_drain(&mut self) {
         if self.tenure.is_idle()
-            && let Some(drain) = self.drain.take_if(|drain| drain.is_handing_over)
+            && let Some(done) = self.drain.take()
         {
             info!(self.context.log, "nothing is owned any more");
-            let _ = drain.done.send(());
+            let _ = done.send(());
         }
     }
 
-    /// Returns whether everything that was begun is in the log.
-    fn is_finished(&self) -> bool {
-        self.pending.is_empty() && self.refused.is_empty() && self.keys.unfinished() == 0
+    /// Holds partitions that are to move until what was begun on them is in the log, so that the
+    /// next owner finds it there.
+    fn keep_unfinished(&mut self, now: Instant) {
+        let records = self.pending.values().chain(&self.refused);
+        let recording: HashSet<Partition> = records.map(|(_, record)| record.partition).collect();
+        let keys = &self.keys;
+        self.tenure.keep(now, |partition| {
+            recording.contains(&partition) || keys.unfinished(partition) > 0
+        });
     }
 
     fn take_log(&mut self, now: Instant, event: journal::Event) {
@@ -502,7 +487,7 @@
     /// Asks the table of a partition about a request.
     fn admit(&mut self, service: Service, partition: Partition, mut submission: dedup::Submission) {
         let id = submission.id;
-        submission.room &= self.drain.is_none();
+        submission.room &= !self.tenure.is_moving(partition);
         let clock = self.context.clock;
         match self
             .keys
@@ -529,7 +514,7 @@
         let Some(until) = self.tenure.deadline(partition, now) else {
             return;
         };
-        info!(self.context.log, "partition opened"; "partition" => partition.0, "epoch" => acquired.epoch.0);
+        info!(self.context.log, "partition opened"; "partition" => partition.0, "epoch" => acquired.epoch.0, "origin" => ?acquired.origin);
         if self.jobs.is_worker_partition(partition) {
             let records = self.archive.cell(partition).to_vec();
             let outputs = self.jobs.open(now, &acquired, until, records);
@@ -603,6 +588,7 @@
 
     /// Carries out what the lease table wants.
     fn follow_leases(&mut self, outputs: Vec<lease::Output>) {
+        let now = self.context.clock.now();
         for output in outputs {
             match output {
                 lease::Output::Append(append) => {
@@ -611,6 +597,7 @@
                     }
                 }
                 lease::Output::Send { to, message } => {
+                    self.send_estate(to, &message);
                     let own = self.tenure.node();
                     self.send(to.vm, Frame::Lease(own, message));
                 }
@@ -621,12 +608,30 @@
                 }
                 lease::Output::Lost { partition, .. } => {
                     self.note_ownership("lost", partition);
-                    self.close(partition);
+                    self.close(now, partition);
                 }
             }
         }
     }
 
+    /// Hands the grants of a partition's targets to the entry that is yielded to.
+    fn send_estate(&mut self, to: Node, message: &lease::Message) {
+        let lease::Message::Yield(yielded) = message else {
+            return;
+        };
+        let partition = yielded.partition;
+        let targets = self.slots.take_left(partition);
+        let epoch = lease::Epoch(yielded.claim);
+        self.send(
+            to.vm,
+            Frame::SlotEstate(Estate {
+                partition,
+                epoch,
+                targets,
+            }),
+        );
+    }
+
     fn note_ownership(&self, change: &'static str, partition: Partition) {
         self.context
             .metrics
@@ -636,11 +641,11 @@
     }
 
     /// Stops acting on a partition.
-    fn close(&mut self, partition: Partition) {
+    fn close(&mut self, now: Instant, partition: Partition) {
         self.tenure.note_lost(partition);
         self.keys.close(partition);
         self.jobs.close(partition);
-        self.slots.close(partition);
+        self.slots.close(now, partition);
         let owner = dispatch::Event::Owner(partition, None);
         self.context.dispatch(owner);
     }
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -35,6 +35,10 @@
     /// What the dispatch part was last told.
     told: HashMap<Partition, Owner>,
     is_ready: bool,
+    /// Since when partitions are to move.
+    moving: HashMap<Partition, Instant>,
+    /// How long unfinished work may delay a move.
+    patience: Duration,
     /// When the live state of an open partition was last written anew.
     rewritten: HashMap<Partition, Instant>,
 }
@@ -58,6 +62,8 @@
             own: BTreeMap::new(),
             told: HashMap::new(),
             is_ready: false,
+            moving: HashMap::new(),
+            patience: Duration::from_millis(settings.traffic.drain_ms / 2),
             rewritten: HashMap::new(),
         }
     }
@@ -184,6 +190,31 @@
         (0..self.partitions).all(|partition| self.table.owner(Partition(partition)).is_some())
     }
 
+    /// Lets partitions that are to move go once `is_unfinished` does not hold of them.
+    pub(super) fn keep(&mut self, now: Instant, is_unfinished: impl Fn(Partition) -> bool) {
+        let moving = self.table.moving();
+        self.moving
+            .retain(|partition, _| moving.contains(partition));
+        for &partition in &moving {
+            self.moving.entry(partition).or_insert(now);
+        }
+        let is_kept = |(partition, since): &(&Partition, &Instant)| {
+            now.since(**since) < self.patience && is_unfinished(**partition)
+        };
+        let kept: Vec<Partition> = self
+            .moving
+            .iter()
+            .filter(is_kept)
+            .map(|(&partition, _)| partition)
+            .collect();
+        let _ = self.step_table(now, lease::Input::Keep(&kept));
+    }
+
+    /// Returns whether a partition is to move to another entry and takes nothing new.
+    pub(super) fn is_moving(&self, partition: Partition) -> bool {
+        self.moving.contains_key(&partition)
+    }
+
     /// Begins to hand all partitions over.
     pub(super) fn stop(&mut self, now: Instant) {
         let _ = self.step_view(now, membership::Input::Leave);
--- a/src/daemon/dispatch/mod.rs
+++ b/src/daemon/dispatch/mod.rs
@@ -14,6 +14,8 @@
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
+use serde_json::Value;
+use tokio::sync::oneshot;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::context::Context;
@@ -89,6 +91,8 @@
         /// What happened.
         input: Input,
     },
+    /// The state is asked for, as JSON by service.
+    Dump(oneshot::Sender<Value>),
     /// A planned stop began.
     Drain,
 }
@@ -188,6 +192,9 @@
                     self.step(&service, input);
                 }
             }
+            Event::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
             Event::Drain => {
                 let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
                 for service in services {
@@ -197,6 +204,18 @@
         }
     }
 
+    /// Returns the state for people.
+    fn dump(&self) -> Value {
+        let now = self.context.clock.now();
+        let services = self.dispatchers.iter().map(|(service, dispatcher)| {
+            (
+                service.0.clone(),
+                serde_json::to_value(dispatcher.dump(now)).unwrap_or_default(),
+            )
+        });
+        Value::Object(services.collect())
+    }
+
     fn service_of(&self, target: Target) -> Option<Service> {
         self.targets.get(&target).map(|place| place.service.clone())
     }
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -301,6 +301,7 @@
                     .control(control::Event::Lease { from, message });
             }
             Frame::SlotAsk(ask) => self.context.control(control::Event::SlotAsk(ask)),
+            Frame::SlotEstate(estate) => self.context.control(control::Event::SlotEstate(estate)),
             Frame::SlotGrant(grant) => self.context.dispatch(dispatch::Event::Granted(grant)),
         }
     }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -4,10 +4,31 @@
 
 use super::{Ask, Tell};
 use crate::core::error::{Error, Kind, Result};
-use crate::core::id::Node;
+use crate::core::id::{Node, Partition, Target};
+use crate::core::lease::Epoch;
 use crate::core::request::slot;
 use crate::core::{lease, membership};
 
+/// The grants in force of a partition's targets, from the owner that yields to the next.
+#[message]
+pub struct Estate {
+    /// The partition.
+    pub partition: Partition,
+    /// The ownership of the receiver.
+    pub epoch: Epoch,
+    /// The grants by target; a target that is absent may have grants that the sender does not know.
+    pub targets: Vec<Lot>,
+}
+
+/// The grants in force of one target.
+#[message]
+pub struct Lot {
+    /// The target.
+    pub target: Target,
+    /// The grants.
+    pub lent: Vec<slot::Lent>,
+}
+
 /// One message on a link.
 #[message]
 pub enum Frame {
@@ -42,6 +63,8 @@
     SlotAsk(slot::Ask),
     /// Answers an ask for slots.
     SlotGrant(slot::Grant),
+    /// Hands the grants of a partition's targets to its next owner.
+    SlotEstate(Estate),
 }
 
 impl Frame {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,4 +8,4 @@
 mod frame;
 
 pub use ask::{Ask, Call, Reply, Tell};
-pub use frame::Frame;
+pub use frame::{Estate, Frame, Lot};
--- a/tests/testsuite/request.rs
+++ b/tests/testsuite/request.rs
@@ -4,6 +4,7 @@
 mod machine;
 mod oracle;
 mod parts;
+mod reserve;
 mod slot;
 mod switch;
 mod world;
