Measure requests against a baseline and spread demand evenly over targets

Cause: at 80 % load one entry of a data centre was last at all its targets and refused requests. Ruled out: larger headroom, which only moved the shortage.

--- a/crates/laburnum-measure/src/request.rs
+++ b/crates/laburnum-measure/src/request.rs
@@ -89,19 +89,28 @@
 /// Measures the work answered in time at twice the capacity.
 fn goodput() -> eyre::Result<Table> {
     let columns = [
+        "offered",
         "policy",
-        "offered, of capacity",
         "answered in time, % of capacity",
         "refused or dropped, %",
     ];
     let mut table = Table::new("Goodput under overload", &columns);
-    for load in [0.8, 2.0] {
-        let scenario = Scenario::overload(load);
+    let loads = [
+        ("lookups, 0.8 of capacity", Scenario::overload(0.8)),
+        ("lookups, 2.0 of capacity", Scenario::overload(2.0)),
+        ("bulk at most once, 2.0 of capacity", Scenario::bulk(2.0)),
+        (
+            "lookups 0.05 and bulk 2.0 of capacity",
+            Scenario::flood(0.05),
+        ),
+        ("lookups 0.2 and bulk 2.0 of capacity", Scenario::flood(0.2)),
+    ];
+    for (load, scenario) in loads {
         for (name, outcome) in Pair::of(&scenario)?.each() {
             table.row([
+                load.to_owned(),
                 name.to_owned(),
-                format!("{load:.1}"),
-                format!("{:.1}", outcome.good_work(&scenario) * 100.0),
+                format!("{:.1}", outcome.good_work() * 100.0),
                 format!("{:.1}", outcome.refused_share() * 100.0),
             ]);
         }
@@ -135,7 +144,7 @@
         "load",
         "policy",
         "inter-region bytes of bodies per request",
-        "inter-region control messages per second",
+        "inter-region control, kB per second in all",
         "processor time per request, µs",
         "processor time for control per entry, ms per second",
     ];
@@ -151,7 +160,7 @@
                 load.to_owned(),
                 name.to_owned(),
                 format!("{:.0}", outcome.remote_bytes_per_request()),
-                format!("{:.0}", outcome.remote_messages_per_second()),
+                format!("{:.0}", outcome.remote_control_rate()),
                 format!("{:.2}", outcome.micros_per_request()),
                 format!("{:.3}", outcome.control_millis_per_second()),
             ]);
--- a/crates/laburnum-measure/src/request/fabric.rs
+++ b/crates/laburnum-measure/src/request/fabric.rs
@@ -10,7 +10,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::scenario::{
-    ANSWER_BYTES, DATA_CENTRES, ENTRIES, REQUEST_BYTES, SLOTS, Scenario, Stream, TARGETS,
+    ANSWER_BYTES, CONTROL_BYTES, DATA_CENTRES, ENTRIES, REQUEST_BYTES, SLOTS, Scenario, Stream,
+    TARGETS,
 };
 
 /// How often each entry gets a tick.
@@ -46,7 +47,7 @@
     Send { target: usize, id: u64, token: u64 },
     /// Answer a request.
     Answer { id: u64, is_good: bool },
-    /// Send a message to an entry after `delay` beside the network's.
+    /// Send a message with a body of so many bytes to an entry after `delay` beside the network's.
     Message {
         to: usize,
         delay: Duration,
@@ -106,6 +107,8 @@
     requests: u64,
     lookups: u64,
     good: u64,
+    /// Usual service time of the requests answered in time within the span.
+    good_seconds: f64,
     good_lookups: u64,
     refused: u64,
     attempts: u64,
@@ -263,9 +266,11 @@
         }
     }
 
-    /// Returns whether statistics are kept of a request that arrived at `arrived`.
-    fn counts(&self, arrived: Instant) -> bool {
-        arrived >= self.start
+    /// Returns whether statistics are kept of a request: it arrives after the warm-up and its
+    /// deadline is within the run.
+    fn counts(&self, request: &Request) -> bool {
+        let end = self.start + self.scenario.span;
+        request.arrived >= self.start && request.deadline <= end
     }
 
     fn handle(&mut self, event: Event<P::Message>) {
@@ -283,21 +288,21 @@
             Event::End { target } => self.end(target),
             Event::Served { entry, answer } => {
                 let now = self.now;
-                self.timed(entry, false, |policy| {
-                    policy.served(now, entry, answer, &mut out)
+                self.timed(false, |policy| {
+                    policy.served(now, entry, answer, &mut out);
                 });
                 self.carry_out(entry, out);
             }
             Event::Message { entry, message } => {
                 let now = self.now;
-                self.timed(entry, false, |policy| {
-                    policy.message(now, entry, message, &mut out)
+                self.timed(false, |policy| {
+                    policy.message(now, entry, message, &mut out);
                 });
                 self.carry_out(entry, out);
             }
             Event::Tick { entry } => {
                 let now = self.now;
-                self.timed(entry, true, |policy| policy.tick(now, entry, &mut out));
+                self.timed(true, |policy| policy.tick(now, entry, &mut out));
                 self.carry_out(entry, out);
                 self.schedule(TICK, Event::Tick { entry });
             }
@@ -305,7 +310,7 @@
     }
 
     /// Calls the policy and adds up the real time that it takes.
-    fn timed(&mut self, _entry: usize, is_control: bool, call: impl FnOnce(&mut P)) {
+    fn timed(&mut self, is_control: bool, call: impl FnOnce(&mut P)) {
         let start = std::time::Instant::now();
         call(&mut self.policy);
         let took = start.elapsed();
@@ -332,15 +337,15 @@
             is_answered: false,
         };
         self.pending.insert(request.id, pending);
-        if self.counts(self.now) {
+        if self.counts(&request) {
             self.outcome.requests += 1;
             self.outcome.lookups += u64::from(is_lookup);
         }
         let entry = self.random.random_range(0..ENTRIES);
         let now = self.now;
         let mut out = Vec::new();
-        self.timed(entry, false, |policy| {
-            policy.arrive(now, entry, request, &mut out)
+        self.timed(false, |policy| {
+            policy.arrive(now, entry, request, &mut out);
         });
         self.carry_out(entry, out);
     }
@@ -397,7 +402,7 @@
 
     /// An attempt reaches its target.
     fn reach(&mut self, target: usize, attempt: Attempt) {
-        if target < self.scenario.failing {
+        if target < self.scenario.failing && self.now >= self.start {
             return self.reply(target, attempt, FAILURE, Served::Failed);
         }
         let at = &mut self.targets[target];
@@ -417,7 +422,7 @@
             return;
         };
         let request = pending.request;
-        if self.counts(request.arrived) && request.is_lookup {
+        if self.counts(&request) && request.is_lookup {
             let waited = self.now.since(request.arrived).as_micros() as u64;
             let _ = self.outcome.lookup_waits.record(waited.max(1));
         }
@@ -472,7 +477,12 @@
         }
         pending.is_answered = true;
         let request = pending.request;
-        if !self.counts(request.arrived) {
+        let is_timely = is_good && now <= request.deadline && now >= self.start;
+        if is_timely {
+            let service = self.stream(request.is_lookup).service;
+            self.outcome.good_seconds += service.as_secs_f64();
+        }
+        if !self.counts(&request) {
             return;
         }
         let in_time = is_good && now <= request.deadline;
@@ -489,6 +499,7 @@
             requests: 0,
             lookups: 0,
             good: 0,
+            good_seconds: 0.0,
             good_lookups: 0,
             refused: 0,
             attempts: 0,
@@ -513,10 +524,8 @@
     }
 
     /// Returns the work answered in time as a share of what all slots can do.
-    pub(super) fn good_work(&self, scenario: &Scenario) -> f64 {
-        let slots = (TARGETS * SLOTS) as f64;
-        let work = self.good_lookups as f64 * scenario.lookups.service.as_secs_f64();
-        work / (slots * self.seconds)
+    pub(super) fn good_work(&self) -> f64 {
+        self.good_seconds / ((TARGETS * SLOTS) as f64 * self.seconds)
     }
 
     pub(super) fn refused_share(&self) -> f64 {
@@ -539,8 +548,9 @@
         self.remote_bytes as f64 / self.requests.max(1) as f64
     }
 
-    pub(super) fn remote_messages_per_second(&self) -> f64 {
-        self.remote_messages as f64 / self.seconds
+    /// Returns kilobytes per second of messages between entries, bodies apart.
+    pub(super) fn remote_control_rate(&self) -> f64 {
+        (self.remote_messages * CONTROL_BYTES as u64) as f64 / self.seconds / 1e3
     }
 
     pub(super) fn micros_per_request(&self) -> f64 {
--- a/crates/laburnum-measure/src/request/owned.rs
+++ b/crates/laburnum-measure/src/request/owned.rs
@@ -28,8 +28,6 @@
 
 /// How long a group commit to the log takes.
 const COMMIT: Duration = Duration::from_millis(12);
-/// The size of a message that carries no body.
-const CONTROL_BYTES: usize = 80;
 /// Callers that send bulk work.
 const BULK_CALLERS: u64 = 4;
 const PARTITIONS: Partitions = Partitions(64);
@@ -169,7 +167,7 @@
             Output::Ask(partition, ask) => out.push(Effect::Message {
                 to: owner(partition),
                 delay: Duration::ZERO,
-                bytes: CONTROL_BYTES,
+                bytes: 0,
                 message: Message::Ask { from: entry, ask },
             }),
             Output::Send {
@@ -202,7 +200,7 @@
         out.push(Effect::Message {
             to: from,
             delay: Duration::ZERO,
-            bytes: CONTROL_BYTES + body,
+            bytes: body,
             message: Message::Dispatcher(Input::Returned(own, answer)),
         });
     }
@@ -220,7 +218,7 @@
         out.push(Effect::Message {
             to: to.vm.0 as usize,
             delay: Duration::ZERO,
-            bytes: CONTROL_BYTES + call.size as usize,
+            bytes: call.size as usize,
             message: Message::Forward {
                 from: entry,
                 id,
@@ -403,7 +401,7 @@
                 out.extend(grant.map(|grant| Effect::Message {
                     to: from,
                     delay: Duration::ZERO,
-                    bytes: CONTROL_BYTES,
+                    bytes: 0,
                     message: Message::Dispatcher(Input::Granted(grant)),
                 }));
             }
--- a/crates/laburnum-measure/src/request/scenario.rs
+++ b/crates/laburnum-measure/src/request/scenario.rs
@@ -15,6 +15,9 @@
 /// The size of an answer's body.
 pub(super) const ANSWER_BYTES: usize = 4000;
 
+/// The size of a message between entries beside a body.
+pub(super) const CONTROL_BYTES: usize = 80;
+
 /// Arrivals of one class.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stream {
@@ -32,7 +35,7 @@
     pub(super) lookups: Stream,
     /// Filings that run at most once.
     pub(super) bulk: Stream,
-    /// Targets that fail everything.
+    /// Targets that fail everything from the end of the warm-up on.
     pub(super) failing: usize,
     /// Time before statistics are kept.
     pub(super) warm_up: Duration,
@@ -94,6 +97,11 @@
         Scenario::new(lookups, NONE)
     }
 
+    /// Bulk work alone, as much as fills the slots so many times.
+    pub(super) fn bulk(load: f64) -> Scenario {
+        Scenario::new(NONE, Stream::bulk(load))
+    }
+
     /// Lookups at 40 % of capacity, a third of the targets failing.
     pub(super) fn failing() -> Scenario {
         let service = Duration::from_millis(50);
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -53,7 +53,7 @@
 const LOOKUP_WEIGHT: f64 = 0.05;
 
 /// Standard deviations of the number of lookups that are kept free beyond their usual number.
-const RESERVE_DEVIATIONS: f64 = 2.5;
+const RESERVE_DEVIATIONS: f64 = 3.5;
 
 impl<R: Rng> Dispatcher<R> {
     /// Makes the dispatcher of `member` at `place`.
@@ -260,7 +260,9 @@
         }
         self.asked = now;
         let waiting = self.queue.len() as u32;
-        for ask in self.peers.ask(now, waiting, self.is_draining) {
+        let reserve = self.reserve();
+        let asks = self.peers.ask(now, waiting, reserve, self.is_draining);
+        for ask in asks {
             let partition = self.settings.partitions.of_target(ask.target);
             out.push(Output::Ask(partition, ask));
         }
--- a/src/core/request/dispatcher/target.rs
+++ b/src/core/request/dispatcher/target.rs
@@ -73,7 +73,8 @@
 
     /// Returns how many requests the target may get now.
     fn room(&self, now: Instant, detector: &Detector) -> u32 {
-        if !self.is_usable(now, detector) {
+        let free = self.holder.free(now);
+        if free == 0 || !self.is_usable(now, detector) {
             return 0;
         }
         let most = match detector.is_on_probation(self.listed.target) {
@@ -81,7 +82,7 @@
             false => self.limit.slots(),
         };
         let by_limit = most.saturating_sub(self.holder.used());
-        let room = self.holder.free(now).min(by_limit);
+        let room = free.min(by_limit);
         let can_connect = self.pool.idle().is_some() || self.can_open(now);
         if can_connect { room } else { 0 }
     }
@@ -193,10 +194,16 @@
         }
     }
 
-    /// Asks for slots for `waiting` requests, nearest targets first.
-    pub(super) fn ask(&mut self, now: Instant, waiting: u32, is_draining: bool) -> Vec<Ask> {
+    /// Asks for slots for `waiting` requests and for some more to come, nearest targets first.
+    pub(super) fn ask(
+        &mut self,
+        now: Instant,
+        waiting: u32,
+        reserve: u32,
+        is_draining: bool,
+    ) -> Vec<Ask> {
         let used: u32 = self.peers.values().map(|peer| peer.holder.used()).sum();
-        let headroom = HEADROOM.max(used / HEADROOM_SHARE);
+        let headroom = HEADROOM.max(used / HEADROOM_SHARE).max(reserve);
         let mut demand = Demand {
             needs: used + waiting,
             spare: if is_draining { 0 } else { headroom },
@@ -223,16 +230,15 @@
         let renewal = self.settings.slot.renewal;
         let of_tier = |peer: &Peer| peer.tier == tier && peer.is_usable(now, detector);
         let count = self.peers.values().filter(|peer| of_tier(peer)).count() as u32;
-        let share = demand.share(count.max(1), idle);
+        let mut place = self.member.node.vm.0;
         let mut left = demand;
         for peer in self.peers.values_mut().filter(|peer| peer.tier == tier) {
-            let is_usable = peer.is_usable(now, detector);
-            let most = if is_usable {
-                peer.listed.capacity.slots
-            } else {
-                0
-            };
-            let wanted = share.at_most(most);
+            let mut wanted = Wanted::default();
+            if peer.is_usable(now, detector) {
+                let share = demand.share(place % count, count, idle);
+                wanted = share.at_most(peer.listed.capacity.slots);
+                place = place.wrapping_add(1);
+            }
             left.take(peer.expected(now, wanted));
             if peer.is_ask_due(now, wanted, renewal) {
                 peer.wanted = wanted;
@@ -245,12 +251,12 @@
 }
 
 impl Demand {
-    /// Returns what each of `count` targets is asked for.
-    fn share(self, count: u32, idle: u32) -> Wanted {
-        let all = self.needs + self.spare;
+    /// Returns what the target at `index` of `count` is asked for.
+    fn share(self, index: u32, count: u32, idle: u32) -> Wanted {
+        let part = |slots: u32| slots / count + u32::from(index < slots % count);
         Wanted {
-            needs: self.needs.div_ceil(count),
-            wants: all.div_ceil(count).max(idle),
+            needs: part(self.needs),
+            wants: part(self.needs + self.spare).max(idle),
         }
     }
 
--- a/src/core/request/queue.rs
+++ b/src/core/request/queue.rs
@@ -153,7 +153,7 @@
                 weight: 1,
                 most: 8192,
                 most_per_caller: 4096,
-                leave_permille: 40,
+                leave_permille: 20,
                 stays_near: true,
             },
         }
--- a/src/core/request/slot/grantor.rs
+++ b/src/core/request/slot/grantor.rs
@@ -1,10 +1,13 @@
 //! The owner's side of one target's slots.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use laburnum_derive::{state, value};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Ask, Capacity, Grant, Member, Rules};
+use crate::core::id::Target;
 use crate::core::request::route::Tier;
 use crate::core::time::Instant;
 
@@ -34,6 +37,15 @@
     dealt: u32,
 }
 
+/// How long a member keeps its place in the order of dealing.
+const TURN: Duration = Duration::from_secs(30);
+
+/// A multiple of the usual numbers of members.
+const TURN_MEMBERS: u64 = 2520;
+
+/// Targets change turns at as many different times.
+const TURN_PHASES: u32 = 64;
+
 /// Distances, nearest first.
 const TIERS: [Tier; 3] = [Tier::DataCentre, Tier::Region, Tier::Remote];
 
@@ -135,7 +147,7 @@
         let before = self.accounts.keys().filter(|other| **other < ask.member);
         let own = before.count();
         hands.insert(own, Hand::of(Demand::of(ask)));
-        let start = self.turn(now) % hands.len();
+        let start = turn(now, ask.target) % hands.len();
         let mut left = self.capacity.slots;
         for tier in TIERS {
             deal(&mut hands, start, &mut left, tier, |demand| demand.needs);
@@ -156,11 +168,6 @@
         };
         Hand::of(demand)
     }
-
-    /// Returns which member is dealt the first slot, so that all have a turn when slots are few.
-    fn turn(&self, now: Instant) -> usize {
-        (now.0 / self.rules.span.as_micros().max(1) as u64) as usize
-    }
 }
 
 impl Demand {
@@ -179,6 +186,17 @@
     }
 }
 
+/// Returns which member is dealt the first slot, so that all have a turn when slots are few.
+///
+/// It differs from target to target, so that no member is last at all of them, and changes at
+/// different times, so that no member loses slots at all of them at once.
+fn turn(now: Instant, target: Target) -> usize {
+    let phase = TURN * (target.0 % TURN_PHASES) / TURN_PHASES;
+    let turns = (now + phase).0 / TURN.as_micros() as u64;
+    let first = xxh3_64(&target.0.to_le_bytes());
+    (turns.wrapping_add(first) % TURN_MEMBERS) as usize
+}
+
 /// Deals slots round by round to the members of a tier that have less than they ask for.
 fn deal(
     hands: &mut [Hand],
--- a/tests/testsuite/request/world.rs
+++ b/tests/testsuite/request/world.rs
@@ -911,7 +911,7 @@
             Output::Answer(id, answer) => self.answer(index, id, answer),
             Output::Forward(id, node) => self.forward(index, id, node),
             Output::Admit(partition, submission) => {
-                self.to_table(index, partition, dedup::Input::Submit(submission));
+                self.tell_table(index, partition, dedup::Input::Submit(submission));
             }
             Output::Report {
                 partition,
@@ -924,7 +924,7 @@
                     Report::GaveUp(answer) => dedup::Input::GaveUp { id, key, answer },
                     Report::Left => dedup::Input::Left { id, key },
                 };
-                self.to_table(index, partition, input);
+                self.tell_table(index, partition, input);
             }
             Output::Ask(partition, ask) => {
                 let to = self.leases[usize::from(partition.0)].owner;
@@ -1072,7 +1072,7 @@
             if let (false, Some(key)) = (is_refused, self.calls[&attempt.request].key()) {
                 self.oracle.ran(key);
             }
-            return self.reply(from, incarnation, target, connection, attempt, reply);
+            return self.reply(from, incarnation, target, connection, attempt, &reply);
         }
         let key = self.calls[&attempt.request].key();
         let ends = self.now + takes;
@@ -1120,7 +1120,7 @@
                     target,
                     run.connection,
                     run.attempt,
-                    reply,
+                    &reply,
                 );
             }
         }
@@ -1155,7 +1155,7 @@
         target: Target,
         connection: Connection,
         attempt: Attempt,
-        reply: Reply,
+        reply: &Reply,
     ) {
         if self.entries[from].incarnation != incarnation {
             return;
@@ -1172,7 +1172,7 @@
         }
     }
 
-    fn to_table(&mut self, index: usize, partition: Partition, input: dedup::Input) {
+    fn tell_table(&mut self, index: usize, partition: Partition, input: dedup::Input) {
         let Some((term, _)) = self.entries[index].tables.get(&partition) else {
             return;
         };
