--- a/tests/testsuite/request/machine.rs
+++ b/tests/testsuite/request/machine.rs
@@ -93,7 +93,7 @@
 }
 
 /// Cases of a run; `PROPTEST_CASES` makes it longer.
-fn config(cases: u32) -> Config {
+pub(super) fn config(cases: u32) -> Config {
     let cases = std::env::var("PROPTEST_CASES")
         .ok()
         .and_then(|text| text.parse().ok())
--- a/tests/testsuite/request/slot.rs
+++ b/tests/testsuite/request/slot.rs
@@ -1,1 +1,182 @@
-//! Stub.
+//! Grants of a target's slots.
+
+use laburnumplank::core::id::{Incarnation, Node, Target, Vm};
+use laburnumplank::core::request::Id;
+use laburnumplank::core::request::route::Tier;
+use laburnumplank::core::request::slot::{Capacity, Grantor, Holder, Member, Rules};
+use laburnumplank::core::time::Instant;
+use proptest::prelude::*;
+
+const START: Instant = Instant(1_000_000_000);
+const FOREVER: Instant = Instant(u64::MAX / 2);
+const CAPACITY: Capacity = Capacity {
+    slots: 8,
+    connections: 64,
+};
+
+fn holder(vm: u32, tier: Tier) -> Holder {
+    let node = Node {
+        vm: Vm(vm),
+        incarnation: Incarnation(1),
+    };
+    let member = Member { node, thread: 0 };
+    Holder::new(Rules::default(), member, Target(1), tier)
+}
+
+fn grantor() -> Grantor {
+    let mut grantor = Grantor::first(Rules::default(), CAPACITY);
+    grantor.extend(FOREVER);
+    grantor
+}
+
+/// Asks and takes the answer at once; returns the slots that may be filled.
+fn renew(now: Instant, grantor: &mut Grantor, holder: &mut Holder, needs: u32) -> u32 {
+    let ask = holder.ask(now, needs, needs);
+    if let Some(grant) = grantor.ask(now, &ask) {
+        holder.grant(&grant);
+    }
+    holder.held(now)
+}
+
+#[test]
+fn near_member_is_served_before_a_far_one() {
+    let (mut near, mut far) = (holder(1, Tier::DataCentre), holder(2, Tier::Remote));
+    let mut grantor = grantor();
+    assert_eq!(renew(START, &mut grantor, &mut far, 8), 8);
+    assert_eq!(
+        renew(START, &mut grantor, &mut near, 6),
+        0,
+        "far still holds all"
+    );
+    assert_eq!(renew(START, &mut grantor, &mut far, 8), 2);
+    assert_eq!(
+        renew(START, &mut grantor, &mut near, 6),
+        0,
+        "far keeps them until it asks"
+    );
+    renew(START, &mut grantor, &mut far, 8);
+    assert_eq!(renew(START, &mut grantor, &mut near, 6), 6);
+}
+
+#[test]
+fn member_that_vanished_is_counted_to_the_end() {
+    let rules = Rules::default();
+    let (mut gone, mut other) = (holder(1, Tier::Region), holder(2, Tier::Region));
+    let mut grantor = grantor();
+    assert_eq!(renew(START, &mut grantor, &mut gone, 8), 8);
+    let before = START + rules.span + rules.longest;
+    assert_eq!(renew(before, &mut grantor, &mut other, 8), 0);
+    let after = START + rules.lifetime();
+    assert_eq!(renew(after, &mut grantor, &mut other, 8), 8);
+}
+
+#[test]
+fn new_grantor_renews_only_what_is_reported() {
+    let rules = Rules::default();
+    let (mut old, mut new) = (holder(1, Tier::Region), holder(2, Tier::Region));
+    assert_eq!(renew(START, &mut grantor(), &mut old, 3), 3);
+    let mut second = Grantor::after_takeover(START, rules, CAPACITY);
+    second.extend(FOREVER);
+    assert_eq!(renew(START, &mut second, &mut old, 8), 3);
+    assert_eq!(renew(START, &mut second, &mut new, 8), 0);
+    let after = START + rules.lifetime();
+    assert!(renew(after, &mut second, &mut new, 8) > 0);
+}
+
+#[test]
+fn grantor_without_authority_grants_nothing() {
+    let mut grantor = Grantor::first(Rules::default(), CAPACITY);
+    grantor.extend(START);
+    assert_eq!(
+        renew(START, &mut grantor, &mut holder(1, Tier::Region), 3),
+        0
+    );
+}
+
+#[test]
+fn grant_ends_by_the_time_of_its_ask() {
+    let rules = Rules::default();
+    let mut holder = holder(1, Tier::Region);
+    let ask = holder.ask(START, 4, 4);
+    let grant = grantor().ask(START, &ask).unwrap();
+    holder.grant(&grant);
+    assert_eq!(holder.free(START), 4);
+    assert_eq!(holder.free(START + rules.span), 0);
+}
+
+#[test]
+fn lost_request_keeps_its_slot_until_the_target_gave_it_up() {
+    let rules = Rules::default();
+    let mut holder = holder(1, Tier::Region);
+    renew(START, &mut grantor(), &mut holder, 1);
+    let deadline = START + rules.span;
+    holder.fill(START, Id(1), deadline);
+    holder.lose(Id(1));
+    holder.expire(deadline);
+    assert_eq!(holder.used(), 1);
+    holder.expire(deadline + rules.margin);
+    assert_eq!(holder.used(), 0);
+}
+
+/// A step of several holders at one grantor, over messages that may be lost, late or repeated.
+#[derive(Clone, Debug)]
+enum Step {
+    Ask { holder: usize, wants: u32 },
+    AskArrives { index: usize },
+    GrantArrives { index: usize },
+    Fill { holder: usize },
+    Release { holder: usize },
+    Pass { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..4usize, 0..9u32).prop_map(|(holder, wants)| Step::Ask { holder, wants }),
+        3 => (0..6usize).prop_map(|index| Step::AskArrives { index }),
+        3 => (0..6usize).prop_map(|index| Step::GrantArrives { index }),
+        4 => (0..4usize).prop_map(|holder| Step::Fill { holder }),
+        1 => (0..4usize).prop_map(|holder| Step::Release { holder }),
+        1 => (1..3000u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(super::machine::config(300))]
+    #[test]
+    fn sum_over_holders_never_exceeds_capacity(steps in prop::collection::vec(step(), 1..150)) {
+        let mut now = START;
+        let mut grantor = grantor();
+        let mut holders: Vec<Holder> = (0..4).map(|vm| holder(vm, Tier::Region)).collect();
+        let (mut asks, mut grants) = (Vec::new(), Vec::new());
+        let mut running: Vec<(usize, Id, Instant)> = Vec::new();
+        for (number, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Ask { holder, wants } => asks.push(holders[holder].ask(now, wants, wants)),
+                Step::AskArrives { index } => {
+                    let ask = asks.iter().rev().nth(index);
+                    grants.extend(ask.and_then(|ask| grantor.ask(now, ask)));
+                }
+                Step::GrantArrives { index } => {
+                    if let Some(grant) = grants.iter().rev().nth(index) {
+                        holders[grant.member.node.vm.0 as usize].grant(grant);
+                    }
+                }
+                Step::Fill { holder } if holders[holder].free(now) > 0 => {
+                    let id = Id(number as u64);
+                    let deadline = now + Rules::default().longest * 2;
+                    let span = holders[holder].fill(now, id, deadline);
+                    running.push((holder, id, now + span));
+                }
+                Step::Release { holder } => {
+                    if let Some(at) = running.iter().position(|run| run.0 == holder) {
+                        holders[holder].release(running.remove(at).1);
+                    }
+                }
+                Step::Pass { ms } => now = now + std::time::Duration::from_millis(ms),
+                Step::Fill { .. } => {}
+            }
+            running.retain(|(_, _, ends)| now < *ends);
+            prop_assert!(running.len() <= CAPACITY.slots as usize);
+        }
+    }
+}
