Split the table of keys by what its parts do

Ruled out: nothing. Conclusion: no change of behaviour, but that the end of a run names its request.

--- a/src/core/request/dedup/mod.rs
+++ b/src/core/request/dedup/mod.rs
@@ -17,15 +17,20 @@
 //! Each owner logs the gap that it found before it runs anything unlogged, because the one after it
 //! can't tell the gap from the records of its direct predecessor alone.
 
+mod entry;
 mod record;
 mod recover;
+mod run;
+mod submit;
 mod table;
+mod upkeep;
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use laburnum_derive::{message, state, value};
+use laburnum_derive::{message, value};
 
+use self::entry::{Entry, Progress};
 pub use self::record::{Attempt, Gap, Outcome, Record, Serial, Term};
 pub use self::recover::{Acquired, How, recover};
 pub use self::table::Table;
@@ -92,6 +97,8 @@
     Submit(Submission),
     /// The run of a key ended; the outcome says how.
     Finished {
+        /// The request that ran.
+        id: Id,
         /// The key.
         key: Key,
         /// How it ended.
@@ -158,35 +165,6 @@
     pub stamp: Stamp,
 }
 
-/// The state of the run of one key.
-#[state]
-enum Progress {
-    /// The intent is not durable yet and nothing was dispatched.
-    Logging(Serial),
-    /// Handed over for its run; the serial of the intent while it is not durable.
-    Running {
-        /// The request whose run it is.
-        runner: Id,
-        /// The intent's record while it is not durable.
-        undurable: Option<Serial>,
-    },
-    /// Surely not dispatched.
-    Void,
-    /// Ended.
-    Ended(Outcome),
-}
-
-/// What is known of one key.
-#[state]
-struct Entry {
-    fingerprint: u64,
-    /// The newest intent.
-    attempt: Attempt,
-    progress: Progress,
-    /// Requests that wait for the outcome; the first is the one that runs.
-    waiting: Vec<Id>,
-}
-
 impl Default for Rules {
     fn default() -> Rules {
         Rules {
--- a/tests/testsuite/request/dedup.rs
+++ b/tests/testsuite/request/dedup.rs
@@ -128,9 +128,10 @@
         }));
     }
 
-    fn finish(&mut self, key: Key) {
+    fn finish(&mut self, id: u64, key: Key) {
         let outcome = Outcome::Done(Bytes::from_static(b"done"));
-        self.step(Input::Finished { key, outcome });
+        let id = Id(id);
+        self.step(Input::Finished { id, key, outcome });
     }
 
     fn is_run(&self, id: u64) -> bool {
@@ -177,7 +178,7 @@
     owner.submit(1, key(0, 1));
     owner.commit();
     owner.submit(2, key(0, 1));
-    owner.finish(key(0, 1));
+    owner.finish(1, key(0, 1));
     owner.submit(3, key(0, 1));
     owner.commit();
     let mut next = owner.succeeded_by(How::Standby { promised: false }, 100);
@@ -331,7 +332,7 @@
 fn unlogged_run_is_undescribed_until_durable_and_holds_the_watermark() {
     let mut owner = unlogged();
     owner.submit(1, key(MARK + 50, 1));
-    owner.finish(key(MARK + 50, 1));
+    owner.finish(1, key(MARK + 50, 1));
     assert_eq!(owner.table.undescribed(), 1);
     let waiting = owner.drain_appends();
     owner.stand(true, false);
@@ -414,7 +415,7 @@
     let mut second = first.succeeded_by(How::Standby { promised: false }, 100);
     second.submit(2, key(0, 1));
     assert_eq!(second.effect(2), Some(Effect::Unknown));
-    first.finish(key(0, 1));
+    first.finish(1, key(0, 1));
     let ended = first.drain_appends().remove(0).1;
     second.step(Input::Read(ended));
     second.submit(3, key(0, 1));
@@ -427,7 +428,7 @@
     first.now = at(22_000);
     assert!(first.may_run(1, key(22_000, 1)));
     assert!(first.may_run(2, key(22_000, 2)));
-    first.finish(key(22_000, 2));
+    first.finish(2, key(22_000, 2));
     let how = How::Standby { promised: false };
     let mut second = Owner::of(3, Some(2), how, first.table.snapshot(), 25_000);
     for (id, key) in [
@@ -449,6 +450,7 @@
     let body = Bytes::from(vec![0; Rules::default().answer_bytes + 1]);
     let outcome = Outcome::Done(body.clone());
     owner.step(Input::Finished {
+        id: Id(1),
         key: key(0, 1),
         outcome,
     });
@@ -464,7 +466,7 @@
     let mut owner = Owner::first();
     for number in 0..100 {
         assert!(owner.may_run(u64::from(number), key(0, number)));
-        owner.finish(key(0, number));
+        owner.finish(u64::from(number), key(0, number));
     }
     assert_eq!(owner.table.len(), 100);
     let past = rules.retention + rules.skew + Duration::from_millis(1);
--- a/tests/testsuite/request/world.rs
+++ b/tests/testsuite/request/world.rs
@@ -949,7 +949,7 @@
                 report,
             } => {
                 let input = match report {
-                    Report::Finished(outcome) => dedup::Input::Finished { key, outcome },
+                    Report::Finished(outcome) => dedup::Input::Finished { id, key, outcome },
                     Report::GaveUp(answer) => dedup::Input::GaveUp { id, key, answer },
                     Report::Left => dedup::Input::Left { id, key },
                 };
