--- a/crates/laburnum-measure/src/request/baseline.rs
+++ b/crates/laburnum-measure/src/request/baseline.rs
@@ -84,5 +84,9 @@
 
     fn message(&mut self, _: Instant, _: usize, (): (), _: &mut Vec<Effect<()>>) {}
 
+    fn is_control((): &()) -> bool {
+        true
+    }
+
     fn tick(&mut self, _: Instant, _: usize, _: &mut Vec<Effect<()>>) {}
 }
--- a/crates/laburnum-measure/src/request/fabric.rs
+++ b/crates/laburnum-measure/src/request/fabric.rs
@@ -88,6 +88,9 @@
         out: &mut Vec<Effect<Self::Message>>,
     );
 
+    /// Returns whether a message belongs to no request.
+    fn is_control(message: &Self::Message) -> bool;
+
     /// Time has passed.
     fn tick(&mut self, now: Instant, entry: usize, out: &mut Vec<Effect<Self::Message>>);
 }
@@ -295,7 +298,8 @@
             }
             Event::Message { entry, message } => {
                 let now = self.now;
-                self.timed(false, |policy| {
+                let is_control = P::is_control(&message);
+                self.timed(is_control, |policy| {
                     policy.message(now, entry, message, &mut out);
                 });
                 self.carry_out(entry, out);
@@ -558,7 +562,7 @@
         busy.as_secs_f64() * 1e6 / self.requests.max(1) as f64
     }
 
-    /// Returns the time of ticks per entry and second.
+    /// Returns the time of ticks, asks and grants per entry and second.
     pub(super) fn control_millis_per_second(&self) -> f64 {
         self.control.as_secs_f64() * 1e3 / self.seconds / ENTRIES as f64
     }
--- a/crates/laburnum-measure/src/request/owned.rs
+++ b/crates/laburnum-measure/src/request/owned.rs
@@ -409,6 +409,16 @@
         }
     }
 
+    fn is_control(message: &Message) -> bool {
+        use Input::{Granted, Heard};
+        let is_upkeep = |input: &Input| matches!(input, Granted(_) | Heard { .. });
+        match message {
+            Message::Ask { .. } => true,
+            Message::Dispatcher(input) => is_upkeep(input),
+            Message::Table(..) | Message::Forward { .. } => false,
+        }
+    }
+
     fn tick(&mut self, now: Instant, entry: usize, out: &mut Effects) {
         self.dispatch(now, entry, Input::Tick, out);
         let partitions: Vec<Partition> = self.entries[entry].tables.keys().copied().collect();
--- a/src/core/request/link.rs
+++ b/src/core/request/link.rs
@@ -75,7 +75,7 @@
         Rules {
             heartbeat: Duration::from_millis(700),
             silence: Duration::from_millis(2500),
-            linger: Duration::from_secs(30),
+            linger: Duration::from_secs(10),
             match_connection: true,
         }
     }
--- a/src/core/request/queue.rs
+++ b/src/core/request/queue/mod.rs
@@ -8,13 +8,14 @@
 //! for service times above the usual one; a request whose deadline can no longer be met is dropped
 //! when its turn comes.
 
-use std::collections::VecDeque;
+mod lane;
+
 use std::time::Duration;
 
 use laburnum_derive::{message, state, value};
 
+use self::lane::Lane;
 use super::call::Id;
-use super::rate::Rate;
 use crate::core::id::Caller;
 use crate::core::time::Instant;
 use crate::core::workload::Priority;
@@ -93,25 +94,6 @@
     pub dropped: Vec<Item>,
 }
 
-/// The waiting requests of one caller.
-#[state]
-struct Line {
-    caller: Caller,
-    items: VecDeque<Item>,
-}
-
-/// The waiting requests of one class.
-#[state]
-struct Lane {
-    share: Share,
-    /// Lines in turn; none is empty.
-    lines: VecDeque<Line>,
-    waiting: usize,
-    /// Virtual start time of the next request, in units of [`VIRTUAL_UNIT`].
-    start: u64,
-    served: Rate,
-}
-
 /// The queue.
 #[state]
 pub struct Queue {
@@ -119,9 +101,6 @@
     virtual_time: u64,
 }
 
-/// Virtual time that one request takes at weight 1.
-const VIRTUAL_UNIT: u64 = 1 << 20;
-
 /// A request is refused when this many times its estimated wait would pass its deadline.
 const WAIT_MARGIN: u32 = 2;
 
@@ -285,94 +264,3 @@
         room.free > kept.max(least)
     }
 }
-
-impl Lane {
-    fn new(share: Share) -> Lane {
-        Lane {
-            share,
-            lines: VecDeque::new(),
-            waiting: 0,
-            start: 0,
-            served: Rate::default(),
-        }
-    }
-
-    /// Returns whether a request waits that may use the room.
-    fn may_use(&self, rooms: &Rooms) -> bool {
-        let mut rooms = rooms.iter();
-        self.waiting > 0 && rooms.any(|room| self.share.may_use(*room))
-    }
-
-    /// Returns the virtual time that one request takes.
-    fn step(&self) -> u64 {
-        VIRTUAL_UNIT / u64::from(self.share.weight.max(1))
-    }
-
-    /// Estimates how long a new request would wait.
-    fn wait(&self, now: Instant) -> Duration {
-        self.served.time_for(now, self.waiting as u64)
-    }
-
-    fn line(&self, caller: &Caller) -> Option<&Line> {
-        self.lines.iter().find(|line| line.caller == *caller)
-    }
-
-    fn push(&mut self, item: Item) {
-        self.waiting += 1;
-        match self
-            .lines
-            .iter_mut()
-            .find(|line| line.caller == item.caller)
-        {
-            Some(line) => line.items.push_back(item),
-            None => self.lines.push_back(Line::new(item)),
-        }
-    }
-
-    fn restore(&mut self, item: Item) {
-        self.waiting += 1;
-        let index = self
-            .lines
-            .iter()
-            .position(|line| line.caller == item.caller);
-        let line = match index.and_then(|index| self.lines.remove(index)) {
-            Some(mut line) => {
-                line.items.push_front(item);
-                line
-            }
-            None => Line::new(item),
-        };
-        self.lines.push_front(line);
-    }
-
-    /// Takes the first request of the line in turn and moves the line to the back.
-    fn pop(&mut self) -> Option<Item> {
-        let mut line = self.lines.pop_front()?;
-        let item = line.items.pop_front();
-        if !line.items.is_empty() {
-            self.lines.push_back(line);
-        }
-        self.waiting -= usize::from(item.is_some());
-        item
-    }
-
-    fn remove(&mut self, id: Id) -> bool {
-        let before = self.waiting;
-        for line in &mut self.lines {
-            let held = line.items.len();
-            line.items.retain(|item| item.id != id);
-            self.waiting -= held - line.items.len();
-        }
-        self.lines.retain(|line| !line.items.is_empty());
-        self.waiting < before
-    }
-}
-
-impl Line {
-    fn new(item: Item) -> Line {
-        Line {
-            caller: item.caller.clone(),
-            items: VecDeque::from([item]),
-        }
-    }
-}
