Serve again after faults: don't take idle time for slow service

Cause: a check that requests are served once all faults are over found a queue that refused the second request after a quiet spell, because the rate of service was averaged over idle time. Recorded answers are bounded in all, too. Ruled out: a slow start after takeovers; the queue was empty.

--- a/src/core/request/dedup/entry.rs
+++ b/src/core/request/dedup/entry.rs
@@ -3,6 +3,7 @@
 use laburnum_derive::state;
 
 use super::record::{Attempt, Outcome, Record, Serial};
+use crate::core::error::Error;
 use crate::core::id::Key;
 use crate::core::request::call::Id;
 
@@ -36,6 +37,14 @@
 }
 
 impl Entry {
+    /// Returns the bytes that a recorded answer takes.
+    pub(super) fn size(&self) -> usize {
+        match &self.progress {
+            Progress::Ended(outcome) => outcome.size(),
+            _ => 0,
+        }
+    }
+
     /// Returns whether the key's run is that of a request.
     pub(super) fn is_run_of(&self, id: Id) -> bool {
         matches!(self.progress, Progress::Running { runner, .. } if runner == id)
@@ -77,11 +86,26 @@
 }
 
 impl Outcome {
-    /// Returns the outcome as it is kept.
+    /// Returns the bytes that the outcome takes beside its record.
+    pub(super) fn size(&self) -> usize {
+        match self {
+            Outcome::Done(body) => body.len(),
+            Outcome::Failed(error) => error.message.len(),
+            Outcome::Oversized | Outcome::Unknown => 0,
+        }
+    }
+
+    /// Returns the outcome as it is kept within so many bytes.
     pub(super) fn bounded(self, most: usize) -> Outcome {
+        if self.size() <= most {
+            return self;
+        }
         match self {
-            Outcome::Done(body) if body.len() > most => Outcome::Oversized,
-            outcome => outcome,
+            Outcome::Failed(error) => Outcome::Failed(Error {
+                message: String::new(),
+                ..error
+            }),
+            _ => Outcome::Oversized,
         }
     }
 }
--- a/src/core/request/dedup/mod.rs
+++ b/src/core/request/dedup/mod.rs
@@ -51,6 +51,8 @@
     pub watermark_interval: Duration,
     /// The largest answer that is recorded, in bytes.
     pub answer_bytes: usize,
+    /// Answers that are recorded at once, in bytes; beyond that only the effect is kept.
+    pub answer_bytes_in_all: usize,
     /// Keys that are remembered at once.
     pub keys: usize,
     /// Whether the intent is durable before the run; tests switch it off.
@@ -173,7 +175,8 @@
             watermark_lag: Duration::from_secs(5),
             watermark_interval: Duration::from_secs(2),
             answer_bytes: 64 << 10,
-            keys: 1 << 20,
+            answer_bytes_in_all: 2 << 20,
+            keys: 1 << 16,
             intent_first: true,
             watermark: true,
             horizon: true,
--- a/src/core/request/dedup/run.rs
+++ b/src/core/request/dedup/run.rs
@@ -34,7 +34,8 @@
     }
 
     pub(super) fn finish(&mut self, id: Id, key: Key, outcome: Outcome, out: &mut Vec<Output>) {
-        let most = self.rules.answer_bytes;
+        let left = self.rules.answer_bytes_in_all.saturating_sub(self.kept);
+        let most = self.rules.answer_bytes.min(left);
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
@@ -47,6 +48,7 @@
             out.push(Output::Answer { id, answer });
         }
         let outcome = outcome.bounded(most);
+        self.kept += outcome.size();
         entry.progress = Progress::Ended(outcome.clone());
         let record = Record::Ended {
             key,
@@ -174,6 +176,7 @@
             progress: Progress::Ended(outcome),
             waiting: Vec::new(),
         };
+        self.kept += entry.size();
         self.entries.insert(key, entry);
     }
 
--- a/src/core/request/dedup/table.rs
+++ b/src/core/request/dedup/table.rs
@@ -27,6 +27,8 @@
     pub(super) term: Term,
     pub(super) standing: Standing,
     pub(super) entries: BTreeMap<Key, Entry>,
+    /// Bytes of recorded answers.
+    pub(super) kept: usize,
     pub(super) gaps: Vec<Gap>,
     pub(super) pending: BTreeMap<Serial, Pending>,
     pub(super) serial: Serial,
@@ -47,6 +49,7 @@
             term,
             standing: Standing::default(),
             entries: BTreeMap::new(),
+            kept: 0,
             gaps: Vec::new(),
             pending: BTreeMap::new(),
             serial: Serial(0),
@@ -68,6 +71,7 @@
         out: &mut Vec<Output>,
     ) {
         gaps.extend(gap);
+        self.kept = entries.values().map(Entry::size).sum();
         self.entries = entries;
         self.gaps = gaps;
         self.mark = floor;
--- a/src/core/request/dedup/upkeep.rs
+++ b/src/core/request/dedup/upkeep.rs
@@ -70,7 +70,8 @@
         let old: Vec<Key> = old.collect();
         for key in old {
             if self.entries.get(&key).is_some_and(Entry::is_at_rest) {
-                self.entries.remove(&key);
+                let entry = self.entries.remove(&key);
+                self.kept -= entry.map_or(0, |entry| entry.size());
             }
         }
     }
--- a/src/core/request/dispatcher/arrival.rs
+++ b/src/core/request/dispatcher/arrival.rs
@@ -42,7 +42,7 @@
         }
         let id = call.id;
         self.insert(call, Stage::Queued);
-        self.enqueue(id);
+        self.enqueue(now, id);
     }
 
     /// Asks the table of keys, or the owner that has it.
@@ -164,15 +164,15 @@
         let stage = self.flights.get(&id).map(|flight| &flight.stage);
         match stage {
             Some(Stage::Reforward) => self.forward(now, id, out),
-            Some(Stage::Waiting) => self.enqueue(id),
+            Some(Stage::Waiting) => self.enqueue(now, id),
             _ => {}
         }
     }
 
     /// Queues a request that the table of keys lets run, or gives the run back.
-    pub(super) fn admitted(&mut self, id: Id, key: Key, out: &mut Vec<Output>) {
+    pub(super) fn admitted(&mut self, now: Instant, id: Id, key: Key, out: &mut Vec<Output>) {
         match self.flights.get(&id).map(|flight| &flight.stage) {
-            Some(Stage::Admitting) => self.enqueue(id),
+            Some(Stage::Admitting) => self.enqueue(now, id),
             Some(_) => {}
             None => {
                 let answer = Answer::refused(Kind::Canceled, "the request no longer waits");
@@ -182,10 +182,10 @@
     }
 
     /// Puts a request into the queue.
-    fn enqueue(&mut self, id: Id) {
+    fn enqueue(&mut self, now: Instant, id: Id) {
         if let Some(flight) = self.flights.get_mut(&id) {
             flight.stage = Stage::Queued;
-            self.queue.push(flight.item());
+            self.queue.push(now, flight.item());
         }
     }
 
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -89,7 +89,7 @@
         match input {
             Input::Arrived(call) => self.arrive(now, call, out),
             Input::Canceled(id) => self.cancel(id, out),
-            Input::Verdict(verdict) => self.decide(verdict, out),
+            Input::Verdict(verdict) => self.decide(now, verdict, out),
             Input::Returned(id, answer) => self.returned(id, answer, out),
             Input::ForwardFailed(id) => self.forward_failed(now, id, out),
             Input::Granted(grant) => self.granted(now, &grant, out),
@@ -278,9 +278,9 @@
     }
 
     /// Handles the decision of the table of keys.
-    fn decide(&mut self, verdict: Verdict, out: &mut Vec<Output>) {
+    fn decide(&mut self, now: Instant, verdict: Verdict, out: &mut Vec<Output>) {
         match verdict {
-            Verdict::Run(id, key) => self.admitted(id, key, out),
+            Verdict::Run(id, key) => self.admitted(now, id, key, out),
             Verdict::Answer(id, answer) => self.answer(id, answer, out),
         }
     }
--- a/src/core/request/queue/lane.rs
+++ b/src/core/request/queue/lane.rs
@@ -30,6 +30,7 @@
     pub(super) waiting: usize,
     /// Virtual start time of the next request, in units of [`VIRTUAL_UNIT`].
     pub(super) start: u64,
+    /// How fast requests are served since the class last began to wait.
     pub(super) served: Rate,
 }
 
--- a/src/core/request/queue/mod.rs
+++ b/src/core/request/queue/mod.rs
@@ -194,11 +194,12 @@
     }
 
     /// Queues a request at the end of its caller's line.
-    pub fn push(&mut self, item: Item) {
+    pub fn push(&mut self, now: Instant, item: Item) {
         let virtual_time = self.virtual_time;
         let lane = &mut self.lanes[item.priority as usize];
         if lane.waiting == 0 {
             lane.start = lane.start.max(virtual_time);
+            lane.served.restart(now);
         }
         lane.push(item);
     }
--- a/src/core/request/rate.rs
+++ b/src/core/request/rate.rs
@@ -33,6 +33,14 @@
 const TIME_WEIGHT: f64 = 0.02;
 
 impl Rate {
+    /// Starts anew; what was counted before says nothing of what comes.
+    pub fn restart(&mut self, now: Instant) {
+        *self = Rate {
+            window: now,
+            ..Rate::default()
+        };
+    }
+
     /// Counts one event.
     pub fn count(&mut self, now: Instant) {
         let span = now.since(self.window);
--- a/tests/testsuite/request/dedup.rs
+++ b/tests/testsuite/request/dedup.rs
@@ -460,6 +460,25 @@
     assert_eq!(owner.kind(2), Some(Kind::AnswerLost));
 }
 
+#[test]
+fn recorded_answers_are_bounded_in_all() {
+    let rules = Rules::default();
+    let mut owner = Owner::first();
+    let count = rules.answer_bytes_in_all / rules.answer_bytes + 1;
+    for number in 0..count as u8 {
+        let (id, key) = (u64::from(number), key(0, number));
+        assert!(owner.may_run(id, key));
+        let outcome = Outcome::Done(Bytes::from(vec![0; rules.answer_bytes]));
+        let id = Id(id);
+        owner.step(Input::Finished { id, key, outcome });
+    }
+    owner.submit(200, key(0, 0));
+    owner.submit(201, key(0, count as u8 - 1));
+    assert!(owner.answer(200).unwrap().result.is_ok());
+    assert_eq!(owner.kind(201), Some(Kind::AnswerLost));
+    assert_eq!(owner.effect(201), Some(Effect::Ran));
+}
+
 #[test]
 fn old_keys_are_forgotten() {
     let rules = Rules::default();
--- a/tests/testsuite/request/machine.rs
+++ b/tests/testsuite/request/machine.rs
@@ -90,9 +90,42 @@
     fn teardown(mut world: World, seed: Seed) {
         world.advance(Duration::from_millis(3000));
         Self::check_invariants(&world, &seed);
+        assert_recovers(world);
     }
 }
 
+/// Checks that requests are served again once all faults are over, so that the promises aren't kept
+/// by serving nothing.
+fn assert_recovers(mut world: World) {
+    world.apply(&Op::Heal);
+    for target in 0..3 {
+        let (is_leaving, is_faulty) = (false, false);
+        world.apply(&Op::Leave { target, is_leaving });
+        world.apply(&Op::Faulty { target, is_faulty });
+    }
+    world.advance(Duration::from_secs(12));
+    let before = world.oracle.done;
+    for entry in 0..4 {
+        for key in [KeyChoice::Idempotent, KeyChoice::New { ahead_ms: -100 }] {
+            let span_ms = 3000;
+            world.apply(&Op::Submit {
+                entry,
+                key,
+                span_ms,
+                bulk: false,
+            });
+        }
+    }
+    world.advance(Duration::from_secs(4));
+    let done = world.oracle.done - before;
+    let violations = &world.oracle.violations;
+    assert!(violations.is_empty(), "{violations:?}");
+    assert!(
+        done >= 7,
+        "only {done} of 8 requests were served after all faults were over"
+    );
+}
+
 /// The configuration of a run with fixed seeds. `PROPTEST_CASES` makes it longer and
 /// `PROPTEST_RNG_SEED` draws other cases.
 pub(super) fn config(cases: u32) -> Config {
