--- a/src/core/request/dedup/mod.rs
+++ b/src/core/request/dedup/mod.rs
@@ -17,15 +17,20 @@
 //! Each owner logs the gap that it found before it runs anything unlogged, because the one after it
 //! can't tell the gap from the records of its direct predecessor alone.
 
+mod entry;
 mod record;
 mod recover;
+mod run;
+mod submit;
 mod table;
+mod upkeep;
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use laburnum_derive::{message, state, value};
+use laburnum_derive::{message, value};
 
+use self::entry::{Entry, Progress};
 pub use self::record::{Attempt, Gap, Outcome, Record, Serial, Term};
 pub use self::recover::{Acquired, How, recover};
 pub use self::table::Table;
@@ -46,6 +51,8 @@
     pub watermark_interval: Duration,
     /// The largest answer that is recorded, in bytes.
     pub answer_bytes: usize,
+    /// Answers that are recorded at once, in bytes; beyond that only the effect is kept.
+    pub answer_bytes_in_all: usize,
     /// Keys that are remembered at once.
     pub keys: usize,
     /// Whether the intent is durable before the run; tests switch it off.
@@ -92,6 +99,8 @@
     Submit(Submission),
     /// The run of a key ended; the outcome says how.
     Finished {
+        /// The request that ran.
+        id: Id,
         /// The key.
         key: Key,
         /// How it ended.
@@ -158,35 +167,6 @@
     pub stamp: Stamp,
 }
 
-/// The state of the run of one key.
-#[state]
-enum Progress {
-    /// The intent is not durable yet and nothing was dispatched.
-    Logging(Serial),
-    /// Handed over for its run; the serial of the intent while it is not durable.
-    Running {
-        /// The request whose run it is.
-        runner: Id,
-        /// The intent's record while it is not durable.
-        undurable: Option<Serial>,
-    },
-    /// Surely not dispatched.
-    Void,
-    /// Ended.
-    Ended(Outcome),
-}
-
-/// What is known of one key.
-#[state]
-struct Entry {
-    fingerprint: u64,
-    /// The newest intent.
-    attempt: Attempt,
-    progress: Progress,
-    /// Requests that wait for the outcome; the first is the one that runs.
-    waiting: Vec<Id>,
-}
-
 impl Default for Rules {
     fn default() -> Rules {
         Rules {
@@ -195,7 +175,8 @@
             watermark_lag: Duration::from_secs(5),
             watermark_interval: Duration::from_secs(2),
             answer_bytes: 64 << 10,
-            keys: 1 << 20,
+            answer_bytes_in_all: 2 << 20,
+            keys: 1 << 16,
             intent_first: true,
             watermark: true,
             horizon: true,
--- a/src/core/request/dispatcher/arrival.rs
+++ b/src/core/request/dispatcher/arrival.rs
@@ -42,7 +42,7 @@
         }
         let id = call.id;
         self.insert(call, Stage::Queued);
-        self.enqueue(id);
+        self.enqueue(now, id);
     }
 
     /// Asks the table of keys, or the owner that has it.
@@ -164,15 +164,15 @@
         let stage = self.flights.get(&id).map(|flight| &flight.stage);
         match stage {
             Some(Stage::Reforward) => self.forward(now, id, out),
-            Some(Stage::Waiting) => self.enqueue(id),
+            Some(Stage::Waiting) => self.enqueue(now, id),
             _ => {}
         }
     }
 
     /// Queues a request that the table of keys lets run, or gives the run back.
-    pub(super) fn admitted(&mut self, id: Id, key: Key, out: &mut Vec<Output>) {
+    pub(super) fn admitted(&mut self, now: Instant, id: Id, key: Key, out: &mut Vec<Output>) {
         match self.flights.get(&id).map(|flight| &flight.stage) {
-            Some(Stage::Admitting) => self.enqueue(id),
+            Some(Stage::Admitting) => self.enqueue(now, id),
             Some(_) => {}
             None => {
                 let answer = Answer::refused(Kind::Canceled, "the request no longer waits");
@@ -182,10 +182,10 @@
     }
 
     /// Puts a request into the queue.
-    fn enqueue(&mut self, id: Id) {
+    fn enqueue(&mut self, now: Instant, id: Id) {
         if let Some(flight) = self.flights.get_mut(&id) {
             flight.stage = Stage::Queued;
-            self.queue.push(flight.item());
+            self.queue.push(now, flight.item());
         }
     }
 
@@ -201,29 +201,31 @@
         self.queue.check(now, &item, times[call.priority as usize])
     }
 
-    /// Notes who owns a partition; requests that wait for a lost ownership get their answer.
-    pub(super) fn own(
-        &mut self,
-        partition: Partition,
-        owner: Option<Owner>,
-        out: &mut Vec<Output>,
-    ) {
-        let node = self.member.node;
-        let was_own = self
-            .owners
-            .get(&partition)
-            .is_some_and(|old| old.node == node);
-        match owner {
-            Some(owner) => self.owners.insert(partition, owner),
-            None => self.owners.remove(&partition),
-        };
-        if was_own && owner.is_none_or(|owner| owner.node != node) {
+    /// Notes who owns a partition, unless a later term is known. What an earlier term of this
+    /// process admitted is given back, because the table of the new term doesn't know of it.
+    pub(super) fn own(&mut self, partition: Partition, owner: Owner, out: &mut Vec<Output>) {
+        let known = self.owners.get(&partition).map(|known| known.term);
+        if known > Some(owner.term) {
+            return;
+        }
+        if known < Some(owner.term) {
             self.disown(partition, out);
         }
+        self.owners.insert(partition, owner);
     }
 
-    /// Answers the requests of a partition that is not owned any more, except those at a target.
-    fn disown(&mut self, partition: Partition, out: &mut Vec<Output>) {
+    /// Forgets the ownership of this process; requests that wait for it get their answer, except
+    /// those at a target.
+    pub(super) fn disown(&mut self, partition: Partition, out: &mut Vec<Output>) {
+        let node = self.member.node;
+        if self
+            .owners
+            .get(&partition)
+            .is_none_or(|owner| owner.node != node)
+        {
+            return;
+        }
+        self.owners.remove(&partition);
         let is_here = |stage: &Stage| {
             let away = matches!(
                 stage,
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -53,7 +53,7 @@
 const LOOKUP_WEIGHT: f64 = 0.05;
 
 /// Standard deviations of the number of lookups that are kept free beyond their usual number.
-const RESERVE_DEVIATIONS: f64 = 2.5;
+const RESERVE_DEVIATIONS: f64 = 3.5;
 
 impl<R: Rng> Dispatcher<R> {
     /// Makes the dispatcher of `member` at `place`.
@@ -89,12 +89,13 @@
         match input {
             Input::Arrived(call) => self.arrive(now, call, out),
             Input::Canceled(id) => self.cancel(id, out),
-            Input::Verdict(verdict) => self.decide(verdict, out),
+            Input::Verdict(verdict) => self.decide(now, verdict, out),
             Input::Returned(id, answer) => self.returned(id, answer, out),
             Input::ForwardFailed(id) => self.forward_failed(now, id, out),
             Input::Granted(grant) => self.granted(now, &grant, out),
             Input::Targets(listing) => self.list(now, &listing, out),
             Input::Owner(partition, owner) => self.own(partition, owner, out),
+            Input::Disowned(partition) => self.disown(partition, out),
             Input::Replied {
                 target,
                 connection,
@@ -265,7 +266,9 @@
         }
         self.asked = now;
         let waiting = self.queue.len() as u32;
-        for ask in self.peers.ask(now, waiting, self.is_draining) {
+        let reserve = self.reserve();
+        let asks = self.peers.ask(now, waiting, reserve, self.is_draining);
+        for ask in asks {
             let partition = self.settings.partitions.of_target(ask.target);
             out.push(Output::Ask(partition, ask));
         }
@@ -280,9 +283,9 @@
     }
 
     /// Handles the decision of the table of keys.
-    fn decide(&mut self, verdict: Verdict, out: &mut Vec<Output>) {
+    fn decide(&mut self, now: Instant, verdict: Verdict, out: &mut Vec<Output>) {
         match verdict {
-            Verdict::Run(id, key) => self.admitted(id, key, out),
+            Verdict::Run(id, key) => self.admitted(now, id, key, out),
             Verdict::Answer(id, answer) => self.answer(id, answer, out),
         }
     }
