--- a/src/core/placement/cell/place.rs
+++ b/src/core/placement/cell/place.rs
@@ -94,6 +94,7 @@
                 self.release_hold(key);
             }
             Ok(()) => {}
+            Err(_) if P::IS_STRICT => return usize::MAX,
             Err(miss) => {
                 self.counters.unplaced += 1;
                 self.queue.block(lane);
--- a/src/core/placement/policy/mod.rs
+++ b/src/core/placement/policy/mod.rs
@@ -30,6 +30,8 @@
     /// Whether workers are reserved for jobs that find no place, and borrowed or patient work is
     /// pre-empted.
     const RESERVES: bool;
+    /// Whether a job that finds no worker holds up all later ones.
+    const IS_STRICT: bool;
 }
 
 /// The policy of the daemon.
@@ -40,9 +42,10 @@
     type Choose = BestFit;
     type Order = ByClass;
     const RESERVES: bool = true;
+    const IS_STRICT: bool = false;
 }
 
-/// Baseline: the first worker that fits, jobs in order of arrival.
+/// Baseline: the first worker that fits; a job that finds none holds up all later ones.
 #[derive(Debug)]
 pub struct FirstFitFifo;
 
@@ -50,16 +53,29 @@
     type Choose = FirstFit;
     type Order = Fifo;
     const RESERVES: bool = false;
+    const IS_STRICT: bool = true;
 }
 
-/// Baseline: a random worker that fits, jobs in order of arrival.
+/// Baseline: the first worker that fits; jobs that find none are passed over.
 #[derive(Debug)]
-pub struct RandomFifo;
+pub struct FirstFitSkipping;
 
-impl Policy for RandomFifo {
+impl Policy for FirstFitSkipping {
+    type Choose = FirstFit;
+    type Order = Fifo;
+    const RESERVES: bool = false;
+    const IS_STRICT: bool = false;
+}
+
+/// Baseline: a random worker that fits; jobs that find none are passed over.
+#[derive(Debug)]
+pub struct RandomSkipping;
+
+impl Policy for RandomSkipping {
     type Choose = RandomFit;
     type Order = Fifo;
     const RESERVES: bool = false;
+    const IS_STRICT: bool = false;
 }
 
 /// One task that asks for a worker.
--- a/tests/testsuite/placement/fuzz.rs
+++ b/tests/testsuite/placement/fuzz.rs
@@ -78,10 +78,10 @@
     ]
 }
 
-fn apply(world: &mut World, event: Event, number: u64) -> Option<Violation> {
+fn apply(world: &mut World, event: &Event, number: u64) -> Option<Violation> {
     let millis = Duration::from_millis;
     let now = world.now;
-    match event {
+    match *event {
         Event::Submit {
             class,
             team,
@@ -137,10 +137,10 @@
 }
 
 /// Runs events over a new world; the first violation ends the run.
-fn play(seed: u64, rules: Rules, events: Vec<Event>) -> Result<(), Violation> {
+fn play(seed: u64, rules: Rules, events: &[Event]) -> Result<(), Violation> {
     let mut world = World::new(seed, 6, rules);
     let mut found = world.run(Duration::from_millis(1_500));
-    for (number, event) in events.into_iter().enumerate() {
+    for (number, event) in events.iter().enumerate() {
         found = found.or_else(|| apply(&mut world, event, number as u64));
         if found.is_some() {
             break;
@@ -161,7 +161,8 @@
     };
     let strategy = (any::<u64>(), prop::collection::vec(event(), 5..50));
     let outcome = TestRunner::new(config).run(&strategy, |(seed, events)| {
-        play(seed, rules, events).map_err(|violation| TestCaseError::fail(format!("{violation:?}")))
+        play(seed, rules, &events)
+            .map_err(|violation| TestCaseError::fail(format!("{violation:?}")))
     });
     match outcome {
         Ok(()) => None,
--- a/tests/testsuite/placement/switch.rs
+++ b/tests/testsuite/placement/switch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use laburnumplank::core::placement::settings::Rules;
+use laburnumplank::core::resource::Amount;
 use laburnumplank::core::workload::Class;
 
 use super::fake::Nature;
@@ -20,7 +21,7 @@
 fn orphan(rules: Rules, is_unrecorded: bool, is_cut: bool) -> (World, Option<Violation>) {
     let mut world = World::new(3, 6, rules);
     let mut found = world.run(Duration::from_millis(2_000));
-    let size = laburnumplank::core::resource::Amount {
+    let size = Amount {
         accelerators: 0,
         ..WORKER
     };
@@ -49,7 +50,7 @@
 fn orphan_is_overlooked(rules: Rules) -> Option<Violation> {
     let (mut world, found) = orphan(rules, true, false);
     for number in 2..8 {
-        let size = laburnumplank::core::resource::Amount {
+        let size = Amount {
             accelerators: 0,
             ..WORKER
         };
@@ -58,7 +59,7 @@
     found.or(world.run(Duration::from_secs(12)))
 }
 
-fn assert_runs_twice(found: Option<Violation>) {
+fn assert_runs_twice(found: Option<&Violation>) {
     assert!(matches!(found, Some(Violation::RunsTwice(_))), "{found:?}");
 }
 
@@ -73,7 +74,7 @@
         durable_first: false,
         ..Rules::default()
     };
-    assert_runs_twice(orphan_is_replaced(rules, false));
+    assert_runs_twice(orphan_is_replaced(rules, false).as_ref());
 }
 
 #[test]
@@ -87,7 +88,7 @@
         fence_unrecorded: false,
         ..Rules::default()
     };
-    assert_runs_twice(orphan_is_replaced(rules, true));
+    assert_runs_twice(orphan_is_replaced(rules, true).as_ref());
 }
 
 #[test]
--- a/tests/testsuite/placement/world.rs
+++ b/tests/testsuite/placement/world.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use laburnumplank::core::id::{self, Attempt, Task, Team};
+use laburnumplank::core::id::{self, Task, Team};
 use laburnumplank::core::placement::job::End;
 use laburnumplank::core::placement::settings::Rules;
 use laburnumplank::core::placement::{
@@ -292,7 +292,7 @@
         }
     }
 
-    fn to_worker(&mut self, id: id::Worker, output: Output) {
+    fn deliver(&mut self, id: id::Worker, output: Output) {
         let now = self.now;
         let skewed = Instant(now.0 + self.random.random_range(0..SKEW_MICROS))
             - Duration::from_micros(SKEW_MICROS / 2);
@@ -365,7 +365,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::ToWorker(id, output) => self.to_worker(id, output),
+            Event::ToWorker(id, output) => self.deliver(id, output),
             Event::ToCell(epoch, input) if epoch == self.epoch => self.input(input),
             Event::Commit(epoch, batch) if epoch == self.epoch && self.cell.is_some() => {
                 self.append(batch.records);
@@ -507,13 +507,4 @@
         };
         self.workers.values().flat_map(of).collect()
     }
-
-    /// Returns the attempts placed by durable records.
-    pub(crate) fn placed(&self) -> Vec<Attempt> {
-        let attempt = |record: &Record| match record {
-            Record::Placed { attempt, .. } => Some(*attempt),
-            _ => None,
-        };
-        self.log.iter().filter_map(attempt).collect()
-    }
 }
