Record adopted attempts and say when a cell is settled

Cause: an attempt started without a record and adopted after a takeover had no record either, so the next owner could start its task again; an end recorded before its placement left the task counted twice (found by fuzzing: overflow in recovery). Failed searches for tasks to pre-empt are not repeated at once.

--- a/crates/laburnum-measure/src/placement/decide.rs
+++ b/crates/laburnum-measure/src/placement/decide.rs
@@ -7,7 +7,7 @@
 use laburnumplank::core::placement::{Input, Knobs, Settings};
 use laburnumplank::core::resource::Amount;
 use laburnumplank::core::workload::Class;
-use rand::{RngExt as _, SeedableRng as _};
+use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 
 use super::Named;
@@ -103,7 +103,16 @@
 fn size<P: Named>(decisions: usize, table: &mut Table, plot: &mut Plot) -> eyre::Result<()> {
     let mut points = Vec::new();
     for workers in WORKERS {
+        let t = Clock::now();
         let histogram = churn::<P>(workers, decisions)?;
+        eprintln!(
+            "TRACE {} {workers} {:?} p50 {} p99 {} mean {:.0}",
+            P::NAME,
+            t.elapsed(),
+            histogram.value_at_quantile(0.5),
+            histogram.value_at_quantile(0.99),
+            histogram.mean()
+        );
         let micros = |nanos: u64| format!("{:.1}", nanos as f64 / 1_000.0);
         let p99 = histogram.value_at_quantile(0.99);
         points.push((f64::from(workers), p99 as f64 / 1_000.0));
@@ -130,8 +139,7 @@
     let mut driver = filled::<P>(workers, &mut generator);
     let mut histogram = Histogram::new(3)?;
     while (histogram.len() as usize) < decisions {
-        let last = driver.begun.len();
-        driver.finish(random.random_range(0..last));
+        driver.finish_one(&mut random);
         driver.advance(TICK);
         let plan = single(&mut generator);
         let before = driver.cell.counters().placed;
@@ -215,8 +223,7 @@
         let before = driver.cell.counters().placed;
         let mut histogram: Histogram<u64> = Histogram::new(3)?;
         for _ in 0..5_000 {
-            let last = driver.begun.len();
-            driver.finish(random.random_range(0..last));
+            driver.finish_one(&mut random);
             driver.now = driver.now + Duration::from_millis(1);
             let clock = Clock::now();
             driver.step(Input::Tick);
--- a/crates/laburnum-measure/src/placement/drive.rs
+++ b/crates/laburnum-measure/src/placement/drive.rs
@@ -11,6 +11,9 @@
 use laburnumplank::core::time::Instant;
 use laburnumplank::platform::worker::{Action, Inventory, Report, State};
 
+use rand::RngExt as _;
+use rand_pcg::Pcg64Mcg;
+
 use super::trace::Site;
 
 /// How long the log takes to make a batch durable.
@@ -43,6 +46,8 @@
     pub(super) begun: Vec<Begun>,
     pub(super) messages: u64,
     pub(super) records: u64,
+    /// Attempts that were started, the ended ones among them.
+    started: Vec<Attempt>,
     runs_for: HashMap<id::Job, Duration>,
     running: HashMap<Attempt, Running>,
     by_worker: BTreeMap<id::Worker, BTreeSet<Attempt>>,
@@ -63,6 +68,7 @@
             begun: Vec::new(),
             messages: 0,
             records: 0,
+            started: Vec::new(),
             runs_for: HashMap::new(),
             running: HashMap::new(),
             by_worker: BTreeMap::new(),
@@ -150,6 +156,7 @@
             .insert(start.attempt);
         self.ends
             .push(Reverse((self.now + runs_for, start.attempt, SUCCEEDED)));
+        self.started.push(start.attempt);
         self.begun.push(Begun {
             attempt: start.attempt,
             at: self.now,
@@ -209,10 +216,15 @@
         self.step(Input::Report { worker, report });
     }
 
-    /// Ends the attempt that was started as `number` in `begun`, if it still runs.
-    pub(super) fn finish(&mut self, number: usize) {
-        let attempt = self.begun[number].attempt;
-        self.end(attempt, State::Succeeded);
+    /// Ends a running attempt drawn at random, if any runs.
+    pub(super) fn finish_one(&mut self, random: &mut Pcg64Mcg) {
+        while !self.started.is_empty() {
+            let number = random.random_range(0..self.started.len());
+            let attempt = self.started.swap_remove(number);
+            if self.running.contains_key(&attempt) {
+                return self.end(attempt, State::Succeeded);
+            }
+        }
     }
 
     /// Returns how many attempts run.
--- a/src/core/placement/cell/hold.rs
+++ b/src/core/placement/cell/hold.rs
@@ -37,6 +37,9 @@
 /// The shortest span between two searches for a reservation.
 const RESERVE_EVERY: Duration = Duration::from_secs(1);
 
+/// The shortest span from a search for tasks to pre-empt that found none to the next.
+const PREEMPT_EVERY: Duration = Duration::from_millis(100);
+
 /// After a reservation that came to nothing, the job makes none for this span.
 const RESERVE_BACKOFF: Duration = Duration::from_secs(30);
 
@@ -54,6 +57,8 @@
     jobs: BTreeMap<JobKey, Reservation>,
     /// No search for a reservation before this time.
     search_from: Instant,
+    /// No search for tasks to pre-empt before this time.
+    preempt_from: Instant,
     /// Where the next search begins in the roster.
     cursor: usize,
 }
@@ -146,10 +151,16 @@
 
     /// Pre-empts for the waiting tasks of one job; returns whether room is on the way for all.
     fn preempt_for(&mut self, key: JobKey, victims: Victims, out: &mut Vec<Output>) -> bool {
+        let has_borrowers = || self.teams.values().any(|team| team.borrows);
+        let is_early = self.now < self.holds.preempt_from;
+        if is_early || (victims == Victims::Borrowed && !has_borrowers()) {
+            return false;
+        }
         let wanted = (self.jobs[key].queued as usize).min(MAX_URGENT);
         let held = self.holds.workers(key).count();
         for _ in held..wanted {
             let Some(way) = self.find_way(self.jobs[key].claim, victims) else {
+                self.holds.preempt_from = self.now + PREEMPT_EVERY;
                 return false;
             };
             self.preempt(key, way, out);
--- a/src/core/placement/cell/journal.rs
+++ b/src/core/placement/cell/journal.rs
@@ -45,7 +45,12 @@
         self.sent.len()
     }
 
-    /// Returns whether a job's end or cancellation waits here.
+    /// Returns whether all records are durable.
+    pub(super) fn is_durable(&self) -> bool {
+        self.sent.is_empty() && self.is_empty()
+    }
+
+    /// Returns whether the open batch is empty.
     fn is_empty(&self) -> bool {
         self.records.is_empty() && self.open.starts.is_empty() && self.open.notices.is_empty()
     }
--- a/src/core/placement/cell/mod.rs
+++ b/src/core/placement/cell/mod.rs
@@ -166,6 +166,12 @@
         self.is_fenced
     }
 
+    /// Returns whether the durable records describe all that may run, so that a next owner may
+    /// recover without [`Recovery::unrecorded`].
+    pub fn is_settled(&self) -> bool {
+        !self.is_unrecorded && self.now > self.held_until && self.journal.is_durable()
+    }
+
     /// Returns what the cell did so far.
     pub fn counters(&self) -> Counters {
         self.counters
--- a/src/core/placement/cell/recover.rs
+++ b/src/core/placement/cell/recover.rs
@@ -34,7 +34,9 @@
     pub lease: Instant,
     /// The settings in force.
     pub settings: Settings,
-    /// Whether the previous owner may have started tasks without durable records.
+    /// Whether a previous owner may have started tasks without durable records: one was told so
+    /// by [`Input::Unrecorded`](super::super::Input::Unrecorded), and no owner since was
+    /// [settled](Cell::is_settled).
     pub unrecorded: bool,
     /// The mechanisms that are on.
     #[doc(hidden)]
@@ -73,13 +75,17 @@
             true => recovery.now + knobs.fence(),
             false => recovery.now,
         };
+        let held_until = match recovery.unrecorded && recovery.rules.fence_unrecorded {
+            true => recovery.now + knobs.hold(),
+            false => recovery.now,
+        };
         Cell {
             now: recovery.now,
             lease: recovery.lease,
             is_fenced: false,
             is_unrecorded: false,
             asks_from,
-            held_until: recovery.now + knobs.hold(),
+            held_until,
             held: Vec::new(),
             rules: recovery.rules,
             settings: recovery.settings,
@@ -144,10 +150,7 @@
             return;
         };
         let index = id.task.index;
-        if let TaskPhase::Live(earlier) = self.jobs[job].tasks[index as usize].phase {
-            self.discard(earlier);
-            self.jobs[job].give_back(index);
-        }
+        self.replace_earlier(job, index);
         let worker = self.worker(worker);
         let knobs = &self.settings.knobs;
         let entry = AttemptEntry {
@@ -178,6 +181,14 @@
         self.count(key);
     }
 
+    /// Takes out the attempt of a task of which a later attempt is recorded.
+    fn replace_earlier(&mut self, job: JobKey, index: u32) {
+        if let TaskPhase::Live(earlier) = self.jobs[job].tasks[index as usize].phase {
+            self.discard(earlier);
+            self.jobs[job].give_back(index);
+        }
+    }
+
     /// Returns whether an attempt is not newer than all that is known of its task.
     fn is_known(&self, job: JobKey, id: Attempt) -> bool {
         let task = &self.jobs[job].tasks[id.task.index as usize];
@@ -220,7 +231,10 @@
                 }
             }
             None if self.is_known(job, id) => return,
-            None => self.jobs[job].tasks[index as usize].number = id.number,
+            None => {
+                self.replace_earlier(job, index);
+                self.jobs[job].tasks[index as usize].number = id.number;
+            }
         }
         if outcome == Outcome::Succeeded {
             let entry = &mut self.jobs[job];
--- a/src/core/placement/cell/reports.rs
+++ b/src/core/placement/cell/reports.rs
@@ -9,7 +9,7 @@
 
 use super::Cell;
 use crate::core::id::{self, Attempt};
-use crate::core::placement::message::{Outcome, Output};
+use crate::core::placement::message::{Outcome, Output, Record};
 use crate::core::placement::policy::Policy;
 use crate::core::placement::table::{
     AttemptEntry, AttemptKey, Intent, JobKey, Phase, Standing, TaskPhase, WorkerKey,
@@ -166,6 +166,12 @@
         self.workers[worker].attempts.push(key);
         if let Some(job) = job {
             self.take_over(job, report.attempt.task.index, key);
+            let worker = self.workers[worker].id;
+            self.write(Record::Placed {
+                attempt: report.attempt,
+                worker,
+                size: report.size,
+            });
         }
         self.count(key);
         key
--- a/tests/testsuite/placement/world.rs
+++ b/tests/testsuite/placement/world.rs
@@ -136,7 +136,7 @@
         self.owner_until = self.now + OWNER_LEASE;
         let mut recovery = Recovery::new(self.now, self.owner_until, self.settings.clone());
         recovery.rules = self.rules;
-        recovery.unrecorded = std::mem::take(&mut self.was_unrecorded);
+        recovery.unrecorded = self.was_unrecorded;
         if recovery.unrecorded {
             let hold = self.settings.knobs.hold();
             self.quota_from = self.now + hold + hold;
@@ -383,10 +383,9 @@
             self.owner_until = self.now + OWNER_LEASE;
             self.input(Input::Lease(self.owner_until));
         }
-        if self.was_unrecorded && self.now > self.log_down_until + OWNER_LEASE {
-            self.was_unrecorded = false;
-        } else if self.was_unrecorded && self.now > self.log_down_until {
+        if self.was_unrecorded && self.now > self.log_down_until {
             self.input(Input::Unrecorded(false));
+            self.was_unrecorded = !self.cell.as_ref().is_some_and(Cell::is_settled);
         }
     }
 
