Index room that leaves accelerators usable, judge workers by ended jobs too

Cause: at 28,000 workers plain work met long runs of workers whose rest is kept for accelerators and gave up; jobs that had ended counted as suspect, so no worker was ever quarantined. Lanes are woken by the workers that came free instead of by a search each.

--- a/src/core/placement/cell/hold.rs
+++ b/src/core/placement/cell/hold.rs
@@ -373,8 +373,7 @@
             };
             if entry.reserved.is_some_and(|hold| hold.job == key) {
                 entry.reserved = None;
-                let room = entry.room();
-                self.freed.room = self.freed.room.max(room);
+                self.freed.note(worker);
             }
         }
     }
--- a/src/core/placement/cell/ledger.rs
+++ b/src/core/placement/cell/ledger.rs
@@ -5,7 +5,7 @@
 
 use super::Cell;
 use crate::core::id::Team;
-use crate::core::placement::policy::{Order as _, Policy, order::Head};
+use crate::core::placement::policy::{KeepAccelerators, Order as _, Policy, order::Head};
 use crate::core::placement::queue::{Lane, Rank};
 use crate::core::placement::table::{AttemptKey, Standing, TeamEntry, TeamKey, WorkerKey};
 use crate::core::resource::Amount;
@@ -43,7 +43,7 @@
         let (accounted, size) = (attempt.accounted, attempt.size);
         self.workers[worker].used -= accounted;
         self.refresh_index(worker);
-        self.freed.room = self.freed.room.max(self.workers[worker].room());
+        self.freed.note(worker);
         if let Some(job) = job {
             let entry = &self.workers[worker];
             self.jobs[job].count_place(entry.rack, entry.data_centre, false);
@@ -67,27 +67,28 @@
         let worker = attempt.worker;
         let entry = &mut self.workers[worker];
         entry.used = entry.used - before + accounted;
-        let room = entry.room();
         self.refresh_index(worker);
-        self.freed.room = self.freed.room.max(room);
+        self.freed.note(worker);
     }
 
-    /// Keeps a worker in the index by its present room, or out of it.
+    /// Keeps a worker in the indexes by its present room, or out of them.
     pub(super) fn refresh_index(&mut self, key: WorkerKey) {
-        let entry = &mut self.workers[key];
+        let entry = &self.workers[key];
         let is_usable = entry.standing == Standing::Ready && !entry.health.is_quarantined(self.now);
-        let room = entry.room();
-        if let Some(slot) = entry.slot {
-            if is_usable && self.index.is_right(slot, room) {
-                return;
-            }
-            entry.slot = None;
-            if let Some(moved) = self.index.remove(slot) {
-                self.workers[moved.worker].slot = Some(moved.slot);
+        let all = is_usable.then(|| entry.room());
+        let plain = is_usable.then(|| KeepAccelerators::room(entry));
+        if let Some(slot) = self.index.update(key, entry.slots.all, all) {
+            if let Some(moved) = slot.moved {
+                self.workers[moved.worker].slots.all = Some(moved.slot);
             }
+            self.workers[key].slots.all = slot.slot;
         }
-        if is_usable {
-            self.workers[key].slot = Some(self.index.add(key, room));
+        let slot = self.workers[key].slots.plain;
+        if let Some(slot) = self.plain_index.update(key, slot, plain) {
+            if let Some(moved) = slot.moved {
+                self.workers[moved.worker].slots.plain = Some(moved.slot);
+            }
+            self.workers[key].slots.plain = slot.slot;
         }
     }
 
--- a/src/core/placement/cell/mod.rs
+++ b/src/core/placement/cell/mod.rs
@@ -81,6 +81,7 @@
     worker_ids: HashMap<id::Worker, WorkerKey>,
     roster: Vec<WorkerKey>,
     index: Index,
+    plain_index: Index,
     /// What all workers hold together.
     total: Amount,
     /// How many workers of each size there are.
--- a/src/core/placement/cell/recover.rs
+++ b/src/core/placement/cell/recover.rs
@@ -93,6 +93,7 @@
             worker_ids: HashMap::new(),
             roster: Vec::new(),
             index: Index::default(),
+            plain_index: Index::default(),
             total: Amount::default(),
             sizes: BTreeMap::new(),
             due: BTreeSet::new(),
--- a/src/core/placement/cell/reports.rs
+++ b/src/core/placement/cell/reports.rs
@@ -44,8 +44,7 @@
         entry.asking.heard_at = entry.asking.heard_at.max(asked_at);
         if entry.standing == Standing::Unknown {
             entry.standing = Standing::Ready;
-            let room = entry.room();
-            self.freed.room = self.freed.room.max(room);
+            self.freed.note(key);
         }
         self.refresh_index(key);
     }
--- a/src/core/placement/cell/workers.rs
+++ b/src/core/placement/cell/workers.rs
@@ -34,7 +34,7 @@
         entry.asking.heard_at = self.now;
         self.refresh_index(key);
         self.schedule(key, self.now);
-        self.freed.room = self.freed.room.max(self.workers[key].room());
+        self.freed.note(key);
     }
 
     /// Returns the key of a worker, which is made when it is new.
--- a/src/core/placement/index.rs
+++ b/src/core/placement/index.rs
@@ -54,6 +54,15 @@
     pub(super) slot: Slot,
 }
 
+/// What changed when a worker was given another room.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Update {
+    /// Where the worker is now.
+    pub(super) slot: Option<Slot>,
+    /// Another worker that moved.
+    pub(super) moved: Option<Moved>,
+}
+
 impl Default for Index {
     fn default() -> Index {
         Index {
@@ -92,9 +101,25 @@
 }
 
 impl Index {
-    /// Adds a worker with this room.
-    pub(super) fn add(&mut self, worker: WorkerKey, room: Amount) -> Slot {
-        let bucket = bucket(room);
+    /// Keeps a worker from `slot` on by this room, or out; returns nothing when it stays.
+    pub(super) fn update(
+        &mut self,
+        worker: WorkerKey,
+        slot: Option<Slot>,
+        room: Option<Amount>,
+    ) -> Option<Update> {
+        let wanted = room.map(bucket);
+        if slot.map(|slot| slot.bucket) == wanted {
+            return None;
+        }
+        Some(Update {
+            moved: slot.and_then(|slot| self.remove(slot)),
+            slot: wanted.map(|bucket| self.add(worker, bucket)),
+        })
+    }
+
+    /// Adds a worker to a bucket.
+    fn add(&mut self, worker: WorkerKey, bucket: usize) -> Slot {
         let position = self.buckets[bucket].len();
         self.buckets[bucket].push(worker);
         self.filled[bucket / LEVELS] |= 1 << (bucket % LEVELS);
@@ -102,7 +127,7 @@
     }
 
     /// Takes a worker out; another one may move into its slot.
-    pub(super) fn remove(&mut self, slot: Slot) -> Option<Moved> {
+    fn remove(&mut self, slot: Slot) -> Option<Moved> {
         let row = &mut self.buckets[slot.bucket];
         row.swap_remove(slot.position);
         if row.is_empty() {
@@ -112,11 +137,6 @@
         Some(Moved { worker, slot })
     }
 
-    /// Returns whether a worker in `slot` belongs there with this room.
-    pub(super) fn is_right(&self, slot: Slot, room: Amount) -> bool {
-        slot.bucket == bucket(room)
-    }
-
     /// Visits workers that may have room for `need`, tightest first, until `visit` breaks. Within a
     /// bucket the walk starts at a worker chosen by `turn`.
     pub fn visit(
--- a/src/core/placement/policy/choose.rs
+++ b/src/core/placement/policy/choose.rs
@@ -30,6 +30,8 @@
     pub roster: &'a [WorkerKey],
     /// Those that may be given work, by room.
     pub index: &'a Index,
+    /// Those that may be given work, by the room that leaves accelerators usable.
+    pub plain_index: &'a Index,
     /// What all workers hold together.
     pub total: Amount,
 }
@@ -70,7 +72,11 @@
     let mut chosen = None;
     let mut found = 0;
     let mut looks = 0;
-    view.index.visit(ask.size, axis(ask, view), turn, |key| {
+    let index = match ask.may_use_all() {
+        true => view.index,
+        false => view.plain_index,
+    };
+    index.visit(ask.size, axis(ask, view), turn, |key| {
         looks += 1;
         let suits = |worker: &&WorkerEntry| check(ask, worker).is_none() && accepts(worker);
         if let Some(worker) = view.workers.get(key).filter(suits) {
--- a/src/core/placement/policy/filter.rs
+++ b/src/core/placement/policy/filter.rs
@@ -4,11 +4,11 @@
 
 use super::Ask;
 use crate::core::placement::table::{Standing, WorkerEntry};
-use crate::core::workload::Class;
+use crate::core::resource::Amount;
 
 /// Of the processors and memory that go with a free accelerator, the share in percent that work
 /// without accelerators leaves free.
-const KEPT_PERCENT: u64 = 50;
+const KEPT_PERCENT: u64 = 20;
 
 /// Why a worker does not take a task.
 #[value]
@@ -80,17 +80,22 @@
 
 impl Filter for KeepAccelerators {
     fn refuse(ask: &Ask<'_>, worker: &WorkerEntry) -> Option<Refusal> {
+        let is_short = !ask.may_use_all() && !ask.size.fits(KeepAccelerators::room(worker));
+        is_short.then_some(Refusal::KeptForAccelerators)
+    }
+}
+
+impl KeepAccelerators {
+    /// Returns the room for work that must leave accelerators usable.
+    pub fn room(worker: &WorkerEntry) -> Amount {
         let total = worker.size.accelerators;
-        let room = worker.room();
-        let is_free = ask.class == Class::Urgent || ask.is_aged;
-        if ask.size.accelerators > 0 || total == 0 || is_free {
-            return None;
+        let mut room = worker.room();
+        if total > 0 {
+            let keep = |size: u64| size * room.accelerators * KEPT_PERCENT / (total * 100);
+            room.cpu_millis = room.cpu_millis.saturating_sub(keep(worker.size.cpu_millis));
+            room.memory_mib = room.memory_mib.saturating_sub(keep(worker.size.memory_mib));
         }
-        let keep = |size: u64| size * room.accelerators * KEPT_PERCENT / (total * 100);
-        let processors = ask.size.cpu_millis + keep(worker.size.cpu_millis);
-        let memory = ask.size.memory_mib + keep(worker.size.memory_mib);
-        let is_short = processors > room.cpu_millis || memory > room.memory_mib;
-        is_short.then_some(Refusal::KeptForAccelerators)
+        room
     }
 }
 
--- a/src/core/placement/policy/mod.rs
+++ b/src/core/placement/policy/mod.rs
@@ -105,6 +105,13 @@
     pub now: Instant,
 }
 
+impl Ask<'_> {
+    /// Returns whether the task may use room that goes with free accelerators.
+    pub fn may_use_all(&self) -> bool {
+        self.size.accelerators > 0 || self.class == Class::Urgent || self.is_aged
+    }
+}
+
 impl<'a> Ask<'a> {
     /// Makes the question for one task of `entry`.
     pub fn new(job: JobKey, entry: &'a JobEntry, now: Instant, ends_at: Instant) -> Ask<'a> {
--- a/src/core/placement/quarantine.rs
+++ b/src/core/placement/quarantine.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::table::JobKey;
+use crate::core::id::Job;
 use crate::core::time::Instant;
 
 /// How many blameless jobs must have failed on a worker before it is quarantined.
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     /// The jobs that failed on the worker since its last success.
-    blame: Vec<JobKey>,
+    blame: Vec<Job>,
     /// How often it was quarantined since it last succeeded.
     strikes: u32,
     /// Until when it gets nothing.
@@ -43,9 +43,9 @@
     pub fn fail(
         &mut self,
         now: Instant,
-        job: JobKey,
+        job: Job,
         base: Duration,
-        is_suspect: impl Fn(JobKey) -> bool,
+        is_suspect: impl Fn(Job) -> bool,
     ) -> bool {
         if !self.blame.contains(&job) {
             if self.blame.len() >= BLAME_KEPT {
--- a/src/core/placement/queue.rs
+++ b/src/core/placement/queue.rs
@@ -7,6 +7,7 @@
 //! room comes free, so a large job does not stop small ones of other lanes.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use laburnum_derive::value;
 
@@ -66,6 +67,8 @@
     rows: BTreeMap<Lane, Row>,
     ready: BTreeSet<(Rank, Lane)>,
     blocked: BTreeSet<Lane>,
+    /// The lane that was served again last in its turn.
+    cursor: Option<Lane>,
 }
 
 impl Shape {
@@ -77,15 +80,6 @@
             accelerators: magnitude(amount.accelerators),
         }
     }
-
-    /// Returns the smallest amount of this rough size.
-    pub fn floor(self) -> Amount {
-        Amount {
-            cpu_millis: lowest(self.processors),
-            memory_mib: lowest(self.memory),
-            accelerators: lowest(self.accelerators),
-        }
-    }
 }
 
 /// Returns how many bits `number` takes.
@@ -93,14 +87,6 @@
     (u64::BITS - number.leading_zeros()) as u8
 }
 
-/// Returns the smallest number that takes `bits` bits.
-fn lowest(bits: u8) -> u64 {
-    match bits {
-        0 => 0,
-        _ => 1 << (bits - 1),
-    }
-}
-
 impl Queue {
     /// Adds a job to its lane; `rank` gives the rank of a lane headed by a job queued then.
     pub(super) fn add(
@@ -210,6 +196,21 @@
         }
     }
 
+    /// Returns the lanes that are set aside.
+    pub(super) fn blocked(&self) -> impl Iterator<Item = Lane> {
+        self.blocked.iter().copied()
+    }
+
+    /// Serves one in `parts` of the lanes that are set aside again, the next ones in turn.
+    pub(super) fn unblock_part(&mut self, parts: usize) {
+        let count = self.blocked.len().div_ceil(parts);
+        let from = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
+        let later = self.blocked.range((from, Bound::Unbounded));
+        let chosen: Vec<Lane> = later.chain(&self.blocked).take(count).copied().collect();
+        self.cursor = chosen.last().copied();
+        chosen.into_iter().for_each(|lane| self.unblock(lane));
+    }
+
     /// Returns how many lanes wait, set aside or not.
     pub(super) fn len(&self) -> usize {
         self.rows.len()
--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -5,6 +5,7 @@
 
 use slotmap::new_key_type;
 
+use super::index::Slot;
 use super::job::{End, Job};
 use super::message::Worker;
 use super::quarantine::Health;
@@ -66,8 +67,8 @@
     pub reserved: Option<Hold>,
     /// Its record of failures.
     pub health: Health,
-    /// Where the index keeps it.
-    pub(super) slot: Option<super::index::Slot>,
+    /// Where the indexes keep it.
+    pub(super) slots: Slots,
     /// Its place in the roster.
     pub(super) roster: usize,
 }
@@ -85,6 +86,15 @@
     pub(super) due: Instant,
 }
 
+/// Where the indexes keep a worker.
+#[derive(Debug, Default)]
+pub(super) struct Slots {
+    /// By all its room.
+    pub(super) all: Option<Slot>,
+    /// By its room for work that must leave accelerators usable.
+    pub(super) plain: Option<Slot>,
+}
+
 /// Room on a worker that is kept for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hold {
@@ -264,7 +274,7 @@
             renewed_at: Instant::default(),
             reserved: None,
             health: Health::default(),
-            slot: None,
+            slots: Slots::default(),
             roster,
         }
     }
