--- a/crates/laburnum-measure/src/placement.rs
+++ b/crates/laburnum-measure/src/placement.rs
@@ -23,10 +23,11 @@
 /// Fails when the cell refuses or loses work that it should place.
 pub fn run() -> eyre::Result<Report> {
     let mut report = Report::new("placement");
+    // Memory goes first: later parts would leave free pages behind.
+    memory::run(&mut report)?;
     decide::run(&mut report)?;
     wait::run(&mut report)?;
     pack::run(&mut report)?;
-    memory::run(&mut report)?;
     Ok(report)
 }
 
