--- a/crates/laburnum-measure/src/placement/decide.rs
+++ b/crates/laburnum-measure/src/placement/decide.rs
@@ -103,16 +103,7 @@
 fn size<P: Named>(decisions: usize, table: &mut Table, plot: &mut Plot) -> eyre::Result<()> {
     let mut points = Vec::new();
     for workers in WORKERS {
-        let t = Clock::now();
         let histogram = churn::<P>(workers, decisions)?;
-        eprintln!(
-            "TRACE {} {workers} {:?} p50 {} p99 {} mean {:.0}",
-            P::NAME,
-            t.elapsed(),
-            histogram.value_at_quantile(0.5),
-            histogram.value_at_quantile(0.99),
-            histogram.mean()
-        );
         let micros = |nanos: u64| format!("{:.1}", nanos as f64 / 1_000.0);
         let p99 = histogram.value_at_quantile(0.99);
         points.push((f64::from(workers), p99 as f64 / 1_000.0));
