--- a/src/core/placement/cell/mod.rs
+++ b/src/core/placement/cell/mod.rs
@@ -83,6 +83,7 @@
     worker_ids: HashMap<id::Worker, WorkerKey>,
     roster: Vec<WorkerKey>,
     index: Index,
+    plain_index: Index,
     /// What all workers hold together.
     total: Amount,
     /// How many workers of each size there are.
@@ -168,6 +169,12 @@
         self.is_fenced
     }
 
+    /// Returns whether the durable records describe all that may run, so that a next owner may
+    /// recover without [`Recovery::unrecorded`].
+    pub fn is_settled(&self) -> bool {
+        !self.is_unrecorded && self.now > self.held_until && self.journal.is_durable()
+    }
+
     /// Returns what the cell did so far.
     pub fn counters(&self) -> Counters {
         self.counters
