--- /dev/null
+++ b/crates/laburnum-measure/src/lease/heartbeat.rs
@@ -0,0 +1,124 @@
+//! What heartbeats cost, and how fast a change is known to all.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use laburnumplank::core::id::{Incarnation, Node, Vm};
+use laburnumplank::core::membership::{Heartbeat, Input, Output, Settings, State, View};
+use laburnumplank::core::time::Instant;
+use laburnumplank::platform::vms;
+
+use super::cell::encoded;
+use crate::report::Table;
+
+/// How long a round is.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// Views of a cell that exchange heartbeats in rounds.
+struct Cell {
+    now: Instant,
+    views: BTreeMap<Vm, View>,
+    inbox: Vec<(Vm, Heartbeat)>,
+    messages: u64,
+    bytes: u64,
+}
+
+impl Cell {
+    fn new(count: u32) -> Cell {
+        let vm = |id| vms::Vm {
+            id,
+            state: vms::State::Live,
+            address: ([10, 0, 0, 1], 7000).into(),
+            data_centre: "a".to_owned(),
+            role: vms::Role::Entry,
+        };
+        let list = vms::List {
+            version: 1,
+            vms: (0..count).map(vm).collect(),
+        };
+        let view = |id| {
+            let vm = Vm(id);
+            let incarnation = Incarnation(1);
+            let mut view = View::new(Node { vm, incarnation }, Settings::builder().build());
+            view.step(Instant(0), Input::List(&list), &mut Vec::new());
+            (vm, view)
+        };
+        Cell {
+            now: Instant(0),
+            views: (0..count).map(view).collect(),
+            inbox: Vec::new(),
+            messages: 0,
+            bytes: 0,
+        }
+    }
+
+    /// Lets all nodes send and receive for one round.
+    fn round(&mut self) {
+        self.now = self.now + ROUND;
+        let mut out = Vec::new();
+        for (to, heartbeat) in std::mem::take(&mut self.inbox) {
+            if let Some(view) = self.views.get_mut(&to) {
+                view.step(self.now, Input::Heartbeat(&heartbeat), &mut out);
+            }
+        }
+        for view in self.views.values_mut() {
+            view.step(self.now, Input::Tick, &mut out);
+        }
+        for output in out {
+            if let Output::Send { to, heartbeat } = output {
+                self.messages += 1;
+                self.bytes += encoded(&heartbeat);
+                self.inbox.push((to, heartbeat));
+            }
+        }
+    }
+
+    /// Counts rounds until all see `vm` in `state`.
+    fn rounds_until(&mut self, vm: Vm, state: State) -> eyre::Result<u32> {
+        const LIMIT: u32 = 200;
+        for round in 0..LIMIT {
+            if self
+                .views
+                .values()
+                .all(|view| view.state(vm) == Some(state))
+            {
+                return Ok(round);
+            }
+            self.round();
+        }
+        eyre::bail!("not all see {vm:?} as {state:?}")
+    }
+}
+
+/// Measures heartbeats against the size of a cell.
+pub(super) fn traffic() -> eyre::Result<Table> {
+    const ROUNDS: u32 = 120;
+    let columns = [
+        "entries",
+        "messages/s for each entry",
+        "B/s for each entry",
+        "from end to all suspecting, s",
+        "from end to dead for all, s",
+    ];
+    let mut table = Table::new("Heartbeats", &columns);
+    for count in [9, 40, 160, 320] {
+        let mut cell = Cell::new(count);
+        (0..60).for_each(|_| cell.round());
+        (cell.messages, cell.bytes) = (0, 0);
+        (0..ROUNDS).for_each(|_| cell.round());
+        let each = (ROUND * ROUNDS).as_secs_f64() * f64::from(count);
+        let (messages, bytes) = (cell.messages as f64 / each, cell.bytes as f64 / each);
+        let ended = Vm(3);
+        cell.views.remove(&ended);
+        let suspect = ROUND * cell.rounds_until(ended, State::Suspect)?;
+        let dead = suspect + ROUND * cell.rounds_until(ended, State::Dead)?;
+        table.row([
+            count.to_string(),
+            format!("{messages:.1}"),
+            format!("{bytes:.0}"),
+            format!("{:.1}", suspect.as_secs_f64()),
+            format!("{:.1}", dead.as_secs_f64()),
+        ]);
+    }
+    Ok(table)
+}
