--- a/src/core/lease/holder.rs
+++ b/src/core/lease/holder.rs
@@ -54,12 +54,13 @@
 
     /// Renews what is due, and along with it what will be due soon.
     fn renewals(&mut self, now: Instant) -> Vec<Renewal> {
-        let is_any_due = (0..self.slots.len()).any(|index| self.is_due(now, index));
+        let mut concerns = self.concerns().into_iter();
+        let is_any_due = concerns.any(|index| self.is_due(now, index));
         if !is_any_due {
             return Vec::new();
         }
         let mut groups = Groups::new();
-        for index in 0..self.slots.len() {
+        for index in self.concerns() {
             if self.is_due(now, index) || self.is_due_soon(now, index) {
                 self.renew(now, index, &mut groups);
             }
@@ -138,7 +139,7 @@
             return Vec::new();
         }
         let mut groups = Groups::new();
-        for index in 0..self.slots.len() {
+        for index in self.concerns() {
             self.release(now, index, &mut groups, out);
         }
         let release = |(group, partitions): (Group, Vec<Partition>)| Release {
@@ -194,7 +195,7 @@
     /// Offers partitions to the nodes that should own them.
     pub(super) fn hand_over(&mut self, now: Instant, out: &mut Vec<Output>) {
         let mut wishes: BTreeMap<Node, Vec<Wish>> = BTreeMap::new();
-        for index in 0..self.slots.len() {
+        for index in self.concerns() {
             let Some(successor) = self.successor(&self.slots[index]) else {
                 continue;
             };
@@ -240,7 +241,7 @@
     /// Asks for promises where the log does not extend a lease in time.
     pub(super) fn ask(&mut self, now: Instant, out: &mut Vec<Output>) {
         let mut wishes: BTreeMap<Node, Vec<Wish>> = BTreeMap::new();
-        for index in 0..self.slots.len() {
+        for index in self.concerns() {
             if !self.needs_promises(now, index) {
                 continue;
             }
--- a/src/core/lease/reader.rs
+++ b/src/core/lease/reader.rs
@@ -28,19 +28,30 @@
         self.next = offset + LAST;
         for claim in &record.claims {
             self.read_claim(now, offset, record, claim, out);
+            self.reconsider(claim.partition);
         }
         for renewal in &record.renewals {
             for &partition in &renewal.partitions {
                 self.read_renewal(now, offset, record, renewal, partition, out);
+                self.reconsider(partition);
             }
         }
         for release in &record.releases {
             for &partition in &release.partitions {
                 self.read_release(now, offset, record, release, partition, out);
+                self.reconsider(partition);
             }
         }
     }
 
+    /// Notes what a record changed for this node.
+    fn reconsider(&mut self, partition: Partition) {
+        let index = usize::from(partition.0);
+        if index < self.slots.len() {
+            self.concern(index);
+        }
+    }
+
     /// Reads a claim of one partition.
     fn read_claim(
         &mut self,
@@ -195,6 +206,7 @@
             }
             let grant = grant.clone();
             slot.advance(Head { grant, ends });
+            self.concern(index);
         }
         self.next = self.next.max(snapshot.next);
     }
--- a/src/core/lease/slot.rs
+++ b/src/core/lease/slot.rs
@@ -203,6 +203,18 @@
             .is_some_and(|since| since >= tenure.quiet && now < since + settings.duration)
     }
 
+    /// Returns whether `node` holds the partition, may claim it or should own it.
+    pub(super) fn concerns(&self, node: Node) -> bool {
+        let node = Some(node);
+        let is_named = self.head.as_ref().is_some_and(|head| {
+            let grant = &head.grant;
+            let is_named = Some(grant.holder) == node || grant.successor == node;
+            is_named || grant.standbys.contains(&node)
+        });
+        let is_engaged = self.tenure.is_some() || self.offer.is_some();
+        is_named || is_engaged || self.candidates.contains(&node)
+    }
+
     /// Returns whether a former holder may still act.
     pub(super) fn is_gated(&self, now: Instant) -> bool {
         self.gate.is_some_and(|gate| now < gate.until)
--- a/src/core/lease/standby.rs
+++ b/src/core/lease/standby.rs
@@ -74,7 +74,8 @@
     fn take_offer(&mut self, now: Instant, offer: &Offer) {
         let ends = now + self.wait(offer.duration_ms);
         for wish in &offer.wishes {
-            let Some(slot) = self.slots.get_mut(usize::from(wish.partition.0)) else {
+            let index = usize::from(wish.partition.0);
+            let Some(slot) = self.slots.get_mut(index) else {
                 continue;
             };
             if slot.head_offset() <= Some(wish.head) {
@@ -82,6 +83,7 @@
                     head: wish.head,
                     ends,
                 });
+                self.concern(index);
             }
         }
     }
@@ -112,7 +114,8 @@
         if !may_claim {
             return Vec::new();
         }
-        let claims = (0..self.slots.len()).filter_map(|index| self.claim(now, index));
+        let concerns = self.concerns().into_iter();
+        let claims = concerns.filter_map(|index| self.claim(now, index));
         claims.collect()
     }
 
--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -1,6 +1,6 @@
 //! The table of all partitions in one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::port::{Acquired, Input, Member, Origin, Output, Preference, Roster};
@@ -17,6 +17,8 @@
     pub(super) node: Node,
     pub(super) settings: Settings,
     pub(super) slots: Vec<Slot>,
+    /// The slots that this node may have to do something about.
+    concerns: BTreeSet<u16>,
     /// The first offset that was not read yet.
     pub(super) next: u64,
     pub(super) ready: bool,
@@ -35,6 +37,7 @@
             node,
             settings,
             slots: vec![Slot::default(); usize::from(partitions)],
+            concerns: BTreeSet::new(),
             next: 0,
             ready: false,
             stopping: false,
@@ -147,7 +150,7 @@
 
     /// Does what is due.
     fn tick(&mut self, now: Instant, stamp: Stamp, out: &mut Vec<Output>) {
-        for index in 0..self.slots.len() {
+        for index in self.concerns() {
             self.refresh(now, index, out);
         }
         if !self.ready {
@@ -193,12 +196,28 @@
     /// Adopts which nodes should own partitions.
     fn prefer(&mut self, preferences: &[Preference]) {
         for preference in preferences {
-            if let Some(slot) = self.slots.get_mut(usize::from(preference.partition.0)) {
+            let index = usize::from(preference.partition.0);
+            if let Some(slot) = self.slots.get_mut(index) {
                 slot.candidates = preference.candidates;
+                self.concern(index);
             }
         }
     }
 
+    /// Notes whether this node may have to do something about a slot that changed.
+    pub(super) fn concern(&mut self, index: usize) {
+        if self.slots[index].concerns(self.node) {
+            self.concerns.insert(index as u16);
+        } else {
+            self.concerns.remove(&(index as u16));
+        }
+    }
+
+    /// Returns the slots that this node may have to do something about.
+    pub(super) fn concerns(&self) -> Vec<usize> {
+        self.concerns.iter().copied().map(usize::from).collect()
+    }
+
     /// Notes that the log describes all that was dispatched.
     fn described(&mut self, now: Instant, partition: Partition) {
         let Some(slot) = self.slots.get_mut(usize::from(partition.0)) else {
