--- a/tests/testsuite/lease/explore.rs
+++ b/tests/testsuite/lease/explore.rs
@@ -223,6 +223,7 @@
     shifts: 1,
     stops: 1,
     outage_flips: 1,
+    restores: 1,
 };
 
 /// Passes when no search from `from` finds a violation. Searches without and with all faults are
--- a/tests/testsuite/lease/fuzz.rs
+++ b/tests/testsuite/lease/fuzz.rs
@@ -57,6 +57,7 @@
         shifts: 6,
         stops: 1,
         outage_flips: 4,
+        restores: 3,
     };
     world
 }
@@ -74,6 +75,7 @@
         Action::List(_) | Action::Land { .. } => 4,
         Action::Shift(_) | Action::Outage(_) => 1,
         Action::Stop(_) | Action::Restart(_) | Action::Kill(_) => 1,
+        Action::Restore(_) => 1,
     };
     let total: u32 = actions.iter().map(weight).sum();
     let mut left = choice % total;
--- a/tests/testsuite/lease/world.rs
+++ b/tests/testsuite/lease/world.rs
@@ -33,6 +33,7 @@
     pub(crate) shifts: u32,
     pub(crate) stops: u32,
     pub(crate) outage_flips: u32,
+    pub(crate) restores: u32,
 }
 
 impl Budget {
@@ -44,6 +45,7 @@
         shifts: 0,
         stops: 0,
         outage_flips: 0,
+        restores: 0,
     };
 }
 
@@ -74,6 +76,8 @@
     Dispatch(usize),
     /// A node has described in the log all that may have been dispatched unlogged.
     Describe(usize),
+    /// A node takes a snapshot from the next node that lives, and reads on from there.
+    Restore(usize),
     /// Nodes notice that the log is down or up again.
     Outage(bool),
 }
@@ -218,6 +222,9 @@
         if self.budget.kills > 0 {
             out.push(Action::Kill(index));
         }
+        if self.budget.restores > 0 {
+            out.push(Action::Restore(index));
+        }
         if self.budget.shifts > 0 {
             out.push(Action::Shift(index));
         }
@@ -255,6 +262,7 @@
                 self.undescribed = false;
                 self.step(index, Input::Described(PARTITION));
             }
+            Action::Restore(index) => self.restore(index),
             Action::Outage(down) => self.outage(down),
         }
     }
@@ -442,6 +450,20 @@
         self.introduce(index);
     }
 
+    fn restore(&mut self, index: usize) {
+        self.budget.restores = self.budget.restores.saturating_sub(1);
+        let count = self.procs.len();
+        let others = (1..count).map(|step| &self.procs[(index + step) % count]);
+        let Some(peer) = others.into_iter().find(|proc| proc.is_alive) else {
+            return;
+        };
+        let (snapshot, read) = (peer.table.snapshot(), peer.read);
+        if read > self.procs[index].read {
+            self.procs[index].read = read;
+        }
+        self.step(index, Input::Restore(&snapshot));
+    }
+
     fn kill(&mut self, index: usize) {
         self.budget.kills = self.budget.kills.saturating_sub(1);
         self.procs[index].is_alive = false;
