--- a/src/core/lease/holder.rs
+++ b/src/core/lease/holder.rs
@@ -1,27 +1,27 @@
-//! What a holder does: renews, asks standbys for promises and hands over.
+//! How a holder keeps partitions: it renews them, and asks for promises when the log is down.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::message::{Ask, Message, Offer, Wish};
+use super::message::{Ask, Message, Wish};
 use super::port::{Append, Output};
-use super::record::{Record, Release, Renewal, Standbys};
-use super::slot::{Offering, Sent, Slot};
-use super::table::{Table, end};
+use super::record::{Record, Renewal, Standbys};
+use super::slot::{Sent, Slot};
+use super::table::Table;
 use crate::core::id::{Node, Partition};
 use crate::core::time::{Instant, Stamp};
 
 /// What partitions in one group of a record share.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Group {
-    predecessor: u64,
-    standbys: Option<Standbys>,
-    successor: Option<Node>,
-    exposed: bool,
+pub(super) struct Group {
+    pub(super) predecessor: u64,
+    pub(super) standbys: Option<Standbys>,
+    pub(super) successor: Option<Node>,
+    pub(super) exposed: bool,
 }
 
 /// The partitions of each group.
-type Groups = BTreeMap<Group, Vec<Partition>>;
+pub(super) type Groups = BTreeMap<Group, Vec<Partition>>;
 
 impl Table {
     /// Returns all that this node has to say in the log now.
@@ -133,111 +133,6 @@
             .push(Partition(index as u16));
     }
 
-    /// Gives up, when the process stops, what nobody took over.
-    fn releases(&mut self, now: Instant, out: &mut Vec<Output>) -> Vec<Release> {
-        if !self.stopping {
-            return Vec::new();
-        }
-        let mut groups = Groups::new();
-        for index in self.concerns() {
-            self.release(now, index, &mut groups, out);
-        }
-        let release = |(group, partitions): (Group, Vec<Partition>)| Release {
-            predecessor: group.predecessor,
-            successor: group.successor,
-            exposed: group.exposed,
-            partitions,
-        };
-        groups.into_iter().map(release).collect()
-    }
-
-    /// Gives one partition up, if its offer was not taken.
-    fn release(&mut self, now: Instant, index: usize, groups: &mut Groups, out: &mut Vec<Output>) {
-        let successor = self.successor(&self.slots[index]);
-        let patience = self.settings.renew_after;
-        let slot = &mut self.slots[index];
-        let is_waiting = slot.is_offer_fresh(now, patience)
-            || slot.is_sending(now, patience)
-            || slot.is_gated(now);
-        if !slot.is_held_by(self.node) || is_waiting {
-            return;
-        }
-        end(slot, index, out);
-        let Some(head) = &slot.head else {
-            return;
-        };
-        let group = Group {
-            predecessor: head.grant.offset,
-            standbys: None,
-            successor,
-            exposed: slot.exposed,
-        };
-        slot.sent = Some(Sent {
-            at: now,
-            is_claim: false,
-        });
-        groups
-            .entry(group)
-            .or_default()
-            .push(Partition(index as u16));
-    }
-
-    /// Returns the node that should own a partition instead of this one.
-    fn successor(&self, slot: &Slot) -> Option<Node> {
-        let others = slot.candidates.into_iter().flatten();
-        let mut present = others.filter(|&node| self.is_present(node));
-        if self.stopping {
-            return present.find(|&node| node != self.node);
-        }
-        present.next().filter(|&node| node != self.node)
-    }
-
-    /// Offers partitions to the nodes that should own them.
-    pub(super) fn hand_over(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let mut wishes: BTreeMap<Node, Vec<Wish>> = BTreeMap::new();
-        for index in self.concerns() {
-            let Some(successor) = self.successor(&self.slots[index]) else {
-                continue;
-            };
-            if let Some(wish) = self.offer(now, index, successor) {
-                wishes.entry(successor).or_default().push(wish);
-            }
-        }
-        let duration_ms = self.settings.duration_ms();
-        for (to, wishes) in wishes {
-            let message = Message::Offer(Offer {
-                duration_ms,
-                wishes,
-            });
-            out.push(Output::Send { to, message });
-        }
-    }
-
-    /// Offers one partition, if the log works and no record of this node is in flight.
-    fn offer(&mut self, now: Instant, index: usize, successor: Node) -> Option<Wish> {
-        let log_up = self.log_up;
-        let stopping = self.stopping;
-        let settle = self.settings.settle;
-        let pace = self.settings.duration;
-        let slot = &mut self.slots[index];
-        let tenure = slot.tenure.as_ref()?;
-        let is_settled = stopping || now >= tenure.since + settle;
-        let is_acting = tenure.is_active(now) && is_settled;
-        let is_offered = slot.is_offer_fresh(now, pace);
-        if !is_acting || !log_up || is_offered || slot.sent.is_some() {
-            return None;
-        }
-        slot.offered = Some(Offering {
-            node: successor,
-            sent: now,
-        });
-        propose(&mut slot.proposed, successor);
-        Some(Wish {
-            partition: Partition(index as u16),
-            head: slot.head_offset()?,
-        })
-    }
-
     /// Asks for promises where the log does not extend a lease in time.
     pub(super) fn ask(&mut self, now: Instant, out: &mut Vec<Output>) {
         let mut wishes: BTreeMap<Node, Vec<Wish>> = BTreeMap::new();
@@ -303,7 +198,7 @@
     }
 
     /// Returns whether an offer was made less than `age` ago.
-    fn is_offer_fresh(&self, now: Instant, age: Duration) -> bool {
+    pub(super) fn is_offer_fresh(&self, now: Instant, age: Duration) -> bool {
         self.offered
             .is_some_and(|offering| now < offering.sent + age)
     }
@@ -315,7 +210,7 @@
 }
 
 /// Adds `node` to those that may succeed a head.
-fn propose(proposed: &mut Vec<Node>, node: Node) {
+pub(super) fn propose(proposed: &mut Vec<Node>, node: Node) {
     if !proposed.contains(&node) {
         proposed.push(node);
     }
--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -17,6 +17,7 @@
 //! A planned transfer costs no wait: the holder offers the partition, the successor claims it, and
 //! the holder yields when it reads the claim.
 
+mod handover;
 mod holder;
 mod message;
 mod port;
--- a/src/core/lease/reader.rs
+++ b/src/core/lease/reader.rs
@@ -12,6 +12,14 @@
 use crate::core::id::{Node, Partition};
 use crate::core::time::Instant;
 
+/// A record as it was read.
+#[derive(Clone, Copy)]
+struct Landed<'a> {
+    now: Instant,
+    offset: u64,
+    record: &'a Record,
+}
+
 impl Table {
     /// Reads a record.
     pub(super) fn read(
@@ -21,24 +29,29 @@
         record: &Record,
         out: &mut Vec<Output>,
     ) {
-        const LAST: u64 = 1;
-        if offset + LAST < self.next {
+        let next = offset + 1;
+        if next < self.next {
             return;
         }
-        self.next = offset + LAST;
+        self.next = next;
+        let landed = Landed {
+            now,
+            offset,
+            record,
+        };
         for claim in &record.claims {
-            self.read_claim(now, offset, record, claim, out);
+            self.read_claim(landed, claim, out);
             self.reconsider(claim.partition);
         }
         for renewal in &record.renewals {
             for &partition in &renewal.partitions {
-                self.read_renewal(now, offset, record, renewal, partition, out);
+                self.read_renewal(landed, renewal, partition, out);
                 self.reconsider(partition);
             }
         }
         for release in &record.releases {
             for &partition in &release.partitions {
-                self.read_release(now, offset, record, release, partition, out);
+                self.read_release(landed, release, partition, out);
                 self.reconsider(partition);
             }
         }
@@ -53,94 +66,98 @@
     }
 
     /// Reads a claim of one partition.
-    fn read_claim(
+    fn read_claim(&mut self, landed: Landed<'_>, claim: &Claim, out: &mut Vec<Output>) {
+        let index = usize::from(claim.partition.0);
+        if !self.is_valid(index, claim.predecessor) {
+            return;
+        }
+        self.refresh(landed.now, index, out);
+        if landed.record.holder == self.node {
+            self.read_own_claim(landed, claim, index, out);
+        } else {
+            self.read_other_claim(landed, claim, index, out);
+        }
+    }
+
+    /// Reads a valid claim of another node.
+    fn read_other_claim(
         &mut self,
-        now: Instant,
-        offset: u64,
-        record: &Record,
+        landed: Landed<'_>,
         claim: &Claim,
+        index: usize,
         out: &mut Vec<Output>,
     ) {
-        let index = usize::from(claim.partition.0);
-        if !self.is_valid(index, claim.predecessor) {
-            return;
+        let head = self.claimed(landed, claim);
+        let node = self.node;
+        let slot = &mut self.slots[index];
+        end(slot, index, out);
+        if slot.is_held_by(node) {
+            yield_to(slot, landed, claim.partition, out);
         }
-        self.refresh(now, index, out);
+        slot.advance(head);
+        slot.exposed = false;
+        slot.gate = None;
+    }
+
+    /// Reads a valid claim of this node.
+    fn read_own_claim(
+        &mut self,
+        landed: Landed<'_>,
+        claim: &Claim,
+        index: usize,
+        out: &mut Vec<Output>,
+    ) {
+        let head = self.claimed(landed, claim);
+        let deadline = self.counted(landed) + self.settings.duration;
+        let waits = self.settings.rules.wait_for_yield;
         let node = self.node;
-        let origin = origin(&self.slots[index], node, claim);
-        let grant = Grant {
-            offset,
-            epoch: Epoch(offset),
-            holder: record.holder,
-            standbys: claim.standbys,
-            duration_ms: record.duration_ms,
-            sent: record.sent,
-            stamp: record.stamp,
-            listed: record.listed,
-            exposed: claim.exposed,
-            released: false,
-            successor: None,
-        };
-        let ends = now + self.wait(record.duration_ms);
-        let settings = self.settings;
         let slot = &mut self.slots[index];
-        let exposed = slot.may_be_exposed();
-        let offer = slot
+        let origin = origin(slot, node, claim);
+        let exposed = claim.exposed || slot.may_be_exposed();
+        let accepted = slot
             .offer
             .filter(|offer| Some(offer.head) == claim.predecessor);
         end(slot, index, out);
-        yield_to(slot, node, claim.partition, offset, record.holder, out);
-        slot.advance(Head { grant, ends });
-        if record.holder != node {
-            slot.exposed = false;
-            slot.gate = None;
-            return;
-        }
-        let yielded = slot
-            .yielded
-            .take()
-            .filter(|yielded| yielded.claim == offset);
-        slot.exposed = yielded.map_or(exposed || claim.exposed, |yielded| yielded.exposed);
-        if let Some(offer) = offer.filter(|_| settings.rules.wait_for_yield) {
-            let until = offer.ends;
-            let claim = offset;
-            slot.gate = yielded.is_none().then_some(Gate { claim, until });
+        slot.advance(head);
+        let yielded = slot.yielded.take();
+        let yielded = yielded.filter(|yielded| yielded.claim == landed.offset);
+        slot.exposed = yielded.map_or(exposed, |yielded| yielded.exposed);
+        if let Some(offer) = accepted.filter(|_| waits) {
+            let gate = Gate {
+                claim: landed.offset,
+                until: offer.ends,
+            };
+            slot.gate = yielded.is_none().then_some(gate);
         }
-        let counted = if settings.rules.count_from_sending {
-            record.sent
-        } else {
-            now
-        };
-        let deadline = counted + settings.duration;
-        if now < deadline {
+        if landed.now < deadline {
             begin(slot, deadline, origin);
         }
-        self.refresh(now, index, out);
+        self.refresh(landed.now, index, out);
     }
 
     /// Reads a renewal of one partition.
     fn read_renewal(
         &mut self,
-        now: Instant,
-        offset: u64,
-        record: &Record,
+        landed: Landed<'_>,
         renewal: &Renewal,
         partition: Partition,
         out: &mut Vec<Output>,
     ) {
+        let record = landed.record;
         let index = usize::from(partition.0);
         if !self.is_own_successor(index, renewal.predecessor, record.holder) {
             return;
         }
-        self.refresh(now, index, out);
-        let ends = now + self.wait(record.duration_ms);
-        let settings = self.settings;
+        self.refresh(landed.now, index, out);
+        let ends = landed.now + self.wait(record.duration_ms);
+        let deadline = self.counted(landed) + self.settings.duration;
+        let is_own = record.holder == self.node;
         let slot = &mut self.slots[index];
         let Some(mut head) = slot.head.take() else {
             return;
         };
         head.ends = ends;
-        head.grant.offset = offset;
+        head.grant.offset = landed.offset;
         head.grant.duration_ms = record.duration_ms;
         head.grant.sent = record.sent;
         head.grant.exposed = renewal.exposed;
@@ -149,28 +166,21 @@
             head.grant.listed = record.listed;
         }
         slot.advance(head);
-        let counted = if settings.rules.count_from_sending {
-            record.sent
-        } else {
-            now
-        };
-        if let Some(tenure) = slot.tenure.as_mut().filter(|_| record.holder == self.node) {
-            tenure.deadline = tenure.deadline.max(counted + settings.duration);
+        if let Some(tenure) = slot.tenure.as_mut().filter(|_| is_own) {
+            tenure.deadline = tenure.deadline.max(deadline);
         }
     }
 
     /// Reads a release of one partition.
     fn read_release(
         &mut self,
-        now: Instant,
-        offset: u64,
-        record: &Record,
+        landed: Landed<'_>,
         release: &Release,
         partition: Partition,
         out: &mut Vec<Output>,
     ) {
         let index = usize::from(partition.0);
-        if !self.is_own_successor(index, release.predecessor, record.holder) {
+        if !self.is_own_successor(index, release.predecessor, landed.record.holder) {
             return;
         }
         let slot = &mut self.slots[index];
@@ -178,9 +188,9 @@
         let Some(mut head) = slot.head.take() else {
             return;
         };
-        head.ends = now;
-        head.grant.offset = offset;
-        head.grant.sent = record.sent;
+        head.ends = landed.now;
+        head.grant.offset = landed.offset;
+        head.grant.sent = landed.record.sent;
         head.grant.exposed = release.exposed;
         head.grant.released = true;
         head.grant.successor = release.successor;
@@ -188,6 +198,36 @@
         slot.exposed = false;
     }
 
+    /// Returns the head that a claim makes.
+    fn claimed(&self, landed: Landed<'_>, claim: &Claim) -> Head {
+        let record = landed.record;
+        Head {
+            ends: landed.now + self.wait(record.duration_ms),
+            grant: Grant {
+                offset: landed.offset,
+                epoch: Epoch(landed.offset),
+                holder: record.holder,
+                standbys: claim.standbys,
+                duration_ms: record.duration_ms,
+                sent: record.sent,
+                stamp: record.stamp,
+                listed: record.listed,
+                exposed: claim.exposed,
+                released: false,
+                successor: None,
+            },
+        }
+    }
+
+    /// Returns from when this node counts its own lease.
+    fn counted(&self, landed: Landed<'_>) -> Instant {
+        if self.settings.rules.count_from_sending {
+            landed.record.sent
+        } else {
+            landed.now
+        }
+    }
+
     /// Takes the newest records from a snapshot; leases in it count from now.
     pub(super) fn restore(&mut self, now: Instant, snapshot: &Snapshot, out: &mut Vec<Output>) {
         for Entry { partition, grant } in &snapshot.entries {
@@ -252,24 +292,15 @@
     Origin::Orphaned
 }
 
-/// Tells `successor` that this node, which offered it the partition, has stopped acting.
-fn yield_to(
-    slot: &Slot,
-    node: Node,
-    partition: Partition,
-    claim: u64,
-    successor: Node,
-    out: &mut Vec<Output>,
-) {
-    let is_offered = slot
-        .offered
-        .is_some_and(|offering| offering.node == successor);
-    if is_offered && slot.is_held_by(node) {
+/// Tells the claimant, if this node offered it the partition, that this node has stopped acting.
+fn yield_to(slot: &Slot, landed: Landed<'_>, partition: Partition, out: &mut Vec<Output>) {
+    let to = landed.record.holder;
+    if slot.offered.is_some_and(|offering| offering.node == to) {
         out.push(Output::Send {
-            to: successor,
+            to,
             message: Message::Yield(Yield {
                 partition,
-                claim,
+                claim: landed.offset,
                 exposed: slot.exposed,
             }),
         });
--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -7,7 +7,6 @@
 use super::record::{Epoch, STANDBYS, Standbys};
 use super::settings::Settings;
 use super::slot::{Slot, Tenure};
-use super::view::{Dump, Entry, Grant, Row, Snapshot};
 use crate::core::id::{Incarnation, Node, Partition, Vm};
 use crate::core::time::{Instant, Stamp};
 
@@ -95,54 +94,6 @@
         !self.slots.iter().any(|slot| slot.is_held_by(self.node))
     }
 
-    /// Returns the state for newcomers, as of the records read so far.
-    pub fn snapshot(&self) -> Snapshot {
-        let entries = self.grants().map(|(partition, slot_grant)| Entry {
-            partition,
-            grant: slot_grant.clone(),
-        });
-        Snapshot {
-            next: self.next,
-            entries: entries.collect(),
-        }
-    }
-
-    /// Returns the state for people.
-    pub fn dump(&self, now: Instant) -> Dump {
-        let rows = self
-            .grants()
-            .filter_map(|(partition, grant)| self.row(now, partition, grant));
-        Dump {
-            node: self.node,
-            ready: self.ready,
-            stopping: self.stopping,
-            rows: rows.collect(),
-        }
-    }
-
-    /// Returns the newest grant of each partition that ever had one.
-    fn grants(&self) -> impl Iterator<Item = (Partition, &Grant)> {
-        self.slots.iter().enumerate().filter_map(|(index, slot)| {
-            let head = slot.head.as_ref()?;
-            Some((Partition(index as u16), &head.grant))
-        })
-    }
-
-    /// Returns one row of the dump.
-    fn row(&self, now: Instant, partition: Partition, grant: &Grant) -> Option<Row> {
-        let slot = self.slot(partition)?;
-        let millis = |until: Instant| until.since(now).as_millis() as u64;
-        let tenure = slot.tenure.as_ref().filter(|tenure| tenure.is_active(now));
-        let given = slot.given.filter(|given| now < given.until);
-        Some(Row {
-            partition,
-            grant: grant.clone(),
-            ends_in_ms: slot.head.as_ref().map_or(0, |head| millis(head.ends)),
-            acts_for_ms: tenure.map(|tenure| millis(tenure.deadline)),
-            promised_for_ms: given.map(|given| millis(given.until)),
-        })
-    }
-
     /// Returns what is known of a partition.
     pub(super) fn slot(&self, partition: Partition) -> Option<&Slot> {
         self.slots.get(usize::from(partition.0))
--- a/src/core/lease/view.rs
+++ b/src/core/lease/view.rs
@@ -3,6 +3,7 @@
 use laburnum_derive::message;
 
 use super::record::{Epoch, Standbys};
+use super::table::Table;
 use crate::core::id::{Node, Partition};
 use crate::core::time::{Instant, Stamp};
 
@@ -80,3 +81,53 @@
     /// How long a promise of this node lasts, in milliseconds from now.
     pub promised_for_ms: Option<u64>,
 }
+
+impl Table {
+    /// Returns the state for newcomers, as of the records read so far.
+    pub fn snapshot(&self) -> Snapshot {
+        let entries = self.grants().map(|(partition, slot_grant)| Entry {
+            partition,
+            grant: slot_grant.clone(),
+        });
+        Snapshot {
+            next: self.next,
+            entries: entries.collect(),
+        }
+    }
+
+    /// Returns the state for people.
+    pub fn dump(&self, now: Instant) -> Dump {
+        let rows = self
+            .grants()
+            .filter_map(|(partition, grant)| self.row(now, partition, grant));
+        Dump {
+            node: self.node,
+            ready: self.ready,
+            stopping: self.stopping,
+            rows: rows.collect(),
+        }
+    }
+
+    /// Returns the newest grant of each partition that ever had one.
+    fn grants(&self) -> impl Iterator<Item = (Partition, &Grant)> {
+        self.slots.iter().enumerate().filter_map(|(index, slot)| {
+            let head = slot.head.as_ref()?;
+            Some((Partition(index as u16), &head.grant))
+        })
+    }
+
+    /// Returns one row of the dump.
+    fn row(&self, now: Instant, partition: Partition, grant: &Grant) -> Option<Row> {
+        let slot = self.slot(partition)?;
+        let millis = |until: Instant| until.since(now).as_millis() as u64;
+        let tenure = slot.tenure.as_ref().filter(|tenure| tenure.is_active(now));
+        let given = slot.given.filter(|given| now < given.until);
+        Some(Row {
+            partition,
+            grant: grant.clone(),
+            ends_in_ms: slot.head.as_ref().map_or(0, |head| millis(head.ends)),
+            acts_for_ms: tenure.map(|tenure| millis(tenure.deadline)),
+            promised_for_ms: given.map(|given| millis(given.until)),
+        })
+    }
+}
