--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -1,13 +1,13 @@
 //! The table of all partitions in one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::port::{Acquired, Input, Member, Origin, Output, Preference, Roster};
 use super::record::{Epoch, STANDBYS, Standbys};
 use super::settings::Settings;
 use super::slot::{Slot, Tenure};
-use super::view::{Dump, Entry, Grant, Row, Snapshot};
+use super::view::Grant;
 use crate::core::id::{Incarnation, Node, Partition, Vm};
 use crate::core::time::{Instant, Stamp};
 
@@ -17,6 +17,8 @@
     pub(super) node: Node,
     pub(super) settings: Settings,
     pub(super) slots: Vec<Slot>,
+    /// The slots that this node may have to do something about.
+    concerns: BTreeSet<u16>,
     /// The first offset that was not read yet.
     pub(super) next: u64,
     pub(super) ready: bool,
@@ -35,6 +37,7 @@
             node,
             settings,
             slots: vec![Slot::default(); usize::from(partitions)],
+            concerns: BTreeSet::new(),
             next: 0,
             ready: false,
             stopping: false,
@@ -67,6 +70,11 @@
         (!head.grant.released).then_some(head.grant.holder)
     }
 
+    /// Returns what the newest valid record of the partition grants.
+    pub fn grant(&self, partition: Partition) -> Option<&Grant> {
+        Some(&self.slot(partition)?.head.as_ref()?.grant)
+    }
+
     /// Returns the fencing token while this node may act as owner.
     pub fn may_act(&self, partition: Partition, now: Instant) -> Option<Epoch> {
         let tenure = self.slot(partition)?.tenure.as_ref()?;
@@ -90,13 +98,9 @@
 
     /// Returns the partitions that this node holds and is to hand over, so that it can finish its
     /// work on them.
-    pub fn moving(&self) -> Vec<Partition> {
-        let is_moving = |slot: &Slot| {
-            let is_leaving = self.stopping || self.successor(slot).is_some();
-            slot.is_held_by(self.node) && is_leaving
-        };
+    pub fn moving(&self, now: Instant) -> Vec<Partition> {
         let slots = self.slots.iter().enumerate();
-        let moving = slots.filter(|(_, slot)| is_moving(slot));
+        let moving = slots.filter(|(_, slot)| self.is_moving(now, slot));
         moving.map(|(index, _)| Partition(index as u16)).collect()
     }
 
@@ -105,54 +109,6 @@
         !self.slots.iter().any(|slot| slot.is_held_by(self.node))
     }
 
-    /// Returns the state for newcomers, as of the records read so far.
-    pub fn snapshot(&self) -> Snapshot {
-        let entries = self.grants().map(|(partition, slot_grant)| Entry {
-            partition,
-            grant: slot_grant.clone(),
-        });
-        Snapshot {
-            next: self.next,
-            entries: entries.collect(),
-        }
-    }
-
-    /// Returns the state for people.
-    pub fn dump(&self, now: Instant) -> Dump {
-        let rows = self
-            .grants()
-            .filter_map(|(partition, grant)| self.row(now, partition, grant));
-        Dump {
-            node: self.node,
-            ready: self.ready,
-            stopping: self.stopping,
-            rows: rows.collect(),
-        }
-    }
-
-    /// Returns the newest grant of each partition that ever had one.
-    fn grants(&self) -> impl Iterator<Item = (Partition, &Grant)> {
-        self.slots.iter().enumerate().filter_map(|(index, slot)| {
-            let head = slot.head.as_ref()?;
-            Some((Partition(index as u16), &head.grant))
-        })
-    }
-
-    /// Returns one row of the dump.
-    fn row(&self, now: Instant, partition: Partition, grant: &Grant) -> Option<Row> {
-        let slot = self.slot(partition)?;
-        let millis = |until: Instant| until.since(now).as_millis() as u64;
-        let tenure = slot.tenure.as_ref().filter(|tenure| tenure.is_active(now));
-        let given = slot.given.filter(|given| now < given.until);
-        Some(Row {
-            partition,
-            grant: grant.clone(),
-            ends_in_ms: slot.head.as_ref().map_or(0, |head| millis(head.ends)),
-            acts_for_ms: tenure.map(|tenure| millis(tenure.deadline)),
-            promised_for_ms: given.map(|given| millis(given.until)),
-        })
-    }
-
     /// Returns what is known of a partition.
     pub(super) fn slot(&self, partition: Partition) -> Option<&Slot> {
         self.slots.get(usize::from(partition.0))
@@ -160,7 +116,7 @@
 
     /// Does what is due.
     fn tick(&mut self, now: Instant, stamp: Stamp, out: &mut Vec<Output>) {
-        for index in 0..self.slots.len() {
+        for index in self.concerns() {
             self.refresh(now, index, out);
         }
         if !self.ready {
@@ -206,8 +162,10 @@
     /// Adopts which nodes should own partitions.
     fn prefer(&mut self, preferences: &[Preference]) {
         for preference in preferences {
-            if let Some(slot) = self.slots.get_mut(usize::from(preference.partition.0)) {
+            let index = usize::from(preference.partition.0);
+            if let Some(slot) = self.slots.get_mut(index) {
                 slot.candidates = preference.candidates;
+                self.concern(index);
             }
         }
     }
@@ -219,6 +177,20 @@
         }
     }
 
+    /// Notes whether this node may have to do something about a slot that changed.
+    pub(super) fn concern(&mut self, index: usize) {
+        if self.slots[index].concerns(self.node) {
+            self.concerns.insert(index as u16);
+        } else {
+            self.concerns.remove(&(index as u16));
+        }
+    }
+
+    /// Returns the slots that this node may have to do something about.
+    pub(super) fn concerns(&self) -> Vec<usize> {
+        self.concerns.iter().copied().map(usize::from).collect()
+    }
+
     /// Notes that the log describes all that was dispatched.
     fn described(&mut self, now: Instant, partition: Partition) {
         let Some(slot) = self.slots.get_mut(usize::from(partition.0)) else {
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -646,8 +646,11 @@
         self.keys.close(partition);
         self.jobs.close(partition);
         self.slots.close(now, partition);
-        let owner = dispatch::Event::Owner(partition, None);
-        self.context.dispatch(owner);
+        // The dispatch part must not admit anything under the ownership that ended.
+        for (partition, owner) in self.tenure.changed_owners(now) {
+            self.context
+                .dispatch(dispatch::Event::Owner(partition, owner));
+        }
     }
 
     fn send(&self, to: Vm, frame: Frame) {
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -11,6 +11,7 @@
 use crate::core::id::{DataCentre, Node, Partition, Region, Vm};
 use crate::core::lease::{self, Acquired, Epoch};
 use crate::core::membership::{self, Site, View};
+use crate::core::request::dedup::Term;
 use crate::core::request::dispatcher::Owner;
 use crate::core::request::route::Place;
 use crate::core::time::{Instant, Stamp};
@@ -192,7 +193,7 @@
 
     /// Lets partitions that are to move go once `is_unfinished` does not hold of them.
     pub(super) fn keep(&mut self, now: Instant, is_unfinished: impl Fn(Partition) -> bool) {
-        let moving = self.table.moving();
+        let moving = self.table.moving(now);
         self.moving
             .retain(|partition, _| moving.contains(partition));
         for &partition in &moving {
@@ -271,15 +272,13 @@
     }
 
     /// Returns the request partitions whose owner the dispatch part is to be told anew.
-    pub(super) fn changed_owners(&mut self, now: Instant) -> Vec<(Partition, Option<Owner>)> {
+    pub(super) fn changed_owners(&mut self, now: Instant) -> Vec<(Partition, Owner)> {
         let mut changes = Vec::new();
         for partition in (0..self.partitions).map(Partition) {
-            let owner = self.dispatch_owner(partition, now);
-            if owner != self.told.get(&partition).copied() {
-                match owner {
-                    Some(owner) => self.told.insert(partition, owner),
-                    None => self.told.remove(&partition),
-                };
+            let Some(owner) = self.dispatch_owner(partition, now) else {
+                continue;
+            };
+            if self.told.insert(partition, owner) != Some(owner) {
                 changes.push((partition, owner));
             }
         }
@@ -288,11 +287,11 @@
 
     /// Returns the owner of a partition as the dispatch part needs it.
     fn dispatch_owner(&self, partition: Partition, now: Instant) -> Option<Owner> {
-        let node = self.table.owner(partition)?;
-        let until = if node == self.node {
-            self.deadline(partition, now)?
-        } else {
-            Instant(0)
+        let grant = self.table.grant(partition)?;
+        let node = grant.holder;
+        let until = match node == self.node {
+            true => self.deadline(partition, now).unwrap_or_default(),
+            false => Instant::default(),
         };
         let candidates = self.view.candidates();
         let site = candidates
@@ -300,6 +299,7 @@
             .find(|candidate| candidate.node == node)?
             .site;
         Some(Owner {
+            term: Term(grant.epoch.0),
             node,
             place: place(site),
             until,
--- a/src/daemon/dispatch/mod.rs
+++ b/src/daemon/dispatch/mod.rs
@@ -83,7 +83,7 @@
     /// The VM list changed.
     Vms(List),
     /// The ownership of a partition changed.
-    Owner(Partition, Option<Owner>),
+    Owner(Partition, Owner),
     /// A target answered, or a connection to it closed.
     Target {
         /// The target.
@@ -341,16 +341,13 @@
         let owners: Vec<(Partition, Owner)> =
             self.owners.iter().map(|(&p, &owner)| (p, owner)).collect();
         for (partition, owner) in owners {
-            self.step(service, Input::Owner(partition, Some(owner)));
+            self.step(service, Input::Owner(partition, owner));
         }
     }
 
     /// Tells all dispatchers who owns a partition.
-    fn own(&mut self, partition: Partition, owner: Option<Owner>) {
-        match owner {
-            Some(owner) => self.owners.insert(partition, owner),
-            None => self.owners.remove(&partition),
-        };
+    fn own(&mut self, partition: Partition, owner: Owner) {
+        self.owners.insert(partition, owner);
         let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
         for service in services {
             self.step(&service, Input::Owner(partition, owner));
@@ -448,7 +445,7 @@
     /// Tells a table of keys about a request.
     fn report(&self, partition: Partition, id: Id, key: crate::core::id::Key, report: Report) {
         let input = match report {
-            Report::Finished(outcome) => dedup::Input::Finished { key, outcome },
+            Report::Finished(outcome) => dedup::Input::Finished { id, key, outcome },
             Report::GaveUp(answer) => dedup::Input::GaveUp { id, key, answer },
             Report::Left => dedup::Input::Left { id, key },
         };
