Add funnels: some entry VMs append for all others

With 400 entry VMs the share of each is one append in 2 s. An entry now carries the batches of several writers, each judged by itself, so a joined append needs no new promise. Fuzzed with the same oracle.

--- a/crates/laburnum-measure/src/stream/change.rs
+++ b/crates/laburnum-measure/src/stream/change.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant as Clock;
 
-use laburnumplank::core::config::{Body, Store, Verdict, Version};
+use laburnumplank::core::config::{Body, Change, Store, Verdict, Version};
 use laburnumplank::core::stream::snapshot::{Content, Id, split};
 use laburnumplank::core::stream::{self, Record, Seen, Sequence, encode};
 use rand::{RngExt, SeedableRng};
@@ -18,16 +18,18 @@
 /// How many changes race per think time.
 const RACES: u64 = 20_000;
 
-fn record(
-    offset: u64,
-    value: laburnumplank::core::config::Change,
-) -> Record<laburnumplank::core::config::Change> {
+fn record(offset: u64, value: Change) -> Record<Change> {
     let sequence = Sequence(offset + 1);
     let id = stream::Id {
         node: node(1),
         sequence,
     };
-    Record { id, offset, value }
+    Record {
+        id,
+        offset,
+        index: 0,
+        value,
+    }
 }
 
 /// Returns a document with so many teams and services.
--- a/crates/laburnum-measure/src/stream/propagation/region.rs
+++ b/crates/laburnum-measure/src/stream/propagation/region.rs
@@ -111,7 +111,7 @@
             seen: 0,
             records: vec![Body(encode(&1_u64)?)],
         };
-        let data = encode(&batch)?;
+        let data = batch.to_entry()?;
         self.entries.push(Entry { offset: 0, data });
         Ok(())
     }
--- a/crates/laburnum-measure/src/stream/replay.rs
+++ b/crates/laburnum-measure/src/stream/replay.rs
@@ -63,7 +63,7 @@
             seen: offset,
             records: numbers.map(body).collect::<Result<_, _>>()?,
         };
-        let data = encode(&batch)?;
+        let data = batch.to_entry()?;
         entries.push(Entry { offset, data });
     }
     Ok(entries)
--- a/src/core/config/store.rs
+++ b/src/core/config/store.rs
@@ -128,7 +128,7 @@
     pub fn apply(&mut self, record: &Record<Change>) -> Verdict {
         let place = Place {
             offset: record.offset,
-            sequence: Some(record.id.sequence),
+            index: Some(record.index),
         };
         if self.blocked {
             return Verdict::Unsupported;
--- a/src/core/config/verdict.rs
+++ b/src/core/config/verdict.rs
@@ -4,16 +4,15 @@
 
 use super::change::Version;
 use super::fault::Fault;
-use crate::core::stream::Sequence;
 
 /// Where a change stands in the stream.
 #[value]
 #[derive(Default)]
 pub struct Place {
-    /// The offset of its batch.
+    /// The offset of its entry.
     pub offset: u64,
-    /// Its sequence number; from 1, so the default stands before every change.
-    pub sequence: Option<Sequence>,
+    /// Its index at that offset; the default stands before every change.
+    pub index: Option<u32>,
 }
 
 /// What became of a change; the same on every node.
--- a/src/core/stream/batch.rs
+++ b/src/core/stream/batch.rs
@@ -1,11 +1,14 @@
 //! The envelope of records in the log.
 //!
-//! One append carries one [`Batch`]: consecutive records of one writer. The writer assigns sequence
-//! numbers when it seals a batch, so they have no gaps, and it seals the next batch only once the
-//! one before is known to be in the log.
+//! A [`Batch`] holds consecutive records of one writer. The writer assigns sequence numbers when it
+//! seals a batch, so they have no gaps, and it seals the next batch only once the one before is
+//! known to be in the log. One append carries one [`Bundle`], which may hold the batches of several
+//! writers.
 
 use laburnum_derive::{message, name, value};
 
+use super::codec::encode;
+use crate::core::error::Result;
 use crate::core::id::Node;
 use crate::platform::log::bytes_field;
 
@@ -31,7 +34,12 @@
 #[serde(transparent)]
 pub struct Body(#[serde(with = "bytes_field")] pub Vec<u8>);
 
-/// Consecutive records of one writer, appended as one entry.
+/// What one append carries: encoded batches.
+#[message]
+#[serde(transparent)]
+pub struct Bundle(pub Vec<Body>);
+
+/// Consecutive records of one writer.
 #[message]
 pub struct Batch {
     /// Who wrote the batch.
@@ -62,8 +70,10 @@
 pub struct Record<T> {
     /// The record's identity.
     pub id: Id,
-    /// The offset of the batch that carries the record.
+    /// The offset of the entry that carries the record.
     pub offset: u64,
+    /// The record's place among the records that count at that offset, from 0.
+    pub index: u32,
     /// What was written.
     pub value: T,
 }
@@ -81,6 +91,16 @@
         Sequence((self.first.0 + self.records.len() as u64).saturating_sub(1))
     }
 
+    /// Returns the bytes of an entry that holds this batch alone.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Kind::Internal`](crate::core::error::Kind::Internal) when the batch has no CBOR
+    /// form.
+    pub fn to_entry(&self) -> Result<Vec<u8>> {
+        encode(&Bundle(vec![Body(encode(self)?)]))
+    }
+
     /// Returns what stands before the records, for a batch at `offset`.
     pub fn header(&self, offset: u64) -> Header {
         Header {
--- a/src/core/stream/mod.rs
+++ b/src/core/stream/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Writer`] groups records into batches and appends them at a fixed rate; a [`Reader`] turns
 //! pages of the log back into typed records and drops repeats; a [`Relay`] lets one node of a region
-//! read for the others; [`snapshot`] rewrites live state before the records behind it expire.
+//! read for the others; a [`Funnel`] appends for many writers at once; [`snapshot`] rewrites live state before the records behind it expire.
 //!
 //! An append may take effect long after its answer was lost, so a retry may leave several copies of
 //! a batch in the log. Which copy counts is decided by the log alone: a batch names its writer, its
@@ -12,6 +12,7 @@
 mod backoff;
 mod batch;
 mod codec;
+pub mod funnel;
 pub mod reader;
 pub mod relay;
 mod seen;
@@ -19,8 +20,9 @@
 pub mod writer;
 
 pub use backoff::Backoff;
-pub use batch::{Batch, Body, Header, Id, Name, Record, Sequence};
+pub use batch::{Batch, Body, Bundle, Header, Id, Name, Record, Sequence};
 pub use codec::{decode, encode};
+pub use funnel::Funnel;
 pub use reader::Reader;
 pub use relay::Relay;
 #[doc(hidden)]
--- a/src/core/stream/reader/message.rs
+++ b/src/core/stream/reader/message.rs
@@ -36,9 +36,9 @@
     Batch(Header),
     /// A record of the last batch.
     Record(Record<T>),
-    /// An entry doesn't count.
+    /// An entry, or a batch in it, doesn't count.
     Void {
-        /// Its offset.
+        /// The entry's offset.
         offset: u64,
         /// Why not.
         cause: Void,
--- a/src/core/stream/reader/mod.rs
+++ b/src/core/stream/reader/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::message::{Input, Output, Void};
 use super::backoff::Backoff;
-use super::batch::{Batch, Header, Id, Record};
+use super::batch::{Batch, Body, Bundle, Header, Id, Record};
 use super::codec::decode;
 use super::seen::{Admission, Rules, Seen};
 use crate::core::time::Instant;
@@ -192,19 +192,23 @@
 
     fn entry(&mut self, entry: &Entry, out: &mut Vec<Output<T>>) {
         let offset = entry.offset;
-        let cause = match self.admit(entry) {
-            Ok((batch, values)) => {
-                deliver(batch.header(offset), values, out);
-                return;
-            }
-            Err(cause) => cause,
+        let Ok(bundle) = decode::<Bundle>(&entry.data) else {
+            let cause = Void::Malformed;
+            out.push(Output::Void { offset, cause });
+            return;
         };
-        out.push(Output::Void { offset, cause });
+        let mut index = 0;
+        for body in &bundle.0 {
+            match self.admit(offset, body) {
+                Ok((header, values)) => deliver(header, values, &mut index, out),
+                Err(cause) => out.push(Output::Void { offset, cause }),
+            }
+        }
     }
 
-    fn admit(&mut self, entry: &Entry) -> Result<(Batch, Vec<T>), Void> {
-        let batch: Batch = decode(&entry.data).map_err(|_| Void::Malformed)?;
-        match self.seen.admit(entry.offset, &batch) {
+    fn admit(&mut self, offset: u64, body: &Body) -> Result<(Header, Vec<T>), Void> {
+        let batch: Batch = decode(&body.0).map_err(|_| Void::Malformed)?;
+        match self.seen.admit(offset, &batch) {
             Admission::New => {}
             Admission::Repeat => return Err(Void::Repeat),
             Admission::Late => return Err(Void::Late),
@@ -212,7 +216,7 @@
         }
         let values: Result<Vec<T>, _> = batch.records.iter().map(|body| decode(&body.0)).collect();
         let values = values.map_err(|_| Void::Malformed)?;
-        Ok((batch, values))
+        Ok((batch.header(offset), values))
     }
 
     fn truncated(&mut self, now: Instant, next: u64, out: &mut Vec<Output<T>>) {
@@ -224,18 +228,20 @@
     }
 }
 
-/// Delivers the records of the batch of `header`.
-fn deliver<T>(header: Header, values: Vec<T>, out: &mut Vec<Output<T>>) {
+/// Delivers the records of the batch of `header`; `index` counts the records at its offset.
+fn deliver<T>(header: Header, values: Vec<T>, index: &mut u32, out: &mut Vec<Output<T>>) {
     out.push(Output::Batch(header));
-    for (index, value) in values.into_iter().enumerate() {
+    for (count, value) in values.into_iter().enumerate() {
         let id = Id {
             node: header.node,
-            sequence: header.first.plus(index as u64),
+            sequence: header.first.plus(count as u64),
         };
         out.push(Output::Record(Record {
             id,
             offset: header.offset,
+            index: *index,
             value,
         }));
+        *index += 1;
     }
 }
--- a/src/core/stream/snapshot/finder.rs
+++ b/src/core/stream/snapshot/finder.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg32;
 
 use super::super::backoff::Backoff;
-use super::super::batch::Batch;
+use super::super::batch::{Batch, Bundle};
 use super::super::codec::decode;
 use super::assembly::{Assembly, Rules, Whole};
 use super::part::Part;
@@ -204,14 +204,18 @@
     }
 }
 
-/// Puts the parts of an entry into the assembly; an entry that holds none is passed over.
+/// Puts the parts of an entry into the assembly; what holds none is passed over.
 fn insert(assembly: &mut Assembly, entry: &Entry) {
-    let Ok(batch) = decode::<Batch>(&entry.data) else {
-        return;
-    };
-    for body in &batch.records {
-        if let Ok(part) = decode::<Part>(&body.0) {
-            assembly.insert(part);
-        }
+    let bundle: Bundle = decode(&entry.data).unwrap_or(Bundle(Vec::new()));
+    let batches = bundle
+        .0
+        .iter()
+        .filter_map(|body| decode::<Batch>(&body.0).ok());
+    for batch in batches {
+        let parts = batch
+            .records
+            .iter()
+            .filter_map(|body| decode::<Part>(&body.0).ok());
+        parts.for_each(|part| assembly.insert(part));
     }
 }
--- a/src/core/stream/writer/message.rs
+++ b/src/core/stream/writer/message.rs
@@ -63,13 +63,13 @@
 /// What a writer wants done.
 #[state]
 pub enum Output {
-    /// Append `bytes` to the stream.
+    /// Append `bytes` to the stream, or hand them to a [`Funnel`](crate::core::stream::Funnel).
     Append {
         /// The stream.
         stream: Name,
         /// The copy, to be given back with the answer.
         copy: Copy,
-        /// The encoded batch.
+        /// The entry.
         bytes: Vec<u8>,
     },
     /// Records are in the log for good.
--- a/src/core/stream/writer/mod.rs
+++ b/src/core/stream/writer/mod.rs
@@ -26,7 +26,7 @@
 use self::lane::{Lane, Settled};
 pub use self::message::{Copy, Input, Output, Ticket};
 pub use self::pace::{CELL_APPENDS_PER_SECOND, Pace};
-use self::turns::Turns;
+pub(super) use self::turns::Turns;
 use super::backoff::Backoff;
 use super::batch::{Body, Name};
 use super::codec::encode;
@@ -175,7 +175,7 @@
         let Some(batch) = self.known(&stream).and_then(|lane| lane.send(now, node)) else {
             return;
         };
-        let Ok(bytes) = encode(batch) else {
+        let Ok(bytes) = batch.to_entry() else {
             return;
         };
         out.push(Output::Append {
--- a/src/core/stream/writer/turns.rs
+++ b/src/core/stream/writer/turns.rs
@@ -8,7 +8,7 @@
 
 /// Streams take turns in the order of their names; every second turn is for urgent streams.
 #[state]
-pub(super) struct Turns {
+pub(in super::super) struct Turns {
     urgent: BTreeSet<Name>,
     last_urgent: Option<Name>,
     last_ordinary: Option<Name>,
@@ -17,7 +17,7 @@
 
 impl Turns {
     /// Makes the turns of streams of which some are urgent.
-    pub(super) fn new(urgent: &[Name]) -> Turns {
+    pub(in super::super) fn new(urgent: &[Name]) -> Turns {
         Turns {
             urgent: urgent.iter().cloned().collect(),
             last_urgent: None,
@@ -27,7 +27,10 @@
     }
 
     /// Returns the stream whose turn it is among `due`, which are in the order of their names.
-    pub(super) fn next<'a>(&self, due: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
+    pub(in super::super) fn next<'a>(
+        &self,
+        due: impl Iterator<Item = &'a Name>,
+    ) -> Option<&'a Name> {
         let (urgent, ordinary): (Vec<&Name>, Vec<&Name>) =
             due.partition(|name| self.urgent.contains(name));
         let urgent = after(&urgent, self.last_urgent.as_ref());
@@ -40,7 +43,7 @@
     }
 
     /// Takes note that it was the turn of `stream`.
-    pub(super) fn end(&mut self, stream: Name) {
+    pub(in super::super) fn end(&mut self, stream: Name) {
         self.was_urgent = self.urgent.contains(&stream);
         if self.was_urgent {
             self.last_urgent = Some(stream);
--- a/tests/testsuite/config/mod.rs
+++ b/tests/testsuite/config/mod.rs
@@ -38,6 +38,7 @@
     Record {
         id: Id { node, sequence },
         offset,
+        index: 0,
         value,
     }
 }
--- a/tests/testsuite/stream/cell.rs
+++ b/tests/testsuite/stream/cell.rs
@@ -7,9 +7,10 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+use laburnumplank::core::stream::funnel::{self, Funnel};
 use laburnumplank::core::stream::reader::{self, Reader};
 use laburnumplank::core::stream::snapshot::{self, Assembly, Content};
-use laburnumplank::core::stream::writer::{self, Builder, Ticket, Writer};
+use laburnumplank::core::stream::writer::{self, Builder, Copy, Ticket, Writer};
 use laburnumplank::core::stream::{Name, Record, Rules, decode, encode};
 use laburnumplank::core::time::Instant;
 use proptest::prelude::*;
@@ -30,12 +31,14 @@
 }
 
 /// What happens to an append.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Fate {
     Answered,
     AnswerLost,
     Lost,
     Delayed,
+    /// It goes through the funnel.
+    Joined,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +55,9 @@
     Land {
         index: usize,
     },
+    Funnel {
+        fate: Fate,
+    },
     Read {
         node: usize,
         most: usize,
@@ -80,12 +86,15 @@
         2 => Just(Fate::AnswerLost),
         1 => Just(Fate::Lost),
         3 => Just(Fate::Delayed),
+        3 => Just(Fate::Joined),
     ];
+    let landing = fate.clone();
     let op = prop_oneof![
         6 => (0..NODES, any::<u8>()).prop_map(|(node, choice)| Op::Push { node, choice }),
         10 => (0..NODES, fate, 1..3_000_u64)
             .prop_map(|(node, fate, millis)| Op::Tick { node, fate, millis }),
         3 => (0..8_usize).prop_map(|index| Op::Land { index }),
+        3 => landing.prop_map(|fate| Op::Funnel { fate }),
         6 => (0..NODES, 1..6_usize).prop_map(|(node, most)| Op::Read { node, most }),
         1 => (0..NODES, proptest::option::of(0..NODES))
             .prop_map(|(node, peer)| Op::Kill { node, peer }),
@@ -118,6 +127,7 @@
     stream: Name,
     now: Instant,
     delayed: Vec<Vec<u8>>,
+    funnel: Funnel,
     snapshots: Assembly,
     down: bool,
     pushes: u64,
@@ -136,6 +146,7 @@
             stream: Name("test".to_owned()),
             now: Instant(0),
             delayed: Vec::new(),
+            funnel: Funnel::new(1, &[]),
             snapshots: Assembly::default(),
             down: false,
             pushes: 0,
@@ -160,7 +171,6 @@
             Op::Push { node, choice } => self.push(node, choice),
             Op::Tick { node, fate, millis } => {
                 self.now = self.now + Duration::from_millis(millis);
-                let fate = if self.down { Fate::Lost } else { fate };
                 self.write(node, writer::Input::Tick, fate);
             }
             Op::Land { index } if !self.down && index < self.delayed.len() => {
@@ -168,6 +178,7 @@
                 self.log.append(&bytes);
             }
             Op::Land { .. } => {}
+            Op::Funnel { fate } => self.funnel(funnel::Input::Tick, fate),
             Op::Read { node, most } => self.read(node, most),
             Op::Kill { node, peer } => self.kill(node, peer),
             Op::Snapshot { node, torn } => self.snapshot(node, torn),
@@ -216,23 +227,18 @@
                 copy,
                 bytes,
             } => {
-                let offset = match fate {
-                    Fate::Answered | Fate::AnswerLost => Some(self.log.append(&bytes)),
-                    Fate::Lost => None,
-                    Fate::Delayed => {
-                        self.delayed.push(bytes);
-                        None
-                    }
-                };
-                let input = match (fate, offset) {
-                    (Fate::Answered, Some(offset)) => writer::Input::Appended {
+                if fate == Fate::Joined {
+                    let from = self.members[node].id;
+                    let input = funnel::Input::Offered {
+                        from,
                         stream,
                         copy,
-                        offset,
-                    },
-                    _ => writer::Input::Failed { stream, copy },
-                };
-                self.write(node, input, Fate::Lost);
+                        bytes,
+                    };
+                    return self.funnel(input, Fate::Lost);
+                }
+                let offset = self.append(&bytes, fate);
+                self.write(node, answer(stream, copy, offset), Fate::Lost);
             }
             writer::Output::Durable { tickets, .. } => {
                 let pushed = &mut self.members[node].pushed;
@@ -247,6 +253,59 @@
         }
     }
 
+    /// Appends an entry that meets `fate`; returns its offset if that is answered.
+    fn append(&mut self, bytes: &[u8], fate: Fate) -> Option<u64> {
+        match fate {
+            _ if self.down => None,
+            Fate::Answered | Fate::Joined => Some(self.log.append(bytes)),
+            Fate::AnswerLost => {
+                self.log.append(bytes);
+                None
+            }
+            Fate::Lost => None,
+            Fate::Delayed => {
+                self.delayed.push(bytes.to_vec());
+                None
+            }
+        }
+    }
+
+    /// Steps the funnel; its appends meet `fate`.
+    fn funnel(&mut self, input: funnel::Input, fate: Fate) {
+        let mut out = Vec::new();
+        self.funnel.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                funnel::Output::Append {
+                    stream,
+                    number,
+                    bytes,
+                } => {
+                    let input = match self.append(&bytes, fate) {
+                        Some(offset) => funnel::Input::Appended {
+                            stream,
+                            number,
+                            offset,
+                        },
+                        None => funnel::Input::Failed { stream, number },
+                    };
+                    self.funnel(input, Fate::Lost);
+                }
+                funnel::Output::Answer {
+                    to,
+                    stream,
+                    copy,
+                    offset,
+                } => {
+                    let node = to.vm.0 as usize;
+                    if self.members[node].id == to {
+                        self.write(node, answer(stream, copy, offset), Fate::Lost);
+                    }
+                }
+            }
+        }
+    }
+
     fn read(&mut self, node: usize, most: usize) {
         if self.down {
             return;
@@ -382,6 +441,18 @@
     }
 }
 
+/// Returns what a writer is told of an append.
+fn answer(stream: Name, copy: Copy, offset: Option<u64>) -> writer::Input {
+    match offset {
+        Some(offset) => writer::Input::Appended {
+            stream,
+            copy,
+            offset,
+        },
+        None => writer::Input::Failed { stream, copy },
+    }
+}
+
 impl<M: Machine> Member<M> {
     fn content(&self) -> Vec<u8> {
         let content = Content {
--- a/tests/testsuite/stream/pace.rs
+++ b/tests/testsuite/stream/pace.rs
@@ -4,7 +4,7 @@
 
 use laburnumplank::core::error::Kind;
 use laburnumplank::core::stream::writer::{Builder, Copy, Input, Output, Writer};
-use laburnumplank::core::stream::{Batch, CELL_APPENDS_PER_SECOND, Name, Sequence, decode};
+use laburnumplank::core::stream::{Batch, Bundle, CELL_APPENDS_PER_SECOND, Name, Sequence, decode};
 use laburnumplank::core::time::Instant;
 
 use super::node;
@@ -110,7 +110,13 @@
         _ => None,
     });
     let first = bytes.next().unwrap();
-    assert_eq!(decode::<Batch>(first).unwrap().records.len(), 1);
+    assert_eq!(
+        decode::<Batch>(&decode::<Bundle>(first).unwrap().0[0].0)
+            .unwrap()
+            .records
+            .len(),
+        1
+    );
     let mut retries = 0;
     for retry in bytes {
         assert_eq!(first, retry);
--- a/tests/testsuite/stream/relay.rs
+++ b/tests/testsuite/stream/relay.rs
@@ -79,7 +79,7 @@
             seen: number,
             records: vec![Body(encode(&number).unwrap())],
         };
-        self.log.append(&encode(&batch).unwrap());
+        self.log.append(&batch.to_entry().unwrap());
     }
 
     /// Lets `span` pass; returns when all nodes without a fault had everything, if they did.
--- a/tests/testsuite/stream/snapshot.rs
+++ b/tests/testsuite/stream/snapshot.rs
@@ -55,7 +55,7 @@
         seen: 0,
         records: vec![Body(encode(part).unwrap())],
     };
-    encode(&batch).unwrap()
+    batch.to_entry().unwrap()
 }
 
 /// Puts the parts of one snapshot into the log; returns the offset of its first part if all parts
