--- a/crates/laburnum-measure/src/stream/propagation.rs
+++ b/crates/laburnum-measure/src/stream/propagation.rs
@@ -7,7 +7,9 @@
 
 use std::time::Duration;
 
-use laburnumplank::core::stream::writer::{Builder, Input, Output};
+use laburnumplank::core::stream::funnel::{self, FUNNELS, Funnel};
+use laburnumplank::core::stream::writer::{Builder, Copy, Input, Output};
+use laburnumplank::core::stream::{Batch, Body, Name, Sequence};
 use laburnumplank::core::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -34,6 +36,7 @@
     let columns = [
         "entry VMs",
         "changes/s a VM",
+        "VMs that append",
         "other streams, always busy",
         "p50 (ms)",
         "p99 (ms)",
@@ -42,13 +45,27 @@
     let title = "From a change's submission until it is in force everywhere, 87,000 a day";
     let mut table = Table::new(title, &columns);
     for entries in ENTRIES {
-        for others in [0, 8] {
-            let mut spans = commit(entries, others)?;
+        for (others, is_joined) in [(0, false), (8, false), (0, true), (8, true)] {
+            if is_joined && entries as usize <= FUNNELS {
+                continue;
+            }
+            let mut spans = if is_joined {
+                commit_by_funnel(others)?
+            } else {
+                commit(entries, others)?
+            };
             spans.sort_unstable();
-            let span = |share| millis(quantile(&spans, share) + LOG + RELAY);
+            let way = if is_joined {
+                LOG + RELAY * 2
+            } else {
+                LOG + RELAY
+            };
+            let span = |share| millis(quantile(&spans, share) + way);
+            let appending = if is_joined { FUNNELS as u32 } else { entries };
             table.row([
                 entries.to_string(),
                 format!("{:.4}", rate(entries)),
+                appending.to_string(),
                 others.to_string(),
                 span(0.5),
                 span(0.99),
@@ -121,6 +138,70 @@
     Ok(spans)
 }
 
+/// Returns how long changes wait in one of the funnels beside streams that are always busy.
+fn commit_by_funnel(others: u32) -> eyre::Result<Vec<Duration>> {
+    let config = name("config");
+    let others: Vec<_> = (0..others)
+        .map(|number| name(&format!("other-{number}")))
+        .collect();
+    let mut funnel = Funnel::new(FUNNELS as u32, std::slice::from_ref(&config));
+    let mut random = Pcg32::seed_from_u64(1);
+    let mut out = Vec::new();
+    let mut spans = Vec::new();
+    let mut now = Instant(0);
+    while spans.len() < CHANGES {
+        let arrival = now + Duration::from_micros(random.random_range(0..1_000_000));
+        let mut is_offered = false;
+        let mut is_sent = false;
+        while !is_sent {
+            now = now + STEP;
+            for stream in &others {
+                funnel.step(now, offer(stream)?, &mut out);
+            }
+            if now >= arrival && !is_offered {
+                is_offered = true;
+                funnel.step(now, offer(&config)?, &mut out);
+            }
+            funnel.step(now, funnel::Input::Tick, &mut out);
+            for output in std::mem::take(&mut out) {
+                if let funnel::Output::Append { stream, number, .. } = output {
+                    is_sent |= stream == config;
+                    let offset = 0;
+                    let input = funnel::Input::Appended {
+                        stream,
+                        number,
+                        offset,
+                    };
+                    funnel.step(now, input, &mut out);
+                }
+            }
+            out.clear();
+        }
+        spans.push(now.since(arrival));
+    }
+    Ok(spans)
+}
+
+/// Returns a small entry that a writer hands to a funnel.
+fn offer(stream: &Name) -> eyre::Result<funnel::Input> {
+    let batch = Batch {
+        node: node(2),
+        first: Sequence(1),
+        seen: 0,
+        records: vec![Body(vec![1])],
+    };
+    let copy = Copy {
+        first: batch.first,
+        seen: batch.seen,
+    };
+    Ok(funnel::Input::Offered {
+        from: batch.node,
+        stream: stream.clone(),
+        copy,
+        bytes: batch.to_entry()?,
+    })
+}
+
 pub(super) fn measure_takeover() -> eyre::Result<Table> {
     let columns = ["what fails", "p50 (ms)", "p99 (ms)", "longest (ms)"];
     let title =
--- a/tests/testsuite/stream/mod.rs
+++ b/tests/testsuite/stream/mod.rs
@@ -1,6 +1,7 @@
 //! Streams: fuzzing against simple oracles, and focused tests.
 
 pub(crate) mod cell;
+mod funnel;
 mod fuzz;
 mod pace;
 mod relay;
