Check a configuration change at the cost of what it touches

Members that a patch touches are now read alone; removals, other sections and faults still read everything.

--- a/src/core/config/document.rs
+++ b/src/core/config/document.rs
@@ -4,9 +4,10 @@
 //! default.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use laburnum_derive::{message, value};
+use laburnum_derive::{message, state, value};
 
 use super::field::Object;
 use super::parse;
@@ -18,11 +19,11 @@
 pub const DOCUMENT_BYTES: usize = 768 << 10;
 
 /// What operators set.
-#[message]
+#[state]
 #[derive(Default)]
 pub struct Config {
     /// Services that targets answer.
-    pub services: BTreeMap<id::Service, Service>,
+    pub services: BTreeMap<id::Service, Arc<Service>>,
     /// Teams that share the cell.
     pub teams: BTreeMap<id::Team, Quota>,
     /// Limits of the whole cell.
--- a/src/core/config/field.rs
+++ b/src/core/config/field.rs
@@ -173,7 +173,7 @@
 }
 
 /// Checks a name that operators choose: lower-case letters, digits and hyphens.
-fn check_name(path: &str, text: &str, faults: &mut Vec<Fault>) {
+pub(super) fn check_name(path: &str, text: &str, faults: &mut Vec<Fault>) {
     let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
     if text.is_empty() || text.len() > NAME_CHARS || !text.chars().all(fits) {
         let remedy = format!("use 1 to {NAME_CHARS} of a-z, 0-9 and `-`");
--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -18,6 +18,7 @@
 mod parse;
 mod patch;
 mod pending;
+mod size;
 mod store;
 mod touched;
 mod verdict;
--- a/src/core/config/parse.rs
+++ b/src/core/config/parse.rs
@@ -5,13 +5,15 @@
 //! same verdict.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::Value;
 
 use super::document::{Config, Limits, Placement, Queue, Quota, Service, Weights};
 use super::fault::{Fault, add};
-use super::field::Object;
+use super::field::{Object, check_name};
+use super::touched::Path;
 use crate::core::id;
 use crate::core::resource::Amount;
 
@@ -43,16 +45,10 @@
         let teams = root.object("teams", &mut faults);
         let mut config = Config::default();
         for (name, value) in teams.members(TEAMS, &mut faults) {
-            let fields = Object::open(teams.path(name), Some(value), &mut faults);
-            let quota = quota(fields, &mut faults);
-            config.teams.insert(id::Team(name.clone()), quota);
+            config.set_team(name, value, &mut faults);
         }
         for (name, value) in services.members(SERVICES, &mut faults) {
-            let path = services.path(name);
-            let fields = Object::open(path.clone(), Some(value), &mut faults);
-            let service = service(fields, &mut faults);
-            check_service(&path, &service, &config.teams, &mut faults);
-            config.services.insert(id::Service(name.clone()), service);
+            config.set_service(name, value, &mut faults);
         }
         config.limits = limits(root.object("limits", &mut faults), &mut faults);
         config.placement = placement(root.object("placement", &mut faults), &mut faults);
@@ -63,6 +59,55 @@
             Err(faults)
         }
     }
+
+    /// Reads and checks the document when only these members changed since it was this
+    /// configuration; the result is that of [`Config::parse`].
+    pub(super) fn amend(&self, document: &Value, paths: &[Path]) -> Result<Config, Vec<Fault>> {
+        self.amended(document, paths)
+            .map_or_else(|| Config::parse(document), Ok)
+    }
+
+    /// Returns the configuration with these members read anew, or `None` when all must be read:
+    /// another section changed, a member was removed, or something is wrong.
+    fn amended(&self, document: &Value, paths: &[Path]) -> Option<Config> {
+        let mut config = self.clone();
+        let mut faults = Vec::new();
+        // Teams come first, since services name them.
+        let (teams, others): (Vec<&Path>, Vec<&Path>) =
+            paths.iter().partition(|path| path.section == "teams");
+        for path in teams {
+            let name = path.member.as_ref()?;
+            let value = document.get("teams")?.get(name)?;
+            check_name(name, name, &mut faults);
+            config.set_team(name, value, &mut faults);
+        }
+        for path in others {
+            let name = path
+                .member
+                .as_ref()
+                .filter(|_| path.section == "services")?;
+            let value = document.get("services")?.get(name)?;
+            check_name(name, name, &mut faults);
+            config.set_service(name, value, &mut faults);
+        }
+        let fits = config.teams.len() <= TEAMS && config.services.len() <= SERVICES;
+        (fits && faults.is_empty()).then_some(config)
+    }
+
+    fn set_team(&mut self, name: &str, value: &Value, faults: &mut Vec<Fault>) {
+        let fields = Object::open(format!("teams.{name}"), Some(value), faults);
+        let quota = quota(fields, faults);
+        self.teams.insert(id::Team(name.to_owned()), quota);
+    }
+
+    fn set_service(&mut self, name: &str, value: &Value, faults: &mut Vec<Fault>) {
+        let path = format!("services.{name}");
+        let fields = Object::open(path.clone(), Some(value), faults);
+        let service = service(fields, faults);
+        check_service(&path, &service, &self.teams, faults);
+        self.services
+            .insert(id::Service(name.to_owned()), Arc::new(service));
+    }
 }
 
 fn service(mut fields: Object<'_>, faults: &mut Vec<Fault>) -> Service {
--- a/src/core/config/store.rs
+++ b/src/core/config/store.rs
@@ -1,7 +1,6 @@
 //! The document in force and the verdict on each change.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::sync::Arc;
 
 use laburnum_derive::{message, value};
@@ -9,10 +8,11 @@
 use uuid::Uuid;
 
 use super::change::{Body, Change, FORMAT, Version};
-use super::document::{Config, DOCUMENT_BYTES};
+use super::document::Config;
 use super::fault::Fault;
 use super::history::{Entry, History};
 use super::patch;
+use super::size;
 use super::touched::{self, Path, Touched};
 use super::verdict::{Place, Verdict};
 use crate::core::error::{Error, Kind, Result};
@@ -54,12 +54,21 @@
     Patch(Value),
 }
 
+/// A change that was put into the document and has no faults.
+struct Tried {
+    config: Config,
+    size: usize,
+    undo: Value,
+}
+
 /// Applies changes in the order of the log.
 #[derive(Clone, Debug)]
 pub struct Store {
     version: Version,
     place: Place,
     document: Value,
+    /// At least the size of the document as compact JSON, in bytes.
+    size: usize,
     config: Arc<Config>,
     touched: Touched,
     accepted: BTreeMap<Uuid, Version>,
@@ -74,6 +83,7 @@
             version: Version::default(),
             place: Place::default(),
             document: Value::Object(Map::new()),
+            size: "{}".len(),
             config: Arc::default(),
             touched: Touched::default(),
             accepted: BTreeMap::new(),
@@ -156,8 +166,8 @@
             Err(verdict) => return verdict,
         };
         match self.attempt(edit) {
-            Ok((_, undo)) => {
-                patch::apply(&mut self.document, &undo);
+            Ok(tried) => {
+                patch::apply(&mut self.document, &tried.undo);
                 Verdict::Accepted(self.version.next())
             }
             Err(faults) => Verdict::Invalid(faults),
@@ -220,6 +230,7 @@
         let config = Config::parse(&document).map_err(|faults| invalid(join(&faults)))?;
         self.version = state.version;
         self.place = state.place;
+        self.size = size::size(&document);
         self.document = document;
         self.config = Arc::new(config);
         self.touched = state.touched;
@@ -235,7 +246,7 @@
         };
         let touched = edit.touched();
         match self.attempt(edit) {
-            Ok((config, undo)) => self.accept(change, config, touched, &undo),
+            Ok(tried) => self.accept(change, touched, tried),
             Err(faults) => Verdict::Invalid(faults),
         }
     }
@@ -262,17 +273,20 @@
     }
 
     /// Puts the change into the document; leaves the document as it was when there are faults.
-    fn attempt(&mut self, edit: Edit) -> std::result::Result<(Config, Value), Vec<Fault>> {
-        let undo = match edit {
+    fn attempt(&mut self, edit: Edit) -> std::result::Result<Tried, Vec<Fault>> {
+        let (undo, checked) = match edit {
             Edit::Whole(next) => {
                 let undo = patch::diff(&next, &self.document);
                 self.document = next;
-                undo
+                (undo, self.check())
+            }
+            Edit::Patch(patch) => {
+                let undo = patch::apply(&mut self.document, &patch);
+                (undo, self.check_patched(&patch))
             }
-            Edit::Patch(patch) => patch::apply(&mut self.document, &patch),
         };
-        match check(&self.document) {
-            Ok(config) => Ok((config, undo)),
+        match checked {
+            Ok((config, size)) => Ok(Tried { config, size, undo }),
             Err(faults) => {
                 patch::apply(&mut self.document, &undo);
                 Err(faults)
@@ -280,15 +294,29 @@
         }
     }
 
-    fn accept(
-        &mut self,
-        change: &Change,
-        config: Config,
-        touched: Option<Vec<Path>>,
-        undo: &Value,
-    ) -> Verdict {
+    /// Checks the document; returns its typed form and its size.
+    fn check(&self) -> std::result::Result<(Config, usize), Vec<Fault>> {
+        let size = size::size(&self.document);
+        size::check(size)?;
+        Ok((Config::parse(&self.document)?, size))
+    }
+
+    /// Checks the document after a patch, at the cost of what changed.
+    fn check_patched(&self, patch: &Value) -> std::result::Result<(Config, usize), Vec<Fault>> {
+        // A patch adds no more than its own size, so the sum only has to be counted anew near the
+        // limit.
+        let bound = self.size + size::size(patch);
+        if size::check(bound).is_err() {
+            return self.check();
+        }
+        let config = self.config.amend(&self.document, &touched::paths(patch))?;
+        Ok((config, bound))
+    }
+
+    fn accept(&mut self, change: &Change, touched: Option<Vec<Path>>, tried: Tried) -> Verdict {
         self.version = self.version.next();
-        self.config = Arc::new(config);
+        self.config = Arc::new(tried.config);
+        self.size = tried.size;
         match touched {
             None => self.touched.mark_whole(self.version),
             Some(paths) => self.touched.mark(self.version, paths),
@@ -298,7 +326,7 @@
             let floor = self.version.0.saturating_sub(touched::WINDOW);
             self.accepted.retain(|_, version| version.0 >= floor);
         }
-        self.history.push(self.version, change, undo);
+        self.history.push(self.version, change, &tried.undo);
         Verdict::Accepted(self.version)
     }
 }
@@ -330,36 +358,6 @@
     Err(vec![Fault::new("", "is not an object", "write `{ ... }`")])
 }
 
-/// Checks the size and the fields of a document.
-fn check(document: &Value) -> std::result::Result<Config, Vec<Fault>> {
-    let size = size(document);
-    if size > DOCUMENT_BYTES {
-        let problem = format!("has {size} bytes");
-        let remedy = format!("keep it within {DOCUMENT_BYTES} bytes");
-        return Err(vec![Fault::new("", problem, remedy)]);
-    }
-    Config::parse(document)
-}
-
-/// Returns how many bytes a value has as compact JSON.
-fn size(value: &Value) -> usize {
-    struct Count(usize);
-    impl io::Write for Count {
-        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-            self.0 += bytes.len();
-            Ok(bytes.len())
-        }
-
-        fn flush(&mut self) -> io::Result<()> {
-            Ok(())
-        }
-    }
-    let mut count = Count(0);
-    // Writing to a counter can't fail, nor has a JSON value keys that aren't strings.
-    let _ = serde_json::to_writer(&mut count, value);
-    count.0
-}
-
 fn join(faults: &[Fault]) -> String {
     let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
     lines.join("\n")
--- a/src/core/config/touched.rs
+++ b/src/core/config/touched.rs
@@ -17,9 +17,9 @@
 /// A key of the document.
 #[name]
 pub(super) struct Path {
-    section: String,
+    pub(super) section: String,
     /// A member of the section, or `None` for the section itself.
-    member: Option<String>,
+    pub(super) member: Option<String>,
 }
 
 /// The version that last changed each key.
--- a/tests/testsuite/config/fuzz.rs
+++ b/tests/testsuite/config/fuzz.rs
@@ -29,7 +29,7 @@
     type Value = Change;
     type State = State;
 
-    /// Half of the changes race for a key; the rest are whole, stale, invalid or sent twice.
+    /// Changes race for a key, and some are whole, stale, invalid or sent twice.
     fn value(&self, number: u64, choice: u8) -> Change {
         let team = TEAMS[usize::from(choice) % TEAMS.len()];
         let base = self.store.version();
@@ -46,6 +46,12 @@
             ),
             2 => change(number, base, weight(team, 0)),
             3 => change(number / 2, base, weight(team, number / 2 + 1)),
+            4 => change(number, base, service_of(team)),
+            5 => change(
+                number,
+                base,
+                Body::Patch(format!(r#"{{"teams": {{"{team}": null}}}}"#)),
+            ),
             _ => change(number, base, weight(team, number + 1)),
         }
     }
@@ -118,13 +124,13 @@
     }
 }
 
-/// Returns whether two changes touch the same team, or one replaces the document.
+/// Returns whether two changes touch the same team or the service, or one replaces the document.
 fn collides(one: &Body, other: &Body) -> bool {
     let (Body::Patch(one), Body::Patch(other)) = (one, other) else {
         return true;
     };
-    TEAMS.iter().any(|team| {
-        let key = format!("\"{team}\": ");
+    TEAMS.iter().chain([&"s"]).any(|member| {
+        let key = format!("\"{member}\": ");
         one.contains(&key) && other.contains(&key)
     })
 }
@@ -154,6 +160,8 @@
         let version = Version(oracle.accepted.len() as u64);
         prop_assert_eq!(ledger.store.version(), version);
         prop_assert_eq!(ledger.store.document(), &oracle.changed(&no_change()));
+        let config = Config::parse(ledger.store.document());
+        prop_assert_eq!(Ok(ledger.store.config().as_ref()), config.as_ref());
         for (id, verdict) in &ledger.said {
             prop_assert_eq!(verdict, &oracle.verdicts[id]);
         }
@@ -161,6 +169,11 @@
     Ok(())
 }
 
+/// Returns a patch of a service that belongs to `team`.
+fn service_of(team: &str) -> Body {
+    Body::Patch(format!(r#"{{"services": {{"s": {{"team": "{team}"}}}}}}"#))
+}
+
 /// Returns a patch that changes nothing.
 fn no_change() -> Body {
     Body::Patch("{}".to_owned())
