--- a/crates/laburnum-measure/src/stream/propagation/region.rs
+++ b/crates/laburnum-measure/src/stream/propagation/region.rs
@@ -87,7 +87,7 @@
     fn new() -> Region {
         let ids: Vec<Node> = (0..NODES).map(node).collect();
         let member = |id: &Node| {
-            let mut relay = Relay::new(*id, name("config"));
+            let mut relay = Relay::new(*id, &name("config"));
             relay.step(Instant(0), Input::Members(ids.clone()), &mut Vec::new());
             Member {
                 relay,
--- a/src/core/stream/funnel.rs
+++ b/src/core/stream/funnel.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use laburnum_derive::state;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::batch::{Bundle, Name};
 use super::codec::{decode, encode};
+use super::rendezvous::weight;
 use super::writer::{Copy, Pace, Turns};
 use crate::core::id::Node;
 use crate::core::time::Instant;
@@ -137,14 +137,6 @@
     funnels
 }
 
-/// Returns the rendezvous weight of `node`.
-fn weight(node: Node, seed: u64) -> u64 {
-    let mut key = [0; 12];
-    key[..4].copy_from_slice(&node.vm.0.to_le_bytes());
-    key[4..].copy_from_slice(&node.incarnation.0.to_le_bytes());
-    xxh3_64_with_seed(&key, seed)
-}
-
 impl Funnel {
     /// Makes one of `funnels` funnels; every second turn is for the urgent streams.
     pub fn new(funnels: u32, urgent: &[Name]) -> Funnel {
--- a/src/core/stream/mod.rs
+++ b/src/core/stream/mod.rs
@@ -15,6 +15,7 @@
 pub mod funnel;
 pub mod reader;
 pub mod relay;
+mod rendezvous;
 mod seen;
 pub mod snapshot;
 pub mod writer;
--- a/src/core/stream/relay/mod.rs
+++ b/src/core/stream/relay/mod.rs
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use laburnum_derive::state;
+use laburnum_derive::{state, value};
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::audience::Audience;
@@ -26,6 +26,7 @@
 use self::backlog::Backlog;
 pub use self::message::{Input, Message, Output};
 use super::batch::Name;
+use super::rendezvous::weight;
 use crate::core::id::Node;
 use crate::core::time::Instant;
 use crate::platform::log::Page;
@@ -51,6 +52,25 @@
 /// How often a follower renews its subscription.
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The mechanisms of this module, each of which a test can switch off.
+#[doc(hidden)]
+#[value]
+pub struct Rules {
+    /// Suspect a relay that is silent or behind.
+    pub takeover: bool,
+    /// Read the log for what the relay no longer keeps.
+    pub catch_up: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            takeover: true,
+            catch_up: true,
+        }
+    }
+}
+
 /// Where entries come from.
 #[state]
 enum Source {
@@ -68,7 +88,9 @@
 #[state]
 pub struct Relay {
     node: Node,
-    stream: Name,
+    /// Makes each stream rank the nodes in its own way.
+    seed: u64,
+    rules: Rules,
     members: Vec<Node>,
     suspects: BTreeMap<Node, Instant>,
     source: Source,
@@ -82,10 +104,11 @@
 
 impl Relay {
     /// Makes the relay of `node` for `stream`; until it is told the members it reads the log.
-    pub fn new(node: Node, stream: Name) -> Relay {
+    pub fn new(node: Node, stream: &Name) -> Relay {
         Relay {
             node,
-            stream,
+            seed: xxh3_64(stream.0.as_bytes()),
+            rules: Rules::default(),
             members: vec![node],
             suspects: BTreeMap::new(),
             source: Source::Log,
@@ -98,6 +121,13 @@
         }
     }
 
+    /// Replaces the rules.
+    #[doc(hidden)]
+    pub fn with_rules(mut self, rules: Rules) -> Relay {
+        self.rules = rules;
+        self
+    }
+
     /// Returns whether this node reads the log itself.
     pub fn is_direct(&self) -> bool {
         self.source == Source::Log
@@ -170,7 +200,7 @@
                 let start = page.entries.first().map_or(page.next, |entry| entry.offset);
                 if start <= self.wanted {
                     self.deliver(page, out);
-                } else {
+                } else if self.rules.catch_up {
                     // The source doesn't keep what is wanted any more.
                     self.fetch(now, out);
                 }
@@ -212,7 +242,7 @@
         };
         let is_silent = now >= heard_at + SILENCE;
         let is_behind = now >= self.fresh_at + LAG;
-        if is_silent || is_behind {
+        if self.rules.takeover && (is_silent || is_behind) {
             self.suspects.insert(node, now + SUSPICION);
         }
     }
@@ -247,19 +277,10 @@
         }
         let trusted = |node: &&Node| **node == self.node || !self.suspects.contains_key(node);
         let members = self.members.iter().filter(trusted);
-        let best = members.max_by_key(|node| (self.rank(**node), **node));
+        let best = members.max_by_key(|node| (weight(**node, self.seed), **node));
         best.copied().unwrap_or(self.node)
     }
 
-    /// Returns the rendezvous weight of `node` for this stream.
-    fn rank(&self, node: Node) -> u64 {
-        let mut key = Vec::with_capacity(self.stream.0.len() + 12);
-        key.extend_from_slice(self.stream.0.as_bytes());
-        key.extend_from_slice(&node.vm.0.to_le_bytes());
-        key.extend_from_slice(&node.incarnation.0.to_le_bytes());
-        xxh3_64(&key)
-    }
-
     /// Asks the source for what the reader wants.
     fn ask(&mut self, now: Instant, out: &mut Vec<Output>) {
         let next = self.wanted;
--- a/tests/testsuite/stream/relay.rs
+++ b/tests/testsuite/stream/relay.rs
@@ -6,7 +6,7 @@
 use laburnumplank::core::id::Node;
 use laburnumplank::core::stream::reader::{self, Reader};
 use laburnumplank::core::stream::relay::{
-    HEARTBEAT, Input, LAG, LOG_WAIT, Message, Output, Relay, SILENCE,
+    HEARTBEAT, Input, LAG, LOG_WAIT, Message, Output, Relay, Rules, SILENCE,
 };
 use laburnumplank::core::stream::{Batch, Body, Name, Sequence, encode};
 use laburnumplank::core::time::Instant;
@@ -47,23 +47,29 @@
     fetches: u64,
 }
 
+/// Returns a relay that has read nothing.
+fn relay(index: usize, rules: Rules) -> Relay {
+    let ids: Vec<Node> = (0..NODES).map(|index| node(index as u32, 1)).collect();
+    let mut relay = Relay::new(ids[index], &Name("config".to_owned())).with_rules(rules);
+    relay.step(Instant(0), Input::Members(ids), &mut Vec::new());
+    relay
+}
+
 impl Region {
     fn new() -> Region {
-        let ids: Vec<Node> = (0..NODES).map(|index| node(index as u32, 1)).collect();
-        let member = |id: &Node| {
-            let mut relay = Relay::new(*id, Name("config".to_owned()));
-            relay.step(Instant(0), Input::Members(ids.clone()), &mut Vec::new());
-            let reader = Reader::new(u64::from(id.vm.0));
-            Member {
-                relay,
-                reader,
-                got: Vec::new(),
-                fault: Fault::None,
-                held: None,
-            }
+        Region::with_rules(Rules::default())
+    }
+
+    fn with_rules(rules: Rules) -> Region {
+        let member = |index: usize| Member {
+            relay: relay(index, rules),
+            reader: Reader::new(index as u64),
+            got: Vec::new(),
+            fault: Fault::None,
+            held: None,
         };
         Region {
-            members: ids.iter().map(member).collect(),
+            members: (0..NODES).map(member).collect(),
             log: Log::default(),
             now: Instant(0),
             mail: VecDeque::new(),
@@ -186,17 +192,15 @@
     }
 
     /// Breaks the only relay, appends a record and returns how long the others lacked it.
-    fn outlive(&mut self, fault: Fault) -> Duration {
+    fn outlive(&mut self, fault: Fault) -> Option<Duration> {
         self.run(Duration::from_secs(5));
         let relay = self.direct();
         assert_eq!(relay.len(), 1);
         self.members[relay[0]].fault = fault;
         self.append();
         let broken_at = self.now;
-        let complete = self.run(Duration::from_secs(10));
-        complete
-            .expect("the others never got the record")
-            .since(broken_at)
+        let complete = self.run(Duration::from_secs(10))?;
+        Some(complete.since(broken_at))
     }
 }
 
@@ -218,20 +222,20 @@
 
 #[test]
 fn silent_relay_is_replaced() {
-    let span = Region::new().outlive(Fault::Silent);
+    let span = Region::new().outlive(Fault::Silent).unwrap();
     assert!(span <= SILENCE + HEARTBEAT + STEP * 4, "{span:?}");
 }
 
 #[test]
 fn lagging_relay_is_replaced() {
-    let span = Region::new().outlive(Fault::CutOff);
+    let span = Region::new().outlive(Fault::CutOff).unwrap();
     assert!(span <= LAG + HEARTBEAT + STEP * 4, "{span:?}");
 }
 
 #[test]
 fn second_relay_may_die_too() {
     let mut region = Region::new();
-    region.outlive(Fault::Silent);
+    region.outlive(Fault::Silent).unwrap();
     let sound = |index: &usize| region.members[*index].fault == Fault::None;
     let second: Vec<usize> = region.direct().into_iter().filter(sound).collect();
     assert_eq!(second.len(), 1);
@@ -245,14 +249,14 @@
 #[test]
 fn returned_relay_is_trusted_again() {
     let mut region = Region::new();
-    region.outlive(Fault::Silent);
+    region.outlive(Fault::Silent).unwrap();
     region.heal();
     assert!(region.is_complete());
 }
 
-#[test]
-fn follower_far_behind_reads_the_log_itself() {
-    let mut region = Region::new();
+/// Gives a follower a gap that no relay keeps; returns whether it was filled.
+fn fills_gap(rules: Rules) -> bool {
+    let mut region = Region::with_rules(rules);
     region.run(Duration::from_secs(1));
     let follower = (region.direct()[0] + 1) % NODES;
     region.members[follower].fault = Fault::Silent;
@@ -260,9 +264,35 @@
         region.append();
         region.run(STEP);
     }
-    region.members[follower].reader = Reader::new(7);
+    for index in (0..NODES).filter(|index| *index != follower) {
+        region.members[index].relay = relay(index, rules);
+    }
     region.heal();
-    assert!(region.is_complete());
+    region.is_complete()
+}
+
+#[test]
+fn follower_far_behind_reads_the_log_itself() {
+    assert!(fills_gap(Rules::default()));
+}
+
+#[test]
+fn oracle_catches_catch_up_off() {
+    assert!(!fills_gap(Rules {
+        catch_up: false,
+        ..Rules::default()
+    }));
+}
+
+#[test]
+fn oracle_catches_takeover_off() {
+    let rules = Rules {
+        takeover: false,
+        ..Rules::default()
+    };
+    for fault in [Fault::Silent, Fault::CutOff] {
+        assert!(Region::with_rules(rules).outlive(fault).is_none());
+    }
 }
 
 proptest! {
