Test that a forgotten writer doesn't append twice

Found by a mutation trial: with the rule for jumps switched off 2,000 fuzz cases still passed, since forgotten writers are swept only every 1,024 offsets. The new case is long enough; it fails with the rule off.

--- a/tests/testsuite/stream/fuzz.rs
+++ b/tests/testsuite/stream/fuzz.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{TestCaseError, TestRunner};
 
-use super::cell::{Cell, Machine, Op, ops};
+use super::cell::{Cell, Fate, Machine, Op, ops};
 use super::config;
 
 /// A window that the short runs of a test exceed.
@@ -89,6 +89,21 @@
     }
 }
 
+/// A writer whose append landed is away until nobody remembers it: it must not append again.
+#[test]
+fn append_before_a_long_absence_is_not_repeated() {
+    let mut ops = vec![Op::Push(0, 0), Op::Tick(0, Fate::AnswerLost, 10)];
+    for _ in 0..2_000 {
+        ops.extend([
+            Op::Push(1, 0),
+            Op::Tick(1, Fate::Answered, 10),
+            Op::Read(1, 9),
+        ]);
+    }
+    ops.extend([Op::Expire(2_000), Op::Read(0, 1)]);
+    check(&ops, rules()).unwrap();
+}
+
 #[test]
 fn oracle_catches_dedup_off() {
     assert!(is_caught(Rules {
