--- a/crates/laburnum-measure/src/stream/propagation.rs
+++ b/crates/laburnum-measure/src/stream/propagation.rs
@@ -3,11 +3,11 @@
 //! The commit is the real writer's, with the pace of one of many VMs; the way through the log is
 //! fixed spans; the last hop and the replacement of a relay are real relays and readers.
 
-mod region;
-
 use std::time::Duration;
 
+use laburnum_testkit::fake::{Fault, Region};
 use laburnumplank::core::stream::funnel::{self, FUNNELS, Funnel};
+use laburnumplank::core::stream::relay::Rules;
 use laburnumplank::core::stream::writer::{Builder, Copy, Input, Output};
 use laburnumplank::core::stream::{Batch, Body, Name, Sequence};
 use laburnumplank::core::time::Instant;
@@ -29,6 +29,9 @@
 /// How many changes are measured per case.
 const CHANGES: usize = 2_000;
 
+/// How many nodes a measured region has.
+const REGION_NODES: usize = 20;
+
 /// How many deaths of a relay are measured.
 const DEATHS: u64 = 200;
 
@@ -207,18 +210,17 @@
     let title =
         "From the log to all other nodes of a region of 20 when its relay fails just before";
     let mut table = Table::new(title, &columns);
-    for fault in [
-        region::Fault::None,
-        region::Fault::Silent,
-        region::Fault::CutOff,
+    for (label, fault) in [
+        ("nothing", Fault::None),
+        ("the relay dies", Fault::Silent),
+        ("the relay loses the log", Fault::CutOff),
     ] {
-        let spans: eyre::Result<Vec<Duration>> = (0..DEATHS)
-            .map(|seed| region::outlive(fault, seed))
-            .collect();
+        let spans: eyre::Result<Vec<Duration>> =
+            (0..DEATHS).map(|seed| outlive(fault, seed)).collect();
         let mut spans = spans?;
         spans.sort_unstable();
         table.row([
-            fault.label().to_owned(),
+            label.to_owned(),
             millis(quantile(&spans, 0.5)),
             millis(quantile(&spans, 0.99)),
             millis(quantile(&spans, 1.0)),
@@ -226,3 +228,19 @@
     }
     Ok(table)
 }
+
+/// Breaks the relay of a region at a random time, appends a record and returns how long it takes
+/// until all other nodes have it.
+fn outlive(fault: Fault, seed: u64) -> eyre::Result<Duration> {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut region = Region::new(REGION_NODES, STEP, Rules::default());
+    region.run(Duration::from_millis(random.random_range(4_000..8_000)));
+    let relays = region.direct();
+    eyre::ensure!(relays.len() == 1, "{} nodes read the log", relays.len());
+    region.members[relays[0]].fault = fault;
+    region.append();
+    let start = region.now;
+    let complete = region.run(Duration::from_secs(10));
+    let complete = complete.ok_or_else(|| eyre::eyre!("a node never got the record"))?;
+    Ok(complete.since(start))
+}
--- a/crates/laburnum-measure/src/stream/replay.rs
+++ b/crates/laburnum-measure/src/stream/replay.rs
@@ -4,6 +4,7 @@
 
 use laburnumplank::core::config::{Change, Store, Version};
 use laburnumplank::core::stream::reader::{Input, Output, Reader};
+use laburnumplank::core::stream::snapshot::Content;
 use laburnumplank::core::stream::{Batch, Body, Sequence, encode};
 use laburnumplank::core::time::Instant;
 use laburnumplank::platform::log::{Entry, Page};
@@ -28,24 +29,31 @@
         "read (ms)",
         "read and applied (ms)",
         "writers remembered",
+        "state kept (encoded bytes)",
         "resident memory grew (KB)",
     ];
     let mut table = Table::new("Replay of 100,000 changes from 400 writers", &columns);
     for size in [1, 10, 100] {
         let entries = entries(size)?;
         let bytes: usize = entries.iter().map(|entry| entry.data.len()).sum();
-        let (read, _, _) = replay(&entries, None)?;
+        let (read, _) = replay(&entries, None)?;
         let before = resident_kb();
         let mut store = Store::default();
-        let (applied, writers, _reader) = replay(&entries, Some(&mut store))?;
+        let (applied, reader) = replay(&entries, Some(&mut store))?;
         let grown = resident_kb().saturating_sub(before);
         eyre::ensure!(store.version() == Version(RECORDS), "changes are missing");
+        let state = encode(&Content {
+            next: reader.next(),
+            seen: reader.seen().clone(),
+            state: store.state(),
+        })?;
         table.row([
             size.to_string(),
             bytes.to_string(),
             format!("{read:.0}"),
             format!("{applied:.0}"),
-            writers.to_string(),
+            reader.seen().len().to_string(),
+            state.len().to_string(),
             grown.to_string(),
         ]);
     }
@@ -70,10 +78,7 @@
 }
 
 /// Reads all entries and applies them if there is a store; returns the milliseconds that it took.
-fn replay(
-    entries: &[Entry],
-    mut store: Option<&mut Store>,
-) -> eyre::Result<(f64, usize, Reader<Change>)> {
+fn replay(entries: &[Entry], mut store: Option<&mut Store>) -> eyre::Result<(f64, Reader<Change>)> {
     let mut reader: Reader<Change> = Reader::new(1);
     let pages = entries.chunks(PAGE).map(|entries| Page {
         first: 0,
@@ -98,5 +103,5 @@
     }
     let span = start.elapsed().as_secs_f64() * 1e3;
     eyre::ensure!(records == RECORDS, "records are missing");
-    Ok((span, reader.seen().len(), reader))
+    Ok((span, reader))
 }
