--- a/src/core/stream/snapshot/mod.rs
+++ b/src/core/stream/snapshot/mod.rs
@@ -7,18 +7,24 @@
 //! snapshot stands in what it read, and then follows the records from the offset that the snapshot
 //! covers. Reading backward costs one snapshot, however many the retention keeps.
 //!
+//! [`Recovery`] decides between a peer's state, a snapshot and the whole stream.
+//!
 //! [`Assembly`] yields a snapshot only when all its parts are there and their checksums match, so a
 //! torn or missing part means an older snapshot, or a peer's state, but never half a state.
 
 mod assembly;
-mod finder;
+pub mod finder;
 mod part;
-mod publisher;
+pub mod publisher;
+pub mod recovery;
 
-pub use assembly::{Assembly, Rules, Whole};
-pub use finder::{Finder, Input as FinderInput, Output as FinderOutput};
+#[doc(hidden)]
+pub use assembly::Rules;
+pub use assembly::{Assembly, Whole};
+pub use finder::Finder;
 pub use part::{Id, PART_BYTES, PARTS, Part, split};
-pub use publisher::{Input as PublisherInput, Output as PublisherOutput, Publisher};
+pub use publisher::Publisher;
+pub use recovery::Recovery;
 
 use laburnum_derive::message;
 
--- a/tests/testsuite/stream/mod.rs
+++ b/tests/testsuite/stream/mod.rs
@@ -4,6 +4,7 @@
 mod funnel;
 mod fuzz;
 mod pace;
+mod recovery;
 mod relay;
 mod snapshot;
 
--- a/tests/testsuite/stream/snapshot.rs
+++ b/tests/testsuite/stream/snapshot.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use laburnumplank::core::stream::snapshot::{
-    self, Finder, FinderInput, FinderOutput, Part, Publisher, PublisherInput, PublisherOutput,
-    Rules, Whole, split,
+    self, Finder, Part, Publisher, Rules, Whole, finder, publisher, split,
 };
 use laburnumplank::core::stream::writer::Ticket;
 use laburnumplank::core::stream::{Batch, Body, Sequence, encode};
@@ -83,16 +82,16 @@
 fn find(log: &Log, page: usize, rules: Rules) -> Option<Whole> {
     let mut finder = Finder::with_rules(rules, 1);
     let mut out = Vec::new();
-    finder.step(Instant(0), FinderInput::Tick, &mut out);
+    finder.step(Instant(0), finder::Input::Tick, &mut out);
     for _ in 0..10_000 {
         match out.pop()? {
-            FinderOutput::Fetch { from, bounds_only } => {
+            finder::Output::Fetch { from, bounds_only } => {
                 let most = if bounds_only { 0 } else { page };
-                let input = FinderInput::Page(log.page(from, most));
+                let input = finder::Input::Page(log.page(from, most));
                 finder.step(Instant(0), input, &mut out);
             }
-            FinderOutput::Found(whole) => return Some(whole),
-            FinderOutput::Missing => return None,
+            finder::Output::Found(whole) => return Some(whole),
+            finder::Output::Missing => return None,
         }
     }
     panic!("the search doesn't end");
@@ -179,7 +178,7 @@
         }
     }
 
-    fn step(&mut self, now: Instant, input: PublisherInput) {
+    fn step(&mut self, now: Instant, input: publisher::Input) {
         let mut out = Vec::new();
         self.publisher.step(now, input, &mut out).unwrap();
         for output in out {
@@ -187,30 +186,30 @@
         }
     }
 
-    fn act(&mut self, now: Instant, output: PublisherOutput) {
+    fn act(&mut self, now: Instant, output: publisher::Output) {
         match output {
-            PublisherOutput::Capture => {
+            publisher::Output::Capture => {
                 self.captured += 1;
                 let bytes = vec![7; 150_000];
                 let covers = self.captured;
-                self.step(now, PublisherInput::Captured { covers, bytes });
+                self.step(now, publisher::Input::Captured { covers, bytes });
             }
-            PublisherOutput::Push(part) if self.is_down => {
-                self.step(now, PublisherInput::Refused(part));
+            publisher::Output::Push(part) if self.is_down => {
+                self.step(now, publisher::Input::Refused(part));
             }
-            PublisherOutput::Push(_) => {
+            publisher::Output::Push(_) => {
                 self.tickets += 1;
                 let ticket = Ticket(self.tickets);
-                self.step(now, PublisherInput::Pushed(ticket));
-                self.step(now, PublisherInput::Durable(vec![ticket]));
+                self.step(now, publisher::Input::Pushed(ticket));
+                self.step(now, publisher::Input::Durable(vec![ticket]));
             }
-            PublisherOutput::Written { covers } => self.written.push((now, covers)),
+            publisher::Output::Written { covers } => self.written.push((now, covers)),
         }
     }
 
     fn run(&mut self, from: u64, to: u64) {
         for second in from..to {
-            self.step(Instant(second * 1_000_000), PublisherInput::Tick);
+            self.step(Instant(second * 1_000_000), publisher::Input::Tick);
         }
     }
 }
@@ -223,7 +222,7 @@
         owner.written.is_empty(),
         "a node that isn't the owner wrote a snapshot"
     );
-    owner.step(Instant(10_000_000), PublisherInput::Owner(true));
+    owner.step(Instant(10_000_000), publisher::Input::Owner(true));
     owner.run(10, 1_000);
     let times: Vec<u64> = owner
         .written
@@ -237,7 +236,7 @@
 #[test]
 fn snapshot_is_written_at_once_after_an_outage() {
     let mut owner = Owner::new(Duration::from_secs(400));
-    owner.step(Instant(0), PublisherInput::Owner(true));
+    owner.step(Instant(0), publisher::Input::Owner(true));
     owner.is_down = true;
     owner.run(1, 1_000);
     let before = owner.written.len();
@@ -251,18 +250,18 @@
     let mut publisher = Publisher::new(node(1, 1), Duration::from_secs(400));
     let mut out = Vec::new();
     publisher
-        .step(Instant(0), PublisherInput::Owner(true), &mut out)
+        .step(Instant(0), publisher::Input::Owner(true), &mut out)
         .unwrap();
-    let captured = PublisherInput::Captured {
+    let captured = publisher::Input::Captured {
         covers: 5,
         bytes: vec![1],
     };
     publisher.step(Instant(0), captured, &mut out).unwrap();
     publisher
-        .step(Instant(0), PublisherInput::Pushed(Ticket(1)), &mut out)
+        .step(Instant(0), publisher::Input::Pushed(Ticket(1)), &mut out)
         .unwrap();
     out.clear();
-    let unknown = PublisherInput::Unknown(vec![Ticket(1)]);
+    let unknown = publisher::Input::Unknown(vec![Ticket(1)]);
     publisher.step(Instant(0), unknown, &mut out).unwrap();
-    assert_eq!(out, [PublisherOutput::Capture]);
+    assert_eq!(out, [publisher::Output::Capture]);
 }
