--- a/src/core/stream/snapshot/recovery.rs
+++ b/src/core/stream/snapshot/recovery.rs
@@ -105,8 +105,12 @@
 }
 
 impl Recovery {
-    /// Makes a recovery of a node that has read everything before `needed` and draws its jitter
-    /// from `seed`; the first tick starts it.
+    /// Makes a recovery that draws its jitter from `seed`; the first tick starts it.
+    ///
+    /// `needed` is the least offset that a state must reach: 0 for a node that has read nothing, and
+    /// the `first` of [`Expired`](crate::core::stream::reader::Output::Expired) for a reader that
+    /// fell behind. When no node and no snapshot reaches it, the recovery never ends, since what
+    /// expired unread can't be had any more; an operator must then be told.
     pub fn new(needed: u64, seed: u64) -> Recovery {
         let mut random = Pcg32::seed_from_u64(seed);
         Recovery {
