--- a/crates/laburnum-testkit/src/lib.rs
+++ b/crates/laburnum-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cell;
 pub mod clock;
 pub mod explore;
+pub mod fake;
 pub mod http;
 pub mod load;
 pub mod process;
