--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration tests, one module per feature.
 #![allow(clippy::unwrap_used, missing_docs)]
+mod cell;
 mod config;
 mod lease;
 mod load;
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -23,8 +23,8 @@
     #[argh(option, default = "3")]
     entries: u32,
 
-    /// how many workers (default: 8)
-    #[argh(option, default = "8")]
+    /// how many workers, 8 to a rack (default: 16)
+    #[argh(option, default = "16")]
     workers: u32,
 
     /// how many targets (default: 4)
--- a/xtask/src/demo/script.rs
+++ b/xtask/src/demo/script.rs
@@ -106,15 +106,15 @@
         spec: Some(spec(job)),
     };
     let submitted: SubmitJobResponse = client.call("Caller", "SubmitJob", &request).await?;
-    let status = reach(client, &submitted.job_id, job.expected).await?;
-    report(job, &status);
+    let places = reach(client, &submitted.job_id, job.expected).await?;
+    report(job, job.expected, &places);
     if job.expected == JobState::Running {
         let request = CancelJobRequest {
             job_id: submitted.job_id.clone(),
         };
         let _: CancelJobResponse = client.call("Caller", "CancelJob", &request).await?;
-        let status = reach(client, &submitted.job_id, JobState::Cancelled).await?;
-        report(job, &status);
+        let places = reach(client, &submitted.job_id, JobState::Cancelled).await?;
+        report(job, JobState::Cancelled, &places);
     }
     Ok(())
 }
@@ -136,19 +136,19 @@
 }
 
 /// Watches a job until it is in `state`, and until all its tasks run if that is running.
-async fn reach(client: &Client, id: &str, state: JobState) -> eyre::Result<JobStatus> {
+///
+/// Returns the workers that its tasks were last seen on.
+async fn reach(client: &Client, id: &str, state: JobState) -> eyre::Result<Vec<u32>> {
     let deadline = Instant::now() + JOB_LIMIT;
     let mut revision = 0;
+    let mut places = Vec::new();
     loop {
-        let request = WatchJobRequest {
-            job_id: id.to_owned(),
-            revision,
-            wait_ms: WATCH_MS,
-        };
-        let answer: WatchJobResponse = client.call("Caller", "WatchJob", &request).await?;
-        let status = answer.job.unwrap_or_default();
+        let status = watch(client, id, revision).await?;
+        if !status.tasks.is_empty() {
+            places = status.tasks.iter().map(|task| task.worker).collect();
+        }
         if has_reached(&status, state) {
-            return Ok(status);
+            return Ok(places);
         }
         let is_wrong = is_ended(status.state()) || Instant::now() >= deadline;
         eyre::ensure!(!is_wrong, "job {id} did not reach {state:?}: {status:?}");
@@ -156,6 +156,19 @@
     }
 }
 
+/// Waits a while for a job to change from `revision`.
+async fn watch(client: &Client, id: &str, revision: u64) -> eyre::Result<JobStatus> {
+    let request = WatchJobRequest {
+        job_id: id.to_owned(),
+        revision,
+        wait_ms: WATCH_MS,
+    };
+    let answer: WatchJobResponse = client.call("Caller", "WatchJob", &request).await?;
+    answer
+        .job
+        .ok_or_else(|| eyre::eyre!("the answer about job {id} is empty"))
+}
+
 fn has_reached(status: &JobStatus, state: JobState) -> bool {
     let is_whole = || status.tasks.iter().all(|task| task.state == "running");
     status.state() == state && (state != JobState::Running || is_whole())
@@ -166,19 +179,15 @@
     ended.contains(&state)
 }
 
-/// Prints where the tasks of a job ran.
-fn report(job: &Job, status: &JobStatus) {
-    let workers: Vec<String> = status
-        .tasks
-        .iter()
-        .map(|task| task.worker.to_string())
-        .collect();
+/// Prints what became of a job and where its tasks ran.
+fn report(job: &Job, state: JobState, places: &[u32]) {
+    let places: Vec<String> = places.iter().map(u32::to_string).collect();
     println!(
-        "{} of {} tasks `{}`: {} on worker VMs {}",
+        "{}, {} x `{}`: {}; worker VMs: {}",
         job.class.as_str_name(),
         job.tasks,
         job.command,
-        status.state().as_str_name(),
-        workers.join(", ")
+        state.as_str_name(),
+        places.join(" ")
     );
 }
