--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 mod cell;
 mod config;
+mod daemon;
 mod lease;
 mod load;
 mod membership;
