Treat a connection that closes after the request as unknown

Ruled out: the stand-in, whose own test of lost answers passes, and other variants of ConnectError, which awc returns only before it writes.

--- a/src/api/client.rs
+++ b/src/api/client.rs
@@ -82,9 +82,14 @@
 }
 
 /// Says what a failure to send means for the request.
+///
+/// `awc` calls a connection that closes after the request was written a failure to connect, too.
 fn transport_error(url: &str, error: &awc::error::SendRequestError) -> Error {
-    use awc::error::SendRequestError as E;
+    use awc::error::{ConnectError, SendRequestError as E};
     match error {
+        E::Connect(ConnectError::Disconnected) => {
+            Error::new(Kind::AnswerLost, format!("{url} closed the connection"))
+        }
         E::Url(_) => Error::new(Kind::Malformed, format!("`{url}` is not a URL")),
         E::Connect(_) => Error::new(Kind::NoOwner, format!("cannot connect to {url}: {error}")),
         _ => Error::new(Kind::AnswerLost, format!("no answer from {url}: {error}")),
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -268,9 +268,12 @@
 }
 
 /// Says whether a request that failed may have had its effect.
+///
+/// `awc` calls a connection that closes after the request was written a failure to connect, too.
 fn failure(error: &awc::error::SendRequestError) -> Failure {
-    use awc::error::SendRequestError as E;
+    use awc::error::{ConnectError, SendRequestError as E};
     match error {
+        E::Connect(ConnectError::Disconnected) => Failure::Unknown(error.to_string()),
         E::Url(_) | E::Connect(_) => Failure::NotSent(error.to_string()),
         _ => Failure::Unknown(error.to_string()),
     }
--- a/tests/testsuite/daemon/mod.rs
+++ b/tests/testsuite/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod job;
 mod load;
 mod operator;
+mod target;
 
 use std::future::Future;
 use std::time::{Duration, Instant};
