--- a/tests/testsuite/daemon/mod.rs
+++ b/tests/testsuite/daemon/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod operator;
 mod target;
+mod worker;
 
 use std::future::Future;
 use std::time::{Duration, Instant};
