--- a/xtask/src/demo/script.rs
+++ b/xtask/src/demo/script.rs
@@ -113,7 +113,7 @@
             job_id: submitted.job_id.clone(),
         };
         let _: CancelJobResponse = client.call("Caller", "CancelJob", &request).await?;
-        let places = reach(client, &submitted.job_id, JobState::Cancelled).await?;
+        reach(client, &submitted.job_id, JobState::Cancelled).await?;
         report(job, JobState::Cancelled, &places);
     }
     Ok(())
@@ -144,7 +144,7 @@
     let mut places = Vec::new();
     loop {
         let status = watch(client, id, revision).await?;
-        if !status.tasks.is_empty() {
+        if status.tasks.iter().any(|task| task.worker != 0) {
             places = status.tasks.iter().map(|task| task.worker).collect();
         }
         if has_reached(&status, state) {
@@ -183,7 +183,7 @@
 fn report(job: &Job, state: JobState, places: &[u32]) {
     let places: Vec<String> = places.iter().map(u32::to_string).collect();
     println!(
-        "{}, {} x `{}`: {}; worker VMs: {}",
+        "{}, {} x `{}`: {}; last seen on worker VMs: {}",
         job.class.as_str_name(),
         job.tasks,
         job.command,
