Find tasks that ran on two workers at once

A worker records only what happens on itself, so a task that ran on two workers at once went unseen. Workers now report when each attempt ran, and Cell::task_overlaps compares all of them; daemon::job::check_workers asks it, which makes those tests stricter.

--- a/crates/laburnum-testkit/src/cell/mod.rs
+++ b/crates/laburnum-testkit/src/cell/mod.rs
@@ -19,6 +19,7 @@
 use crate::http;
 use crate::process::Process;
 use crate::standin::vms::Edit;
+use crate::standin::worker::{Overlap, overlaps};
 
 /// How long a daemon may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
@@ -100,6 +101,20 @@
         self.platform.vms.client.edit_vms(edit).await
     }
 
+    /// Returns the attempts that ran while another one of the same task did, on any worker.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the workers' host does not answer.
+    pub async fn task_overlaps(&self) -> eyre::Result<Vec<Overlap>> {
+        let workers = &self.platform.workers;
+        let mut spans = Vec::new();
+        for index in 0..workers.addresses.len() {
+            spans.extend(workers.client.spans(index).await?);
+        }
+        Ok(overlaps(&spans))
+    }
+
     /// Returns one line for each process.
     pub fn summary(&self) -> String {
         let mut lines = self.platform.summary();
--- a/crates/laburnum-testkit/src/standin/client.rs
+++ b/crates/laburnum-testkit/src/standin/client.rs
@@ -62,6 +62,15 @@
         self.get(Role::Worker, index, "violations").await
     }
 
+    /// Returns when each attempt on a worker ran.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host does not answer or has no such worker.
+    pub async fn spans(&self, index: usize) -> eyre::Result<Vec<worker::Span>> {
+        self.get(Role::Worker, index, "spans").await
+    }
+
     /// Returns what a worker has done.
     ///
     /// # Errors
--- a/crates/laburnum-testkit/src/standin/worker/mod.rs
+++ b/crates/laburnum-testkit/src/standin/worker/mod.rs
@@ -3,6 +3,7 @@
 //! The worker starts what it is given, whether it fits or not, and records [`Violation`]s of what a
 //! scheduler must never do. [`Tasks`] is its state; this module serves it.
 
+mod span;
 mod tasks;
 
 use std::cell::RefCell;
@@ -13,6 +14,7 @@
 use laburnumplank::core::id::Attempt;
 use laburnumplank::core::resource::Amount;
 
+pub use self::span::{Overlap, Span, overlaps};
 pub use self::tasks::{ENDED_KEPT, Tasks};
 use super::fault::Faults;
 use super::http::{Answer, Request};
@@ -127,6 +129,7 @@
         let mut tasks = self.tasks.borrow_mut();
         match path {
             "violations" => Answer::json(&tasks.violations()),
+            "spans" => Answer::json(&tasks.spans(clock::now())),
             "counts" => Answer::json(&tasks.counts(clock::now())),
             _ => Answer::not_found(request),
         }
--- a/crates/laburnum-testkit/src/standin/worker/tasks.rs
+++ b/crates/laburnum-testkit/src/standin/worker/tasks.rs
@@ -12,7 +12,7 @@
 use laburnumplank::core::time::{Instant, Stamp};
 use laburnumplank::platform::worker::{Action, Control, Inventory, Renew, Report, Start, State};
 
-use super::{Counts, Options, Violation};
+use super::{Counts, Options, Span, Violation};
 use crate::standin::command::{Command, End};
 
 /// How long an ended task stays in the inventory.
@@ -171,6 +171,17 @@
         &self.violations
     }
 
+    /// Returns when each attempt of the inventory ran.
+    pub fn spans(&mut self, now: Instant) -> Vec<Span> {
+        self.settle(now);
+        let span = |(attempt, run): (&Attempt, &Run)| Span {
+            attempt: *attempt,
+            started: run.started,
+            ended: run.ended.map(|ended| ended.at),
+        };
+        self.runs.iter().map(span).collect()
+    }
+
     /// Returns what the worker has done by `now`.
     pub fn counts(&mut self, now: Instant) -> Counts {
         self.settle(now);
--- a/tests/testsuite/daemon/job.rs
+++ b/tests/testsuite/daemon/job.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// Checks that no worker held more than its size or one task twice.
+/// Checks that no worker held more than its size and no task ran twice at a time.
 pub(crate) async fn check_workers(cell: &Cell) {
     for worker in 0..cell.platform.workers.addresses.len() {
         let violations = cell
@@ -37,6 +37,8 @@
             .unwrap();
         assert!(violations.is_empty(), "worker {worker}: {violations:?}");
     }
+    let overlaps = cell.task_overlaps().await.unwrap();
+    assert!(overlaps.is_empty(), "{overlaps:?}");
 }
 
 #[test]
--- a/tests/testsuite/standin/worker.rs
+++ b/tests/testsuite/standin/worker.rs
@@ -2,7 +2,7 @@
 
 use actix_http::StatusCode;
 use laburnum_testkit::http;
-use laburnum_testkit::standin::worker::{ENDED_KEPT, Options, Tasks, Violation};
+use laburnum_testkit::standin::worker::{ENDED_KEPT, Options, Span, Tasks, Violation, overlaps};
 use laburnumplank::core::id::{Attempt, Job, Task};
 use laburnumplank::core::resource::Amount;
 use laburnumplank::core::time::{Instant, Stamp};
@@ -197,6 +197,41 @@
     assert_eq!(states(&mut worker, START), [State::Failed]);
 }
 
+#[test]
+fn overlaps_of_workers_are_found() {
+    let [mut one, mut two] = [worker(), worker()];
+    let at = |millis: u64| Instant(millis * 1_000);
+    one.start(at(0), STAMP, &start(attempt(0, 1), 1, "sleep 500"), false);
+    one.start(at(0), STAMP, &start(attempt(1, 1), 1, "sleep 500"), false);
+    two.start(at(499), STAMP, &start(attempt(0, 2), 1, "sleep 500"), false);
+    two.start(at(500), STAMP, &start(attempt(1, 2), 1, "sleep 500"), false);
+    let spans = [one.spans(at(600)), two.spans(at(600))].concat();
+    let found = overlaps(&spans);
+    assert_eq!(found.len(), 1, "{found:?}");
+    let numbers = [found[0].first, found[0].second].map(|span| span.attempt);
+    assert_eq!(numbers, [attempt(0, 1), attempt(0, 2)]);
+}
+
+#[test]
+fn overlaps_with_long_attempt_are_all_found() {
+    let span = |number, started, ended| Span {
+        attempt: attempt(0, number),
+        started: Instant(started),
+        ended: Some(Instant(ended)),
+    };
+    let found = overlaps(&[
+        span(1, 0, 100),
+        span(2, 10, 20),
+        span(3, 50, 120),
+        span(4, 110, 130),
+    ]);
+    let seconds: Vec<u32> = found
+        .iter()
+        .map(|each| each.second.attempt.number)
+        .collect();
+    assert_eq!(seconds, [2, 3, 4]);
+}
+
 #[test]
 fn start_over_http_runs() {
     run(async {
