--- a/tests/testsuite/daemon/mod.rs
+++ b/tests/testsuite/daemon/mod.rs
@@ -6,6 +6,8 @@
 mod job;
 mod load;
 mod operator;
+mod target;
+mod worker;
 
 use std::future::Future;
 use std::time::{Duration, Instant};
