--- a/src/api/schema/laburnum.v1.rs
+++ b/src/api/schema/laburnum.v1.rs
@@ -121,7 +121,7 @@
     /// Why the job ended or waits.
     #[prost(string, tag = "4")]
     pub reason: ::prost::alloc::string::String,
-    /// Grows with each change of the job.
+    /// Differs after each change of the job.
     #[prost(uint64, tag = "5")]
     pub revision: u64,
     #[prost(message, repeated, tag = "6")]
