--- a/src/daemon/control/answer.rs
+++ b/src/daemon/control/answer.rs
@@ -21,7 +21,7 @@
 use crate::core::time::Instant;
 use crate::daemon::peer;
 use crate::platform::vms::{Role, State};
-use crate::wire::{Ask, Reply, Tell};
+use crate::wire::{Ask, Reply, StreamState, Tell};
 
 /// The most jobs in one list.
 const MAX_LISTED: usize = 10_000;
@@ -81,7 +81,8 @@
             | Ask::GetConfig(_)
             | Ask::PutConfig { .. }
             | Ask::ListConfig
-            | Ask::Dump => None,
+            | Ask::Dump
+            | Ask::StreamState(_) => None,
         }
     }
 
@@ -113,6 +114,13 @@
                 .map(|version| Tell::Config(vec![version])),
             Ask::ListConfig => Ok(Tell::Config(self.configuration.list())),
             Ask::ListVms => Ok(Tell::Vms(self.list_vms())),
+            Ask::StreamState(stream) => {
+                let copy = self.stream_copy(stream);
+                Ok(Tell::StreamState(copy.map(|copy| StreamState {
+                    next: copy.next,
+                    bytes: copy.bytes,
+                })))
+            }
             Ask::Dump => Ok(Tell::State(self.dump(now).to_string())),
             _ => Err(Error::new(
                 Kind::Internal,
@@ -366,6 +374,7 @@
         json!({
             "node": self.tenure.node().to_string(),
             "log_up": self.journal.is_up(),
+            "streams_read_directly": self.journal.direct(),
             "config_version": self.configuration.version().0,
             "vm_list_version": self.vms.version,
             "entries": self.tenure.view(),
--- a/src/daemon/control/archive.rs
+++ b/src/daemon/control/archive.rs
@@ -2,9 +2,8 @@
 //!
 //! Every entry keeps the records of all partitions that it has read, so that it can take a
 //! partition over without reading the log again. Records that no later owner needs are left out:
-//! those of ended jobs and of keys that are older than the retention of keys. An owner writes the
-//! live state anew well before the log drops the records behind it; records may be repeated, so no
-//! reader needs to know which ones those are.
+//! those of ended jobs and of keys that are older than the retention of keys. What is kept is also
+//! the state that snapshots of the stream hold.
 //!
 //! A new owner first writes [`Body::Open`] and starts from what stands before it. What an earlier
 //! owner wrote of its cell and the log took after it is void for every reader; that owner's lease
@@ -47,7 +46,8 @@
 }
 
 /// The records of one partition that a later owner needs.
-#[derive(Debug, Default)]
+#[message]
+#[derive(Default)]
 struct Shelf {
     epoch: Option<Epoch>,
     keys: Vec<dedup::Record>,
@@ -56,6 +56,13 @@
     compact_at: usize,
 }
 
+/// The records of all partitions that a later owner needs, as a snapshot holds them.
+#[message]
+#[derive(Default)]
+pub struct State {
+    shelves: HashMap<Partition, Shelf>,
+}
+
 /// The records of all partitions that a later owner needs.
 #[derive(Debug, Default)]
 pub(super) struct Archive {
@@ -78,6 +85,21 @@
         }
     }
 
+    /// Returns the state for a snapshot.
+    pub(super) fn state(&mut self, now: Stamp, retention: Duration) -> State {
+        for shelf in self.shelves.values_mut() {
+            shelf.compact(now, retention);
+        }
+        State {
+            shelves: self.shelves.clone(),
+        }
+    }
+
+    /// Replaces everything by a newer state.
+    pub(super) fn restore(&mut self, state: State) {
+        self.shelves = state.shelves;
+    }
+
     /// Returns the records of the keys of a partition.
     pub(super) fn keys(&self, partition: Partition) -> &[dedup::Record] {
         self.shelves
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -8,7 +8,7 @@
 use super::journal::{Journal, Stream};
 use crate::api::schema::ConfigVersion;
 use crate::core::config::{
-    Body, Change, Config, FORMAT, Input, Output, Pending, Store, Verdict, Version,
+    Body, Change, Config, FORMAT, Input, Output, Pending, State, Store, Verdict, Version,
 };
 use crate::core::error::{Error, Kind, Result};
 use crate::core::stream::{Record, Ticket};
@@ -144,6 +144,16 @@
         .0
     }
 
+    /// Moves on to a newer state; one that cannot be read is left aside.
+    pub(super) fn restore(&mut self, state: State) -> Result<bool> {
+        self.store.restore(state)
+    }
+
+    /// Returns the state for a snapshot, if the store is not blocked.
+    pub(super) fn state(&self) -> Option<State> {
+        self.store.state()
+    }
+
     /// Notes records that may or may not be in the log.
     pub(super) fn unknown(&mut self, now: Instant, tickets: &[Ticket]) -> Vec<Answer> {
         self.step(now, Input::Unknown(tickets.to_vec())).0
--- a/src/daemon/control/follow.rs
+++ b/src/daemon/control/follow.rs
@@ -1,7 +1,5 @@
 //! What tables of keys and cells want done.
 
-use std::time::Duration;
-
 use slog::warn;
 
 use super::archive::{Body, Record};
@@ -16,11 +14,6 @@
 use crate::daemon::dispatch;
 use crate::wire::Frame;
 
-/// Live state is written anew after this share of the log's retention.
-const REWRITE_SHARE: u32 = 4;
-/// How many records of a cell are written anew as one record of the log.
-const REWRITE_CHUNK: usize = 256;
-
 impl Control {
     /// Carries out what the table of a partition wants.
     pub(super) fn follow_keys(&mut self, partition: Partition, outputs: Vec<dedup::Output>) {
@@ -133,21 +126,4 @@
             self.send(Vm(vm), Frame::SlotGrant(grant));
         }
     }
-
-    /// Writes the live state of own partitions anew before the log drops the records behind it.
-    pub(super) fn rewrite(&mut self, now: Instant) {
-        let retention = Duration::from_secs(self.context.settings.log.retention_s);
-        for partition in self.tenure.take_rewrites(now, retention / REWRITE_SHARE) {
-            for record in self.keys.snapshot(partition) {
-                self.push_body(partition, Body::Key(record), Pending::Nothing);
-            }
-            let records = self
-                .jobs
-                .cell(partition)
-                .map_or_else(Vec::new, placement::Cell::snapshot);
-            for chunk in records.chunks(REWRITE_CHUNK) {
-                self.push_body(partition, Body::Cell(chunk.to_vec()), Pending::Nothing);
-            }
-        }
-    }
 }
--- a/src/daemon/control/keys.rs
+++ b/src/daemon/control/keys.rs
@@ -159,13 +159,6 @@
         described.map(|(&partition, _)| partition).collect()
     }
 
-    /// Returns the records that describe the table of a partition.
-    pub(super) fn snapshot(&self, partition: Partition) -> Vec<Record> {
-        self.entries
-            .get(&partition)
-            .map_or_else(Vec::new, |entry| entry.table.snapshot())
-    }
-
     /// Returns how many keys each table remembers.
     pub(super) fn sizes(&self) -> BTreeMap<u16, usize> {
         self.entries
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -9,7 +9,7 @@
 //! the end of the work stream, and only then handed to the part that acts on it.
 
 mod answer;
-mod archive;
+pub mod archive;
 mod configuration;
 mod follow;
 mod jobs;
@@ -34,6 +34,7 @@
 use crate::core::request::dispatcher::Verdict;
 use crate::core::request::{Answer, dedup, slot};
 use crate::core::stream::Ticket;
+use crate::core::stream::snapshot::recovery::Copy;
 use crate::core::time::Instant;
 use crate::core::{lease, membership};
 use crate::platform::client::{Client, Failure};
@@ -55,6 +56,8 @@
 const TICK: Duration = Duration::from_millis(25);
 /// How often membership and leases are looked after.
 const TENURE_TICK: Duration = Duration::from_millis(100);
+/// The partition whose owner writes the snapshots of the streams.
+const PUBLISHER: Partition = Partition(0);
 /// How long a read of the VM list may take.
 const VMS_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -322,7 +325,6 @@
             answer.send();
         }
         self.push_refused();
-        self.rewrite(now);
     }
 
     /// Tells the leases of which partitions the log describes all that was done. While the log is
@@ -343,6 +345,10 @@
         let outputs = self.tenure.tick_view(now);
         self.follow_view(now, outputs);
         self.keep_unfinished(now);
+        let is_publisher = self.tenure.deadline(PUBLISHER, now).is_some();
+        let mut facts = Vec::new();
+        self.journal.set_publisher(now, is_publisher, &mut facts);
+        self.learn(now, facts);
         let outputs = self
             .tenure
             .tick(now, self.context.clock.stamp(), self.journal.is_up());
@@ -403,13 +409,45 @@
                 Fact::End(_) => {}
                 Fact::Durable { stream, tickets } => self.durable(now, stream, &tickets),
                 Fact::Unknown { stream, tickets } => self.unknown(now, stream, &tickets),
-                Fact::Expired(stream) => {
-                    warn!(self.context.log, "state must be read from a peer"; "stream" => stream.name());
+                Fact::LeaseState(snapshot) => {
+                    let outputs = self.tenure.restore(now, &snapshot);
+                    self.follow_leases(outputs);
+                }
+                Fact::ConfigState(state) => {
+                    if let Err(error) = self.configuration.restore(*state) {
+                        warn!(self.context.log, "configuration cannot be restored"; "error" => %error);
+                    }
+                    self.jobs.configure(now, self.configuration.config());
                 }
+                Fact::WorkState(state) => self.archive.restore(*state),
+                Fact::Capture(stream) => self.capture(now, stream),
             }
         }
     }
 
+    /// Gives the state of a stream to the journal's snapshots.
+    fn capture(&mut self, now: Instant, stream: Stream) {
+        let Some(copy) = self.stream_copy(stream) else {
+            return;
+        };
+        let mut facts = Vec::new();
+        self.journal.captured(now, stream, copy, &mut facts);
+        self.learn(now, facts);
+    }
+
+    /// Returns the encoded state of a stream, if this entry has one.
+    fn stream_copy(&mut self, stream: Stream) -> Option<Copy> {
+        let state = match stream {
+            Stream::Lease => journal::State::Lease(self.tenure.snapshot()),
+            Stream::Config => journal::State::Config(Box::new(self.configuration.state()?)),
+            Stream::Work => {
+                let (stamp, retention) = (self.context.clock.stamp(), self.keys.retention());
+                journal::State::Work(Box::new(self.archive.state(stamp, retention)))
+            }
+        };
+        self.journal.copy(state)
+    }
+
     /// Keeps a record of a partition and gives one of an earlier owner to the present one.
     fn learn_work(&mut self, now: Instant, record: &archive::Record) {
         let retention = self.keys.retention();
@@ -510,7 +548,7 @@
         let Some(acquired) = self.tenure.opening(partition, record.epoch) else {
             return;
         };
-        self.tenure.set_open(partition, now);
+        self.tenure.set_open(partition);
         let Some(until) = self.tenure.deadline(partition, now) else {
             return;
         };
@@ -577,9 +615,9 @@
             }
         }
         if is_changed {
+            let (region, peers) = (self.tenure.region(), self.tenure.peers());
             let mut facts = Vec::new();
-            self.journal
-                .set_entries(now, self.tenure.live_entries(), &mut facts);
+            self.journal.set_members(now, &region, &peers, &mut facts);
             self.learn(now, facts);
             let outputs = self.tenure.prefer(now);
             self.follow_leases(outputs);
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -40,8 +40,6 @@
     moving: HashMap<Partition, Instant>,
     /// How long unfinished work may delay a move.
     patience: Duration,
-    /// When the live state of an open partition was last written anew.
-    rewritten: HashMap<Partition, Instant>,
 }
 
 impl Tenure {
@@ -65,7 +63,6 @@
             is_ready: false,
             moving: HashMap::new(),
             patience: Duration::from_millis(settings.traffic.drain_ms / 2),
-            rewritten: HashMap::new(),
         }
     }
 
@@ -93,9 +90,45 @@
         self.table.holds_promises(partition, now)
     }
 
-    /// Returns how many entries share the cell's rate of appends.
-    pub(super) fn live_entries(&self) -> u32 {
-        (self.view.candidates().len() as u32).max(1)
+    /// Returns the live entries of this region, this one among them.
+    pub(super) fn region(&self) -> Vec<Node> {
+        let candidates = self.view.candidates();
+        let own = candidates
+            .iter()
+            .find(|candidate| candidate.node == self.node);
+        let region = own.map(|own| own.site.region);
+        let near = candidates
+            .iter()
+            .filter(|candidate| Some(candidate.site.region) == region);
+        near.map(|candidate| candidate.node).collect()
+    }
+
+    /// Returns the other live entries, those of this region first.
+    pub(super) fn peers(&self) -> Vec<Node> {
+        let near = self.region();
+        let mut peers: Vec<Node> = self
+            .view
+            .candidates()
+            .iter()
+            .map(|candidate| candidate.node)
+            .collect();
+        peers.retain(|node| *node != self.node);
+        peers.sort_by_key(|node| !near.contains(node));
+        peers
+    }
+
+    /// Takes all that the lease stream held up to some offset.
+    pub(super) fn restore(
+        &mut self,
+        now: Instant,
+        snapshot: &lease::Snapshot,
+    ) -> Vec<lease::Output> {
+        self.step_table(now, lease::Input::Restore(snapshot))
+    }
+
+    /// Returns all that the lease stream held up to what was read.
+    pub(super) fn snapshot(&self) -> lease::Snapshot {
+        self.table.snapshot()
     }
 
     /// Returns whether nothing is owned any more.
@@ -240,7 +273,6 @@
     pub(super) fn note_lost(&mut self, partition: Partition) {
         self.own.remove(&partition);
         self.told.remove(&partition);
-        self.rewritten.remove(&partition);
     }
 
     /// Returns the ownership that an opening record begins, unless it has begun or ended.
@@ -251,24 +283,10 @@
     }
 
     /// Notes that a partition is acted on.
-    pub(super) fn set_open(&mut self, partition: Partition, now: Instant) {
+    pub(super) fn set_open(&mut self, partition: Partition) {
         if let Some(own) = self.own.get_mut(&partition) {
             own.is_open = true;
-            self.rewritten.insert(partition, now);
-        }
-    }
-
-    /// Returns open partitions whose live state is due to be written anew after `period`.
-    pub(super) fn take_rewrites(&mut self, now: Instant, period: Duration) -> Vec<Partition> {
-        let due = self
-            .rewritten
-            .iter()
-            .filter(|(_, at)| now.since(**at) >= period);
-        let due: Vec<Partition> = due.map(|(&partition, _)| partition).collect();
-        for &partition in &due {
-            self.rewritten.insert(partition, now);
         }
-        due
     }
 
     /// Returns the request partitions whose owner the dispatch part is to be told anew.
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -300,6 +300,18 @@
                 self.context
                     .control(control::Event::Lease { from, message });
             }
+            Frame::Relay {
+                from,
+                stream,
+                message,
+            } => {
+                let event = control::journal::Event::Relay {
+                    stream,
+                    from,
+                    message,
+                };
+                self.context.control(control::Event::Log(event));
+            }
             Frame::SlotAsk(ask) => self.context.control(control::Event::SlotAsk(ask)),
             Frame::SlotEstate(estate) => self.context.control(control::Event::SlotEstate(estate)),
             Frame::SlotGrant(grant) => self.context.dispatch(dispatch::Event::Granted(grant)),
--- a/src/wire/ask.rs
+++ b/src/wire/ask.rs
@@ -8,6 +8,7 @@
 use crate::core::id::{Caller, Job, Key, Partition, Service, Target, Team};
 use crate::core::placement;
 use crate::core::workload::Priority;
+use crate::daemon::control::journal::Stream;
 
 /// A call of a target's service.
 #[message]
@@ -72,6 +73,18 @@
     ListConfig,
     /// Returns the state of the control part.
     Dump,
+    /// Returns the state of a stream, for an entry that has none.
+    StreamState(Stream),
+}
+
+/// The state of a stream.
+#[message]
+pub struct StreamState {
+    /// It holds the effect of all entries before this offset.
+    pub next: u64,
+    /// The encoded state.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
 }
 
 /// What is answered.
@@ -105,6 +118,8 @@
     Version(u64),
     /// State, as JSON.
     State(String),
+    /// The state of a stream, if the asked entry has one.
+    StreamState(Option<StreamState>),
 }
 
 /// Where the answer goes.
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -7,7 +7,9 @@
 use crate::core::id::{Node, Partition, Target};
 use crate::core::lease::Epoch;
 use crate::core::request::slot;
+use crate::core::stream::relay;
 use crate::core::{lease, membership};
+use crate::daemon::control::journal::Stream;
 
 /// The grants in force of a partition's targets, from the owner that yields to the next.
 #[message]
@@ -59,6 +61,15 @@
     Membership(membership::Heartbeat),
     /// A notice to the lease table, from this run of the daemon.
     Lease(Node, lease::Message),
+    /// A notice to the relay of a stream, from this run of the daemon.
+    Relay {
+        /// The sender.
+        from: Node,
+        /// The stream.
+        stream: Stream,
+        /// The notice.
+        message: relay::Message,
+    },
     /// Asks the owner of a target's partition for slots.
     SlotAsk(slot::Ask),
     /// Answers an ask for slots.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,5 +7,5 @@
 mod ask;
 mod frame;
 
-pub use ask::{Ask, Call, Reply, Tell};
+pub use ask::{Ask, Call, Reply, StreamState, Tell};
 pub use frame::{Estate, Frame, Lot};
