--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -12,6 +12,7 @@
 
 mod change;
 mod document;
+mod edit;
 mod fault;
 mod field;
 mod history;
--- a/src/core/config/store.rs
+++ b/src/core/config/store.rs
@@ -7,8 +7,9 @@
 use serde_json::{Map, Value};
 use uuid::Uuid;
 
-use super::change::{Body, Change, FORMAT, Version};
+use super::change::{Change, FORMAT, Version};
 use super::document::Config;
+use super::edit::Edit;
 use super::fault::Fault;
 use super::history::{Entry, History};
 use super::patch;
@@ -48,12 +49,6 @@
     history: History,
 }
 
-/// The body of a change, read.
-enum Edit {
-    Whole(Value),
-    Patch(Value),
-}
-
 /// A change that was put into the document and has no faults.
 struct Tried {
     config: Config,
@@ -331,33 +326,6 @@
     }
 }
 
-impl Edit {
-    fn read(body: &Body) -> std::result::Result<Edit, Vec<Fault>> {
-        Ok(match body {
-            Body::Whole(text) => Edit::Whole(parse(text)?),
-            Body::Patch(text) => Edit::Patch(parse(text)?),
-        })
-    }
-
-    /// Returns the keys that change, or `None` for all.
-    fn touched(&self) -> Option<Vec<Path>> {
-        match self {
-            Edit::Whole(_) => None,
-            Edit::Patch(patch) => Some(touched::paths(patch)),
-        }
-    }
-}
-
-/// Reads a JSON object.
-fn parse(text: &str) -> std::result::Result<Value, Vec<Fault>> {
-    let value: Value = serde_json::from_str(text)
-        .map_err(|error| vec![Fault::new("", error.to_string(), "write valid JSON")])?;
-    if value.is_object() {
-        return Ok(value);
-    }
-    Err(vec![Fault::new("", "is not an object", "write `{ ... }`")])
-}
-
 fn join(faults: &[Fault]) -> String {
     let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
     lines.join("\n")
--- a/src/core/stream/relay/mod.rs
+++ b/src/core/stream/relay/mod.rs
@@ -14,17 +14,20 @@
 mod audience;
 mod backlog;
 mod message;
+mod rules;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use laburnum_derive::{state, value};
+use laburnum_derive::state;
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::audience::Audience;
 pub use self::audience::HEARTBEAT;
 use self::backlog::Backlog;
 pub use self::message::{Input, Message, Output};
+#[doc(hidden)]
+pub use self::rules::Rules;
 use super::batch::Name;
 use super::rendezvous::weight;
 use crate::core::id::Node;
@@ -52,25 +55,6 @@
 /// How often a follower renews its subscription.
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The mechanisms of this module, each of which a test can switch off.
-#[doc(hidden)]
-#[value]
-pub struct Rules {
-    /// Suspect a relay that is silent or behind.
-    pub takeover: bool,
-    /// Read the log for what the relay no longer keeps.
-    pub catch_up: bool,
-}
-
-impl Default for Rules {
-    fn default() -> Rules {
-        Rules {
-            takeover: true,
-            catch_up: true,
-        }
-    }
-}
-
 /// Where entries come from.
 #[state]
 enum Source {
