--- a/tests/testsuite/stream/snapshot.rs
+++ b/tests/testsuite/stream/snapshot.rs
@@ -57,26 +57,22 @@
     batch.to_entry().unwrap()
 }
 
-/// Puts the parts of one snapshot into the log; returns the offset of its first part if all parts
-/// are there as they were written.
+/// Puts the parts of one snapshot into the log; returns the oldest offset that must be kept for all
+/// parts to be there, if they are there as they were written.
 fn put(log: &mut Log, parts: &[Part], harms: &[Harm]) -> Option<u64> {
-    let start = log.next();
-    let mut is_whole = true;
+    let mut oldest = Some(u64::MAX);
     for (part, harm) in parts.iter().zip(harms) {
         let mut part = part.clone();
-        match harm {
-            Harm::Missing => is_whole = false,
-            Harm::Torn if part.data.0.pop().is_some() => is_whole = false,
-            Harm::Twice => {
-                log.append(&entry(&part));
-            }
-            Harm::None | Harm::Torn => {}
-        }
-        if *harm != Harm::Missing {
-            log.append(&entry(&part));
-        }
+        let is_torn = *harm == Harm::Torn && part.data.0.pop().is_some();
+        let copies = match harm {
+            Harm::Missing => 0,
+            Harm::Twice => 2,
+            Harm::None | Harm::Torn => 1,
+        };
+        let last = (0..copies).map(|_| log.append(&entry(&part))).last();
+        oldest = oldest.min(last.filter(|_| !is_torn));
     }
-    is_whole.then_some(start)
+    oldest
 }
 
 fn find(log: &Log, page: usize, rules: Rules) -> Option<Whole> {
@@ -111,8 +107,8 @@
             number,
         };
         let parts = split(id, number * 10, &state).unwrap();
-        if let Some(start) = put(&mut log, &parts, harms).filter(|start| *start >= case.expired) {
-            newest = Some(start).and(Some(number * 10));
+        if put(&mut log, &parts, harms).is_some_and(|oldest| oldest >= case.expired) {
+            newest = Some(number * 10);
         }
         states.insert(number * 10, state);
     }
