--- a/src/daemon/control/journal/io.rs
+++ b/src/daemon/control/journal/io.rs
@@ -157,7 +157,7 @@
 fn bounds(name: Name) -> Read {
     Read {
         name,
-        from: u64::MAX,
+        from: 0,
         bytes: 1,
         wait: Duration::ZERO,
     }
--- a/src/daemon/control/journal/mod.rs
+++ b/src/daemon/control/journal/mod.rs
@@ -24,7 +24,7 @@
 use crate::core::lease;
 use crate::core::stream::snapshot::recovery::{self, Copy};
 use crate::core::stream::snapshot::{Part, finder, publisher};
-use crate::core::stream::{Name, Record, Ticket, Writer, relay, writer};
+use crate::core::stream::{Name, Record, Sequence, Ticket, Writer, relay, writer};
 use crate::core::time::Instant;
 use crate::daemon::Context;
 use crate::platform::client::Failure;
@@ -338,7 +338,7 @@
                 self.step(now, stream, Input::Relay(input), facts);
             }
             Event::Appended { name, copy, offset } => {
-                self.appended(now, name, copy, offset.ok(), facts)
+                self.appended(now, name, copy, offset.ok(), facts);
             }
         }
     }
@@ -416,7 +416,10 @@
         state: impl Fn(S) -> Fact,
         record: impl Fn(Record<T>) -> Fact,
     ) {
-        facts.extend(out.restored.map(state));
+        if let Some(restored) = out.restored {
+            facts.push(state(restored));
+            self.note_jump(now, stream, facts);
+        }
         let count = out.records.len() as u64;
         self.context
             .metrics
@@ -460,21 +463,26 @@
 
     /// Tells the writer what its process has read.
     fn note_position(&mut self, now: Instant, stream: Stream, facts: &mut Vec<Fact>) {
+        let (next, last) = self.position(stream);
+        let stream = stream.lane();
+        self.write(now, writer::Input::Read { stream, next, last }, facts);
+    }
+
+    /// Tells the writer that its process has left records out.
+    fn note_jump(&mut self, now: Instant, stream: Stream, facts: &mut Vec<Fact>) {
+        let (next, last) = self.position(stream);
+        let stream = stream.lane();
+        self.write(now, writer::Input::Jumped { stream, next, last }, facts);
+    }
+
+    /// Returns the next offset to be read and the last record of this process that counted.
+    fn position(&self, stream: Stream) -> (u64, Option<Sequence>) {
         let node = self.context.node();
-        let (next, last) = match stream {
+        match stream {
             Stream::Lease => (self.lease.next(), self.lease.seen().last(node)),
             Stream::Config => (self.config.next(), self.config.seen().last(node)),
             Stream::Work => (self.work.next(), self.work.seen().last(node)),
-        };
-        self.write(
-            now,
-            writer::Input::Read {
-                stream: stream.lane(),
-                next,
-                last,
-            },
-            facts,
-        );
+        }
     }
 
     /// Gives `input` to the writer and carries out what it wants.
@@ -489,10 +497,10 @@
                     bytes,
                 } => self.io.append(stream, copy, bytes),
                 writer::Output::Durable { stream, tickets } => {
-                    self.durable(now, &stream, tickets, facts)
+                    self.durable(now, &stream, tickets, facts);
                 }
                 writer::Output::Unknown { stream, tickets } => {
-                    self.unknown(now, &stream, tickets, facts)
+                    self.unknown(now, &stream, tickets, facts);
                 }
             }
         }
--- a/tests/testsuite/daemon/fault.rs
+++ b/tests/testsuite/daemon/fault.rs
@@ -17,7 +17,7 @@
 /// A pause that outlasts every lease of a test cell, in milliseconds.
 const PAST_LEASES_MS: u64 = 5_000;
 
-async fn set_log_faults(cell: &Cell, faults: &Faults) {
+pub(super) async fn set_log_faults(cell: &Cell, faults: &Faults) {
     cell.platform
         .log
         .client
