Bound estimates of service by a share of the request's time

Cause: after a pause of the entry the usual time at a target was taken to be the length of the pause, requests were dropped for it, and as nothing was sent nothing corrected it; found by the check that requests are served after all faults. Ruled out: a median, which recovers only from samples that never come. Conclusion: an estimate alone no longer stops a class.

--- a/src/core/request/dispatcher/arrival.rs
+++ b/src/core/request/dispatcher/arrival.rs
@@ -41,7 +41,7 @@
             return;
         }
         let id = call.id;
-        self.insert(call, Stage::Queued);
+        self.insert(now, call, Stage::Queued);
         self.enqueue(now, id);
     }
 
@@ -57,7 +57,7 @@
         if self.owns(now, key) {
             let has_room = self.peers.has_usable(now) && self.check_room(now, &call).is_ok();
             let id = call.id;
-            self.insert(call, Stage::Admitting);
+            self.insert(now, call, Stage::Admitting);
             let submission = Submission {
                 id,
                 key,
@@ -71,7 +71,7 @@
             return refuse(&call, Kind::NoOwner, "this entry isn't the owner", out);
         }
         let id = call.id;
-        self.insert(call, Stage::Reforward);
+        self.insert(now, call, Stage::Reforward);
         self.forward(now, id, out);
     }
 
@@ -195,6 +195,7 @@
             id: call.id,
             caller: call.caller.clone(),
             priority: call.priority,
+            arrived: now,
             deadline: call.deadline,
         };
         let times = self.times();
--- a/src/core/request/dispatcher/ending.rs
+++ b/src/core/request/dispatcher/ending.rs
@@ -80,7 +80,10 @@
             return;
         };
         let took = now.since(at);
-        self.usual[class].sample(took);
+        let is_plausible = took <= self.settings.slot.longest;
+        if is_plausible {
+            self.usual[class].sample(took);
+        }
         self.peers.detector.succeeded(target);
         let Some(peer) = self.peers.peers.get_mut(&target) else {
             return;
@@ -139,7 +142,7 @@
         let class = flight.call.priority as usize;
         let usual = self.usual[class].get().unwrap_or_default();
         let rules = self.settings.retry;
-        let latest = deadline - usual;
+        let latest = deadline - flight.item().bounded(usual);
         let Some(at) = rules.start(now, number, latest, &mut self.random) else {
             return false;
         };
--- a/src/core/request/dispatcher/flight.rs
+++ b/src/core/request/dispatcher/flight.rs
@@ -36,6 +36,7 @@
 #[state]
 pub(super) struct Flight {
     pub(super) call: Call,
+    pub(super) arrived: Instant,
     pub(super) stage: Stage,
     /// Attempts that were begun.
     pub(super) attempts: u32,
@@ -62,9 +63,10 @@
 }
 
 impl Flight {
-    pub(super) fn new(call: Call, stage: Stage) -> Flight {
+    pub(super) fn new(now: Instant, call: Call, stage: Stage) -> Flight {
         Flight {
             call,
+            arrived: now,
             stage,
             attempts: 0,
             may_have_run: false,
@@ -87,6 +89,7 @@
             id: self.call.id,
             caller: self.call.caller.clone(),
             priority: self.call.priority,
+            arrived: self.arrived,
             deadline: self.call.deadline,
         }
     }
--- a/src/core/request/dispatcher/state.rs
+++ b/src/core/request/dispatcher/state.rs
@@ -175,9 +175,9 @@
     }
 
     /// Puts a new request into the flights.
-    pub(super) fn insert(&mut self, call: Call, stage: Stage) {
+    pub(super) fn insert(&mut self, now: Instant, call: Call, stage: Stage) {
         let (id, deadline) = (call.id, call.deadline);
-        self.flights.insert(id, Flight::new(call, stage));
+        self.flights.insert(id, Flight::new(now, call, stage));
         self.set_timer(deadline, id, Alarm::Deadline);
     }
 
--- a/src/core/request/queue/mod.rs
+++ b/src/core/request/queue/mod.rs
@@ -55,6 +55,8 @@
     pub caller: Caller,
     /// Its class.
     pub priority: Priority,
+    /// When it arrived.
+    pub arrived: Instant,
     /// When its final answer is due.
     pub deadline: Instant,
 }
@@ -107,6 +109,9 @@
 /// The part of the deadline that is left for the target, in usual times.
 const SERVICE_MARGIN: u32 = 3;
 
+/// The estimated time at a target counts for no more than one part in so many of a request's time.
+const SERVICE_SHARE: u32 = 4;
+
 /// The shortest and longest time to come back that an overloaded queue names.
 const COME_BACK: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(50)..=Duration::from_secs(30);
@@ -150,6 +155,14 @@
     }
 }
 
+impl Item {
+    /// Bounds an estimated time at a target by a share of the request's whole time. An estimate may
+    /// be far off after a pause, and if nothing were sent for it, nothing would correct it.
+    pub fn bounded(&self, service: Duration) -> Duration {
+        service.min(self.deadline.since(self.arrived) / SERVICE_SHARE)
+    }
+}
+
 impl Queue {
     /// Makes an empty queue.
     pub fn new(rules: &Rules) -> Queue {
@@ -182,6 +195,7 @@
     pub fn check(&self, now: Instant, item: &Item, service: Duration) -> Result<(), Full> {
         let lane = &self.lanes[item.priority as usize];
         let wait = lane.wait(now);
+        let service = item.bounded(service);
         let late = now + wait * WAIT_MARGIN + service * SERVICE_MARGIN > item.deadline;
         let own = lane.line(&item.caller).map_or(0, |line| line.items.len());
         let full = lane.waiting >= lane.share.most || own >= lane.share.most_per_caller;
@@ -242,7 +256,7 @@
         let Some(item) = lane.pop() else {
             return;
         };
-        if now + service > item.deadline {
+        if now + item.bounded(service) > item.deadline {
             popped.dropped.push(item);
             return;
         }
--- a/tests/testsuite/request/parts.rs
+++ b/tests/testsuite/request/parts.rs
@@ -237,6 +237,7 @@
         id: Id(id),
         caller: Caller(caller.to_owned()),
         priority,
+        arrived: START,
         deadline: START + millis(span_ms),
     }
 }
@@ -301,6 +302,16 @@
     assert_eq!(popped.next.unwrap().id, Id(2));
 }
 
+#[test]
+fn estimate_far_off_drops_nothing_that_has_time() {
+    let mut queue = Queue::new(&queue::Rules::default());
+    let patient = item(1, "one", Priority::Lookup, 1000);
+    let times = [Duration::from_secs(60); 3];
+    assert!(queue.check(START, &patient, times[0]).is_ok());
+    queue.push(START, patient);
+    assert!(queue.pop(START, &rooms(5, 0), &times).next.is_some());
+}
+
 #[test]
 fn overload_is_refused_with_when_to_come_back() {
     let mut queue = Queue::new(&queue::Rules::default());
