--- a/crates/laburnum-measure/src/request.rs
+++ b/crates/laburnum-measure/src/request.rs
@@ -6,12 +6,14 @@
 
 mod baseline;
 mod fabric;
+mod outcome;
 mod owned;
 mod scenario;
 
 use std::time::Duration;
 
-use self::fabric::{Outcome, run as simulate};
+use self::fabric::run as simulate;
+use self::outcome::Outcome;
 use self::scenario::Scenario;
 use crate::report::{Report, Table};
 
--- a/src/core/request/dispatcher/mod.rs
+++ b/src/core/request/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 mod pump;
 mod state;
 mod target;
+mod upkeep;
 
 use std::time::Duration;
 
