Refuse new keys with the queue's own time to come back

Cause: an overloaded owner answered with the usual 200 ms, whatever the queue's estimate, and called a missing target a full queue. Ruled out: refusing before the table is asked; a repeat must still join. Conclusion: the dispatcher gives the reason along with the submission.

--- a/src/core/request/dedup/mod.rs
+++ b/src/core/request/dedup/mod.rs
@@ -35,6 +35,7 @@
 pub use self::recover::{Acquired, How, recover};
 pub use self::table::Table;
 use super::call::{Answer, Id};
+use crate::core::error::Error;
 use crate::core::id::Key;
 use crate::core::time::{Instant, Stamp};
 
@@ -80,7 +81,7 @@
 }
 
 /// A keyed request at the owner of its partition.
-#[value]
+#[message]
 pub struct Submission {
     /// The request.
     pub id: Id,
@@ -88,8 +89,8 @@
     pub key: Key,
     /// A hash over the method and the body.
     pub fingerprint: u64,
-    /// Whether the queue takes it if the key is new.
-    pub room: bool,
+    /// Why it can't be queued now, if it can't; a key that is not new doesn't need the queue.
+    pub refusal: Option<Error>,
 }
 
 /// An event for the table.
--- a/src/core/request/dedup/submit.rs
+++ b/src/core/request/dedup/submit.rs
@@ -9,8 +9,8 @@
 use crate::core::time::Stamp;
 
 impl Table {
-    pub(super) fn submit(&mut self, now: Now, submission: Submission, out: &mut Vec<Output>) {
-        let Submission { id, key, .. } = submission;
+    pub(super) fn submit(&mut self, now: Now, submission: &Submission, out: &mut Vec<Output>) {
+        let Submission { id, key, .. } = *submission;
         if now.instant >= self.standing.until {
             return refuse(
                 id,
@@ -40,8 +40,8 @@
     }
 
     /// Takes a key that surely has not run in this term, or refuses it.
-    pub(super) fn submit_new(&mut self, submission: Submission, out: &mut Vec<Output>) {
-        let Submission { id, key, .. } = submission;
+    pub(super) fn submit_new(&mut self, submission: &Submission, out: &mut Vec<Output>) {
+        let Submission { id, key, .. } = *submission;
         let Some(created) = key.created() else {
             let message = "the key is not a UUID version 7";
             return refuse(id, Kind::KeyRequired, message, out, Effect::NotRun);
@@ -57,10 +57,15 @@
             return refuse(id, Kind::AnswerLost, message, out, Effect::Unknown);
         }
         let is_full = !is_known && self.entries.len() >= self.rules.keys;
-        if is_full || !submission.room {
-            let message = "the queue is full; come back later";
+        if is_full {
+            let message = "too many keys are remembered; come back later";
             return refuse(id, Kind::Overloaded, message, out, Effect::NotRun);
         }
+        if let Some(error) = &submission.refusal {
+            let answer = Answer::from(error.clone()).with_effect(Effect::NotRun);
+            out.push(Output::Answer { id, answer });
+            return;
+        }
         let may_skip_log = self.may_skip_log(created);
         if !self.standing.log_up && !may_skip_log {
             let message = "the log is down; come back later";
@@ -70,13 +75,13 @@
     }
 
     /// Logs the intent of a key, and runs it if the intent need not be durable.
-    pub(super) fn start(&mut self, submission: Submission, out: &mut Vec<Output>) {
+    pub(super) fn start(&mut self, submission: &Submission, out: &mut Vec<Output>) {
         let Submission {
             id,
             key,
             fingerprint,
             ..
-        } = submission;
+        } = *submission;
         let attempt = self.next_attempt(key);
         let intent = Record::Intent {
             key,
--- a/src/core/request/dedup/table.rs
+++ b/src/core/request/dedup/table.rs
@@ -86,7 +86,7 @@
     pub fn step(&mut self, now: Now, input: Input, out: &mut Vec<Output>) {
         self.see(now);
         match input {
-            Input::Submit(submission) => self.submit(now, submission, out),
+            Input::Submit(submission) => self.submit(now, &submission, out),
             Input::Finished { id, key, outcome } => self.finish(id, key, outcome, out),
             Input::GaveUp { id, key, answer } => self.give_up(now, id, key, answer, out),
             Input::Left { id, key } => self.leave(id, key, out),
--- a/src/core/request/dispatcher/arrival.rs
+++ b/src/core/request/dispatcher/arrival.rs
@@ -4,11 +4,11 @@
 
 use super::flight::{Alarm, Stage};
 use super::{Dispatcher, Output, Owner, Reason, Report};
-use crate::core::error::{Effect, Kind};
+use crate::core::error::{Effect, Error, Kind};
 use crate::core::id::{Key, Partition};
 use crate::core::request::call::{Answer, Call, Id, Origin, Safety};
 use crate::core::request::dedup::Submission;
-use crate::core::request::queue::{Full, Item};
+use crate::core::request::queue::Item;
 use crate::core::request::route::Tier;
 use crate::core::time::Instant;
 
@@ -30,13 +30,7 @@
     }
 
     fn arrive_idempotent(&mut self, now: Instant, call: Call, out: &mut Vec<Output>) {
-        if !self.peers.has_usable(now) {
-            return refuse(&call, Kind::NoTarget, "no target can take the request", out);
-        }
-        if let Err(full) = self.check_room(now, &call) {
-            self.counters.refused += 1;
-            let error = crate::core::error::Error::new(Kind::Overloaded, "the queue is full")
-                .with_retry_after(full.retry_after);
+        if let Some(error) = self.refusal(now, &call) {
             out.push(Output::Answer(call.id, Answer::from(error)));
             return;
         }
@@ -55,14 +49,14 @@
         out: &mut Vec<Output>,
     ) {
         if self.owns(now, key) {
-            let has_room = self.peers.has_usable(now) && self.check_room(now, &call).is_ok();
+            let refusal = self.refusal(now, &call);
             let id = call.id;
             self.insert(now, call, Stage::Admitting);
             let submission = Submission {
                 id,
                 key,
                 fingerprint,
-                room: has_room,
+                refusal,
             };
             out.push(Output::Admit(self.partition(key), submission));
             return;
@@ -189,8 +183,11 @@
         }
     }
 
-    /// Checks whether the queue takes a request.
-    fn check_room(&self, now: Instant, call: &Call) -> Result<(), Full> {
+    /// Returns why a request can't be queued now, if it can't.
+    fn refusal(&mut self, now: Instant, call: &Call) -> Option<Error> {
+        if !self.peers.has_usable(now) {
+            return Some(Error::new(Kind::NoTarget, "no target can take the request"));
+        }
         let item = Item {
             id: call.id,
             caller: call.caller.clone(),
@@ -199,7 +196,11 @@
             deadline: call.deadline,
         };
         let times = self.times();
-        self.queue.check(now, &item, times[call.priority as usize])
+        let check = self.queue.check(now, &item, times[call.priority as usize]);
+        let full = check.err()?;
+        self.counters.refused += 1;
+        let error = Error::new(Kind::Overloaded, "the queue is full; come back later");
+        Some(error.with_retry_after(full.retry_after))
     }
 
     /// Notes who owns a partition, unless a later term is known. What an earlier term of this
--- a/tests/testsuite/request/dedup.rs
+++ b/tests/testsuite/request/dedup.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use laburnumplank::core::error::{Effect, Kind};
+use laburnumplank::core::error::{Effect, Error, Kind};
 use laburnumplank::core::id::Key;
 use laburnumplank::core::request::dedup::{
     Acquired, How, Input, Now, Outcome, Output, Record, Rules, Serial, Standing, Submission, Table,
@@ -124,7 +124,7 @@
             id: Id(id),
             key,
             fingerprint,
-            room: true,
+            refusal: None,
         }));
     }
 
@@ -190,6 +190,24 @@
     assert!(!owner.is_run(2) && !owner.is_run(3) && !next.is_run(4));
 }
 
+#[test]
+fn full_queue_refuses_new_keys_only() {
+    let mut owner = Owner::first();
+    owner.submit(1, key(0, 1));
+    let wait = Duration::from_secs(3);
+    let full = Error::new(Kind::Overloaded, "full").with_retry_after(wait);
+    for (id, key) in [(2, key(0, 1)), (3, key(0, 2))] {
+        owner.step(Input::Submit(Submission {
+            id: Id(id),
+            key,
+            fingerprint: 1,
+            refusal: Some(full.clone()),
+        }));
+    }
+    assert_eq!(owner.answer(2), None, "it joined the first");
+    assert_eq!(owner.answer(3), Some(&Answer::from(full)));
+}
+
 #[test]
 fn key_with_another_request_is_refused() {
     let mut owner = Owner::first();
