Tell the owner at once when slots were given back

Cause: slots that a member lost to another stayed counted for it until its next renewal. Ruled out: shorter renewals, which cost messages over the narrow link.

--- a/src/core/request/dispatcher/pump.rs
+++ b/src/core/request/dispatcher/pump.rs
@@ -168,7 +168,11 @@
         let Some(peer) = self.peers.peers.get_mut(&target) else {
             return;
         };
+        let held = peer.holder.held(now);
         peer.holder.grant(grant);
+        if peer.holder.held(now) < held {
+            peer.ask_soon();
+        }
         let most = peer.holder.connections(now);
         let closed = peer.pool.trim(now, most).into_iter();
         out.extend(closed.map(|connection| Output::Close(target, connection)));
--- a/src/core/request/dispatcher/target.rs
+++ b/src/core/request/dispatcher/target.rs
@@ -106,6 +106,11 @@
         is_due && has_business && !self.holder.is_asking(now)
     }
 
+    /// Lets the next ask come at once: it tells the owner that slots were given back.
+    pub(super) fn ask_soon(&mut self) {
+        self.asked = Instant(0);
+    }
+
     /// Closes all connections and returns them.
     pub(super) fn close(&mut self) -> Vec<Connection> {
         self.pool.clear()
