--- a/src/core/request/dispatcher/mod.rs
+++ b/src/core/request/dispatcher/mod.rs
@@ -17,6 +17,7 @@
 mod pump;
 mod state;
 mod target;
+mod upkeep;
 
 use std::time::Duration;
 
