Keep standbys while the log is down; measure with realistic numbers

A renewal in flight that names new standbys makes them promise, too, so a standby that appeared and died during an outage would have ended the ownership.

--- a/crates/laburnum-measure/src/lease/cell.rs
+++ b/crates/laburnum-measure/src/lease/cell.rs
@@ -29,6 +29,12 @@
 /// How many data centres the nodes are spread over.
 const DATA_CENTRES: u32 = 3;
 
+/// The number of each node's run, as large as one drawn from a wall clock in microseconds.
+pub(super) const RUN: Incarnation = Incarnation(1_790_000_000_000_000);
+
+/// The wall clock when the simulation begins, in milliseconds.
+const EPOCH_MS: u64 = 1_790_000_000_000;
+
 /// Something that will happen.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -102,7 +108,7 @@
         let live: Vec<u32> = live.collect();
         let member = |&vm: &u32| Member {
             vm: Vm(vm),
-            incarnation: Some(Incarnation(1)),
+            incarnation: Some(RUN),
         };
         let roster = Roster {
             version: 1,
@@ -172,7 +178,8 @@
     fn happen(&mut self, event: Event) {
         match event {
             Event::Tick(index) => {
-                self.step(index, Input::Tick(Stamp(self.now.0 / 1_000)));
+                let stamp = self.stamp();
+                self.step(index, Input::Tick(stamp));
                 self.push(TICK, Event::Tick(index));
             }
             Event::Land(record) => self.land(record),
@@ -180,16 +187,23 @@
                 while self.read[index] <= offset {
                     self.read(index);
                 }
-                self.step(index, Input::Tick(Stamp(self.now.0 / 1_000)));
+                let stamp = self.stamp();
+                self.step(index, Input::Tick(stamp));
             }
             Event::Deliver { from, to, message } => {
                 let message = &message;
                 self.step(to, Input::Deliver { from, message });
-                self.step(to, Input::Tick(Stamp(self.now.0 / 1_000)));
+                let stamp = self.stamp();
+                self.step(to, Input::Tick(stamp));
             }
         }
     }
 
+    /// Returns the wall-clock time.
+    fn stamp(&self) -> Stamp {
+        Stamp(EPOCH_MS + self.now.0 / 1_000)
+    }
+
     /// Lets a node read its next record.
     fn read(&mut self, index: usize) {
         let offset = self.read[index];
@@ -256,7 +270,7 @@
 pub(super) fn node(vm: u32) -> Node {
     Node {
         vm: Vm(vm),
-        incarnation: Incarnation(1),
+        incarnation: RUN,
     }
 }
 
--- a/crates/laburnum-measure/src/lease/cost.rs
+++ b/crates/laburnum-measure/src/lease/cost.rs
@@ -4,13 +4,13 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant as Clock};
 
-use laburnumplank::core::id::{Incarnation, Partition, Vm};
+use laburnumplank::core::id::{Partition, Vm};
 use laburnumplank::core::lease::{
     Claim, Input, Member, Record, Renewal, Roster, Settings, Table as Leases,
 };
 use laburnumplank::core::time::{Instant, Stamp};
 
-use super::cell::{node, preferences};
+use super::cell::{RUN, node, preferences};
 use crate::report::Table;
 
 /// How many nodes share the partitions.
@@ -21,7 +21,7 @@
     let vms: Vec<u32> = (0..NODES).collect();
     let member = |&vm: &u32| Member {
         vm: Vm(vm),
-        incarnation: Some(Incarnation(1)),
+        incarnation: Some(RUN),
     };
     let roster = Roster {
         version: 1,
@@ -65,7 +65,11 @@
 }
 
 /// Measures the processor time of a step.
-pub(super) fn steps() -> Table {
+///
+/// # Errors
+///
+/// Fails when the table does not take the renewals.
+pub(super) fn steps() -> eyre::Result<Table> {
     const REPEATS: u32 = 2_000;
     let columns = [
         "partitions",
@@ -83,7 +87,7 @@
             leases.step(now, Input::Tick(Stamp(0)), &mut out);
         }
         let tick = begun.elapsed() / REPEATS;
-        let read = read(&mut leases, REPEATS);
+        let read = read(&mut leases, REPEATS)?;
         let begun = Clock::now();
         let vms: Vec<u32> = (0..NODES).collect();
         black_box(preferences(&vms, partitions));
@@ -95,11 +99,11 @@
             format!("{:.1}", prefer.as_secs_f64() * 1e3),
         ]);
     }
-    table
+    Ok(table)
 }
 
 /// Measures the reading of a node's renewals, 16 partitions of one predecessor.
-fn read(leases: &mut Leases, repeats: u32) -> Duration {
+fn read(leases: &mut Leases, repeats: u32) -> eyre::Result<Duration> {
     const FIRST: u64 = 100_000;
     let mut claim = empty(1);
     claim.claims = (0..16)
@@ -131,25 +135,31 @@
     for (record, offset) in records.iter().zip(FIRST + 1..) {
         leases.step(now, Input::Read { offset, record }, &mut out);
     }
-    begun.elapsed() / repeats
+    let each = begun.elapsed() / repeats;
+    let snapshot = leases.snapshot();
+    let newest = snapshot.entries.first().map(|entry| entry.grant.offset);
+    eyre::ensure!(
+        newest == Some(last),
+        "the newest record is {newest:?}, not {last}"
+    );
+    Ok(each)
 }
 
 /// Measures the memory of a table.
 pub(super) fn memory() -> Table {
     const TABLES: usize = 20;
+    const PARTITIONS: u16 = 16_384;
     let columns = ["partitions", "B for each partition", "KiB a table"];
     let mut table = Table::new("Resident memory of a table", &columns);
-    for partitions in [4_096, 16_384] {
-        let before = resident();
-        let kept: Vec<Leases> = (0..TABLES).map(|_| leases(partitions)).collect();
-        let bytes = resident().saturating_sub(before) / TABLES as u64;
-        black_box(kept);
-        table.row([
-            partitions.to_string(),
-            format!("{:.0}", bytes as f64 / f64::from(partitions)),
-            (bytes / 1_024).to_string(),
-        ]);
-    }
+    let before = resident();
+    let kept: Vec<Leases> = (0..TABLES).map(|_| leases(PARTITIONS)).collect();
+    let bytes = resident().saturating_sub(before) / TABLES as u64;
+    black_box(kept);
+    table.row([
+        PARTITIONS.to_string(),
+        format!("{:.0}", bytes as f64 / f64::from(PARTITIONS)),
+        (bytes / 1_024).to_string(),
+    ]);
     table
 }
 
--- a/crates/laburnum-measure/src/lease/heartbeat.rs
+++ b/crates/laburnum-measure/src/lease/heartbeat.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use laburnumplank::core::id::{Incarnation, Node, Vm};
+use laburnumplank::core::id::{Node, Vm};
 use laburnumplank::core::membership::{Heartbeat, Input, Output, Settings, State, View};
 use laburnumplank::core::time::Instant;
 use laburnumplank::platform::vms;
 
-use super::cell::encoded;
+use super::cell::{RUN, encoded};
 use crate::report::Table;
 
 /// How long a round is.
@@ -38,7 +38,7 @@
         };
         let view = |id| {
             let vm = Vm(id);
-            let incarnation = Incarnation(1);
+            let incarnation = RUN;
             let mut view = View::new(Node { vm, incarnation }, Settings::builder().build());
             view.step(Instant(0), Input::List(&list), &mut Vec::new());
             (vm, view)
@@ -92,6 +92,7 @@
 
 /// Measures heartbeats against the size of a cell.
 pub(super) fn traffic() -> eyre::Result<Table> {
+    const WARM_UP: u32 = 600;
     const ROUNDS: u32 = 120;
     let columns = [
         "entries",
@@ -103,7 +104,7 @@
     let mut table = Table::new("Heartbeats", &columns);
     for count in [9, 40, 160, 320] {
         let mut cell = Cell::new(count);
-        (0..60).for_each(|_| cell.round());
+        (0..WARM_UP).for_each(|_| cell.round());
         (cell.messages, cell.bytes) = (0, 0);
         (0..ROUNDS).for_each(|_| cell.round());
         let each = (ROUND * ROUNDS).as_secs_f64() * f64::from(count);
--- a/crates/laburnum-measure/src/lease/mod.rs
+++ b/crates/laburnum-measure/src/lease/mod.rs
@@ -34,7 +34,7 @@
     report.plots.push(plot);
     report.tables.push(outage()?);
     report.tables.push(heartbeat::traffic()?);
-    report.tables.push(cost::steps());
+    report.tables.push(cost::steps()?);
     report.tables.push(cost::memory());
     Ok(report)
 }
@@ -48,15 +48,31 @@
 
 /// Measures the time without an owner after a node ended.
 fn takeover() -> eyre::Result<Table> {
-    let columns = ["end", "partitions seen", "p50 ms", "p99 ms", "max ms"];
+    let columns = [
+        "end",
+        "lease s",
+        "partitions seen",
+        "p50 ms",
+        "p99 ms",
+        "max ms",
+    ];
     let mut table = Table::new("Time without an owner, 9 entries, 64 partitions", &columns);
-    for (name, end) in [("kill", End::Kill), ("planned stop", End::Stop)] {
+    let ends = [
+        ("kill", 10, End::Kill),
+        ("kill", 5, End::Kill),
+        ("kill", 3, End::Kill),
+        ("planned stop", 10, End::Stop),
+    ];
+    for (name, lease, end) in ends {
+        let settings = Settings::builder().duration(Duration::from_secs(lease));
+        let settings = settings.build();
         let mut gaps = Histogram::<u64>::new(3)?;
         for seed in 0..20 {
-            watch(end, seed, &mut gaps)?;
+            watch(end, settings, seed, &mut gaps)?;
         }
         table.row([
             name.to_owned(),
+            lease.to_string(),
             gaps.len().to_string(),
             gaps.value_at_quantile(0.5).to_string(),
             gaps.value_at_quantile(0.99).to_string(),
@@ -67,10 +83,10 @@
 }
 
 /// Ends one node and records how long each of its partitions has no owner.
-fn watch(end: End, seed: u64, gaps: &mut Histogram<u64>) -> eyre::Result<()> {
+fn watch(end: End, settings: Settings, seed: u64, gaps: &mut Histogram<u64>) -> eyre::Result<()> {
     const NODES: u32 = 9;
     const PARTITIONS: u16 = 64;
-    let mut cell = Cell::new(NODES, PARTITIONS, Settings::default(), seed);
+    let mut cell = Cell::new(NODES, PARTITIONS, settings, seed);
     cell.run(Duration::from_millis(seed * 167));
     let ended = seed as usize % NODES as usize;
     let owned: Vec<u16> = (0..PARTITIONS)
--- a/src/core/lease/holder.rs
+++ b/src/core/lease/holder.rs
@@ -102,15 +102,18 @@
         has_gone && self.standbys(slot) != named
     }
 
-    /// Adds the renewal of one partition to its group.
+    /// Adds the renewal of one partition to its group. Standbys stay the same while the log is
+    /// down, since new ones would have to promise, too.
     fn renew(&mut self, now: Instant, index: usize, groups: &mut Groups) {
         let wanted = self.standbys(&self.slots[index]);
         let tells = self.settings.rules.tell_exposure;
+        let log_up = self.log_up;
         let slot = &mut self.slots[index];
         let (Some(head), Some(tenure)) = (&slot.head, &mut slot.tenure) else {
             return;
         };
-        let standbys = (wanted != head.grant.standbys).then_some(wanted);
+        let is_change = wanted != head.grant.standbys && log_up;
+        let standbys = is_change.then_some(wanted);
         let group = Group {
             predecessor: head.grant.offset,
             standbys,
--- a/src/core/lease/port.rs
+++ b/src/core/lease/port.rs
@@ -72,7 +72,7 @@
     },
 }
 
-/// A record to append. It may be retried unchanged; it replaces older ones not yet sent.
+/// A record to append. It may be retried unchanged until it expires, and replaces no other.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Append {
     /// The record.
--- a/tests/testsuite/lease/explore.rs
+++ b/tests/testsuite/lease/explore.rs
@@ -406,3 +406,20 @@
     println!("{outcome}");
     assert!(outcome.failure.is_some(), "not caught: {outcome}");
 }
+
+#[test]
+fn final_lapse_and_barred_promise_each_suffice() {
+    let offs: [fn(&mut Rules); 2] = [
+        |rules| rules.lapse_is_final = false,
+        |rules| rules.claim_bars_promise = false,
+    ];
+    for off in offs {
+        let mut rules = Rules::ALL;
+        off(&mut rules);
+        for from in [Start::Settled, Start::EndedLate] {
+            let outcome = explore(worlds(rules, true), LEASES, from, states(1_500));
+            println!("{from:?}: {outcome}");
+            assert!(outcome.failure.is_none(), "{outcome}");
+        }
+    }
+}
