--- a/src/core/membership/gossip.rs
+++ b/src/core/membership/gossip.rs
@@ -40,10 +40,12 @@
         }
         let vm = update.node.vm;
         let carries = self.carries();
+        let is_ordered = self.settings.rules.order;
         let before = self.state(vm);
         let entry = self.entry(now, vm);
         let known = entry.update;
-        if known.is_some_and(|known| !update.overrides(&known)) {
+        let is_older = known.is_some_and(|known| !update.overrides(&known));
+        if is_older && is_ordered {
             return;
         }
         entry.update = Some(update);
@@ -57,7 +59,7 @@
 
     /// Overrides what others wrongly say of this node.
     fn refute(&mut self, update: Update) {
-        if update.overrides(&self.own) {
+        if update.overrides(&self.own) && self.settings.rules.refute {
             self.own.count = update.count + 1;
         }
     }
--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -25,5 +25,5 @@
 
 pub use message::{Heartbeat, Status, Update};
 pub use port::{Dump, Input, Output, Row, State};
-pub use settings::{Builder, Place, Settings, Site};
+pub use settings::{Builder, Place, Rules, Settings, Site};
 pub use view::View;
--- a/src/core/membership/settings.rs
+++ b/src/core/membership/settings.rs
@@ -49,6 +49,30 @@
     pub updates: usize,
     /// The data centres.
     pub places: Vec<Place>,
+    /// Which rules are in force; all of them, except in tests that show what each is for.
+    #[doc(hidden)]
+    pub rules: Rules,
+}
+
+/// Rules that tests switch off to show that the checks notice.
+#[doc(hidden)]
+#[value]
+pub struct Rules {
+    /// An entry refutes what is wrongly said of it.
+    pub refute: bool,
+    /// An observer that was paused suspects nobody for its own silence.
+    pub notice_pause: bool,
+    /// Only greater updates are adopted.
+    pub order: bool,
+}
+
+impl Rules {
+    /// All rules.
+    pub const ALL: Rules = Rules {
+        refute: true,
+        notice_pause: true,
+        order: true,
+    };
 }
 
 impl Settings {
@@ -80,6 +104,7 @@
                 watchers: 2,
                 updates: 8,
                 places: Vec::new(),
+                rules: Rules::ALL,
             },
         }
     }
@@ -122,6 +147,13 @@
         self
     }
 
+    /// Sets which rules are in force.
+    #[doc(hidden)]
+    pub fn rules(mut self, rules: Rules) -> Builder {
+        self.settings.rules = rules;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/src/core/membership/watch.rs
+++ b/src/core/membership/watch.rs
@@ -15,7 +15,7 @@
     pub(super) fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
         let was_paused = now.since(self.ticked) >= self.settings.suspect_after / 2;
         self.ticked = now;
-        if was_paused {
+        if was_paused && self.settings.rules.notice_pause {
             self.watch_anew(now);
         }
         self.suspect(now, out);
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -6,7 +6,7 @@
 use laburnumplank::core::id::{DataCentre, Incarnation, Node, Partition, Region, Vm};
 use laburnumplank::core::membership::rendezvous::{Candidate, prefer};
 use laburnumplank::core::membership::{
-    Heartbeat, Input, Output, Place, Settings, Site, State, Status, Update, View,
+    Heartbeat, Input, Output, Place, Rules, Settings, Site, State, Status, Update, View,
 };
 use laburnumplank::core::time::Instant;
 use laburnumplank::platform::vms;
@@ -55,7 +55,7 @@
     }
 }
 
-fn settings() -> Settings {
+fn settings(rules: Rules) -> Settings {
     let place = |&(data_centre, region): &(u16, u16)| Place {
         name: format!("dc{data_centre}"),
         site: Site {
@@ -64,12 +64,13 @@
         },
     };
     let places = SITES.iter().map(place).collect();
-    Settings::builder().places(places).build()
+    Settings::builder().places(places).rules(rules).build()
 }
 
 /// Views of a whole cell that exchange heartbeats in rounds.
 struct Cell {
     now: Instant,
+    rules: Rules,
     views: BTreeMap<Vm, View>,
     inbox: Vec<(Vm, Heartbeat)>,
     outputs: Vec<Output>,
@@ -78,8 +79,13 @@
 
 impl Cell {
     fn new(count: u32) -> Cell {
+        Cell::with(count, Rules::ALL)
+    }
+
+    fn with(count: u32, rules: Rules) -> Cell {
         let mut cell = Cell {
             now: Instant(60_000_000),
+            rules,
             views: BTreeMap::new(),
             inbox: Vec::new(),
             outputs: Vec::new(),
@@ -90,7 +96,7 @@
     }
 
     fn begin(&mut self, vm: u32, incarnation: u64, list: &vms::List) {
-        let mut view = View::new(node(vm, incarnation), settings());
+        let mut view = View::new(node(vm, incarnation), settings(self.rules));
         view.step(self.now, Input::List(list), &mut Vec::new());
         self.views.insert(Vm(vm), view);
     }
@@ -274,15 +280,38 @@
     assert_eq!(view.roster().version, 2);
 }
 
-#[test]
-fn paused_observer_suspects_nobody() {
-    let mut cell = Cell::new(20);
+/// Returns whether an entry that was paused for 30 s suspects others when it goes on.
+fn paused_observer_suspects(rules: Rules) -> bool {
+    let mut cell = Cell::with(20, rules);
     cell.rounds(20, &[]);
     cell.rounds(60, &[3]);
     cell.inbox.clear();
     cell.round(&[]);
     let observer = &cell.views[&Vm(3)];
-    assert!((0..20).all(|vm| observer.state(Vm(vm)) == Some(State::Live)));
+    !(0..20).all(|vm| observer.state(Vm(vm)) == Some(State::Live))
+}
+
+#[test]
+fn paused_observer_suspects_nobody() {
+    assert!(!paused_observer_suspects(Rules::ALL));
+}
+
+#[test]
+fn without_noticing_a_pause_is_caught() {
+    let mut rules = Rules::ALL;
+    rules.notice_pause = false;
+    assert!(paused_observer_suspects(rules));
+}
+
+#[test]
+fn without_refuting_is_caught() {
+    let mut rules = Rules::ALL;
+    rules.refute = false;
+    let mut cell = Cell::with(20, rules);
+    cell.rounds(20, &[]);
+    cell.rounds_until(3, State::Suspect, &[3]);
+    cell.rounds(60, &[]);
+    assert!(!cell.all_see(3, State::Live));
 }
 
 #[test]
@@ -311,8 +340,8 @@
     })
 }
 
-fn learnt(updates: &[Update]) -> Vec<(Option<State>, Option<Incarnation>)> {
-    let mut view = View::new(node(0, 1), settings());
+fn learnt(updates: &[Update], rules: Rules) -> Vec<(Option<State>, Option<Incarnation>)> {
+    let mut view = View::new(node(0, 1), settings(rules));
     let now = Instant(0);
     view.step(now, Input::List(&list(1, 0..4)), &mut Vec::new());
     for update in updates {
@@ -332,6 +361,25 @@
     (1..3).map(state).collect()
 }
 
+#[test]
+fn without_order_of_updates_is_caught() {
+    let mut rules = Rules::ALL;
+    rules.order = false;
+    let update = |count| Update {
+        node: node(1, 1),
+        count,
+        status: Status::Alive,
+    };
+    let suspect = Update {
+        status: Status::Suspect,
+        ..update(0)
+    };
+    let one = [suspect, update(1)];
+    let other = [update(1), suspect];
+    assert_eq!(learnt(&one, Rules::ALL), learnt(&other, Rules::ALL));
+    assert_ne!(learnt(&one, rules), learnt(&other, rules));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: std::env::var("PROPTEST_CASES").map_or(256, |text| text.parse().unwrap()),
@@ -350,6 +398,6 @@
             let extra = order.iter().map(|index| *index.get(&updates));
             shuffled = extra.chain(updates.iter().rev().copied()).collect();
         }
-        prop_assert_eq!(learnt(&updates), learnt(&shuffled));
+        prop_assert_eq!(learnt(&updates, Rules::ALL), learnt(&shuffled, Rules::ALL));
     }
 }
