--- a/src/core/lease/reader.rs
+++ b/src/core/lease/reader.rs
@@ -244,6 +244,14 @@
                 end(slot, index, out);
                 slot.exposed = false;
             }
+            let is_own = grant.holder == self.node;
+            let is_known = slot
+                .head
+                .as_ref()
+                .is_some_and(|head| head.grant.epoch == grant.epoch);
+            if !is_known {
+                slot.gate = slot.restored_gate(grant).or(slot.gate).filter(|_| is_own);
+            }
             let grant = grant.clone();
             slot.advance(Head { grant, ends });
             self.concern(index);
@@ -269,6 +277,17 @@
     }
 }
 
+impl Slot {
+    /// Returns what this node waits for when it learns from a snapshot that its claim was valid.
+    /// The snapshot does not say what the claim succeeded, so any offer counts as accepted.
+    fn restored_gate(&self, grant: &Grant) -> Option<Gate> {
+        let claim = grant.epoch.0;
+        let has_yielded = self.yielded.is_some_and(|yielded| yielded.claim == claim);
+        let until = self.offer.filter(|_| !has_yielded)?.ends;
+        Some(Gate { claim, until })
+    }
+}
+
 /// Returns how an ownership of `node` by `claim` begins, when the slot still shows what it succeeds.
 fn origin(slot: &Slot, node: Node, claim: &Claim) -> Origin {
     let Some(head) = &slot.head else {
--- a/tests/testsuite/lease/table.rs
+++ b/tests/testsuite/lease/table.rs
@@ -235,3 +235,24 @@
     assert!(world.owners().next().is_none());
     assert!(!world.procs[0].may_dispatch());
 }
+
+#[test]
+fn claim_learnt_from_a_snapshot_waits_for_the_holder() {
+    let mut world = world(Rules::ALL);
+    let (record, stays) = (0, false);
+    world.act(Action::Shift(0));
+    world.act(Action::Shift(0));
+    world.act(Action::Advance);
+    world.act(Action::Advance);
+    world.act(Action::Tick(0));
+    world.deliver_all();
+    world.act(Action::Tick(3));
+    world.act(Action::Land { record, stays });
+    world.act(Action::Read(4));
+    world.act(Action::Restore(3));
+    world.act(Action::Tick(3));
+    assert_eq!(world.flying(), 1);
+    world.act(Action::Land { record, stays });
+    world.act(Action::Read(3));
+    world.check().unwrap();
+}
