--- /dev/null
+++ b/src/core/placement/cell/admit.rs
@@ -0,0 +1,94 @@
+//! Refusing jobs that could never run.
+
+use super::Cell;
+use crate::core::error::{Error, Kind, Result};
+use crate::core::placement::job::Job;
+use crate::core::placement::policy::Policy;
+use crate::core::resource::Amount;
+use crate::core::workload::Class;
+
+impl<P: Policy> Cell<P> {
+    /// Returns whether the job could ever run here.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Impossible`] with the resource and the largest worker, when no worker could hold a
+    /// task, all workers together could not hold a gang, or the team's ceiling forbids it.
+    /// [`Kind::Malformed`] when the job has no task or no attempt.
+    pub fn admit(&self, job: &Job) -> Result<()> {
+        if job.tasks == 0 || job.max_attempts == 0 {
+            return Err(Error::new(
+                Kind::Malformed,
+                "a job needs at least one task and one attempt",
+            ));
+        }
+        let at_once = match job.class {
+            Class::Gang => u64::from(job.tasks),
+            _ => 1,
+        };
+        self.admit_quota(job, at_once)?;
+        self.admit_size(job, at_once)
+    }
+
+    /// Refuses what the team's ceiling never allows.
+    fn admit_quota(&self, job: &Job, at_once: u64) -> Result<()> {
+        let Some(quota) = self.settings.quotas.get(&job.team) else {
+            return Ok(());
+        };
+        if job.size.times(at_once).fits(quota.ceiling) {
+            return Ok(());
+        }
+        let message = format!(
+            "the job needs more at once than the ceiling of team {}",
+            job.team.0
+        );
+        Err(Error::new(Kind::Impossible, message))
+    }
+
+    /// Refuses what no worker, or not all workers together, could hold.
+    fn admit_size(&self, job: &Job, at_once: u64) -> Result<()> {
+        if self.sizes.is_empty() {
+            return Ok(());
+        }
+        let holds =
+            |(size, count): (&Amount, &u32)| times_within(job.size, *size) * u64::from(*count);
+        let held: u64 = self.sizes.iter().map(holds).sum();
+        if held >= at_once {
+            return Ok(());
+        }
+        let largest = self
+            .sizes
+            .keys()
+            .fold(Amount::default(), |all, size| all.max(*size));
+        let message = match short_of(job.size, largest) {
+            Some(resource) => format!(
+                "a task needs more {resource} than the largest worker has \
+                 ({} thousandths of a core, {} MiB, {} accelerators)",
+                largest.cpu_millis, largest.memory_mib, largest.accelerators
+            ),
+            None if held == 0 => "no worker has all that a task needs at once".to_owned(),
+            None => format!("the workers together hold {held} of {at_once} tasks at once"),
+        };
+        Err(Error::new(Kind::Impossible, message))
+    }
+}
+
+/// Returns how many times `part` fits into `whole`.
+pub(super) fn times_within(part: Amount, whole: Amount) -> u64 {
+    let times = |part: u64, whole: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+    times(part.cpu_millis, whole.cpu_millis)
+        .min(times(part.memory_mib, whole.memory_mib))
+        .min(times(part.accelerators, whole.accelerators))
+        .min(u64::from(u32::MAX))
+}
+
+/// Returns the first resource of which `part` needs more than `whole` has.
+fn short_of(part: Amount, whole: Amount) -> Option<&'static str> {
+    if part.cpu_millis > whole.cpu_millis {
+        return Some("processors");
+    }
+    if part.memory_mib > whole.memory_mib {
+        return Some("memory");
+    }
+    (part.accelerators > whole.accelerators).then_some("accelerators")
+}
--- /dev/null
+++ b/src/core/placement/cell/explain.rs
@@ -0,0 +1,140 @@
+//! Why a job waits.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::Cell;
+use super::jobs::place;
+use crate::core::id;
+use crate::core::placement::policy::{Ask, Policy, Refusal, check};
+use crate::core::placement::table::{JobKey, Standing, TaskPhase, WorkerEntry};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+
+/// What a job waits for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Waiting {
+    /// Nothing: no task of it waits.
+    Nothing,
+    /// The end of leases that a previous owner may have given without records.
+    Takeover,
+    /// Its turn: some worker could take a task now.
+    Turn,
+    /// The team holds as much as its ceiling allows.
+    Quota,
+    /// A worker with room.
+    Worker,
+    /// The workers that are reserved for it.
+    Reservation,
+    /// Lost tasks are queued again at a limited pace.
+    Pace,
+}
+
+/// Why a job waits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Explanation {
+    /// What it waits for.
+    pub waiting: Waiting,
+    /// How many workers each filter refused.
+    pub refused: BTreeMap<Refusal, usize>,
+    /// How many workers could take a task.
+    pub suited: usize,
+    /// How many jobs are served before it, while it is queued.
+    pub position: Option<usize>,
+    /// When it is expected to start, if that can be said.
+    pub expected: Option<Instant>,
+}
+
+impl<P: Policy> Cell<P> {
+    /// Returns why a job waits, if it has not ended. Looks at every worker.
+    pub fn explain(&self, id: id::Job) -> Option<Explanation> {
+        let key = *self.job_ids.get(&id)?;
+        let job = &self.jobs[key];
+        let mut ask = Ask::new(key, job, self.now, self.predict(key));
+        ask.is_aged = self.is_aged(job);
+        let mut refused = BTreeMap::new();
+        let mut suited = 0;
+        for worker in self.workers.values() {
+            match check(&ask, worker) {
+                Some(refusal) => *refused.entry(refusal).or_default() += 1,
+                None => suited += 1,
+            }
+        }
+        let lane = job.lane;
+        Some(Explanation {
+            waiting: self.waiting(key, suited),
+            refused,
+            suited,
+            position: lane.map(|lane| self.queue.position(lane, place(job))),
+            expected: self.expected(key, suited),
+        })
+    }
+
+    /// Returns what a job waits for.
+    fn waiting(&self, key: JobKey, suited: usize) -> Waiting {
+        let job = &self.jobs[key];
+        let is_delayed = job
+            .tasks
+            .iter()
+            .any(|task| task.phase == TaskPhase::Delayed);
+        if job.is_held {
+            return Waiting::Takeover;
+        }
+        if job.queued == 0 || job.ending.is_some() {
+            return match is_delayed {
+                true => Waiting::Pace,
+                false => Waiting::Nothing,
+            };
+        }
+        if !self.teams[job.team].allows(job.claim) {
+            return Waiting::Quota;
+        }
+        if self.reserved_start(key).is_some() {
+            return Waiting::Reservation;
+        }
+        match suited {
+            0 => Waiting::Worker,
+            _ => Waiting::Turn,
+        }
+    }
+
+    /// Returns when a waiting job is expected to start: at its reservation, or when enough of one
+    /// worker's tasks are expected to have ended.
+    fn expected(&self, key: JobKey, suited: usize) -> Option<Instant> {
+        let job = &self.jobs[key];
+        if job.queued == 0 || job.ending.is_some() {
+            return None;
+        }
+        if let Some(at) = self.reserved_start(key) {
+            return Some(at);
+        }
+        if suited > 0 {
+            return Some(self.now);
+        }
+        let room_at = |worker| self.room_at(worker, job.claim);
+        self.workers.values().filter_map(room_at).min()
+    }
+
+    /// Returns when a worker is expected to have room.
+    fn room_at(&self, worker: &WorkerEntry, need: Amount) -> Option<Instant> {
+        if worker.standing != Standing::Ready {
+            return None;
+        }
+        let attempts = worker.attempts.iter().map(|&key| &self.attempts[key]);
+        let mut ends: Vec<_> = attempts
+            .filter(|attempt| attempt.ends_at != Instant(u64::MAX))
+            .map(|attempt| (attempt.ends_at.max(self.now), attempt.accounted))
+            .collect();
+        ends.sort_unstable();
+        let mut room = worker.room();
+        for (at, amount) in ends {
+            room += amount;
+            if need.fits(room) {
+                return Some(at);
+            }
+        }
+        None
+    }
+}
--- a/src/core/placement/cell/hold.rs
+++ b/src/core/placement/cell/hold.rs
@@ -1,45 +1,33 @@
-//! Making room: reservations and pre-emption.
+//! Keeping room for jobs: reservations.
 //!
 //! A reservation is made whole: for a gang, it names workers that together will hold all its tasks.
 //! No job ever holds part of what it needs while it waits for the rest, so two gangs can't block
 //! each other. Other work may use reserved workers as long as it is expected to end before the
-//! reserving job can start (backfilling, after Lifka's EASY scheduler). Pre-emption checkpoints
-//! batch tasks and keeps the room for the job that it was made for.
+//! reserving job can start (backfilling, after Lifka's EASY scheduler).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::Cell;
-use super::jobs::times_within;
+use super::admit::times_within;
+use super::preempt::Victims;
 use crate::core::placement::message::Output;
 use crate::core::placement::policy::Policy;
 use crate::core::placement::queue::Lane;
-use crate::core::placement::table::{
-    AttemptKey, Hold, Intent, JobKey, Phase, Standing, WorkerEntry, WorkerKey,
-};
+use crate::core::placement::table::{Hold, JobKey, Standing, WorkerEntry, WorkerKey};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 use crate::core::workload::Class;
-use crate::platform::worker::Action;
 
 /// The most workers looked at for one reservation.
 const MAX_RESERVE_LOOKS: usize = 8_192;
 
-/// The most workers looked at for one pre-emption.
-const MAX_PREEMPT_LOOKS: usize = 4_096;
-
-/// How many ways to pre-empt are compared.
-const ENOUGH_WAYS: usize = 4;
-
 /// How many waiting urgent jobs of a lane are given room at once.
-const MAX_URGENT: usize = 32;
+pub(super) const MAX_URGENT: usize = 32;
 
 /// The shortest span between two searches for a reservation.
 const RESERVE_EVERY: Duration = Duration::from_secs(1);
 
-/// The shortest span from a search for tasks to pre-empt that found none to the next.
-const PREEMPT_EVERY: Duration = Duration::from_millis(100);
-
 /// After a reservation that came to nothing, the job makes none for this span.
 const RESERVE_BACKOFF: Duration = Duration::from_secs(30);
 
@@ -58,27 +46,9 @@
     /// No search for a reservation before this time.
     search_from: Instant,
     /// No search for tasks to pre-empt before this time.
-    preempt_from: Instant,
+    pub(super) preempt_from: Instant,
     /// Where the next search begins in the roster.
-    cursor: usize,
-}
-
-/// Which tasks may be checkpointed for other work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Victims {
-    /// All batch tasks.
-    Batch,
-    /// Batch tasks of teams above their share.
-    Borrowed,
-}
-
-/// A way to make room on one worker.
-#[derive(Debug)]
-struct Way {
-    worker: WorkerKey,
-    attempts: Vec<AttemptKey>,
-    /// The run time that is lost if the checkpoints fail.
-    work: Duration,
+    pub(super) cursor: usize,
 }
 
 /// When a worker can hold how many tasks.
@@ -145,47 +115,8 @@
         }
     }
 
-    /// Returns whether the job's team would stay within its share with one more task.
-    fn is_within_share(&self, key: JobKey) -> bool {
-        let job = &self.jobs[key];
-        let team = &self.teams[job.team];
-        let fits = |share: Amount| (team.used + job.claim).fits(share);
-        team.quota.is_none_or(|quota| fits(quota.share))
-    }
-
-    /// Pre-empts for the waiting tasks of one job; returns whether room is on the way for all.
-    fn preempt_for(&mut self, key: JobKey, victims: Victims, out: &mut Vec<Output>) -> bool {
-        let has_borrowers = || self.teams.values().any(|team| team.borrows);
-        let is_early = self.now < self.holds.preempt_from;
-        if is_early || (victims == Victims::Borrowed && !has_borrowers()) {
-            return false;
-        }
-        let wanted = (self.jobs[key].queued as usize).min(MAX_URGENT);
-        let held = self.holds.workers(key).count();
-        for _ in held..wanted {
-            let Some(way) = self.find_way(self.jobs[key].claim, victims) else {
-                self.holds.preempt_from = self.now + PREEMPT_EVERY;
-                return false;
-            };
-            self.preempt(key, way, out);
-        }
-        true
-    }
-
-    /// Checkpoints tasks and keeps the room for a job.
-    fn preempt(&mut self, key: JobKey, way: Way, out: &mut Vec<Output>) {
-        let knobs = &self.settings.knobs;
-        let starts_at = self.now + knobs.checkpoint_grace;
-        let until = starts_at + knobs.checkpoint_grace * 2 + knobs.inventory_every * 2;
-        self.keep(key, &[way.worker], starts_at, until, false);
-        for attempt in way.attempts {
-            self.counters.preempted += 1;
-            self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
-        }
-    }
-
     /// Keeps workers for a job.
-    fn keep(
+    pub(super) fn keep(
         &mut self,
         job: JobKey,
         workers: &[WorkerKey],
@@ -205,68 +136,6 @@
         }
     }
 
-    /// Finds the least costly way to make room for `need` on one of the workers looked at.
-    fn find_way(&mut self, need: Amount, victims: Victims) -> Option<Way> {
-        let count = self.roster.len();
-        let start = self.holds.cursor;
-        let mut best: Option<Way> = None;
-        let mut found = 0;
-        for step in 0..count.min(MAX_PREEMPT_LOOKS) {
-            let worker = self.roster[(start + step) % count];
-            self.holds.cursor = (start + step + 1) % count;
-            let Some(way) = self.way(worker, need, victims) else {
-                continue;
-            };
-            found += 1;
-            let cost = |way: &Way| (way.attempts.len(), way.work);
-            if best.as_ref().is_none_or(|best| cost(&way) < cost(best)) {
-                best = Some(way);
-            }
-            if found >= ENOUGH_WAYS {
-                break;
-            }
-        }
-        best
-    }
-
-    /// Returns how room for `need` can be made on a worker, ending the youngest tasks first.
-    fn way(&self, worker: WorkerKey, need: Amount, victims: Victims) -> Option<Way> {
-        let entry = &self.workers[worker];
-        let is_usable = entry.standing == Standing::Ready && entry.reserved.is_none();
-        if !is_usable || !need.fits(entry.size) || entry.health.is_quarantined(self.now) {
-            return None;
-        }
-        let mut candidates: Vec<AttemptKey> = entry.attempts.clone();
-        candidates.retain(|&attempt| self.is_victim(attempt, victims));
-        candidates.sort_by_key(|&attempt| std::cmp::Reverse(self.attempts[attempt].started_at));
-        let mut way = Way {
-            worker,
-            attempts: Vec::new(),
-            work: Duration::ZERO,
-        };
-        let mut used = entry.used;
-        for attempt in candidates {
-            if need.fits(entry.size - used) {
-                break;
-            }
-            used -= self.attempts[attempt].accounted;
-            way.work += self.now.since(self.attempts[attempt].started_at);
-            way.attempts.push(attempt);
-        }
-        need.fits(entry.size - used).then_some(way)
-    }
-
-    /// Returns whether an attempt may be checkpointed for other work.
-    fn is_victim(&self, key: AttemptKey, victims: Victims) -> bool {
-        let attempt = &self.attempts[key];
-        let Some(job) = attempt.job.map(|job| &self.jobs[job]) else {
-            return false;
-        };
-        let is_running = attempt.phase == Phase::Running && attempt.intent == Intent::Run;
-        let is_borrowed = victims == Victims::Batch || self.teams[job.team].borrows;
-        is_running && job.spec.class == Class::Batch && is_borrowed
-    }
-
     /// Reserves workers for all tasks that the job needs at once, or none.
     fn reserve(&mut self, key: JobKey, returns: bool, out: &mut Vec<Output>) {
         let is_early = self.now < self.holds.search_from || self.now < self.jobs[key].reserve_from;
@@ -295,16 +164,6 @@
         }
     }
 
-    /// Checkpoints borrowed batch tasks on a reserved worker.
-    fn claim_back(&mut self, worker: WorkerKey, out: &mut Vec<Output>) {
-        for attempt in self.workers[worker].attempts.clone() {
-            if self.is_victim(attempt, Victims::Borrowed) {
-                self.counters.preempted += 1;
-                self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
-            }
-        }
-    }
-
     /// Chooses the workers that can hold `needed` tasks soonest.
     fn choose_prospects(&mut self, size: Amount, needed: u64) -> Option<Vec<Prospect>> {
         let count = self.roster.len();
--- /dev/null
+++ b/src/core/placement/cell/judge.rs
@@ -0,0 +1,69 @@
+//! Who is at fault when an attempt fails: the worker or the job.
+
+use super::Cell;
+use crate::core::id;
+use crate::core::placement::job::End;
+use crate::core::placement::policy::Policy;
+use crate::core::placement::table::{JobEntry, JobKey, Tried, WorkerKey};
+use crate::core::resource::Amount;
+
+impl<P: Policy> Cell<P> {
+    /// Notes a failure against a worker, unless the job is suspect itself.
+    pub(super) fn blame(&mut self, worker: WorkerKey, job: JobKey) {
+        let base = self.settings.knobs.quarantine;
+        let id = self.jobs[job].spec.id;
+        let is_suspect = |job: id::Job| match self.job_ids.get(&job) {
+            Some(&key) => is_suspect(&self.jobs[key]),
+            None => self
+                .ended_ids
+                .get(&job)
+                .is_none_or(|ended| ended.end != End::Succeeded),
+        };
+        let health = &mut self.workers[worker].health;
+        if health.fail(self.now, id, base, is_suspect) {
+            self.counters.quarantined += 1;
+            self.refresh_index(worker);
+        }
+    }
+
+    /// Fails a job when one of its tasks has failed often enough on workers that are not themselves
+    /// at fault.
+    pub(super) fn judge(&mut self, key: JobKey, task: u32) {
+        let is_at_fault = |tried: &Tried| {
+            let worker = self.worker_ids.get(&tried.worker);
+            worker.is_some_and(|&worker| self.workers[worker].health.is_on_probation())
+        };
+        let job = &self.jobs[key];
+        let failures = job
+            .tried
+            .iter()
+            .filter(|tried| tried.task == task && !is_at_fault(tried))
+            .count();
+        if failures >= job.spec.max_attempts as usize {
+            self.end(key, End::Failed);
+        }
+    }
+
+    /// Takes note that an attempt was ended because it used `used`: the job is granted that much
+    /// from now on, or the attempt counts as a failure when that could never be placed.
+    pub(super) fn outgrow(&mut self, key: JobKey, tried: Tried, used: Amount) {
+        let mut wish = self.jobs[key].spec.clone();
+        wish.size = self.jobs[key].claim.max(used);
+        if self.admit(&wish).is_ok() {
+            self.dequeue(key);
+            self.jobs[key].claim = wish.size;
+            return;
+        }
+        self.jobs[key].tried.push(tried);
+        self.judge(key, tried.task);
+    }
+}
+
+/// Returns whether a job failed on several workers and never succeeded.
+fn is_suspect(job: &JobEntry) -> bool {
+    let elsewhere = job
+        .tried
+        .first()
+        .is_some_and(|first| job.tried.iter().any(|tried| tried.worker != first.worker));
+    job.succeeded == 0 && elsewhere
+}
--- a/src/core/placement/cell/mod.rs
+++ b/src/core/placement/cell/mod.rs
@@ -2,26 +2,34 @@
 //!
 //! [`Cell::step`] takes one event and hands it to the part that it concerns: [`workers`] follows
 //! the VM list and looks after each worker, [`reports`] takes in what workers say, [`jobs`] accepts
-//! and ends jobs, [`place`] decides, [`hold`] reserves and pre-empts, [`journal`] groups records
-//! and releases starts, [`recover`] rebuilds the state. Placement happens on ticks only, so that
+//! and ends jobs, [`tasks`] leads tasks from attempt to attempt, [`place`] decides, [`hold`] and
+//! [`preempt`] make room, [`journal`] groups records and releases starts, [`recover`] rebuilds. Placement happens on ticks only, so that
 //! the decisions of one tick share one group commit.
 
+mod admit;
+mod explain;
+mod gangs;
 mod hold;
 mod jobs;
 mod journal;
+mod judge;
 mod ledger;
 mod overrun;
 mod place;
+mod preempt;
 mod query;
 mod recover;
+mod replay;
 mod reports;
+mod tasks;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use slotmap::SlotMap;
 
-pub use query::{Dump, Explanation, JobStatus, QuotaStatus, Stage, Waiting, WorkerStatus};
+pub use explain::{Explanation, Waiting};
+pub use query::{Dump, JobStatus, QuotaStatus, Stage, WorkerStatus};
 pub use recover::Recovery;
 
 use super::history::History;
@@ -98,7 +106,7 @@
     ended_ids: HashMap<id::Job, jobs::Summary>,
     stopping: VecDeque<jobs::Stopping>,
     gangs: BTreeSet<(Instant, JobKey)>,
-    lost: BTreeSet<jobs::Lost>,
+    lost: BTreeSet<tasks::Lost>,
     released_at: Instant,
 
     teams: SlotMap<TeamKey, TeamEntry>,
--- /dev/null
+++ b/src/core/placement/cell/preempt.rs
@@ -0,0 +1,160 @@
+//! Checkpointing batch tasks for work that must not wait.
+//!
+//! Urgent work may take the place of any batch task; a team within its share takes back what others
+//! borrowed. The room is kept for the job that it was made for.
+
+use std::time::Duration;
+
+use super::Cell;
+use super::hold::MAX_URGENT;
+use crate::core::placement::message::Output;
+use crate::core::placement::policy::Policy;
+use crate::core::placement::table::{AttemptKey, Intent, JobKey, Phase, Standing, WorkerKey};
+use crate::core::resource::Amount;
+use crate::core::workload::Class;
+use crate::platform::worker::Action;
+
+/// The most workers looked at for one pre-emption.
+const MAX_PREEMPT_LOOKS: usize = 4_096;
+
+/// How many ways to pre-empt are compared.
+const ENOUGH_WAYS: usize = 4;
+
+/// The shortest span from a search for tasks to pre-empt that found none to the next.
+const PREEMPT_EVERY: Duration = Duration::from_millis(100);
+
+/// Which tasks may be checkpointed for other work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Victims {
+    /// All batch tasks.
+    Batch,
+    /// Batch tasks of teams above their share.
+    Borrowed,
+}
+
+/// A way to make room on one worker.
+#[derive(Debug)]
+struct Way {
+    worker: WorkerKey,
+    attempts: Vec<AttemptKey>,
+    /// The run time that is lost if the checkpoints fail.
+    work: Duration,
+}
+
+impl<P: Policy> Cell<P> {
+    /// Returns whether the job's team would stay within its share with one more task.
+    pub(super) fn is_within_share(&self, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        let team = &self.teams[job.team];
+        let fits = |share: Amount| (team.used + job.claim).fits(share);
+        team.quota.is_none_or(|quota| fits(quota.share))
+    }
+
+    /// Pre-empts for the waiting tasks of one job; returns whether room is on the way for all.
+    pub(super) fn preempt_for(
+        &mut self,
+        key: JobKey,
+        victims: Victims,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let has_borrowers = || self.teams.values().any(|team| team.borrows);
+        let is_early = self.now < self.holds.preempt_from;
+        if is_early || (victims == Victims::Borrowed && !has_borrowers()) {
+            return false;
+        }
+        let wanted = (self.jobs[key].queued as usize).min(MAX_URGENT);
+        let held = self.holds.workers(key).count();
+        for _ in held..wanted {
+            let Some(way) = self.find_way(self.jobs[key].claim, victims) else {
+                self.holds.preempt_from = self.now + PREEMPT_EVERY;
+                return false;
+            };
+            self.preempt(key, way, out);
+        }
+        true
+    }
+
+    /// Checkpoints tasks and keeps the room for a job.
+    fn preempt(&mut self, key: JobKey, way: Way, out: &mut Vec<Output>) {
+        let knobs = &self.settings.knobs;
+        let starts_at = self.now + knobs.checkpoint_grace;
+        let until = starts_at + knobs.checkpoint_grace * 2 + knobs.inventory_every * 2;
+        self.keep(key, &[way.worker], starts_at, until, false);
+        for attempt in way.attempts {
+            self.counters.preempted += 1;
+            self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
+        }
+    }
+
+    /// Finds the least costly way to make room for `need` on one of the workers looked at.
+    fn find_way(&mut self, need: Amount, victims: Victims) -> Option<Way> {
+        let count = self.roster.len();
+        let start = self.holds.cursor;
+        let mut best: Option<Way> = None;
+        let mut found = 0;
+        for step in 0..count.min(MAX_PREEMPT_LOOKS) {
+            let worker = self.roster[(start + step) % count];
+            self.holds.cursor = (start + step + 1) % count;
+            let Some(way) = self.way(worker, need, victims) else {
+                continue;
+            };
+            found += 1;
+            let cost = |way: &Way| (way.attempts.len(), way.work);
+            if best.as_ref().is_none_or(|best| cost(&way) < cost(best)) {
+                best = Some(way);
+            }
+            if found >= ENOUGH_WAYS {
+                break;
+            }
+        }
+        best
+    }
+
+    /// Returns how room for `need` can be made on a worker, ending the youngest tasks first.
+    fn way(&self, worker: WorkerKey, need: Amount, victims: Victims) -> Option<Way> {
+        let entry = &self.workers[worker];
+        let is_usable = entry.standing == Standing::Ready && entry.reserved.is_none();
+        if !is_usable || !need.fits(entry.size) || entry.health.is_quarantined(self.now) {
+            return None;
+        }
+        let mut candidates: Vec<AttemptKey> = entry.attempts.clone();
+        candidates.retain(|&attempt| self.is_victim(attempt, victims));
+        candidates.sort_by_key(|&attempt| std::cmp::Reverse(self.attempts[attempt].started_at));
+        let mut way = Way {
+            worker,
+            attempts: Vec::new(),
+            work: Duration::ZERO,
+        };
+        let mut used = entry.used;
+        for attempt in candidates {
+            if need.fits(entry.size - used) {
+                break;
+            }
+            used -= self.attempts[attempt].accounted;
+            way.work += self.now.since(self.attempts[attempt].started_at);
+            way.attempts.push(attempt);
+        }
+        need.fits(entry.size - used).then_some(way)
+    }
+
+    /// Returns whether an attempt may be checkpointed for other work.
+    fn is_victim(&self, key: AttemptKey, victims: Victims) -> bool {
+        let attempt = &self.attempts[key];
+        let Some(job) = attempt.job.map(|job| &self.jobs[job]) else {
+            return false;
+        };
+        let is_running = attempt.phase == Phase::Running && attempt.intent == Intent::Run;
+        let is_borrowed = victims == Victims::Batch || self.teams[job.team].borrows;
+        is_running && job.spec.class == Class::Batch && is_borrowed
+    }
+
+    /// Checkpoints borrowed batch tasks on a reserved worker.
+    pub(super) fn claim_back(&mut self, worker: WorkerKey, out: &mut Vec<Output>) {
+        for attempt in self.workers[worker].attempts.clone() {
+            if self.is_victim(attempt, Victims::Borrowed) {
+                self.counters.preempted += 1;
+                self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
+            }
+        }
+    }
+}
--- a/src/core/placement/cell/recover.rs
+++ b/src/core/placement/cell/recover.rs
@@ -1,26 +1,22 @@
 //! Rebuilding a cell from its records.
 //!
-//! Records may come repeated and, for different tasks, in any order. A placement without its end
-//! counts against its worker. After a takeover no inventory is asked for until the previous owner's
+//! A placement without its end counts against its worker. After a takeover no inventory is asked for until the previous owner's
 //! last start can no longer take effect, and nothing is started on a worker before its inventory.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use slotmap::SlotMap;
 
-use super::jobs::{Stopping, Summary};
+use super::jobs::Stopping;
 use super::{Cell, Counters, hold, journal, place};
-use crate::core::id::{self, Attempt};
 use crate::core::placement::history::History;
 use crate::core::placement::index::Index;
 use crate::core::placement::job::End;
-use crate::core::placement::message::{Outcome, Record};
+use crate::core::placement::message::Record;
 use crate::core::placement::policy::Policy;
 use crate::core::placement::queue::Queue;
 use crate::core::placement::settings::{Rules, Settings};
-use crate::core::placement::table::{
-    AttemptEntry, AttemptKey, Intent, JobKey, Phase, TaskPhase, Tried,
-};
+use crate::core::placement::table::JobKey;
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 use crate::core::workload::Class;
@@ -121,160 +117,6 @@
         }
     }
 
-    /// Applies one record.
-    fn apply(&mut self, record: Record) {
-        match record {
-            Record::Accepted(job) => {
-                self.insert_job(*job);
-            }
-            Record::Placed {
-                attempt,
-                worker,
-                size,
-            } => self.apply_placed(attempt, worker, size),
-            Record::Left { attempt, outcome } => self.apply_left(attempt, outcome),
-            Record::Canceled(job) => self.apply_canceled(job),
-            Record::Ended { job, end } => self.apply_ended(job, end),
-        }
-    }
-
-    /// Returns the job of an attempt, if it is known and has such a task.
-    fn job_of(&self, attempt: Attempt) -> Option<JobKey> {
-        let key = *self.job_ids.get(&attempt.task.job)?;
-        let is_inside = (attempt.task.index as usize) < self.jobs[key].tasks.len();
-        is_inside.then_some(key)
-    }
-
-    /// Counts an attempt that may run.
-    fn apply_placed(&mut self, id: Attempt, worker: id::Worker, size: Amount) {
-        let Some(job) = self.job_of(id).filter(|&job| !self.is_known(job, id)) else {
-            return;
-        };
-        let index = id.task.index;
-        self.replace_earlier(job, index);
-        let worker = self.worker(worker);
-        let knobs = &self.settings.knobs;
-        let entry = AttemptEntry {
-            id,
-            job: Some(job),
-            worker,
-            size,
-            accounted: size,
-            phase: Phase::Starting,
-            intent: Intent::Run,
-            counted: false,
-            conclusive_after: self.now + knobs.fence(),
-            held_until: self.now + knobs.hold(),
-            started_at: self.now,
-            ends_at: self.predict(job),
-            control: None,
-        };
-        let key = self.attempts.insert(entry);
-        self.attempt_ids.insert(id, key);
-        self.workers[worker].attempts.push(key);
-        let entry = &mut self.jobs[job];
-        entry.claim = entry.claim.max(size);
-        let task = &mut entry.tasks[index as usize];
-        task.number = id.number;
-        task.phase = TaskPhase::Live(key);
-        entry.queued -= 1;
-        entry.live += 1;
-        self.count(key);
-    }
-
-    /// Takes out the attempt of a task of which a later attempt is recorded.
-    fn replace_earlier(&mut self, job: JobKey, index: u32) {
-        if let TaskPhase::Live(earlier) = self.jobs[job].tasks[index as usize].phase {
-            self.discard(earlier);
-            self.jobs[job].give_back(index);
-        }
-    }
-
-    /// Returns whether an attempt is not newer than all that is known of its task.
-    fn is_known(&self, job: JobKey, id: Attempt) -> bool {
-        let task = &self.jobs[job].tasks[id.task.index as usize];
-        id.number <= task.number || task.phase == TaskPhase::Succeeded
-    }
-
-    /// Takes out an attempt without a record.
-    fn discard(&mut self, key: AttemptKey) -> Option<AttemptEntry> {
-        self.uncount(key);
-        let attempt = self.attempts.remove(key)?;
-        self.attempt_ids.remove(&attempt.id);
-        self.workers[attempt.worker]
-            .attempts
-            .retain(|&other| other != key);
-        if let Some(job) = attempt.job {
-            self.jobs[job].live -= 1;
-        }
-        Some(attempt)
-    }
-
-    /// Ends an attempt.
-    fn apply_left(&mut self, id: Attempt, outcome: Outcome) {
-        let Some(job) = self.job_of(id) else {
-            return;
-        };
-        let index = id.task.index;
-        match self.attempt_ids.get(&id).copied() {
-            Some(key) => {
-                let Some(attempt) = self.discard(key) else {
-                    return;
-                };
-                self.jobs[job].give_back(index);
-                if outcome == Outcome::Failed {
-                    let worker = self.workers[attempt.worker].id;
-                    let tried = Tried {
-                        task: index,
-                        worker,
-                    };
-                    self.jobs[job].tried.push(tried);
-                }
-            }
-            None if self.is_known(job, id) => return,
-            None => {
-                self.replace_earlier(job, index);
-                self.jobs[job].tasks[index as usize].number = id.number;
-            }
-        }
-        if outcome == Outcome::Succeeded {
-            let entry = &mut self.jobs[job];
-            entry.tasks[index as usize].phase = TaskPhase::Succeeded;
-            entry.queued -= 1;
-            entry.succeeded += 1;
-        }
-    }
-
-    /// Begins to end a cancelled job.
-    fn apply_canceled(&mut self, id: id::Job) {
-        if let Some(&key) = self.job_ids.get(&id) {
-            self.jobs[key].ending = Some(End::Canceled);
-        }
-    }
-
-    /// Forgets an ended job but for its summary.
-    fn apply_ended(&mut self, id: id::Job, end: End) {
-        let Some(key) = self.job_ids.remove(&id) else {
-            return;
-        };
-        for attempt in self.live(key) {
-            self.discard(attempt);
-        }
-        let Some(job) = self.jobs.remove(key) else {
-            return;
-        };
-        self.teams[job.team].jobs -= 1;
-        self.forget_team(job.team);
-        let summary = Summary {
-            team: job.spec.team,
-            class: job.spec.class,
-            tasks: job.spec.tasks,
-            succeeded: job.succeeded,
-            end,
-        };
-        self.keep_ended(id, summary);
-    }
-
     /// Goes on with what the records left.
     fn resume(&mut self, is_held: bool) {
         let keys: Vec<JobKey> = self.jobs.keys().collect();
@@ -320,41 +162,4 @@
             }
         }
     }
-
-    /// Returns the records that rebuild the present state, for a snapshot.
-    pub fn snapshot(&self) -> Vec<Record> {
-        let mut records = Vec::new();
-        for job in self.jobs.values() {
-            records.push(Record::Accepted(Box::new(job.spec.clone())));
-            for index in 0..job.tasks.len() {
-                records.extend(self.task_record(job.spec.id, index as u32));
-            }
-            if job.ending == Some(End::Canceled) {
-                records.push(Record::Canceled(job.spec.id));
-            }
-        }
-        records
-    }
-
-    /// Returns the record that rebuilds the state of one task, unless it was never placed.
-    fn task_record(&self, job: id::Job, index: u32) -> Option<Record> {
-        let task = self.jobs[*self.job_ids.get(&job)?].tasks[index as usize];
-        let attempt = Attempt {
-            task: id::Task { job, index },
-            number: task.number,
-        };
-        let outcome = match task.phase {
-            TaskPhase::Live(key) => {
-                let live = &self.attempts[key];
-                return Some(Record::Placed {
-                    attempt,
-                    worker: self.workers[live.worker].id,
-                    size: live.size,
-                });
-            }
-            TaskPhase::Succeeded => Outcome::Succeeded,
-            TaskPhase::Pending | TaskPhase::Delayed => Outcome::Stopped,
-        };
-        (task.number > 0).then_some(Record::Left { attempt, outcome })
-    }
 }
--- /dev/null
+++ b/src/core/placement/cell/tasks.rs
@@ -0,0 +1,177 @@
+//! The way of a task from one attempt to the next.
+//!
+//! An attempt leaves when it surely runs nowhere any more. Its task then is done, or waits again: at
+//! once when the cell ended the attempt itself, at a limited pace when it was lost with its worker.
+
+use super::Cell;
+use crate::core::placement::job::End;
+use crate::core::placement::message::{Outcome, Output, Record};
+use crate::core::placement::policy::Policy;
+use crate::core::placement::table::{AttemptKey, Control, Intent, JobKey, Phase, TaskPhase, Tried};
+use crate::core::workload::Class;
+use crate::platform::worker::Action;
+
+/// A task that was lost with its worker, in the order of replacement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Lost {
+    class: Class,
+    sequence: u64,
+    job: JobKey,
+    task: u32,
+}
+
+impl<P: Policy> Cell<P> {
+    /// Stops some tasks of jobs that are to end.
+    pub(super) fn stop_some(&mut self, out: &mut Vec<Output>) {
+        let mut budget = self.settings.knobs.stops_per_step;
+        while budget > 0 {
+            let Some(mut stopping) = self.stopping.pop_front() else {
+                return;
+            };
+            let Some(job) = self.jobs.get(stopping.job) else {
+                continue;
+            };
+            let Some(task) = job.tasks.get(stopping.next as usize) else {
+                continue;
+            };
+            budget -= 1;
+            stopping.next += 1;
+            let phase = task.phase;
+            self.stopping.push_front(stopping);
+            if let TaskPhase::Live(attempt) = phase {
+                self.stop(attempt, Intent::Drop, Action::Stop, out);
+            }
+        }
+    }
+
+    /// Tells the worker to end an attempt; one that was never sent is dropped at once.
+    pub(super) fn stop(
+        &mut self,
+        key: AttemptKey,
+        intent: Intent,
+        action: Action,
+        out: &mut Vec<Output>,
+    ) {
+        if self.attempts[key].phase == Phase::Recording {
+            self.leave(key, Outcome::NotStarted, out);
+            return;
+        }
+        let now = self.now;
+        let attempt = &mut self.attempts[key];
+        attempt.intent = intent;
+        attempt.control = Some(Control { action, at: now });
+        let (worker, id) = (attempt.worker, attempt.id);
+        out.push(Output::Control {
+            worker: self.workers[worker].id,
+            attempt: id,
+            action,
+        });
+        self.hurry(worker);
+    }
+
+    /// Takes note that an attempt surely runs nowhere any more.
+    pub(super) fn leave(&mut self, key: AttemptKey, outcome: Outcome, out: &mut Vec<Output>) {
+        self.uncount(key);
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        self.attempt_ids.remove(&attempt.id);
+        let worker = &mut self.workers[attempt.worker];
+        worker.attempts.retain(|&other| other != key);
+        let worker_id = worker.id;
+        let Some(job) = attempt.job else {
+            return;
+        };
+        let id = attempt.id;
+        self.write(Record::Left {
+            attempt: id,
+            outcome,
+        });
+        let index = id.task.index;
+        let tried = Tried {
+            task: index,
+            worker: worker_id,
+        };
+        let entry = &mut self.jobs[job];
+        entry.live -= 1;
+        entry.tasks[index as usize].phase = TaskPhase::Pending;
+        match outcome {
+            Outcome::Succeeded => {
+                entry.tasks[index as usize].phase = TaskPhase::Succeeded;
+                entry.succeeded += 1;
+                let span = self.now.since(attempt.started_at);
+                self.history.note(&entry.spec.family, span);
+                self.workers[attempt.worker].health.succeed();
+            }
+            Outcome::Failed => {
+                entry.tried.push(tried);
+                entry.give_back(index);
+                self.blame(attempt.worker, job);
+                self.judge(job, index);
+            }
+            Outcome::Lost => {
+                self.counters.lost += 1;
+                self.delay(job, index);
+            }
+            Outcome::Stopped | Outcome::NotStarted => {
+                entry.give_back(index);
+                if attempt.intent == Intent::Overrun {
+                    self.outgrow(job, tried, attempt.accounted);
+                }
+            }
+        }
+        self.settle(job, outcome, out);
+    }
+
+    /// Brings a job into line after one of its attempts has left.
+    fn settle(&mut self, key: JobKey, outcome: Outcome, out: &mut Vec<Output>) {
+        let job = &self.jobs[key];
+        if job.succeeded == job.spec.tasks {
+            self.end(key, End::Succeeded);
+        }
+        if self.jobs[key].ending.is_some() {
+            self.end_if_idle(key);
+            return;
+        }
+        if self.jobs[key].spec.class == Class::Gang && outcome != Outcome::Succeeded {
+            self.break_gang(key, out);
+        }
+        self.enqueue(key);
+    }
+
+    /// Queues a lost task again when its turn comes.
+    fn delay(&mut self, key: JobKey, task: u32) {
+        let job = &mut self.jobs[key];
+        job.tasks[task as usize].phase = TaskPhase::Delayed;
+        self.lost.insert(Lost {
+            class: job.spec.class,
+            sequence: job.sequence,
+            job: key,
+            task,
+        });
+    }
+
+    /// Queues lost tasks again, the most pressing class first, at a limited pace.
+    pub(super) fn release_lost(&mut self) {
+        const MICROS_PER_SECOND: u64 = 1_000_000;
+        let rate = u64::from(self.settings.knobs.replace_per_second);
+        let span = self.now.since(self.released_at).as_micros() as u64;
+        let allowed = (span.min(MICROS_PER_SECOND) * rate) / MICROS_PER_SECOND;
+        if allowed == 0 && !self.lost.is_empty() {
+            return;
+        }
+        self.released_at = self.now;
+        for _ in 0..allowed {
+            let Some(lost) = self.lost.pop_first() else {
+                return;
+            };
+            let Some(job) = self.jobs.get_mut(lost.job) else {
+                continue;
+            };
+            if job.tasks[lost.task as usize].phase == TaskPhase::Delayed {
+                job.give_back(lost.task);
+                self.enqueue(lost.job);
+            }
+        }
+    }
+}
