--- a/crates/laburnum-measure/src/placement.rs
+++ b/crates/laburnum-measure/src/placement.rs
@@ -5,6 +5,7 @@
 
 mod decide;
 mod drive;
+mod load;
 mod memory;
 mod pack;
 mod trace;
@@ -26,6 +27,7 @@
     // Memory goes first: later parts would leave free pages behind.
     memory::run(&mut report)?;
     decide::run(&mut report)?;
+    load::run(&mut report)?;
     wait::run(&mut report)?;
     pack::run(&mut report)?;
     Ok(report)
--- a/src/core/placement/cell/place.rs
+++ b/src/core/placement/cell/place.rs
@@ -9,8 +9,8 @@
 use crate::core::placement::policy::{Ask, Choose as _, Policy, View, check};
 use crate::core::placement::queue::Lane;
 use crate::core::placement::table::{
-    AttemptEntry, AttemptKey, Intent, JobEntry, JobKey, Phase, TaskPhase, TeamKey, WorkerEntry,
-    WorkerKey,
+    AttemptEntry, AttemptKey, Intent, JobEntry, JobKey, Phase, TaskPhase, TeamKey, Tried,
+    WorkerEntry, WorkerKey,
 };
 use crate::core::time::Instant;
 use crate::core::workload::Class;
@@ -198,9 +198,12 @@
         let job = &self.jobs[key];
         let mut ask = Ask::new(key, job, self.now, ends_at);
         ask.task = Some(index);
+        ask.tried = &[];
         ask.is_aged = self.is_aged(job);
-        if job.tried.len() * 2 >= self.roster.len() {
-            ask.tried = &[];
+        let of_task = job.tried.iter().filter(|tried| tried.task == index);
+        let tried: Vec<Tried> = of_task.copied().collect();
+        if tried.len() * 2 < self.roster.len() {
+            ask.tried = &tried;
         }
         let suits = |worker: &WorkerKey| {
             let entry = self.workers.get(*worker);
--- a/src/core/placement/cell/tasks.rs
+++ b/src/core/placement/cell/tasks.rs
@@ -3,14 +3,21 @@
 //! An attempt leaves when it surely runs nowhere any more. Its task then is done, or waits again: at
 //! once when the cell ended the attempt itself, at a limited pace when it was lost with its worker.
 
+use std::time::Duration;
+
 use super::Cell;
 use crate::core::placement::job::End;
 use crate::core::placement::message::{Outcome, Output, Record};
 use crate::core::placement::policy::Policy;
-use crate::core::placement::table::{AttemptKey, Control, Intent, JobKey, Phase, TaskPhase, Tried};
+use crate::core::placement::table::{
+    AttemptEntry, AttemptKey, Control, Intent, JobKey, Phase, TaskPhase, Tried,
+};
 use crate::core::workload::Class;
 use crate::platform::worker::Action;
 
+/// An attempt that ran for this long before it failed clears the task's earlier failures.
+const SOUND_RUN: Duration = Duration::from_secs(600);
+
 /// A task that was lost with its worker, in the order of replacement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Lost {
@@ -78,51 +85,68 @@
         self.attempt_ids.remove(&attempt.id);
         let worker = &mut self.workers[attempt.worker];
         worker.attempts.retain(|&other| other != key);
-        let worker_id = worker.id;
         let Some(job) = attempt.job else {
             return;
         };
-        let id = attempt.id;
         self.write(Record::Left {
-            attempt: id,
+            attempt: attempt.id,
             outcome,
         });
-        let index = id.task.index;
-        let tried = Tried {
-            task: index,
-            worker: worker_id,
-        };
+        let index = attempt.id.task.index;
         let entry = &mut self.jobs[job];
         entry.live -= 1;
         entry.tasks[index as usize].phase = TaskPhase::Pending;
         match outcome {
-            Outcome::Succeeded => {
-                entry.tasks[index as usize].phase = TaskPhase::Succeeded;
-                entry.succeeded += 1;
-                let span = self.now.since(attempt.started_at);
-                self.history.note(&entry.spec.family, span);
-                self.workers[attempt.worker].health.succeed();
-            }
-            Outcome::Failed => {
-                entry.tried.push(tried);
-                entry.give_back(index);
-                self.blame(attempt.worker, job);
-                self.judge(job, index);
-            }
-            Outcome::Lost => {
-                self.counters.lost += 1;
-                self.delay(job, index);
-            }
-            Outcome::Stopped | Outcome::NotStarted => {
-                entry.give_back(index);
-                if attempt.intent == Intent::Overrun {
-                    self.outgrow(job, tried, attempt.accounted);
-                }
-            }
+            Outcome::Succeeded => self.succeed(job, &attempt),
+            Outcome::Failed => self.fail(job, &attempt),
+            Outcome::Lost => self.delay(job, index),
+            Outcome::Stopped | Outcome::NotStarted => self.requeue(job, &attempt),
         }
         self.settle(job, outcome, out);
     }
 
+    /// Takes note that a task is done.
+    fn succeed(&mut self, key: JobKey, attempt: &AttemptEntry) {
+        let span = self.now.since(attempt.started_at);
+        let job = &mut self.jobs[key];
+        job.tasks[attempt.id.task.index as usize].phase = TaskPhase::Succeeded;
+        job.succeeded += 1;
+        self.history.note(&job.spec.family, span);
+        self.workers[attempt.worker].health.succeed();
+    }
+
+    /// Queues a failed task again, or ends its job. A long run before the failure clears the task's
+    /// earlier ones, so that a service does not wear out its attempts over the months.
+    fn fail(&mut self, key: JobKey, attempt: &AttemptEntry) {
+        let tried = self.tried(attempt);
+        let span = self.now.since(attempt.started_at);
+        let job = &mut self.jobs[key];
+        if span >= SOUND_RUN {
+            job.tried.retain(|other| other.task != tried.task);
+        }
+        job.tried.push(tried);
+        job.give_back(tried.task);
+        self.blame(attempt.worker, key);
+        self.judge(key, tried.task);
+    }
+
+    /// Queues a task again whose attempt was ended by the cell.
+    fn requeue(&mut self, key: JobKey, attempt: &AttemptEntry) {
+        let tried = self.tried(attempt);
+        self.jobs[key].give_back(tried.task);
+        if attempt.intent == Intent::Overrun {
+            self.outgrow(key, tried, attempt.accounted);
+        }
+    }
+
+    /// Returns the task and worker of an attempt.
+    fn tried(&self, attempt: &AttemptEntry) -> Tried {
+        Tried {
+            task: attempt.id.task.index,
+            worker: self.workers[attempt.worker].id,
+        }
+    }
+
     /// Brings a job into line after one of its attempts has left.
     fn settle(&mut self, key: JobKey, outcome: Outcome, out: &mut Vec<Output>) {
         let job = &self.jobs[key];
@@ -141,6 +165,7 @@
 
     /// Queues a lost task again when its turn comes.
     fn delay(&mut self, key: JobKey, task: u32) {
+        self.counters.lost += 1;
         let job = &mut self.jobs[key];
         job.tasks[task as usize].phase = TaskPhase::Delayed;
         self.lost.insert(Lost {
--- a/tests/testsuite/placement/fuzz.rs
+++ b/tests/testsuite/placement/fuzz.rs
@@ -11,7 +11,8 @@
 use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
 
 use super::fake::Nature;
-use super::world::{Violation, World};
+use super::oracle::Violation;
+use super::world::World;
 use super::{amount, job};
 
 /// What happens next.
--- a/tests/testsuite/placement/mod.rs
+++ b/tests/testsuite/placement/mod.rs
@@ -3,6 +3,7 @@
 mod case;
 mod fake;
 mod fuzz;
+mod oracle;
 mod switch;
 mod world;
 
--- a/tests/testsuite/placement/switch.rs
+++ b/tests/testsuite/placement/switch.rs
@@ -7,7 +7,8 @@
 use laburnumplank::core::workload::Class;
 
 use super::fake::Nature;
-use super::world::{Violation, WORKER, World};
+use super::oracle::Violation;
+use super::world::{WORKER, World};
 use super::{job, job_id};
 
 const LONG: Nature = Nature {
--- a/tests/testsuite/placement/world.rs
+++ b/tests/testsuite/placement/world.rs
@@ -4,22 +4,22 @@
 //! takes batches after a while or is down. The owner can be killed; a new cell takes over when the
 //! old lease has ended, from what the log holds. The oracle looks at what workers really run.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use laburnumplank::core::id::{self, Task, Team};
 use laburnumplank::core::placement::job::End;
 use laburnumplank::core::placement::settings::Rules;
 use laburnumplank::core::placement::{
-    Batch, Cell, Input, Job, Output, Quota, Record, Recovery, Settings, Stage, Worker,
+    Batch, Cell, Input, Job, Output, Quota, Record, Recovery, Settings, Worker,
 };
 use laburnumplank::core::resource::Amount;
 use laburnumplank::core::time::Instant;
-use laburnumplank::core::workload::Class;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
 use super::fake::{Fake, Nature};
+use super::oracle::Violation;
 use super::{amount, knobs, worker};
 
 const TICK: Duration = Duration::from_millis(20);
@@ -32,18 +32,6 @@
     accelerators: 2,
 };
 
-/// What must never happen.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Violation {
-    OverCommitted(id::Worker),
-    RunsTwice(Task),
-    AboveCeiling(Team),
-    RunsAfterEnd(Task),
-    TwoEnds(id::Job),
-    Forgotten(id::Job),
-    Unfinished(id::Job, String),
-}
-
 enum Event {
     ToWorker(id::Worker, Output),
     ToCell(u64, Input),
@@ -57,19 +45,19 @@
     pub(crate) workers: BTreeMap<id::Worker, Fake>,
     pub(crate) notices: Vec<Output>,
     rules: Rules,
-    settings: Settings,
+    pub(super) settings: Settings,
     random: Pcg64Mcg,
     epoch: u64,
     owner_until: Instant,
     log_down_until: Instant,
     was_unrecorded: bool,
     /// Ceilings are not checked before this time: unrecorded starts may not be known.
-    quota_from: Instant,
+    pub(super) quota_from: Instant,
     events: BTreeMap<(Instant, u64), Event>,
     sequence: u64,
-    natures: BTreeMap<id::Job, Nature>,
-    teams: BTreeMap<id::Job, Team>,
-    ends: BTreeMap<id::Job, End>,
+    pub(super) natures: BTreeMap<id::Job, Nature>,
+    pub(super) teams: BTreeMap<id::Job, Team>,
+    pub(super) ends: BTreeMap<id::Job, End>,
     listed: BTreeMap<id::Worker, Worker>,
 }
 
@@ -402,72 +390,6 @@
         }
     }
 
-    /// Looks for what must never happen.
-    pub(crate) fn check(&self) -> Option<Violation> {
-        let mut tasks = BTreeSet::new();
-        let mut teams: BTreeMap<&Team, Amount> = BTreeMap::new();
-        for (id, fake) in &self.workers {
-            let mut sum = Amount::default();
-            for (task, size) in fake.running(self.now) {
-                sum += size;
-                *teams.entry(&self.teams[&task.job]).or_default() += size;
-                if !tasks.insert(task) {
-                    return Some(Violation::RunsTwice(task));
-                }
-                if self.ends.contains_key(&task.job) {
-                    return Some(Violation::RunsAfterEnd(task));
-                }
-            }
-            if !sum.fits(fake.worker.size) {
-                return Some(Violation::OverCommitted(*id));
-            }
-        }
-        self.check_teams(&teams).or_else(|| self.check_jobs())
-    }
-
-    fn check_teams(&self, teams: &BTreeMap<&Team, Amount>) -> Option<Violation> {
-        if self.now < self.quota_from {
-            return None;
-        }
-        let is_above = |team: &Team, held: &Amount| {
-            let quota = self.settings.quotas.get(team);
-            quota.is_some_and(|quota| !held.fits(quota.ceiling))
-        };
-        let above = teams.iter().find(|(team, held)| is_above(team, held));
-        above.map(|(team, _)| Violation::AboveCeiling((*team).clone()))
-    }
-
-    fn check_jobs(&self) -> Option<Violation> {
-        let cell = self.cell.as_ref()?;
-        for job in self.natures.keys() {
-            match (
-                cell.job(*job).map(|status| status.stage),
-                self.ends.get(job),
-            ) {
-                (None, _) => return Some(Violation::Forgotten(*job)),
-                (Some(Stage::Ended(end)), Some(&written)) if end != written => {
-                    return Some(Violation::TwoEnds(*job));
-                }
-                (Some(Stage::Ended(_)), None) => return Some(Violation::TwoEnds(*job)),
-                _ => {}
-            }
-        }
-        self.check_ends()
-    }
-
-    /// Each job ends at most once, whoever says so.
-    fn check_ends(&self) -> Option<Violation> {
-        let mut told = BTreeSet::new();
-        for notice in &self.notices {
-            if let Output::Ended { job, .. } = notice
-                && !told.insert(*job)
-            {
-                return Some(Violation::TwoEnds(*job));
-            }
-        }
-        None
-    }
-
     /// Mends everything and lets all work come to its end; services keep running.
     pub(crate) fn converge(&mut self, span: Duration) -> Option<Violation> {
         for fake in self.workers.values_mut() {
@@ -481,21 +403,6 @@
         violation.or_else(|| self.check_finished())
     }
 
-    fn check_finished(&self) -> Option<Violation> {
-        let cell = self.cell.as_ref()?;
-        let mut unfinished = None;
-        for status in cell.jobs() {
-            let is_up =
-                status.class == Class::Service && status.live + status.succeeded == status.tasks;
-            if !is_up {
-                let why = format!("{status:?} {:?}", cell.explain(status.id));
-                let (_, all) = unfinished.get_or_insert((status.id, String::new()));
-                all.push_str(&why);
-            }
-        }
-        unfinished.map(|(job, why)| Violation::Unfinished(job, why))
-    }
-
     /// Returns how many attempts of a job run.
     pub(crate) fn running(&self, job: id::Job) -> Vec<(id::Worker, Task)> {
         let now = self.now;
