Test overruns, a lost rack and a leaving worker

The fake worker used three times the granted size instead of the declared one, so a task that was granted more overran again; it now uses a fixed amount.

--- a/tests/testsuite/placement/case.rs
+++ b/tests/testsuite/placement/case.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use laburnumplank::core::error::Kind;
-use laburnumplank::core::id::Family;
+use laburnumplank::core::id::{Family, Worker as Id};
 use laburnumplank::core::placement::job::End;
 use laburnumplank::core::placement::policy::Refusal;
 use laburnumplank::core::placement::settings::Rules;
@@ -213,6 +213,81 @@
     assert!(world.running(job_id(1)).len() >= 3, "the share stays");
 }
 
+#[test]
+fn overrun_is_throttled_and_goes_on() {
+    let mut world = world();
+    let runs_for = Duration::from_secs(6);
+    let nature = Nature {
+        overruns: true,
+        runs_for,
+        ..SHORT
+    };
+    world.submit(
+        job(1, "b", Class::Batch, amount(4_000, 8_000, 0)).build(),
+        nature,
+    );
+    run(&mut world, 9_000);
+    assert_eq!(stage(&world, 1), Stage::Ended(End::Succeeded));
+    assert_eq!(cell(&world).counters().overruns, 1);
+    assert_eq!(cell(&world).counters().started, 1);
+}
+
+#[test]
+fn stubborn_overrun_is_stopped_and_granted_what_it_used() {
+    let mut world = world();
+    let nature = Nature {
+        overruns: true,
+        is_stubborn: true,
+        ..LONG
+    };
+    world.submit(
+        job(1, "b", Class::Batch, amount(4_000, 8_000, 0)).build(),
+        nature,
+    );
+    run(&mut world, 8_000);
+    assert_eq!(cell(&world).counters().started, 2);
+    assert_eq!(cell(&world).dump().used, amount(12_000, 24_000, 0));
+}
+
+#[test]
+fn lost_rack_is_replaced() {
+    let mut world = world();
+    let half = amount(4_000, 16_000, 0);
+    world.submit(job(1, "b", Class::Service, half).tasks(6).build(), LONG);
+    world.submit(job(2, "b", Class::Batch, half).tasks(6).build(), LONG);
+    run(&mut world, 3_000);
+    world.kill_worker(0);
+    world.kill_worker(0);
+    run(&mut world, 12_000);
+    assert_eq!(world.running(job_id(1)).len(), 6);
+    assert_eq!(world.running(job_id(2)).len(), 6);
+    assert!(cell(&world).counters().lost > 0);
+}
+
+#[test]
+fn leaving_worker_gets_nothing_new_and_is_emptied() {
+    let mut world = world();
+    let leaving = world.workers[&Id(0)].worker.id;
+    world.submit(job(1, "b", Class::Batch, FULL).tasks(6).build(), LONG);
+    run(&mut world, 4_000);
+    world.input(Input::Leaving(leaving));
+    run(&mut world, 2_000);
+    assert!(
+        world
+            .running(job_id(1))
+            .iter()
+            .all(|(worker, _)| *worker != leaving)
+    );
+    world.submit(job(2, "b", Class::Urgent, SMALL).tasks(6).build(), LONG);
+    run(&mut world, 3_000);
+    assert!(
+        world
+            .running(job_id(2))
+            .iter()
+            .all(|(worker, _)| *worker != leaving)
+    );
+}
+
 #[test]
 fn wave_of_cancellations_leaves_nothing_and_delays_nothing() {
     let mut world = world();
--- a/tests/testsuite/placement/fake.rs
+++ b/tests/testsuite/placement/fake.rs
@@ -17,7 +17,7 @@
 pub(crate) struct Nature {
     pub(crate) runs_for: Duration,
     pub(crate) fails: bool,
-    /// Uses three times its size until throttled.
+    /// Uses three times its declared size until throttled.
     pub(crate) overruns: bool,
     /// Heeds neither throttle nor checkpoint.
     pub(crate) is_stubborn: bool,
@@ -26,6 +26,7 @@
 #[derive(Clone, Debug)]
 struct Held {
     size: Amount,
+    declared: Amount,
     state: State,
     nature: Nature,
     leased_until: Instant,
@@ -61,7 +62,13 @@
     }
 
     /// Starts a task whether it fits or not; returns false when it came too late.
-    pub(crate) fn start(&mut self, now: Instant, start: &Start, nature: Nature) -> bool {
+    pub(crate) fn start(
+        &mut self,
+        now: Instant,
+        start: &Start,
+        nature: Nature,
+        declared: Amount,
+    ) -> bool {
         if now > start.not_after {
             return false;
         }
@@ -78,6 +85,7 @@
         };
         self.tasks.entry(start.attempt).or_insert(Held {
             size: start.size,
+            declared,
             state: State::Running,
             nature,
             leased_until: now + start.lease,
@@ -174,7 +182,7 @@
             attempt,
             state: self.state,
             size: self.size,
-            usage: self.size.times(factor),
+            usage: self.declared.times(factor),
         }
     }
 }
--- a/tests/testsuite/placement/world.rs
+++ b/tests/testsuite/placement/world.rs
@@ -56,6 +56,7 @@
     events: BTreeMap<(Instant, u64), Event>,
     sequence: u64,
     pub(super) natures: BTreeMap<id::Job, Nature>,
+    sizes: BTreeMap<id::Job, Amount>,
     pub(super) teams: BTreeMap<id::Job, Team>,
     pub(super) ends: BTreeMap<id::Job, End>,
     listed: BTreeMap<id::Worker, Worker>,
@@ -88,6 +89,7 @@
             events: BTreeMap::new(),
             sequence: 0,
             natures: BTreeMap::new(),
+            sizes: BTreeMap::new(),
             teams: BTreeMap::new(),
             ends: BTreeMap::new(),
             listed: BTreeMap::new(),
@@ -170,6 +172,7 @@
             return;
         }
         self.natures.insert(job.id, nature);
+        self.sizes.insert(job.id, job.size);
         self.teams.insert(job.id, job.team.clone());
         self.append(vec![Record::Accepted(Box::new(job.clone()))]);
         self.input(Input::Accept(Box::new(job.clone())));
@@ -295,7 +298,8 @@
         match output {
             Output::Start(start) => {
                 let nature = self.natures[&start.attempt.task.job];
-                let is_started = fake.start(skewed, &start, nature);
+                let declared = self.sizes[&start.attempt.task.job];
+                let is_started = fake.start(skewed, &start, nature, declared);
                 let answer = match is_started {
                     true => Input::Started(start.attempt),
                     false => Input::Refused(start.attempt),
