--- a/crates/laburnum-measure/src/placement/pack.rs
+++ b/crates/laburnum-measure/src/placement/pack.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use laburnumplank::core::placement::policy::{FirstFitFifo, RandomSkipping, Standard};
-use laburnumplank::core::placement::{Knobs, Settings};
+use laburnumplank::core::id::Team;
+use laburnumplank::core::placement::policy::{FirstFitSkipping, RandomSkipping, Standard};
+use laburnumplank::core::placement::{Job, Knobs, Settings};
 use laburnumplank::core::resource::Amount;
+use laburnumplank::core::workload::Class;
 
 use super::Named;
 use super::drive::Driver;
-use super::trace::{ASRC, Generator, KERDREAN, Planned, Site, share};
+use super::trace::{ASRC, Generator, KERDREAN, Planned, Site, amount, job_id, share};
 use crate::report::{Report, Table};
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
@@ -27,30 +29,36 @@
             "least",
             "bound",
             "mean of bound",
+            "accelerators usable after",
         ],
     );
     for site in [KERDREAN, ASRC, KERDREAN.with(1_000), ASRC.with(1_000)] {
         one::<Standard>(site, &mut table);
-        one::<FirstFitFifo>(site, &mut table);
+        one::<FirstFitSkipping>(site, &mut table);
         one::<RandomSkipping>(site, &mut table);
     }
     report.tables.push(table);
     Ok(())
 }
 
+/// What one seed gave, as shares.
+struct Run {
+    used: f64,
+    bound: f64,
+    usable: f64,
+}
+
 /// Fills a site under one policy for each seed.
 fn one<P: Named>(site: Site, table: &mut Table) {
-    let runs: Vec<(f64, f64)> = SEEDS
-        .iter()
-        .map(|&seed| {
-            let plans = singles(site, seed);
-            (fill::<P>(site, &plans), bound(site, &plans))
-        })
-        .collect();
-    let count = runs.len() as f64;
-    let mean = runs.iter().map(|(used, _)| used).sum::<f64>() / count;
-    let bound = runs.iter().map(|(_, bound)| bound).sum::<f64>() / count;
-    let least = runs.iter().map(|(used, _)| *used).fold(1.0, f64::min);
+    let runs: Vec<Run> = SEEDS.iter().map(|&seed| fill::<P>(site, seed)).collect();
+    let average = |of: fn(&Run) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+    let mean = average(|run| run.used);
+    let bound = average(|run| run.bound);
+    let usable = match site.accelerators {
+        0 => "none there".to_owned(),
+        _ => format!("{:.3}", average(|run| run.usable)),
+    };
+    let least = runs.iter().map(|run| run.used).fold(1.0, f64::min);
     table.row([
         site.name.to_owned(),
         site.workers.to_string(),
@@ -59,6 +67,7 @@
         format!("{least:.3}"),
         format!("{bound:.3}"),
         format!("{:.3}", mean / bound),
+        usable,
     ]);
 }
 
@@ -77,8 +86,9 @@
     plans
 }
 
-/// Places one task after another until one is refused; returns the share in use.
-fn fill<P: Named>(site: Site, plans: &[Planned]) -> f64 {
+/// Places one task after another until one is refused, then tasks of one accelerator each.
+fn fill<P: Named>(site: Site, seed: u64) -> Run {
+    let plans = singles(site, seed);
     let knobs = Knobs {
         inventory_every: FOREVER,
         silence: FOREVER,
@@ -94,7 +104,7 @@
     };
     let mut driver: Driver<P> = Driver::new(site, settings);
     let mut used = Amount::default();
-    for plan in plans {
+    for plan in &plans {
         let before = driver.cell.counters().placed;
         driver.submit(&plan.job, FOREVER);
         driver.advance(Duration::from_millis(1));
@@ -103,7 +113,28 @@
         }
         used += plan.job.size;
     }
-    share(used, site.total())
+    Run {
+        used: share(used, site.total()),
+        bound: bound(site, &plans),
+        usable: usable(&mut driver, site, plans.len() as u64),
+    }
+}
+
+/// Returns the share of the accelerators that tasks of two cores and 4 GiB can still use.
+fn usable<P: Named>(driver: &mut Driver<P>, site: Site, number: u64) -> f64 {
+    let team = Team("accelerated".to_owned());
+    let size = amount(2_000, 4_096, 1);
+    let total = site.total().accelerators;
+    let before = driver.cell.counters().placed;
+    let job = Job::builder(job_id(number), team, Class::Batch, size)
+        .tasks(total as u32)
+        .build();
+    driver.submit(&job, FOREVER);
+    for _ in 0..total {
+        driver.advance(Duration::from_millis(1));
+    }
+    let placed = driver.cell.counters().placed - before;
+    placed as f64 / total.max(1) as f64
 }
 
 /// Returns the share in use by the longest prefix that fits into all workers' capacity as one.
