--- a/src/core/placement/cell/admit.rs
+++ b/src/core/placement/cell/admit.rs
@@ -14,7 +14,8 @@
     ///
     /// [`Kind::Impossible`] with the resource and the largest worker, when no worker could hold a
     /// task, all workers together could not hold a gang, or the team's ceiling forbids it.
-    /// [`Kind::Malformed`] when the job has no task or no attempt.
+    /// [`Kind::Malformed`] when the job has no task or no attempt, [`Kind::TooLarge`] when it has
+    /// too many tasks, and [`Kind::Overloaded`] when all jobs together would have.
     pub fn admit(&self, job: &Job) -> Result<()> {
         if job.tasks == 0 || job.max_attempts == 0 {
             return Err(Error::new(
@@ -22,6 +23,7 @@
                 "a job needs at least one task and one attempt",
             ));
         }
+        self.admit_count(job)?;
         let at_once = match job.class {
             Class::Gang => u64::from(job.tasks),
             _ => 1,
@@ -30,6 +32,21 @@
         self.admit_size(job, at_once)
     }
 
+    /// Refuses more tasks than the cell can keep.
+    fn admit_count(&self, job: &Job) -> Result<()> {
+        let knobs = &self.settings.knobs;
+        if job.tasks > knobs.max_tasks_per_job {
+            let message = format!("a job has at most {} tasks", knobs.max_tasks_per_job);
+            return Err(Error::new(Kind::TooLarge, message));
+        }
+        let is_known = self.job_ids.contains_key(&job.id);
+        if !is_known && self.tasks + u64::from(job.tasks) > knobs.max_tasks {
+            let message = format!("{} tasks of other jobs wait or run already", self.tasks);
+            return Err(Error::new(Kind::Overloaded, message));
+        }
+        Ok(())
+    }
+
     /// Refuses what the team's ceiling never allows.
     fn admit_quota(&self, job: &Job, at_once: u64) -> Result<()> {
         let Some(quota) = self.settings.quotas.get(&job.team) else {
--- a/src/core/placement/cell/gangs.rs
+++ b/src/core/placement/cell/gangs.rs
@@ -9,6 +9,9 @@
 impl<P: Policy> Cell<P> {
     /// Ends all attempts of a gang that has lost a member, so that it can start whole again.
     pub(super) fn break_gang(&mut self, key: JobKey, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.jobs[key].is_breaking, true) {
+            return;
+        }
         self.jobs[key].gang_deadline = None;
         let live: Vec<AttemptKey> = self.live(key);
         for attempt in live {
@@ -19,6 +22,7 @@
                 self.stop(attempt, Intent::Requeue, Action::Checkpoint, out);
             }
         }
+        self.jobs[key].is_breaking = false;
     }
 
     /// Returns the attempts of a job that may run.
--- a/src/core/placement/cell/jobs.rs
+++ b/src/core/placement/cell/jobs.rs
@@ -59,6 +59,7 @@
         self.sequence += 1;
         let team = self.team(&job.team);
         self.teams[team].jobs += 1;
+        self.tasks += u64::from(job.tasks);
         let id = job.id;
         let entry = JobEntry::new(job, team, self.now, self.sequence);
         let key = self.jobs.insert(entry);
@@ -149,6 +150,7 @@
         let id = job.spec.id;
         self.job_ids.remove(&id);
         self.teams[job.team].jobs -= 1;
+        self.tasks -= u64::from(job.spec.tasks);
         self.forget_team(job.team);
         let summary = Summary {
             team: job.spec.team,
--- a/src/core/placement/cell/mod.rs
+++ b/src/core/placement/cell/mod.rs
@@ -102,6 +102,8 @@
 
     jobs: SlotMap<JobKey, JobEntry>,
     job_ids: HashMap<id::Job, JobKey>,
+    /// How many tasks all jobs have that have not ended.
+    tasks: u64,
     ended: VecDeque<jobs::Ended>,
     ended_ids: HashMap<id::Job, jobs::Summary>,
     stopping: VecDeque<jobs::Stopping>,
--- a/src/core/placement/cell/recover.rs
+++ b/src/core/placement/cell/recover.rs
@@ -32,7 +32,8 @@
     pub settings: Settings,
     /// Whether a previous owner may have started tasks without durable records: one was told so
     /// by [`Input::Unrecorded`](super::super::Input::Unrecorded), and no owner since was
-    /// [settled](Cell::is_settled).
+    /// [settled](Cell::is_settled). Such tasks may hold a team above its ceiling until the
+    /// inventories of their workers were read.
     pub unrecorded: bool,
     /// The mechanisms that are on.
     #[doc(hidden)]
@@ -97,6 +98,7 @@
             attempt_ids: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
+            tasks: 0,
             ended: VecDeque::new(),
             ended_ids: HashMap::new(),
             stopping: VecDeque::new(),
--- a/src/core/placement/cell/replay.rs
+++ b/src/core/placement/cell/replay.rs
@@ -158,6 +158,7 @@
             return;
         };
         self.teams[job.team].jobs -= 1;
+        self.tasks -= u64::from(job.spec.tasks);
         self.forget_team(job.team);
         let summary = Summary {
             team: job.spec.team,
--- a/src/core/placement/settings.rs
+++ b/src/core/placement/settings.rs
@@ -71,6 +71,10 @@
     pub overrun_grace: Duration,
     /// The first span of a worker's quarantine; it doubles with each return.
     pub quarantine: Duration,
+    /// The most tasks of one job.
+    pub max_tasks_per_job: u32,
+    /// The most tasks of all jobs that have not ended.
+    pub max_tasks: u64,
     /// How many ended jobs are kept for queries.
     pub ended_jobs: usize,
     /// How long an ended job is kept for queries.
@@ -99,6 +103,8 @@
             checkpoint_grace: Duration::from_secs(2),
             overrun_grace: Duration::from_secs(10),
             quarantine: Duration::from_secs(60),
+            max_tasks_per_job: 100_000,
+            max_tasks: 1_000_000,
             ended_jobs: 10_000,
             ended_for: Duration::from_secs(3_600),
         }
--- a/src/core/placement/table/job.rs
+++ b/src/core/placement/table/job.rs
@@ -70,6 +70,8 @@
     pub data_centres: Vec<(DataCentre, u32)>,
     /// Workers that a task failed on.
     pub(in crate::core::placement) tried: Vec<Tried>,
+    /// Whether the gang is being broken up right now.
+    pub(in crate::core::placement) is_breaking: bool,
     /// Until when all tasks of a gang have to run.
     pub(in crate::core::placement) gang_deadline: Option<Instant>,
     /// No reservation is made for it before this time.
@@ -115,6 +117,7 @@
             racks: Vec::new(),
             data_centres: Vec::new(),
             tried: Vec::new(),
+            is_breaking: false,
             gang_deadline: None,
             reserve_from: now,
             spec,
--- a/tests/testsuite/placement/case.rs
+++ b/tests/testsuite/placement/case.rs
@@ -144,6 +144,38 @@
     assert_eq!(world.converge(Duration::from_secs(60)), None);
 }
 
+#[test]
+fn large_gang_breaks_up_before_its_start() {
+    let mut world = world();
+    let size = amount(10, 10, 0);
+    world.log_down(Duration::from_secs(2), false);
+    // The job was accepted just before the log went down.
+    let gang = job(1, "b", Class::Gang, size).tasks(2_000).build();
+    world.note(&gang, SHORT);
+    world.input(Input::Accept(Box::new(gang)));
+    run(&mut world, 200);
+    assert_eq!(cell(&world).job(job_id(1)).unwrap().live, 2_000);
+    let used = cell(&world)
+        .workers()
+        .find(|worker| worker.attempts > 0)
+        .unwrap()
+        .id;
+    world.input(Input::Gone(used));
+    assert_eq!(cell(&world).job(job_id(1)).unwrap().live, 0);
+    assert_eq!(world.converge(Duration::from_secs(20)), None);
+}
+
+#[test]
+fn admit_limits_the_number_of_tasks() {
+    let world = world();
+    let refusal = |tasks| {
+        let job = job(1, "b", Class::Batch, SMALL).tasks(tasks).build();
+        cell(&world).admit(&job).unwrap_err().kind
+    };
+    assert_eq!(refusal(0), Kind::Malformed);
+    assert_eq!(refusal(100_001), Kind::TooLarge);
+}
+
 #[test]
 fn accelerators_are_kept_for_those_who_ask() {
     let mut world = world();
--- a/tests/testsuite/placement/world.rs
+++ b/tests/testsuite/placement/world.rs
@@ -171,16 +171,21 @@
         if self.now < self.log_down_until || cell.admit(&job).is_err() {
             return;
         }
-        self.natures.insert(job.id, nature);
-        self.sizes.insert(job.id, job.size);
-        self.teams.insert(job.id, job.team.clone());
-        self.append(vec![Record::Accepted(Box::new(job.clone()))]);
+        self.note(&job, nature);
         self.input(Input::Accept(Box::new(job.clone())));
         if self.random.random_bool(0.2) {
             self.input(Input::Accept(Box::new(job)));
         }
     }
 
+    /// Makes a job durable, as its acceptance does.
+    pub(crate) fn note(&mut self, job: &Job, nature: Nature) {
+        self.natures.insert(job.id, nature);
+        self.sizes.insert(job.id, job.size);
+        self.teams.insert(job.id, job.team.clone());
+        self.append(vec![Record::Accepted(Box::new(job.clone()))]);
+    }
+
     pub(crate) fn jobs(&self) -> Vec<id::Job> {
         self.natures.keys().copied().collect()
     }
