--- a/src/core/placement/cell/explain.rs
+++ b/src/core/placement/cell/explain.rs
@@ -54,6 +54,7 @@
         let job = &self.jobs[key];
         let mut ask = Ask::new(key, job, self.now, self.predict(key));
         ask.is_aged = self.is_aged(job);
+        ask.tried = &[];
         let mut refused = BTreeMap::new();
         let mut suited = 0;
         for worker in self.workers.values() {
--- a/src/core/placement/cell/place.rs
+++ b/src/core/placement/cell/place.rs
@@ -192,19 +192,26 @@
         Ok(self.assign(key, index, worker))
     }
 
-    /// Finds a worker for one task, first among those kept for the job.
+    /// Finds a worker for one task: one that the task has not failed on, or else any.
     fn find(&mut self, key: JobKey, index: u32) -> Option<WorkerKey> {
+        let tried = self.jobs[key].tried.iter();
+        let tried: Vec<Tried> = tried.filter(|tried| tried.task == index).copied().collect();
+        let found = self.find_untried(key, index, &tried);
+        match found {
+            None if !tried.is_empty() => self.find_untried(key, index, &[]),
+            _ => found,
+        }
+    }
+
+    /// Finds a worker for one task that is not among those tried, first among the workers kept for
+    /// the job.
+    fn find_untried(&mut self, key: JobKey, index: u32, tried: &[Tried]) -> Option<WorkerKey> {
         let ends_at = self.predict(key);
         let job = &self.jobs[key];
         let mut ask = Ask::new(key, job, self.now, ends_at);
         ask.task = Some(index);
-        ask.tried = &[];
+        ask.tried = tried;
         ask.is_aged = self.is_aged(job);
-        let of_task = job.tried.iter().filter(|tried| tried.task == index);
-        let tried: Vec<Tried> = of_task.copied().collect();
-        if tried.len() * 2 < self.roster.len() {
-            ask.tried = &tried;
-        }
         let suits = |worker: &WorkerKey| {
             let entry = self.workers.get(*worker);
             entry.is_some_and(|entry| check(&ask, entry).is_none())
--- a/tests/testsuite/placement/case.rs
+++ b/tests/testsuite/placement/case.rs
@@ -145,16 +145,22 @@
 }
 
 #[test]
-fn large_gang_breaks_up_before_its_start() {
+fn large_gang_breaks_up_on_a_small_stack() {
+    const STACK_BYTES: usize = 768 * 1_024;
+    let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
+    thread.spawn(break_up_large_gang).unwrap().join().unwrap();
+}
+
+fn break_up_large_gang() {
     let mut world = world();
     let size = amount(10, 10, 0);
     world.log_down(Duration::from_secs(2), false);
     // The job was accepted just before the log went down.
-    let gang = job(1, "b", Class::Gang, size).tasks(2_000).build();
+    let gang = job(1, "b", Class::Gang, size).tasks(3_000).build();
     world.note(&gang, SHORT);
     world.input(Input::Accept(Box::new(gang)));
     run(&mut world, 200);
-    assert_eq!(cell(&world).job(job_id(1)).unwrap().live, 2_000);
+    assert_eq!(cell(&world).job(job_id(1)).unwrap().live, 3_000);
     let used = cell(&world)
         .workers()
         .find(|worker| worker.attempts > 0)
--- a/tests/testsuite/placement/fuzz.rs
+++ b/tests/testsuite/placement/fuzz.rs
@@ -187,6 +187,46 @@
     assert!(found.is_none(), "{found:#?}");
 }
 
+/// A gang whose tasks had failed on two of the three workers that could hold them never started.
+#[test]
+fn gang_starts_though_it_failed_on_most_workers() {
+    let submit = |class, team, tasks, size, millis| Event::Submit {
+        class,
+        team,
+        tasks,
+        size,
+        nature: Nature {
+            runs_for: Duration::from_millis(millis),
+            fails: false,
+            overruns: class == Class::Gang,
+            is_stubborn: class == Class::Gang,
+        },
+    };
+    let events = [
+        Event::KillOwner { is_pause: false },
+        Event::LeaveWorker(0),
+        Event::KillWorker(7),
+        submit(Class::Service, false, 2, 0, 283),
+        Event::LogDown(2_001, false),
+        Event::BadWorker(4),
+        Event::KillWorker(2),
+        Event::KillOwner { is_pause: false },
+        Event::KillOwner { is_pause: false },
+        submit(Class::Service, false, 5, 1, 3_175),
+        Event::LeaveWorker(0),
+        Event::Run(20),
+        Event::Run(840),
+        submit(Class::Urgent, true, 4, 4, 1_782),
+        submit(Class::Urgent, false, 3, 0, 3_276),
+        submit(Class::Gang, false, 4, 4, 1_992),
+        Event::Run(302),
+    ];
+    assert_eq!(
+        play(1_602_967_923_757_711_174, Rules::default(), &events),
+        Ok(())
+    );
+}
+
 /// Asserts that the oracle catches a missing mechanism by one of the given violations.
 fn assert_caught(rules: Rules, names: &[&str]) {
     let found = fuzz(rules, 11, 200);
