Put the configuration's services and limits in force at the entries

Cause: quotas were applied, while a service's idempotent methods, timeouts and the limits on bodies and tasks were accepted and had no effect. Ruled out: asking the control part for each call, which would put its queue in front of every lookup; traffic threads now read the newest version from a watch channel. Before: a configured idempotent method without a key was refused; after: it is served, and larger bodies and jobs are refused (test put_of_service_changes_how_it_is_called). Conclusion: queue bounds, weights and concurrency of a service are still left.

--- a/src/daemon/context.rs
+++ b/src/daemon/context.rs
@@ -6,9 +6,10 @@
 
 use slog::Logger;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::{control, dispatch, peer};
+use crate::core::config::Config;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Incarnation, Node, Vm};
 use crate::core::request::Origin;
@@ -46,6 +47,7 @@
 
 struct Shared {
     senders: Senders,
+    config: watch::Sender<Arc<Config>>,
     incarnation: AtomicU64,
     asks: AtomicUsize,
     in_flight: AtomicUsize,
@@ -74,6 +76,7 @@
     ) -> Context {
         let shared = Shared {
             senders,
+            config: watch::Sender::new(Arc::default()),
             incarnation: AtomicU64::new(incarnation(clock)),
             asks: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
@@ -220,6 +223,16 @@
         self.shared.is_stop_requested.load(Ordering::Relaxed)
     }
 
+    /// Puts a configuration in force for the traffic threads.
+    pub fn set_config(&self, config: Arc<Config>) {
+        self.shared.config.send_replace(config);
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.shared.config.borrow())
+    }
+
     /// Notes whether the daemon knows an owner of every partition.
     pub fn set_ready(&self, is_ready: bool) {
         self.shared.is_ready.store(is_ready, Ordering::Relaxed);
--- a/src/daemon/control/answer.rs
+++ b/src/daemon/control/answer.rs
@@ -10,7 +10,6 @@
 
 use super::archive::{Body, Record};
 use super::configuration::{ANSWER_MARGIN, Wish};
-use super::journal::Stream;
 use super::{Control, Pending};
 use crate::api::convert;
 use crate::api::schema::{JobStatus, VmStatus};
@@ -21,7 +20,7 @@
 use crate::core::time::Instant;
 use crate::daemon::peer;
 use crate::platform::vms::{Role, State};
-use crate::wire::{Ask, Reply, StreamState, Tell};
+use crate::wire::{Ask, Reply, Stream, StreamState, Tell};
 
 /// The most jobs in one list.
 const MAX_LISTED: usize = 10_000;
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -1,11 +1,12 @@
 //! The configuration in force and the operators that wait for a change.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use uuid::Uuid;
 
-use super::journal::{Journal, Stream};
+use super::journal::Journal;
 use crate::api::schema::ConfigVersion;
 use crate::core::config::{
     Body, Change, Config, FORMAT, Input, Output, Pending, State, Store, Verdict, Version,
@@ -13,7 +14,7 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::stream::{Record, Ticket};
 use crate::core::time::{Instant, Stamp};
-use crate::wire::{Reply, Tell};
+use crate::wire::{Reply, Stream, Tell};
 
 /// How many versions a list shows.
 const LISTED: usize = 64;
@@ -59,6 +60,11 @@
         self.store.config()
     }
 
+    /// Returns the configuration in force for other threads.
+    pub(super) fn shared(&self) -> Arc<Config> {
+        Arc::clone(self.store.config())
+    }
+
     /// Returns the version in force.
     pub(super) fn version(&self) -> Version {
         self.store.version()
--- a/src/daemon/control/follow.rs
+++ b/src/daemon/control/follow.rs
@@ -3,7 +3,6 @@
 use slog::warn;
 
 use super::archive::{Body, Record};
-use super::journal::Stream;
 use super::{Control, Pending};
 use crate::core::id::{Partition, Vm};
 use crate::core::placement::{self, Batch};
@@ -12,7 +11,7 @@
 use crate::core::request::slot::{Ask, Grant};
 use crate::core::time::Instant;
 use crate::daemon::dispatch;
-use crate::wire::Frame;
+use crate::wire::{Frame, Stream};
 
 impl Control {
     /// Carries out what the table of a partition wants.
--- a/src/daemon/control/journal/channel.rs
+++ b/src/daemon/control/journal/channel.rs
@@ -11,7 +11,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::stream::Stream;
 use crate::core::error::Result;
 use crate::core::id::Node;
 use crate::core::stream::reader::{self, Void};
@@ -19,6 +18,7 @@
 use crate::core::stream::snapshot::{Content, Part, Publisher, Recovery, publisher};
 use crate::core::stream::{Reader, Record, Relay, Seen, decode, encode, relay};
 use crate::core::time::Instant;
+use crate::wire::Stream;
 
 /// An event for a channel.
 pub(super) enum Input {
--- a/src/daemon/control/journal/io.rs
+++ b/src/daemon/control/journal/io.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 
+use super::Event;
 use super::channel::Wish;
-use super::{Event, Stream};
 use crate::core::id::Node;
 use crate::core::stream::snapshot::recovery::Copy;
 use crate::core::stream::{Name, relay, writer};
@@ -13,7 +13,7 @@
 use crate::daemon::{Context, peer};
 use crate::platform::client::{Client, Failure};
 use crate::platform::log::Page;
-use crate::wire::{Ask, Frame, Tell};
+use crate::wire::{Ask, Frame, Stream, Tell};
 
 /// The largest page that is asked for, in bytes.
 const PAGE_BYTES: usize = 1 << 20;
--- a/src/daemon/control/journal/mod.rs
+++ b/src/daemon/control/journal/mod.rs
@@ -7,7 +7,6 @@
 
 mod channel;
 mod io;
-mod stream;
 
 use std::time::Duration;
 
@@ -16,7 +15,6 @@
 
 use self::channel::{Channel, Input, Notice, Outcome, Wish};
 use self::io::Io;
-pub use self::stream::Stream;
 use super::archive;
 use crate::core::config;
 use crate::core::error::Result;
@@ -30,6 +28,7 @@
 use crate::platform::client::Failure;
 use crate::platform::log::Page;
 use crate::util::metric::label;
+use crate::wire::Stream;
 
 /// How often the end of a stream of snapshots is asked for while snapshots are written.
 const SNAPSHOT_POLL: Duration = Duration::from_millis(500);
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -42,11 +42,11 @@
 use crate::platform::worker::Inventory;
 use crate::util::metric::label;
 use crate::util::timer;
-use crate::wire::{Ask, Estate, Frame, Reply, Tell};
+use crate::wire::{Ask, Estate, Frame, Reply, Stream, Tell};
 use archive::{Archive, Body};
 use configuration::Configuration;
 use jobs::Jobs;
-use journal::{Fact, Journal, Stream};
+use journal::{Fact, Journal};
 use keys::Keys;
 use slots::Slots;
 use tenure::Tenure;
@@ -327,14 +327,14 @@
         self.push_refused();
     }
 
-    /// Tells the leases of which partitions the log describes all that was done. While the log is
-    /// down nothing is told, so that the standbys' promises allow work without a record.
+    /// Tells the leases of which partitions the log describes all that was done: cells never act
+    /// before their records. While the log is down nothing is told of tables of keys, so that the
+    /// standbys' promises allow runs without a record.
     fn describe(&mut self, now: Instant) {
-        if !self.journal.is_up() {
-            return;
+        let mut described: Vec<Partition> = self.jobs.partitions().collect();
+        if self.journal.is_up() {
+            described.extend(self.keys.described());
         }
-        let mut described = self.keys.described();
-        described.extend(self.jobs.partitions());
         for partition in described {
             self.tenure.set_described(now, partition);
         }
@@ -402,7 +402,7 @@
                     for answer in self.configuration.apply(now, &record) {
                         answer.send();
                     }
-                    self.jobs.configure(now, self.configuration.config());
+                    self.configure(now);
                 }
                 Fact::Work(record) => self.learn_work(now, &record),
                 Fact::End(Stream::Lease) => self.tenure.set_ready(now),
@@ -417,7 +417,7 @@
                     if let Err(error) = self.configuration.restore(*state) {
                         warn!(self.context.log, "configuration cannot be restored"; "error" => %error);
                     }
-                    self.jobs.configure(now, self.configuration.config());
+                    self.configure(now);
                 }
                 Fact::WorkState(state) => self.archive.restore(*state),
                 Fact::Capture(stream) => self.capture(now, stream),
@@ -448,6 +448,12 @@
         self.journal.copy(state)
     }
 
+    /// Puts the configuration in force in the other parts.
+    fn configure(&mut self, now: Instant) {
+        self.jobs.configure(now, self.configuration.config());
+        self.context.set_config(self.configuration.shared());
+    }
+
     /// Keeps a record of a partition and gives one of an earlier owner to the present one.
     fn learn_work(&mut self, now: Instant, record: &archive::Record) {
         let retention = self.keys.retention();
--- a/src/ops/call.rs
+++ b/src/ops/call.rs
@@ -5,6 +5,7 @@
 use uuid::Uuid;
 
 use crate::api::schema::{self, CallRequest, CallResponse};
+use crate::core::config;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Caller, Key, Service};
 use crate::core::request::Origin;
@@ -22,9 +23,15 @@
 /// [`Kind::Malformed`] or [`Kind::KeyRequired`] for a request that cannot be run, and whatever
 /// stopped the call otherwise.
 pub async fn exec(context: &Context, request: CallRequest) -> Result<CallResponse> {
-    let timeout = timeout(context, request.timeout_ms);
+    let config = context.config();
+    let service = config
+        .services
+        .get(&Service(request.service.clone()))
+        .map(AsRef::as_ref);
+    let timeout = timeout(context, service, request.timeout_ms);
     let request_id = Uuid::now_v7().to_string();
-    let call = parse(request)?;
+    check_size(request.body.len(), config.limits.request_bytes as usize)?;
+    let call = parse(request, service)?;
     let tell = context.call(call, Origin::Caller, timeout).await?;
     match tell {
         Tell::Called {
@@ -42,28 +49,40 @@
 }
 
 /// Returns the span that the call may take.
-fn timeout(context: &Context, asked_ms: u32) -> Duration {
+fn timeout(context: &Context, service: Option<&config::Service>, asked_ms: u32) -> Duration {
     let traffic = &context.settings.traffic;
-    let millis = match u64::from(asked_ms) {
-        0 => traffic.default_timeout_ms,
-        asked => asked.min(traffic.max_timeout_ms),
-    };
-    Duration::from_millis(millis)
+    let default = Duration::from_millis(traffic.default_timeout_ms);
+    let longest = Duration::from_millis(traffic.max_timeout_ms);
+    let most = service.map_or(longest, |service| service.max_timeout.min(longest));
+    match u64::from(asked_ms) {
+        0 => service.map_or(default, |service| service.timeout).min(most),
+        asked => Duration::from_millis(asked).min(most),
+    }
+}
+
+/// Refuses a body above the configured limit.
+fn check_size(size: usize, most: usize) -> Result<()> {
+    if size <= most {
+        return Ok(());
+    }
+    let message = format!("the body has {size} bytes; send at most {most}");
+    Err(Error::new(Kind::TooLarge, message))
 }
 
 /// Checks the request.
-fn parse(request: CallRequest) -> Result<Call> {
+fn parse(request: CallRequest, service: Option<&config::Service>) -> Result<Call> {
     check_name("service", &request.service)?;
     check_name("method", &request.method)?;
     if request.caller.len() > MAX_NAME_BYTES {
-        return Err(Error::new(
-            Kind::Malformed,
-            format!("caller is longer than {MAX_NAME_BYTES} bytes"),
-        ));
+        let message = format!("caller is longer than {MAX_NAME_BYTES} bytes");
+        return Err(Error::new(Kind::Malformed, message));
     }
     let priority = priority(request.priority());
     let key = parse_key(&request.key)?;
-    if key.is_none() && !request.idempotent {
+    let is_listed =
+        service.is_some_and(|service| service.idempotent_methods.contains(&request.method));
+    let idempotent = request.idempotent || is_listed;
+    if key.is_none() && !idempotent {
         let message = "the call is not idempotent and has no key; send a UUID version 7 as its key";
         return Err(Error::new(Kind::KeyRequired, message));
     }
@@ -72,7 +91,7 @@
         method: request.method,
         body: request.body,
         key,
-        idempotent: request.idempotent,
+        idempotent,
         priority,
         caller: Caller(request.caller),
     })
--- a/src/ops/job.rs
+++ b/src/ops/job.rs
@@ -38,6 +38,7 @@
     let spec = request
         .spec
         .ok_or_else(|| Error::new(Kind::Malformed, "spec is missing; say what the job runs"))?;
+    check_tasks(spec.tasks, context.config().limits.tasks_per_job)?;
     let job = convert::job(Job(key.0), spec)?;
     let tell = context
         .ask(Ask::SubmitJob(Box::new(job)), super::TIMEOUT, false)
@@ -48,6 +49,15 @@
     })
 }
 
+/// Refuses a job of more tasks than are configured.
+fn check_tasks(tasks: u32, most: u32) -> Result<()> {
+    if tasks <= most {
+        return Ok(());
+    }
+    let message = format!("the job has {tasks} tasks; at most {most} are allowed");
+    Err(Error::new(Kind::Malformed, message))
+}
+
 /// Reads a job.
 ///
 /// # Errors
--- a/src/wire/ask.rs
+++ b/src/wire/ask.rs
@@ -3,12 +3,12 @@
 use laburnum_derive::message;
 use tokio::sync::oneshot;
 
+use super::Stream;
 use crate::api::schema;
 use crate::core::error::Result;
 use crate::core::id::{Caller, Job, Key, Partition, Service, Target, Team};
 use crate::core::placement;
 use crate::core::workload::Priority;
-use crate::daemon::control::journal::Stream;
 
 /// A call of a target's service.
 #[message]
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -2,14 +2,13 @@
 
 use laburnum_derive::message;
 
-use super::{Ask, Tell};
+use super::{Ask, Stream, Tell};
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Node, Partition, Target};
 use crate::core::lease::Epoch;
 use crate::core::request::slot;
 use crate::core::stream::relay;
 use crate::core::{lease, membership};
-use crate::daemon::control::journal::Stream;
 
 /// The grants in force of a partition's targets, from the owner that yields to the next.
 #[message]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,6 +6,8 @@
 
 mod ask;
 mod frame;
+mod stream;
 
 pub use ask::{Ask, Call, Reply, StreamState, Tell};
 pub use frame::{Estate, Frame, Lot};
+pub use stream::Stream;
--- a/src/daemon/control/journal/stream.rs
+++ b/src/wire/stream.rs
@@ -1,10 +1,10 @@
-//! The streams that the daemon follows.
+//! The streams of the log that entries follow.
 
 use laburnum_derive::value;
 
 use crate::core::stream::{Name, snapshot};
 
-/// A stream that the daemon follows.
+/// A stream of the log that every entry follows.
 #[value]
 pub enum Stream {
     /// Who owns a partition.
@@ -29,24 +29,24 @@
     }
 
     /// Returns the name as the writer takes it.
-    pub(super) fn lane(self) -> Name {
+    pub fn lane(self) -> Name {
         Name(self.name().to_owned())
     }
 
     /// Returns the name of the stream's snapshots.
-    pub(super) fn snapshots(self) -> Name {
+    pub fn snapshots(self) -> Name {
         snapshot::stream_of(&self.lane())
     }
 
     /// Returns the stream of a name in the log, if the name is not that of snapshots.
-    pub(super) fn of(name: &Name) -> Option<Stream> {
+    pub fn of(name: &Name) -> Option<Stream> {
         Stream::ALL
             .into_iter()
             .find(|stream| stream.name() == name.0)
     }
 
     /// Returns the stream whose snapshots have a name.
-    pub(super) fn of_snapshots(name: &Name) -> Option<Stream> {
+    pub fn of_snapshots(name: &Name) -> Option<Stream> {
         Stream::ALL
             .into_iter()
             .find(|stream| stream.snapshots() == *name)
--- a/tests/testsuite/daemon/config.rs
+++ b/tests/testsuite/daemon/config.rs
@@ -1,12 +1,13 @@
 use laburnum_testkit::cell::Cell;
 use laburnumplank::api::schema::{
-    ConfigVersion, GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse,
-    PutConfigRequest, PutConfigResponse,
+    CallRequest, ConfigVersion, GetConfigRequest, GetConfigResponse, JobClass, ListConfigRequest,
+    ListConfigResponse, PutConfigRequest, PutConfigResponse,
 };
 use laburnumplank::core::error::{Kind, Result};
 use serde_json::json;
 
-use super::{cell, client, eventually, run};
+use super::job::spec;
+use super::{call, cell, client, eventually, filing, run, submit};
 
 /// Returns a document that gives a team a quota.
 fn document(cores: u64) -> String {
@@ -105,3 +106,35 @@
         );
     });
 }
+
+#[test]
+fn put_of_service_changes_how_it_is_called() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let request = CallRequest {
+            key: String::new(),
+            ..filing("echo", "address")
+        };
+        let error = call(&client(&cell, 1), &request).await.unwrap_err();
+        assert_eq!(error.kind, Kind::KeyRequired);
+        let document = json!({
+            "services": { "licence": { "idempotent_methods": ["echo"] } },
+            "limits": { "request_bytes": 4_096, "tasks_per_job": 10 },
+        });
+        put(&cell, 0, 0, document.to_string()).await.unwrap();
+        let cell = &cell;
+        let request = &request;
+        eventually("the method to be idempotent", || async move {
+            let answer = call(&client(cell, 1), request).await;
+            answer.is_ok_and(|answer| answer.body == request.body)
+        })
+        .await;
+        let large = filing("echo", &"x".repeat(5_000));
+        let error = call(&client(cell, 1), &large).await.unwrap_err();
+        assert_eq!(error.kind, Kind::TooLarge);
+        let error = submit(&client(cell, 1), spec(JobClass::Batch, 11, "sleep 1"))
+            .await
+            .unwrap_err();
+        assert_eq!(error.kind, Kind::Malformed);
+    });
+}
