Split the daemon's large modules; never replace a record of the lease stream

Cause: the control, peer and dispatch parts had grown to 500 to 700 lines each; and a queued lease record was replaced by a newer one, although a record may only be retried unchanged or dropped once it is useless. Ruled out: none for the split, which moves code only. Measured: 33 of 33 process tests pass after it (72 s on a busy machine).

--- a/src/daemon/control/journal/mod.rs
+++ b/src/daemon/control/journal/mod.rs
@@ -7,7 +7,9 @@
 
 mod channel;
 mod io;
+mod message;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::random;
@@ -15,6 +17,8 @@
 
 use self::channel::{Channel, Input, Notice, Outcome, Wish};
 use self::io::Io;
+pub(in crate::daemon::control) use self::message::State;
+pub use self::message::{Event, Fact};
 use super::archive;
 use crate::core::config;
 use crate::core::error::Result;
@@ -25,7 +29,6 @@
 use crate::core::stream::{Name, Record, Sequence, Ticket, Writer, relay, writer};
 use crate::core::time::Instant;
 use crate::daemon::Context;
-use crate::platform::client::Failure;
 use crate::platform::log::Page;
 use crate::util::metric::label;
 use crate::wire::Stream;
@@ -33,116 +36,6 @@
 /// How often the end of a stream of snapshots is asked for while snapshots are written.
 const SNAPSHOT_POLL: Duration = Duration::from_millis(500);
 
-/// An answer of the log service or of another entry.
-#[derive(Debug)]
-pub enum Event {
-    /// A read was answered.
-    Page {
-        /// The stream.
-        stream: Stream,
-        /// The page.
-        page: std::result::Result<Page, Failure>,
-    },
-    /// The bounds of a stream were asked for.
-    Bounds {
-        /// The stream.
-        stream: Stream,
-        /// An empty page.
-        page: std::result::Result<Page, Failure>,
-    },
-    /// A read of snapshots was answered.
-    Snapshot {
-        /// The stream whose snapshots were read.
-        stream: Stream,
-        /// The page.
-        page: std::result::Result<Page, Failure>,
-    },
-    /// The end of a stream of snapshots was asked for.
-    SnapshotEnd {
-        /// The stream whose snapshots it holds.
-        stream: Stream,
-        /// The offset of the next append.
-        next: std::result::Result<u64, Failure>,
-    },
-    /// Another entry gave its state.
-    Peer {
-        /// The stream.
-        stream: Stream,
-        /// The entry.
-        from: Node,
-        /// The state, if the entry has one.
-        copy: Option<Copy>,
-    },
-    /// The relay of another entry sent a notice.
-    Relay {
-        /// The stream.
-        stream: Stream,
-        /// The entry.
-        from: Node,
-        /// The notice.
-        message: relay::Message,
-    },
-    /// An append was answered.
-    Appended {
-        /// The stream, or that of its snapshots.
-        name: Name,
-        /// The copy that was appended.
-        copy: writer::Copy,
-        /// Where it landed.
-        offset: std::result::Result<u64, Failure>,
-    },
-}
-
-/// What was learnt from the log.
-#[derive(Debug)]
-pub enum Fact {
-    /// The state of the lease stream up to some offset.
-    LeaseState(lease::Snapshot),
-    /// The state of the configuration up to some offset.
-    ConfigState(Box<config::State>),
-    /// The state of the work stream up to some offset.
-    WorkState(Box<archive::State>),
-    /// A record of the lease stream.
-    Lease {
-        /// Where it stands.
-        offset: u64,
-        /// The record.
-        record: lease::Record,
-    },
-    /// A change of the configuration.
-    Config(Record<config::Change>),
-    /// A record of a partition.
-    Work(archive::Record),
-    /// The stream was read to its end.
-    End(Stream),
-    /// The state of the stream is wanted for a snapshot, by [`Journal::captured`].
-    Capture(Stream),
-    /// Records of this process are in the log for good.
-    Durable {
-        /// The stream.
-        stream: Stream,
-        /// The records.
-        tickets: Vec<Ticket>,
-    },
-    /// Records of this process may or may not be in the log.
-    Unknown {
-        /// The stream.
-        stream: Stream,
-        /// The records.
-        tickets: Vec<Ticket>,
-    },
-}
-
-/// A state of one of the streams.
-pub(super) enum State {
-    /// Of the lease stream.
-    Lease(lease::Snapshot),
-    /// Of the configuration.
-    Config(Box<config::State>),
-    /// Of the work stream.
-    Work(Box<archive::State>),
-}
-
 /// The channels and the writer.
 pub(super) struct Journal {
     context: Context,
@@ -151,8 +44,8 @@
     lease: Channel<lease::Record, lease::Snapshot>,
     config: Channel<config::Change, config::State>,
     work: Channel<archive::Record, archive::State>,
-    /// The last record of the lease stream, which a newer one replaces while it was not sent.
-    last_lease: Option<Ticket>,
+    /// Records of the lease stream, with when they become useless.
+    lease_records: VecDeque<(Ticket, Instant)>,
     is_up: bool,
     /// Whether this entry writes the snapshots.
     is_publisher: bool,
@@ -171,7 +64,7 @@
             lease: Channel::new(node, Stream::Lease, retention),
             config: Channel::new(node, Stream::Config, retention),
             work: Channel::new(node, Stream::Work, retention),
-            last_lease: None,
+            lease_records: VecDeque::new(),
             is_up: true,
             is_publisher: false,
             polled_at: Instant::default(),
@@ -234,16 +127,24 @@
         }
     }
 
-    /// Queues a record of the lease stream, in place of one that was not sent yet.
-    pub(super) fn push_lease(&mut self, record: &lease::Record) -> Result<()> {
-        let stream = Stream::Lease.lane();
-        if let Some(ticket) = self.last_lease {
-            self.writer.withdraw(&stream, ticket);
-        }
-        self.last_lease = Some(self.writer.push(&stream, record)?);
+    /// Queues a record of the lease stream; it is taken back when it has become useless unsent.
+    pub(super) fn push_lease(&mut self, append: &lease::Append) -> Result<()> {
+        let ticket = self.writer.push(&Stream::Lease.lane(), &append.record)?;
+        self.lease_records.push_back((ticket, append.expires));
         Ok(())
     }
 
+    /// Takes back records of the lease stream that became useless before they were sent.
+    fn drop_expired(&mut self, now: Instant) {
+        while let Some(&(ticket, expires)) = self.lease_records.front() {
+            if now < expires {
+                return;
+            }
+            self.lease_records.pop_front();
+            self.withdraw(Stream::Lease, ticket);
+        }
+    }
+
     /// Queues a record of another stream.
     pub(super) fn push<T: serde::Serialize>(
         &mut self,
@@ -288,6 +189,7 @@
         for stream in Stream::ALL {
             self.step(now, stream, Input::Tick, facts);
         }
+        self.drop_expired(now);
         if self.is_publisher && now.since(self.polled_at) >= SNAPSHOT_POLL {
             self.polled_at = now;
             Stream::ALL
--- a/src/daemon/dispatch/mod.rs
+++ b/src/daemon/dispatch/mod.rs
@@ -6,97 +6,37 @@
 //! leaves with one final answer.
 
 mod connection;
+mod event;
+mod listing;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use serde_json::Value;
-use tokio::sync::oneshot;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::context::Context;
 use super::control;
-use super::control::place_of;
 use super::peer;
 use super::supervisor::Inbox;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{Partition, Service, Target};
 use crate::core::request::call::{Answer, Id};
-use crate::core::request::dispatcher::{
-    self, Input, Listed, Listing, Output, Owner, Report, Verdict,
-};
+use crate::core::request::dispatcher::{Input, Output, Owner, Report};
 use crate::core::request::link::{Attempt, Connection};
-use crate::core::request::route::Partitions;
-use crate::core::request::slot::{Capacity, Grant, Member};
 use crate::core::request::{self, Dispatcher, Origin, Safety, dedup};
 use crate::core::time::Instant;
-use crate::platform::vms::{List, Role, State};
 use crate::util::metric::label;
 use crate::wire::{Call, Reply, Tell};
 use connection::Pool;
+pub use event::Event;
 
 /// The longest sleep between two ticks.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
 
-/// What the dispatch part is told.
-pub enum Event {
-    /// A call arrived.
-    Call {
-        /// The call.
-        call: Call,
-        /// Who sent it.
-        origin: Origin,
-        /// When the answer is due.
-        deadline: Instant,
-        /// Where the answer goes.
-        reply: Reply,
-    },
-    /// A table of keys has decided.
-    Verdict {
-        /// The service of the request.
-        service: Service,
-        /// The decision.
-        verdict: Verdict,
-    },
-    /// The owner answered a forwarded call.
-    Returned {
-        /// The service of the call.
-        service: Service,
-        /// The request.
-        id: Id,
-        /// The answer.
-        tell: Result<Tell>,
-    },
-    /// A forwarded call could not be sent or its answer was lost.
-    ForwardFailed {
-        /// The service of the call.
-        service: Service,
-        /// The request.
-        id: Id,
-    },
-    /// Slots were granted.
-    Granted(Grant),
-    /// The VM list changed.
-    Vms(List),
-    /// The ownership of a partition changed.
-    Owner(Partition, Owner),
-    /// A target answered, or a connection to it closed.
-    Target {
-        /// The target.
-        target: Target,
-        /// What happened.
-        input: Input,
-    },
-    /// The state is asked for, as JSON by service.
-    Dump(oneshot::Sender<Value>),
-    /// A planned stop began.
-    Drain,
-}
-
 /// A call without its final answer.
 struct Pending {
     call: Call,
@@ -280,80 +220,6 @@
         }
     }
 
-    /// Adopts a newer VM list.
-    fn adopt(&mut self, list: &List) {
-        self.is_listed = !list.vms.is_empty();
-        self.targets.clear();
-        let mut listed: HashMap<Service, Vec<Listed>> = HashMap::new();
-        for vm in &list.vms {
-            if let Role::Target {
-                service,
-                slots,
-                connections,
-            } = &vm.role
-            {
-                let target = Target(vm.id);
-                let place = Place {
-                    service: service.clone(),
-                    address: vm.address,
-                };
-                self.targets.insert(target, place);
-                listed.entry(service.clone()).or_default().push(Listed {
-                    target,
-                    place: place_of(&self.context.settings, &vm.data_centre),
-                    capacity: Capacity {
-                        slots: *slots,
-                        connections: *connections,
-                    },
-                    is_leaving: vm.state == State::Leaving,
-                });
-            }
-        }
-        for service in listed.keys() {
-            self.ensure_dispatcher(service);
-        }
-        let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
-        for service in services {
-            let targets = listed.remove(&service).unwrap_or_default();
-            let version = list.version;
-            self.step(&service, Input::Targets(Listing { version, targets }));
-        }
-    }
-
-    /// Makes the dispatcher of a service, if there is none.
-    fn ensure_dispatcher(&mut self, service: &Service) {
-        if self.dispatchers.contains_key(service) {
-            return;
-        }
-        let settings = &self.context.settings;
-        let partitions = Partitions(settings.cell.request_partitions);
-        let rules = dispatcher::Settings::builder()
-            .partitions(partitions)
-            .build();
-        let member = Member {
-            node: self.context.node(),
-            thread: 0,
-        };
-        let place = place_of(settings, &settings.node.data_centre);
-        let random = Pcg32::seed_from_u64(rand::random());
-        let dispatcher = Dispatcher::new(rules, member, place, random);
-        self.dispatchers.insert(service.clone(), dispatcher);
-        let owners: Vec<(Partition, Owner)> =
-            self.owners.iter().map(|(&p, &owner)| (p, owner)).collect();
-        for (partition, owner) in owners {
-            self.step(service, Input::Owner(partition, owner));
-        }
-    }
-
-    /// Tells all dispatchers who owns a partition.
-    fn own(&mut self, partition: Partition, owner: Owner) {
-        self.owners.insert(partition, owner);
-        let services: Vec<Service> = self.dispatchers.keys().cloned().collect();
-        for service in services {
-            self.step(&service, Input::Owner(partition, owner));
-        }
-    }
-
     /// Gives an event to the dispatcher of a service and carries out what it wants.
     fn step(&mut self, service: &Service, input: Input) {
         let now = self.context.clock.now();
--- /dev/null
+++ b/src/daemon/peer/link.rs
@@ -0,0 +1,91 @@
+//! One link: a web socket that carries frames and heartbeats.
+
+use std::net::SocketAddr;
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::{Bytes, Message};
+
+use crate::daemon::context::Context;
+use crate::daemon::peer::{Command, DIAL_TIMEOUT, HEARTBEAT_PERIOD, PATH, SILENCE};
+use crate::wire::Frame;
+
+/// Connects to another entry.
+pub(super) async fn connect(address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
+    let dialled = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let url = format!("ws://{address}{PATH}");
+        tokio_tungstenite::client_async(url, stream).await.ok()
+    };
+    let (socket, _response) = actix_rt::time::timeout(DIAL_TIMEOUT, dialled)
+        .await
+        .ok()??;
+    Some(socket)
+}
+
+/// Serves a link until it breaks or is silent.
+pub(super) async fn serve_link(
+    context: &Context,
+    link: u64,
+    socket: WebSocketStream<TcpStream>,
+    frames: mpsc::Receiver<Frame>,
+) {
+    let (sink, source) = socket.split();
+    tokio::select! {
+        _ = write_frames(context, sink, frames) => {}
+        _ = read_frames(context, link, source) => {}
+    }
+}
+
+/// Writes queued frames, and a heartbeat when there are none.
+async fn write_frames<S>(
+    context: &Context,
+    mut sink: S,
+    mut frames: mpsc::Receiver<Frame>,
+) -> Option<()>
+where
+    S: SinkExt<Message> + Unpin,
+{
+    write(
+        &mut sink,
+        &Frame::Hello {
+            node: context.node(),
+        },
+    )
+    .await?;
+    loop {
+        let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
+        let frame = match queued {
+            Ok(frame) => frame?,
+            Err(_) => Frame::KeepAlive,
+        };
+        write(&mut sink, &frame).await?;
+    }
+}
+
+/// Hands over the frames that arrive.
+async fn read_frames<S, E>(context: &Context, link: u64, mut source: S) -> Option<()>
+where
+    S: StreamExt<Item = std::result::Result<Message, E>> + Unpin,
+{
+    loop {
+        let next = actix_rt::time::timeout(SILENCE, source.next()).await;
+        let message = next.ok()??.ok()?;
+        if let Message::Binary(data) = message {
+            let frame = Frame::decode(&data).ok()?;
+            context.peer(Command::Arrived { link, frame });
+        }
+    }
+}
+
+/// Writes one frame; `None` when the link is broken.
+async fn write<S>(sink: &mut S, frame: &Frame) -> Option<()>
+where
+    S: SinkExt<Message> + Unpin,
+{
+    let data = frame.encode().ok()?;
+    sink.send(Message::Binary(Bytes::from(data))).await.ok()
+}
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer/mod.rs
@@ -6,18 +6,21 @@
 //! [`SILENCE`]. An ask whose link is lost is answered with [`Kind::AnswerLost`] at once, and its
 //! sender decides whether to ask again.
 
+mod command;
+mod link;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
 use slog::{Logger, info};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::Role;
-use tokio_tungstenite::tungstenite::{Bytes, Message};
 
+pub use self::command::Command;
+use self::link::{connect, serve_link};
 use super::context::Context;
 use super::supervisor::Inbox;
 use super::{control, dispatch};
@@ -26,7 +29,7 @@
 use crate::core::request::Origin;
 use crate::core::request::call::Id;
 use crate::util::metric::label;
-use crate::wire::{Ask, Call, Frame, Reply, Tell};
+use crate::wire::{Ask, Frame, Reply, Tell};
 
 /// How often a link carries a heartbeat.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(800);
@@ -39,78 +42,6 @@
 /// The path that a link is dialled on.
 pub const PATH: &str = "/v1/peer";
 
-/// What the peer part is asked to do.
-pub enum Command {
-    /// Replaces the addresses of the other entries.
-    Addresses(HashMap<Vm, SocketAddr>),
-    /// Takes a link that another entry dialled, after the handshake.
-    Accepted(std::net::TcpStream),
-    /// Sends a notice; it is lost when the link is.
-    Send {
-        /// The receiver.
-        to: Vm,
-        /// The notice.
-        frame: Frame,
-    },
-    /// Asks another entry; the reply always comes.
-    Ask {
-        /// The receiver.
-        to: Vm,
-        /// What is asked.
-        ask: Ask,
-        /// How long to wait.
-        timeout: Duration,
-        /// Where the answer goes.
-        reply: Reply,
-    },
-    /// Forwards a call for the dispatch part, which is told how that ended.
-    Forward {
-        /// The receiver.
-        to: Vm,
-        /// The service of the call.
-        service: Service,
-        /// The request.
-        id: Id,
-        /// The call.
-        call: Call,
-        /// How long to wait.
-        timeout: Duration,
-    },
-    /// Answers an ask on the link it came from.
-    Tell {
-        /// The link.
-        link: u64,
-        /// The id of the ask.
-        id: u64,
-        /// The answer.
-        tell: Result<Tell>,
-    },
-    /// A frame arrived.
-    Arrived {
-        /// The link.
-        link: u64,
-        /// The frame.
-        frame: Frame,
-    },
-    /// A dialled link is up.
-    Dialled {
-        /// The link.
-        link: u64,
-        /// The other end.
-        vm: Vm,
-    },
-    /// A link is gone.
-    Closed {
-        /// The link.
-        link: u64,
-    },
-    /// An ask has waited long enough.
-    Expired {
-        /// The id of the ask.
-        id: u64,
-    },
-}
-
 /// One link.
 struct Link {
     vm: Option<Vm>,
@@ -447,81 +378,3 @@
         format!("the owner's answer is lost: {reason}"),
     )
 }
-
-/// Connects to another entry.
-async fn connect(address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
-    let dialled = async {
-        let stream = TcpStream::connect(address).await.ok()?;
-        let _ = stream.set_nodelay(true);
-        let url = format!("ws://{address}{PATH}");
-        tokio_tungstenite::client_async(url, stream).await.ok()
-    };
-    let (socket, _response) = actix_rt::time::timeout(DIAL_TIMEOUT, dialled)
-        .await
-        .ok()??;
-    Some(socket)
-}
-
-/// Serves a link until it breaks or is silent.
-async fn serve_link(
-    context: &Context,
-    link: u64,
-    socket: WebSocketStream<TcpStream>,
-    frames: mpsc::Receiver<Frame>,
-) {
-    let (sink, source) = socket.split();
-    tokio::select! {
-        _ = write_frames(context, sink, frames) => {}
-        _ = read_frames(context, link, source) => {}
-    }
-}
-
-/// Writes queued frames, and a heartbeat when there are none.
-async fn write_frames<S>(
-    context: &Context,
-    mut sink: S,
-    mut frames: mpsc::Receiver<Frame>,
-) -> Option<()>
-where
-    S: SinkExt<Message> + Unpin,
-{
-    write(
-        &mut sink,
-        &Frame::Hello {
-            node: context.node(),
-        },
-    )
-    .await?;
-    loop {
-        let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
-        let frame = match queued {
-            Ok(frame) => frame?,
-            Err(_) => Frame::KeepAlive,
-        };
-        write(&mut sink, &frame).await?;
-    }
-}
-
-/// Hands over the frames that arrive.
-async fn read_frames<S, E>(context: &Context, link: u64, mut source: S) -> Option<()>
-where
-    S: StreamExt<Item = std::result::Result<Message, E>> + Unpin,
-{
-    loop {
-        let next = actix_rt::time::timeout(SILENCE, source.next()).await;
-        let message = next.ok()??.ok()?;
-        if let Message::Binary(data) = message {
-            let frame = Frame::decode(&data).ok()?;
-            context.peer(Command::Arrived { link, frame });
-        }
-    }
-}
-
-/// Writes one frame; `None` when the link is broken.
-async fn write<S>(sink: &mut S, frame: &Frame) -> Option<()>
-where
-    S: SinkExt<Message> + Unpin,
-{
-    let data = frame.encode().ok()?;
-    sink.send(Message::Binary(Bytes::from(data))).await.ok()
-}
