Let operators change the configuration by a merge patch

Cause: the store judges patches by the keys they touch, but the schema carried whole documents only, so at the target's rate of changes nearly every change made by a person would conflict. Ruled out: a second procedure; a field of the same request keeps the conflict rule in one place. Measured: two patches against the same base are both accepted when they touch other teams, and the third, of the same team, conflicts (test put_of_patch_conflicts_with_same_keys_only). Conclusion: kept; an addition that old clients do not see.

--- a/src/api/schema/laburnum.v1.rs
+++ b/src/api/schema/laburnum.v1.rs
@@ -221,9 +221,13 @@
     pub base_version: u64,
     #[prost(string, tag = "2")]
     pub author: ::prost::alloc::string::String,
-    /// The new document, as JSON.
+    /// The new document, as JSON; it conflicts with every change after the base.
     #[prost(string, tag = "3")]
     pub document: ::prost::alloc::string::String,
+    /// A JSON merge patch (RFC 7396) in place of a whole document; it conflicts only with changes of
+    /// the same keys after the base.
+    #[prost(string, tag = "4")]
+    pub patch: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PutConfigResponse {
--- a/src/api/schema/laburnum.v1.serde.rs
+++ b/src/api/schema/laburnum.v1.serde.rs
@@ -3368,6 +3368,9 @@
         if !self.document.is_empty() {
             len += 1;
         }
+        if !self.patch.is_empty() {
+            len += 1;
+        }
         let mut struct_ser = serializer.serialize_struct("laburnum.v1.PutConfigRequest", len)?;
         if self.base_version != 0 {
             #[allow(clippy::needless_borrow)]
@@ -3380,6 +3383,9 @@
         if !self.document.is_empty() {
             struct_ser.serialize_field("document", &self.document)?;
         }
+        if !self.patch.is_empty() {
+            struct_ser.serialize_field("patch", &self.patch)?;
+        }
         struct_ser.end()
     }
 }
@@ -3394,6 +3400,7 @@
             "baseVersion",
             "author",
             "document",
+            "patch",
         ];
 
         #[allow(clippy::enum_variant_names)]
@@ -3401,6 +3408,7 @@
             BaseVersion,
             Author,
             Document,
+            Patch,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -3425,6 +3433,7 @@
                             "baseVersion" | "base_version" => Ok(GeneratedField::BaseVersion),
                             "author" => Ok(GeneratedField::Author),
                             "document" => Ok(GeneratedField::Document),
+                            "patch" => Ok(GeneratedField::Patch),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -3447,6 +3456,7 @@
                 let mut base_version__ = None;
                 let mut author__ = None;
                 let mut document__ = None;
+                let mut patch__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::BaseVersion => {
@@ -3469,12 +3479,19 @@
                             }
                             document__ = Some(map_.next_value()?);
                         }
+                        GeneratedField::Patch => {
+                            if patch__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("patch"));
+                            }
+                            patch__ = Some(map_.next_value()?);
+                        }
                     }
                 }
                 Ok(PutConfigRequest {
                     base_version: base_version__.unwrap_or_default(),
                     author: author__.unwrap_or_default(),
                     document: document__.unwrap_or_default(),
+                    patch: patch__.unwrap_or_default(),
                 })
             }
         }
--- a/src/bin/laburnum/commands/config.rs
+++ b/src/bin/laburnum/commands/config.rs
@@ -68,7 +68,11 @@
     #[argh(option, default = "String::from(\"command-line\")")]
     author: String,
 
-    /// the file with the new document
+    /// the file holds a JSON merge patch; it conflicts only with changes of the same keys
+    #[argh(switch)]
+    patch: bool,
+
+    /// the file with the new document or the patch
     #[argh(positional)]
     file: PathBuf,
 }
@@ -133,16 +137,21 @@
 }
 
 async fn put(context: &Context, options: Put) -> eyre::Result<()> {
-    let document = fs::read_to_string(&options.file).wrap_err_with(|| {
+    let text = fs::read_to_string(&options.file).wrap_err_with(|| {
         format!(
             "cannot read {}; name a readable file",
             options.file.display()
         )
     })?;
+    let (document, patch) = match options.patch {
+        true => (String::new(), text),
+        false => (text, String::new()),
+    };
     let request = PutConfigRequest {
         base_version: options.base,
         author: options.author,
         document,
+        patch,
     };
     let answer: PutConfigResponse = context
         .client
--- a/src/daemon/control/answer.rs
+++ b/src/daemon/control/answer.rs
@@ -88,16 +88,12 @@
     /// Answers what every entry knows.
     fn answer_local(&mut self, now: Instant, ask: Ask, deadline: Instant, reply: Reply) {
         let result = match ask {
-            Ask::PutConfig {
-                base,
-                author,
-                document,
-            } => {
+            Ask::PutConfig { base, author, body } => {
                 let deadline = deadline - ANSWER_MARGIN;
                 let wish = Wish {
                     base,
                     author,
-                    document,
+                    body,
                     at: self.context.clock.stamp(),
                     deadline,
                 };
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -25,8 +25,8 @@
     pub(super) base: u64,
     /// Who makes it.
     pub(super) author: String,
-    /// The new document.
-    pub(super) document: String,
+    /// What changes.
+    pub(super) body: Body,
     /// When it is made.
     pub(super) at: Stamp,
     /// When the operator gives up.
@@ -84,7 +84,7 @@
             base: Version(wish.base),
             author: wish.author,
             at: wish.at,
-            body: Body::Whole(wish.document),
+            body: wish.body,
         };
         if let Err(error) = self.check(journal, &change) {
             return vec![Answer {
--- a/src/ops/config.rs
+++ b/src/ops/config.rs
@@ -5,6 +5,7 @@
     GetConfigRequest, GetConfigResponse, ListConfigRequest, ListConfigResponse, PutConfigRequest,
     PutConfigResponse,
 };
+use crate::core::config::Body;
 use crate::core::error::{Error, Kind, Result};
 use crate::daemon::Context;
 use crate::wire::{Ask, Tell};
@@ -40,7 +41,7 @@
     let ask = Ask::PutConfig {
         base: request.base_version,
         author: request.author,
-        document: request.document,
+        body: body(request.document, request.patch)?,
     };
     let tell = context.ask(ask, super::TIMEOUT, false).await?;
     Ok(PutConfigResponse {
@@ -48,6 +49,15 @@
     })
 }
 
+/// Returns what changes: the document or the patch, whichever is given.
+fn body(document: String, patch: String) -> Result<Body> {
+    match (document.is_empty(), patch.is_empty()) {
+        (false, true) => Ok(Body::Whole(document)),
+        (true, false) => Ok(Body::Patch(patch)),
+        _ => Err(Error::new(Kind::Malformed, "give either document or patch")),
+    }
+}
+
 /// Lists the latest versions, newest first.
 ///
 /// # Errors
--- a/src/wire/ask.rs
+++ b/src/wire/ask.rs
@@ -5,6 +5,7 @@
 
 use super::Stream;
 use crate::api::schema;
+use crate::core::config;
 use crate::core::error::Result;
 use crate::core::id::{Caller, Job, Key, Partition, Service, Target, Team};
 use crate::core::placement;
@@ -66,8 +67,8 @@
         base: u64,
         /// Who changes it.
         author: String,
-        /// The new document.
-        document: String,
+        /// What changes.
+        body: config::Body,
     },
     /// Lists the latest versions of the configuration.
     ListConfig,
--- a/tests/testsuite/daemon/config.rs
+++ b/tests/testsuite/daemon/config.rs
@@ -19,6 +19,7 @@
         base_version: base,
         author: "ana".to_owned(),
         document,
+        ..PutConfigRequest::default()
     };
     let answer: PutConfigResponse = client(cell, entry)
         .call("Operator", "PutConfig", &request)
@@ -138,3 +139,31 @@
         assert_eq!(error.kind, Kind::Malformed);
     });
 }
+
+#[test]
+fn put_of_patch_conflicts_with_same_keys_only() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        put(&cell, 0, 0, document(1)).await.unwrap();
+        let patch = |team: &str, cores: u64| {
+            PutConfigRequest {
+            base_version: 1,
+            author: "ana".to_owned(),
+            patch: json!({ "teams": { team: { "cpu_millis": cores, "memory_mib": 1, "accelerators": 0 } } })
+                .to_string(),
+            ..PutConfigRequest::default()
+        }
+        };
+        for (request, kind) in [
+            (patch("clerks", 1_000), None),
+            (patch("mayors", 2_000), None),
+            (patch("clerks", 3_000), Some(Kind::Conflict)),
+            (PutConfigRequest::default(), Some(Kind::Malformed)),
+        ] {
+            let answer: Result<PutConfigResponse> = client(&cell, 1)
+                .call("Operator", "PutConfig", &request)
+                .await;
+            assert_eq!(answer.err().map(|error| error.kind), kind);
+        }
+    });
+}
