Start what was accepted while the log is down

Cause: an owner that both standbys know about may start tasks before their records, and the cell can, but the daemon never told it so; an accepted job stood still for as long as the log was down. Ruled out: starting without the standbys' promises, because a later owner could then not know what runs. After: accepted_job_goes_on_while_log_is_down passes: all 40 tasks start during the outage, each once, and the job succeeds when the log is back. Conclusion: kept; a partition counts as described again only once its cell is settled, so the owner after an outage waits out unknown starts.

--- a/src/daemon/control/jobs.rs
+++ b/src/daemon/control/jobs.rs
@@ -262,13 +262,19 @@
     }
 
     /// Lets time pass and tells the cells until when they may act.
-    pub(super) fn tick(&mut self, now: Instant, tenure: &Tenure) -> Wishes {
+    ///
+    /// While the log is down, tasks are started before their records as long as both standbys know
+    /// that this may happen.
+    pub(super) fn tick(&mut self, now: Instant, tenure: &Tenure, is_log_up: bool) -> Wishes {
         let partitions: Vec<Partition> = self.partitions().collect();
         let mut wishes = Vec::new();
         for partition in partitions {
             if let Some(until) = tenure.deadline(partition, now) {
                 wishes.push((partition, self.step(now, partition, Input::Lease(until))));
             }
+            let is_unrecorded = !is_log_up && tenure.holds_promises(partition, now);
+            let input = Input::Unrecorded(is_unrecorded);
+            wishes.push((partition, self.step(now, partition, input)));
             // A partition that is to move gets no new placements, so that its records come to an end.
             if !tenure.is_moving(partition) {
                 wishes.push((partition, self.step(now, partition, Input::Tick)));
@@ -277,6 +283,12 @@
         wishes
     }
 
+    /// Returns the partitions whose records in the log describe all that may run.
+    pub(super) fn described(&self) -> Vec<Partition> {
+        let settled = self.cells.iter().filter(|(_, cell)| cell.is_settled());
+        settled.map(|(&partition, _)| partition).collect()
+    }
+
     /// Gives an event to the cell of a partition, if it is owned.
     pub(super) fn step(&mut self, now: Instant, partition: Partition, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -236,11 +236,11 @@
         let mut facts = Vec::new();
         self.journal.tick(now, &mut facts);
         self.learn(now, facts);
-        for (partition, outputs) in self.jobs.tick(now, &self.tenure) {
-            self.follow_cell(partition, outputs);
-        }
         self.describe(now);
         let is_up = self.journal.is_up();
+        for (partition, outputs) in self.jobs.tick(now, &self.tenure, is_up) {
+            self.follow_cell(partition, outputs);
+        }
         for (partition, outputs) in self.keys.tick(self.context.clock, &self.tenure, is_up) {
             self.follow_keys(partition, outputs);
         }
--- a/src/daemon/control/ownership.rs
+++ b/src/daemon/control/ownership.rs
@@ -13,14 +13,14 @@
 use crate::wire::{Estate, Frame};
 
 impl Control {
-    /// Tells the leases of which partitions the log describes all that was done: cells never act
-    /// before their records. While the log is down nothing is told of tables of keys, so that the
-    /// standbys' promises allow runs without a record.
+    /// Tells the leases of which partitions the log describes all that was done. While the log is
+    /// down nothing is told, so that the standbys' promises allow work without a record.
     pub(super) fn describe(&mut self, now: Instant) {
-        let mut described: Vec<Partition> = self.jobs.partitions().collect();
-        if self.journal.is_up() {
-            described.extend(self.keys.described());
+        if !self.journal.is_up() {
+            return;
         }
+        let mut described = self.keys.described();
+        described.extend(self.jobs.described());
         for partition in described {
             self.tenure.set_described(now, partition);
         }
--- a/tests/testsuite/daemon/fault.rs
+++ b/tests/testsuite/daemon/fault.rs
@@ -4,7 +4,9 @@
 use laburnum_testkit::process::Signal;
 use laburnum_testkit::standin::fault::{Faults, Loss};
 use laburnum_testkit::standin::{Role, vms};
-use laburnumplank::api::schema::{DrainVmRequest, DrainVmResponse, JobClass, JobState};
+use laburnumplank::api::schema::{
+    Amount, DrainVmRequest, DrainVmResponse, JobClass, JobSpec, JobState,
+};
 use laburnumplank::core::error::{Effect, Kind};
 
 use super::job::{check_workers, spec};
@@ -301,3 +303,52 @@
         runs(&cell).await;
     });
 }
+
+#[test]
+fn accepted_job_goes_on_while_log_is_down() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let size = Amount {
+            cpu_millis: 4_000,
+            memory_mib: 512,
+            accelerators: 0,
+        };
+        let waves = JobSpec {
+            size: Some(size),
+            ..spec(JobClass::Batch, 40, "sleep 2000")
+        };
+        let id = submit(&client(&cell, 0), waves).await.unwrap();
+        let first = client(&cell, 0);
+        watch(&first, &id, |job| {
+            job.tasks.iter().any(|task| task.state == "running")
+        })
+        .await;
+        set_log_faults(
+            &cell,
+            &Faults {
+                down: true,
+                ..Faults::default()
+            },
+        )
+        .await;
+        let cell_ref = &cell;
+        eventually("the start of all tasks", || async move {
+            started(cell_ref).await == 40
+        })
+        .await;
+        set_log_faults(&cell, &Faults::default()).await;
+        watch(&first, &id, |job| job.state() == JobState::Succeeded).await;
+        assert_eq!(started(&cell).await, 40);
+        check_workers(&cell).await;
+    });
+}
+
+/// Returns how many tasks all workers together have started.
+async fn started(cell: &Cell) -> u64 {
+    let mut started = 0;
+    for worker in 0..cell.platform.workers.addresses.len() {
+        let counts = cell.platform.workers.client.worker_counts(worker);
+        started += counts.await.unwrap().started;
+    }
+    started
+}
