Add the operators' page and checks of schema, settings and page

The published schema had no released form to compare with, the settings file no example, and nothing kept the operators' page in step with the code.

--- /dev/null
+++ b/tests/testsuite/docs.rs
@@ -0,0 +1,169 @@
+//! Compares the operators' page with the code.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+
+use laburnum_testkit::schema::decode;
+use laburnumplank::api::schema::DESCRIPTOR;
+use laburnumplank::core::error::{Answer, Effect, Kind};
+use laburnumplank::settings;
+use laburnumplank::util::metric::Metrics;
+use opentelemetry::KeyValue;
+use serde_json::Value;
+
+const PAGE: &str = include_str!("../../docs/operations.md");
+
+/// Returns the rows of the tables under the heading `title`, down to the next heading of its level.
+fn rows(title: &str) -> Vec<Vec<String>> {
+    let mut lines = PAGE.lines().skip_while(|line| *line != title);
+    assert!(lines.next().is_some(), "no heading `{title}`");
+    let level = title.split(' ').next().unwrap();
+    let end = format!("{level} ");
+    let section = lines.take_while(|line| !line.starts_with(&end) && !line.starts_with("## "));
+    let tables = section.filter(|line| line.starts_with("| `"));
+    tables.map(cells).collect()
+}
+
+fn cells(line: &str) -> Vec<String> {
+    let inner = line.trim_matches('|');
+    inner
+        .split(" | ")
+        .map(|cell| cell.trim().replace('`', ""))
+        .collect()
+}
+
+fn names(rows: &[Vec<String>]) -> BTreeSet<String> {
+    let names: BTreeSet<String> = rows.iter().map(|row| row[0].clone()).collect();
+    assert_eq!(names.len(), rows.len(), "a row stands twice");
+    names
+}
+
+/// Adds the paths and values of all fields under `value`, with `[]` for the items of a list.
+fn walk(path: &str, value: &Value, fields: &mut BTreeMap<String, Value>) {
+    match value {
+        Value::Object(map) => {
+            for (name, value) in map {
+                let path = if path.is_empty() {
+                    name.clone()
+                } else {
+                    format!("{path}.{name}")
+                };
+                walk(&path, value, fields);
+            }
+        }
+        Value::Array(items) if items.iter().all(Value::is_object) => {
+            for item in items {
+                walk(&format!("{path}[]"), item, fields);
+            }
+        }
+        _ => {
+            fields.insert(path.to_owned(), value.clone());
+        }
+    }
+}
+
+#[test]
+fn settings_reference_matches_the_code() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/laburnumd.json");
+    let settings = settings::load(Path::new(file)).unwrap();
+    let mut fields = BTreeMap::new();
+    walk("", &serde_json::to_value(settings).unwrap(), &mut fields);
+    let rows = rows("## Settings");
+    assert_eq!(names(&rows), fields.keys().cloned().collect());
+    for row in rows.iter().filter(|row| row[2] != "required") {
+        // The shipped file shows the defaults, which a test of the settings keeps so.
+        let shown = fields[&row[0]].to_string().replace('"', "");
+        assert_eq!(row[2].replace(',', ""), shown, "default of {}", row[0]);
+    }
+}
+
+#[test]
+fn settings_ranges_match_the_code() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/laburnumd.json");
+    let settings = settings::load(Path::new(file)).unwrap();
+    let document = serde_json::to_value(settings).unwrap();
+    for row in rows("## Settings") {
+        let Some((least, most)) = row[3].split_once(" to ") else {
+            continue;
+        };
+        let pointer = format!("/{}", row[0].replace('.', "/"));
+        let bounds = [least, most].map(|bound| bound.replace(',', "").parse::<u64>().unwrap());
+        let accepts = |value: u64| {
+            let mut document = document.clone();
+            *document.pointer_mut(&pointer).unwrap() = value.into();
+            settings::parse(&document.to_string()).is_ok()
+        };
+        assert!(bounds.into_iter().all(accepts), "range of {}", row[0]);
+        assert!(!accepts(bounds[1] + 1), "upper end of {}", row[0]);
+        assert!(
+            bounds[0] == 0 || !accepts(bounds[0] - 1),
+            "lower end of {}",
+            row[0]
+        );
+    }
+}
+
+#[test]
+fn error_table_matches_the_code() {
+    let documented: Vec<Vec<String>> = rows("## Errors");
+    let documented = documented.iter().map(|row| row[..7].to_vec());
+    let expected = Kind::ALL.map(|kind| error_row(kind.answer()));
+    assert_eq!(documented.collect::<Vec<_>>(), expected);
+}
+
+fn error_row(answer: Answer) -> Vec<String> {
+    let effect = match answer.effect {
+        Effect::NotRun => "not run",
+        Effect::Unknown => "unknown",
+        Effect::Ran => "ran",
+    };
+    let come_back = answer.retry_after;
+    vec![
+        answer.name.to_owned(),
+        answer.code.name().to_owned(),
+        answer.code.http_status().to_string(),
+        if answer.retryable { "yes" } else { "no" }.to_owned(),
+        effect.to_owned(),
+        come_back.map_or_else(|| "-".to_owned(), |span| format!("{} ms", span.as_millis())),
+        answer.meaning.to_owned(),
+    ]
+}
+
+#[test]
+fn procedure_list_matches_the_schema() {
+    let files = decode(DESCRIPTOR).unwrap();
+    let services = files.file.iter().flat_map(|file| &file.service);
+    let procedures = services.flat_map(|service| {
+        let methods = service.method.iter();
+        methods.map(|method| format!("{}/{}", service.name(), method.name()))
+    });
+    assert_eq!(names(&rows("## Procedures")), procedures.collect());
+}
+
+#[test]
+fn metric_list_matches_the_code() {
+    let metrics = Metrics::new().unwrap();
+    let none: [KeyValue; 0] = [];
+    let counters = [
+        &metrics.answers,
+        &metrics.region_bytes,
+        &metrics.appends,
+        &metrics.records,
+        &metrics.ownership,
+        &metrics.dispatches,
+        &metrics.peer_messages,
+        &metrics.worker_commands,
+        &metrics.restarts,
+    ];
+    for counter in counters {
+        counter.add(1, &none);
+    }
+    metrics.latency.record(0.0, &none);
+    let text = metrics.render().unwrap();
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let shown = types
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_owned);
+    let shown = shown.filter(|name| name.starts_with("laburnum_"));
+    assert_eq!(names(&rows("### Metrics")), shown.collect());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,13 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 mod config;
 mod daemon;
+mod docs;
 mod lease;
 mod load;
 mod membership;
 mod placement;
 mod request;
+mod schema;
+mod settings;
 mod standin;
 mod stream;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod codegen;
 mod demo;
 mod measure;
+mod release;
 mod test;
 
 use argh::FromArgs;
@@ -20,6 +21,7 @@
     Codegen(codegen::Options),
     Demo(demo::Options),
     Measure(measure::Options),
+    ReleaseSchema(release::Options),
     Test(test::Options),
 }
 
@@ -29,6 +31,7 @@
         Task::Codegen(options) => codegen::exec(&options),
         Task::Demo(options) => demo::exec(&options),
         Task::Measure(options) => measure::exec(&options),
+        Task::ReleaseSchema(options) => release::exec(&options),
         Task::Test(options) => test::exec(&options),
     }
 }
