Read the effect that an error names, not its kind's usual one

The client rebuilt an error from its kind alone, so a `no_owner` whose effect is unknown was shown as not run, with exit code 1 in place of 3, and the oracle of the daemon tests judged the kind's usual effect in place of the one answered. The daemon itself answered rightly.

--- a/src/api/fault.rs
+++ b/src/api/fault.rs
@@ -71,6 +71,7 @@
         };
         let kind = Kind::from_name(&detail.kind).unwrap_or(Kind::Internal);
         let mut error = Error::new(kind, self.message.clone());
+        error.effect = known_effect(detail.effect()).unwrap_or(error.effect);
         error.retry_after =
             (detail.retry_after_ms > 0).then(|| Duration::from_millis(detail.retry_after_ms));
         error
@@ -89,6 +90,16 @@
     }
 }
 
+/// Returns the effect that the schema's form names, or `None` when it names none.
+fn known_effect(effect: schema::Effect) -> Option<Effect> {
+    match effect {
+        schema::Effect::NotRun => Some(Effect::NotRun),
+        schema::Effect::Unknown => Some(Effect::Unknown),
+        schema::Effect::Ran => Some(Effect::Ran),
+        schema::Effect::Unspecified => None,
+    }
+}
+
 /// Returns the schema's form of an effect.
 fn effect(effect: Effect) -> schema::Effect {
     match effect {
--- a/src/ops/config.rs
+++ b/src/ops/config.rs
@@ -35,7 +35,8 @@
 /// # Errors
 ///
 /// [`Kind::Conflict`] names the version in force, [`Kind::InvalidConfig`] lists every fault, and
-/// [`Kind::LogDown`] says that the change may still come into force.
+/// [`Kind::LogDown`] says that the change was not sent; [`Kind::AnswerLost`] that it may still come
+/// into force.
 pub async fn put(context: &Context, request: PutConfigRequest) -> Result<PutConfigResponse> {
     let ask = Ask::PutConfig {
         base: request.base_version,
--- /dev/null
+++ b/tests/testsuite/fault.rs
@@ -0,0 +1,24 @@
+use laburnumplank::api::fault::Body;
+use laburnumplank::core::error::{Effect, Error, Kind};
+
+/// Returns the error as a client reads it.
+fn read(error: &Error) -> Error {
+    let text = serde_json::to_string(&Body::new(error)).unwrap();
+    serde_json::from_str::<Body>(&text).unwrap().to_error()
+}
+
+#[test]
+fn error_of_each_kind_is_read_as_sent() {
+    for kind in Kind::ALL {
+        let error = Error::new(kind, "a message");
+        assert_eq!(read(&error), error);
+    }
+}
+
+#[test]
+fn effect_is_read_as_sent() {
+    for effect in [Effect::NotRun, Effect::Unknown, Effect::Ran] {
+        let error = Error::new(Kind::NoOwner, "the owner is not known").with_effect(effect);
+        assert_eq!(read(&error).effect, effect);
+    }
+}
