Name workers' states in lists as the schema does

Workers were listed as `ready`, `unknown` or `gone`, words that the schema's comment on VmStatus.state doesn't have. The new test failed before the change and passes after it.

--- a/src/api/convert.rs
+++ b/src/api/convert.rs
@@ -6,6 +6,7 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::id::{self, Family, Team};
 use crate::core::placement::job::End;
+use crate::core::placement::table::Standing;
 use crate::core::placement::{
     Explanation, Job, JobStatus, QuotaStatus, Stage, TaskState, TaskStatus, Waiting, WorkerStatus,
 };
@@ -253,11 +254,21 @@
     }
 }
 
+/// Returns the schema's word for a worker's standing.
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Ready => "live",
+        Standing::Leaving => "leaving",
+        Standing::Unknown => "suspect",
+        Standing::Gone => "dead",
+    }
+}
+
 /// Makes the schema's form of a worker.
 pub fn worker(worker: &WorkerStatus, vm: Option<&vms::Vm>) -> schema::VmStatus {
     let state = match worker.quarantined_until {
         Some(_) => "quarantined".to_owned(),
-        None => format!("{:?}", worker.standing).to_lowercase(),
+        None => standing(worker.standing).to_owned(),
     };
     schema::VmStatus {
         id: worker.id.0,
--- a/tests/testsuite/daemon/operator.rs
+++ b/tests/testsuite/daemon/operator.rs
@@ -1,9 +1,10 @@
 use laburnum_testkit::process::Builder;
 use laburnumplank::api::schema::{JobClass, ListVmsRequest, ListVmsResponse};
+use laburnumplank::core::error::Result;
 use serde_json::Value;
 
 use super::job::spec;
-use super::{cell, client, find, run, submit, watch};
+use super::{cell, client, eventually, find, run, submit, watch};
 
 #[test]
 fn list_vms_shows_all_roles() {
@@ -30,6 +31,27 @@
     });
 }
 
+#[test]
+fn list_vms_names_states_as_the_schema_does() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let client = client(&cell, 0);
+        eventually("every VM live", || async {
+            let request = ListVmsRequest {};
+            let answer: Result<ListVmsResponse> =
+                client.call("Operator", "ListVms", &request).await;
+            let vms = answer.map(|answer| answer.vms).unwrap_or_default();
+            let states = ["live", "leaving", "suspect", "dead", "quarantined"];
+            assert!(
+                vms.iter().all(|vm| states.contains(&vm.state.as_str())),
+                "{vms:?}"
+            );
+            !vms.is_empty() && vms.iter().all(|vm| vm.state == "live")
+        })
+        .await;
+    });
+}
+
 #[test]
 fn command_line_runs_a_job_to_its_end() {
     run(async {
