--- a/tests/testsuite/daemon/fault.rs
+++ b/tests/testsuite/daemon/fault.rs
@@ -27,7 +27,7 @@
 }
 
 /// Waits until some more filings have ended.
-async fn make_progress(load: &Load, more: usize) {
+pub(super) async fn make_progress(load: &Load, more: usize) {
     let wanted = load.ended() + more;
     eventually("progress of the filings", || async {
         load.ended() >= wanted
--- a/tests/testsuite/daemon/mod.rs
+++ b/tests/testsuite/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod job;
 mod load;
 mod operator;
+mod platform;
 mod recovery;
 mod target;
 mod worker;
