--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -167,3 +167,23 @@
     let shown = shown.filter(|name| name.starts_with("laburnum_"));
     assert_eq!(names(&rows("### Metrics")), shown.collect());
 }
+
+#[test]
+fn outages_name_tests_that_exist() {
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/testsuite/daemon");
+    let files = std::fs::read_dir(directory).unwrap();
+    let source: String = files
+        .map(|file| std::fs::read_to_string(file.unwrap().path()).unwrap())
+        .collect();
+    let section = PAGE.split("## Outages").nth(1).unwrap();
+    let table = section.lines().filter(|line| line.starts_with("| "));
+    let tests = table.skip(2).map(|line| cells(line).pop().unwrap());
+    let mut named = 0;
+    for test in tests.filter(|test| test != "-" && !test.ends_with("module")) {
+        for name in test.split(", ") {
+            assert!(source.contains(&format!("fn {name}()")), "no test {name}");
+            named += 1;
+        }
+    }
+    assert!(named >= 10, "only {named} tests are named");
+}
