Count the bytes of messages to entries of another region

Cause: the counter existed and nothing counted, while the link between regions is narrow and billed by volume. Ruled out: counting in the link task, which does not know the other end of a link that it accepted until the first frame. Conclusion: frames are counted by reason where they are queued; requests to targets in another region and reads of the log are still left.

--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -275,8 +275,8 @@
         if list.version <= self.vms.version && !self.vms.vms.is_empty() {
             return;
         }
-        self.context
-            .peer(peer::Command::Addresses(tenure::addresses(&list)));
+        let neighbours = tenure::neighbours(&self.context.settings, &list);
+        self.context.peer(peer::Command::Neighbours(neighbours));
         self.context.dispatch(dispatch::Event::Vms(list.clone()));
         let outputs = self.tenure.adopt(now, &list);
         self.follow_view(now, outputs);
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -5,7 +5,6 @@
 //! read its own opening record in the work stream, and with it all that stands before.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::core::id::{DataCentre, Node, Partition, Region, Vm};
@@ -13,10 +12,11 @@
 use crate::core::membership::{self, Site, View};
 use crate::core::request::dedup::Term;
 use crate::core::request::dispatcher::Owner;
-use crate::core::request::route::Place;
+use crate::core::request::route::{Place, Tier};
 use crate::core::time::{Instant, Stamp};
 use crate::daemon::Context;
-use crate::platform::vms::{List, Role};
+use crate::daemon::peer::Neighbour;
+use crate::platform::vms::{self, List, Role};
 use crate::settings::Settings;
 
 /// A partition of this entry.
@@ -371,8 +371,17 @@
     place(known.map_or(Site::UNKNOWN, |place| place.site))
 }
 
-/// Returns where the entries of a list answer.
-pub(super) fn addresses(list: &List) -> HashMap<Vm, SocketAddr> {
+/// Returns the other ends of links, as a list shows them.
+pub(super) fn neighbours(settings: &Settings, list: &List) -> HashMap<Vm, Neighbour> {
+    let own = place_of(settings, &settings.node.data_centre);
     let entries = list.vms.iter().filter(|vm| vm.role == Role::Entry);
-    entries.map(|vm| (Vm(vm.id), vm.address)).collect()
+    let neighbour = |vm: &vms::Vm| {
+        let tier = own.tier(place_of(settings, &vm.data_centre));
+        let neighbour = Neighbour {
+            address: vm.address,
+            is_remote: tier == Tier::Remote,
+        };
+        (Vm(vm.id), neighbour)
+    };
+    entries.map(neighbour).collect()
 }
--- a/src/daemon/peer/command.rs
+++ b/src/daemon/peer/command.rs
@@ -9,10 +9,19 @@
 use crate::core::request::call::Id;
 use crate::wire::{Ask, Call, Frame, Reply, Tell};
 
+/// Another entry, as the VM list shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Neighbour {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Whether it is in another region.
+    pub is_remote: bool,
+}
+
 /// What the peer part is asked to do.
 pub enum Command {
-    /// Replaces the addresses of the other entries.
-    Addresses(HashMap<Vm, SocketAddr>),
+    /// Replaces what is known of the other entries.
+    Neighbours(HashMap<Vm, Neighbour>),
     /// Takes a link that another entry dialled, after the handshake.
     Accepted(std::net::TcpStream),
     /// Sends a notice; it is lost when the link is.
--- a/src/daemon/peer/mod.rs
+++ b/src/daemon/peer/mod.rs
@@ -10,7 +10,6 @@
 mod link;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use slog::{Logger, info};
@@ -19,7 +18,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::Role;
 
-pub use self::command::Command;
+pub use self::command::{Command, Neighbour};
 use self::link::{connect, serve_link};
 use super::context::Context;
 use super::supervisor::Inbox;
@@ -97,7 +96,7 @@
 struct Hub {
     context: Context,
     log: Logger,
-    addresses: HashMap<Vm, SocketAddr>,
+    neighbours: HashMap<Vm, Neighbour>,
     links: HashMap<u64, Link>,
     best: HashMap<Vm, u64>,
     waiting: HashMap<u64, Waiting>,
@@ -111,7 +110,7 @@
     let mut hub = Hub {
         context,
         log,
-        addresses: HashMap::new(),
+        neighbours: HashMap::new(),
         links: HashMap::new(),
         best: HashMap::new(),
         waiting: HashMap::new(),
@@ -125,7 +124,7 @@
 impl Hub {
     fn handle(&mut self, command: Command) {
         match command {
-            Command::Addresses(addresses) => self.addresses = addresses,
+            Command::Neighbours(neighbours) => self.neighbours = neighbours,
             Command::Accepted(stream) => self.accept(stream),
             Command::Send { to, frame } => {
                 let _ = self.send(to, frame);
@@ -166,6 +165,7 @@
             Some(&link) => link,
             None => self.dial(to)?,
         };
+        self.count_remote(to, &frame);
         let queue = self.links.get(&link).map(|link| &link.queue);
         let queued = queue.is_some_and(|queue| queue.try_send(frame).is_ok());
         self.context
@@ -181,6 +181,19 @@
         ))
     }
 
+    /// Counts the bytes of a frame that goes to another region.
+    fn count_remote(&self, to: Vm, frame: &Frame) {
+        let is_remote = self
+            .neighbours
+            .get(&to)
+            .is_some_and(|neighbour| neighbour.is_remote);
+        if is_remote {
+            let bytes = frame.encode().map_or(0, |data| data.len() as u64);
+            let reason = label("reason", frame.reason());
+            self.context.metrics.region_bytes.add(bytes, &reason);
+        }
+    }
+
     fn ask(&mut self, to: Vm, ask: Ask, timeout: Duration, asker: Asker) {
         let id = self.take_id();
         let timeout_ms = timeout.as_millis() as u64;
@@ -199,12 +212,15 @@
     }
 
     fn tell(&mut self, link: u64, id: u64, tell: Result<Tell>) {
-        if let Some(link) = self.links.get(&link) {
-            let _ = link.queue.try_send(Frame::Tell {
-                id,
-                tell: Box::new(tell),
-            });
+        let Some(link) = self.links.get(&link) else {
+            return;
+        };
+        let tell = Box::new(tell);
+        let frame = Frame::Tell { id, tell };
+        if let Some(vm) = link.vm {
+            self.count_remote(vm, &frame);
         }
+        let _ = link.queue.try_send(frame);
     }
 
     fn arrived(&mut self, link: u64, frame: Frame) {
@@ -316,7 +332,7 @@
 
     /// Opens a link to `to`; frames wait in its queue until it is up.
     fn dial(&mut self, to: Vm) -> Result<u64> {
-        let Some(&address) = self.addresses.get(&to) else {
+        let Some(&Neighbour { address, .. }) = self.neighbours.get(&to) else {
             let message = format!("VM {} is not in the VM list; come back", to.0);
             return Err(Error::new(Kind::NoOwner, message));
         };
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -91,6 +91,18 @@
         Ok(out)
     }
 
+    /// Returns what the frame is sent for, as a metric label.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Frame::Hello { .. } | Frame::KeepAlive => "link",
+            Frame::Ask { .. } | Frame::Tell { .. } => "ask",
+            Frame::Membership(_) => "membership",
+            Frame::Lease(..) => "lease",
+            Frame::Relay { .. } => "relay",
+            Frame::SlotAsk(_) | Frame::SlotGrant(_) | Frame::SlotEstate(_) => "slots",
+        }
+    }
+
     /// Decodes a frame.
     ///
     /// # Errors
