--- a/tests/testsuite/daemon/config.rs
+++ b/tests/testsuite/daemon/config.rs
@@ -9,11 +9,11 @@
 use super::{cell, client, eventually, run};
 
 /// Returns a document that gives a team a quota.
-fn document(cores: u64) -> String {
+pub(super) fn document(cores: u64) -> String {
     json!({ "teams": { "bars": { "cpu_millis": cores * 1_000, "memory_mib": 1_024, "accelerators": 0 } } }).to_string()
 }
 
-async fn put(cell: &Cell, entry: usize, base: u64, document: String) -> Result<u64> {
+pub(super) async fn put(cell: &Cell, entry: usize, base: u64, document: String) -> Result<u64> {
     let request = PutConfigRequest {
         base_version: base,
         author: "ana".to_owned(),
--- a/tests/testsuite/daemon/fault.rs
+++ b/tests/testsuite/daemon/fault.rs
@@ -259,7 +259,7 @@
 }
 
 /// Returns the entry that owns the worker partition.
-async fn owner_of_last_partition(cell: &Cell) -> usize {
+pub(super) async fn owner_of_last_partition(cell: &Cell) -> usize {
     for entry in 0..cell.entries.len() {
         let dump: serde_json::Value = cell.http.get(&cell.url(entry, "/dump")).await.unwrap();
         if dump["control"]["cells"]
--- a/tests/testsuite/daemon/mod.rs
+++ b/tests/testsuite/daemon/mod.rs
@@ -4,10 +4,15 @@
 mod config;
 mod fault;
 mod job;
+mod link;
 mod load;
 mod operator;
+mod pair;
 mod recovery;
+mod relay;
 mod target;
+mod version;
+mod wave;
 mod worker;
 
 use std::future::Future;
--- /dev/null
+++ b/tests/testsuite/daemon/pair.rs
@@ -0,0 +1,80 @@
+//! Two faults at once.
+
+use laburnum_testkit::standin::Role;
+use laburnum_testkit::standin::fault::{Faults, Loss};
+use laburnumplank::api::schema::{JobClass, JobState};
+
+use super::fault::{owner_of_last_partition, set_log_faults};
+use super::job::{check_workers, spec};
+use super::load::Load;
+use super::{cell, client, eventually, run, submit, watch};
+
+/// How many filers keep the cell busy.
+const FILERS: usize = 8;
+
+/// Waits until some more filings have ended.
+async fn make_progress(load: &Load, more: usize) {
+    let wanted = load.ended() + more;
+    eventually("progress of the filings", || async {
+        load.ended() >= wanted
+    })
+    .await;
+}
+
+#[test]
+fn kill_of_owner_while_log_loses_answers_doubles_nothing() {
+    run(async {
+        let mut cell = cell().start().await.unwrap();
+        let batch = submit(&client(&cell, 0), spec(JobClass::Batch, 40, "sleep 700"))
+            .await
+            .unwrap();
+        let load = Load::start(&cell, FILERS, "sleep/30");
+        make_progress(&load, 30).await;
+        let owner = owner_of_last_partition(&cell).await;
+        let losing = Faults {
+            answer_lost: Loss::Next(60),
+            ..Faults::default()
+        };
+        set_log_faults(&cell, &losing).await;
+        cell.entries[owner].process.kill().unwrap();
+        let other = client(&cell, (owner + 1) % 3);
+        watch(&other, &batch, |job| job.state() == JobState::Succeeded).await;
+        set_log_faults(&cell, &Faults::default()).await;
+        cell.restart(owner).unwrap();
+        cell.ready(owner).await.unwrap();
+        make_progress(&load, 50).await;
+        load.judge(&cell).await;
+        check_workers(&cell).await;
+    });
+}
+
+#[test]
+fn kill_of_owner_while_vm_list_is_down_doubles_nothing() {
+    run(async {
+        let mut cell = cell().start().await.unwrap();
+        let batch = submit(&client(&cell, 0), spec(JobClass::Batch, 40, "sleep 700"))
+            .await
+            .unwrap();
+        let load = Load::start(&cell, FILERS, "sleep/30");
+        make_progress(&load, 30).await;
+        let owner = owner_of_last_partition(&cell).await;
+        let down = Faults {
+            down: true,
+            ..Faults::default()
+        };
+        let vms = cell.platform.vms.client.clone();
+        vms.set_faults(Role::Vms, 0, &down).await.unwrap();
+        cell.entries[owner].process.kill().unwrap();
+        let other = client(&cell, (owner + 1) % 3);
+        watch(&other, &batch, |job| job.state() == JobState::Succeeded).await;
+        make_progress(&load, 30).await;
+        vms.set_faults(Role::Vms, 0, &Faults::default())
+            .await
+            .unwrap();
+        cell.restart(owner).unwrap();
+        cell.ready(owner).await.unwrap();
+        make_progress(&load, 50).await;
+        load.judge(&cell).await;
+        check_workers(&cell).await;
+    });
+}
--- /dev/null
+++ b/tests/testsuite/daemon/wave.rs
@@ -0,0 +1,61 @@
+//! Cancellations in a wave.
+
+use futures_util::future::join_all;
+use laburnumplank::api::client::Client;
+use laburnumplank::api::schema::{CancelJobRequest, CancelJobResponse, JobClass, JobState};
+use laburnumplank::core::error::Result;
+
+use super::job::{check_workers, spec};
+use super::{cell, client, eventually, run, submit, watch};
+
+/// How many jobs are cancelled at once.
+const JOBS: usize = 40;
+
+/// How many tasks each of them has.
+const TASKS: u32 = 50;
+
+async fn cancel(client: &Client, id: &str) -> bool {
+    let request = CancelJobRequest {
+        job_id: id.to_owned(),
+    };
+    let answer: Result<CancelJobResponse> = client.call("Caller", "CancelJob", &request).await;
+    answer.is_ok()
+}
+
+#[test]
+fn wave_of_cancellations_leaves_urgent_work_to_run() {
+    run(async {
+        let cell = cell().start().await.unwrap();
+        let clients: Vec<Client> = (0..3).map(|entry| client(&cell, entry)).collect();
+        let submits = (0..JOBS).map(|number| {
+            submit(
+                &clients[number % 3],
+                spec(JobClass::Batch, TASKS, "forever"),
+            )
+        });
+        let ids: Vec<String> = join_all(submits)
+            .await
+            .into_iter()
+            .collect::<Result<_>>()
+            .unwrap();
+        watch(&clients[0], &ids[0], |job| job.state() == JobState::Running).await;
+        let wave = ids.iter().enumerate().map(|(number, id)| {
+            let clients = &clients;
+            async move {
+                eventually("a cancellation", || cancel(&clients[number % 3], id)).await;
+                eventually("its repeat", || cancel(&clients[(number + 1) % 3], id)).await;
+            }
+        });
+        let urgent = async {
+            let id = submit(&clients[0], spec(JobClass::Urgent, 4, "sleep 100"))
+                .await
+                .unwrap();
+            watch(&clients[1], &id, |job| job.state() == JobState::Succeeded).await
+        };
+        futures_util::join!(join_all(wave), urgent);
+        for id in &ids {
+            watch(&clients[2], id, |job| job.state() == JobState::Cancelled).await;
+        }
+        check_workers(&cell).await;
+    });
+}
