--- a/tests/testsuite/daemon/wave.rs
+++ b/tests/testsuite/daemon/wave.rs
@@ -1,6 +1,7 @@
 //! Cancellations in a wave.
 
 use futures_util::future::join_all;
+use laburnum_testkit::cell::Cell;
 use laburnumplank::api::client::Client;
 use laburnumplank::api::schema::{CancelJobRequest, CancelJobResponse, JobClass, JobState};
 use laburnumplank::core::error::Result;
@@ -14,6 +15,19 @@
 /// How many tasks each of them has.
 const TASKS: u32 = 50;
 
+/// How many of the tasks the workers hold at once.
+const FULL: u64 = 64;
+
+/// Returns how many tasks the workers have started.
+async fn started(cell: &Cell) -> u64 {
+    let workers = &cell.platform.workers;
+    let mut sum = 0;
+    for worker in 0..workers.addresses.len() {
+        sum += workers.client.worker_counts(worker).await.unwrap().started;
+    }
+    sum
+}
+
 async fn cancel(client: &Client, id: &str) -> bool {
     let request = CancelJobRequest {
         job_id: id.to_owned(),
@@ -38,7 +52,7 @@
             .into_iter()
             .collect::<Result<_>>()
             .unwrap();
-        watch(&clients[0], &ids[0], |job| job.state() == JobState::Running).await;
+        eventually("full workers", || async { started(&cell).await >= FULL }).await;
         let wave = ids.iter().enumerate().map(|(number, id)| {
             let clients = &clients;
             async move {
