Keep the effect of an error that a client reads

Cause: Body::to_error made the error anew from its kind and dropped the effect of the detail, so a client was told that a request was not run (usual for no_owner) where the entry had answered that it is unknown. Ruled out: the dispatcher and the control part, which both answer unknown. Found by daemon::pair::kill_of_owner_while_vm_list_is_down_doubles_nothing. The new test failed before (AnswerLost: unknown read for not run) and passes after.

--- a/src/api/fault.rs
+++ b/src/api/fault.rs
@@ -71,6 +71,7 @@
         };
         let kind = Kind::from_name(&detail.kind).unwrap_or(Kind::Internal);
         let mut error = Error::new(kind, self.message.clone());
+        error.effect = known_effect(detail.effect()).unwrap_or(error.effect);
         error.retry_after =
             (detail.retry_after_ms > 0).then(|| Duration::from_millis(detail.retry_after_ms));
         error
@@ -97,3 +98,13 @@
         Effect::Ran => schema::Effect::Ran,
     }
 }
+
+/// Returns the effect that the schema's form names, if it names one.
+fn known_effect(effect: schema::Effect) -> Option<Effect> {
+    match effect {
+        schema::Effect::Unspecified => None,
+        schema::Effect::NotRun => Some(Effect::NotRun),
+        schema::Effect::Unknown => Some(Effect::Unknown),
+        schema::Effect::Ran => Some(Effect::Ran),
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 mod config;
 mod daemon;
+mod fault;
 mod lease;
 mod load;
 mod membership;
