--- a/crates/laburnum-testkit/src/cell/builder.rs
+++ b/crates/laburnum-testkit/src/cell/builder.rs
@@ -2,7 +2,10 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
+use std::process::id as process_id;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use laburnumplank::core::resource::Amount;
@@ -271,14 +274,35 @@
         .collect()
 }
 
+/// The ports that entries get, below those that the system gives to outgoing connections.
+const ENTRY_PORTS: Range<u16> = 15_000..32_000;
+
 /// Returns addresses that nobody listens on.
 ///
-/// All are taken before any is given back, so that they differ.
+/// One process never returns the same address twice before it has gone through all ports, so cells
+/// that start side by side don't take each other's.
 fn free_addresses(count: u32) -> eyre::Result<Vec<SocketAddr>> {
-    let taken: Result<Vec<TcpListener>, _> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-        .collect();
-    let addresses: Result<Vec<SocketAddr>, _> =
-        taken?.iter().map(TcpListener::local_addr).collect();
-    Ok(addresses?)
+    let tries = ENTRY_PORTS.len();
+    let free = (0..tries).map(|_| next_address()).filter(is_free);
+    let addresses: Vec<SocketAddr> = free.take(count as usize).collect();
+    eyre::ensure!(
+        addresses.len() == count as usize,
+        "no ports are free in {ENTRY_PORTS:?}"
+    );
+    Ok(addresses)
+}
+
+/// Returns the next address in turn; processes begin at different places.
+fn next_address() -> SocketAddr {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let turn = TAKEN
+        .fetch_add(1, Ordering::Relaxed)
+        .wrapping_add(process_id().wrapping_mul(PORTS_APART));
+    let port = ENTRY_PORTS.start + (turn % ENTRY_PORTS.len() as u32) as u16;
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Returns whether nobody listens on an address.
+fn is_free(address: &SocketAddr) -> bool {
+    TcpListener::bind(address).is_ok()
 }
--- a/src/api/fault.rs
+++ b/src/api/fault.rs
@@ -108,3 +108,13 @@
         Effect::Ran => schema::Effect::Ran,
     }
 }
+
+/// Returns the effect that the schema's form names, if it names one.
+fn known_effect(effect: schema::Effect) -> Option<Effect> {
+    match effect {
+        schema::Effect::Unspecified => None,
+        schema::Effect::NotRun => Some(Effect::NotRun),
+        schema::Effect::Unknown => Some(Effect::Unknown),
+        schema::Effect::Ran => Some(Effect::Ran),
+    }
+}
--- a/tests/testsuite/daemon/mod.rs
+++ b/tests/testsuite/daemon/mod.rs
@@ -4,11 +4,16 @@
 mod config;
 mod fault;
 mod job;
+mod link;
 mod load;
 mod operator;
+mod pair;
 mod platform;
 mod recovery;
+mod relay;
 mod target;
+mod version;
+mod wave;
 mod worker;
 
 use std::future::Future;
--- a/tests/testsuite/fault.rs
+++ b/tests/testsuite/fault.rs
@@ -1,3 +1,5 @@
+//! Errors on their way to a caller.
+
 use laburnumplank::api::fault::Body;
 use laburnumplank::core::error::{Effect, Error, Kind};
 
@@ -22,3 +24,14 @@
         assert_eq!(read(&error).effect, effect);
     }
 }
+
+#[test]
+fn body_keeps_effect_that_differs_from_its_kind() {
+    for effect in [Effect::NotRun, Effect::Unknown, Effect::Ran] {
+        for kind in [Kind::NoOwner, Kind::AnswerLost, Kind::Canceled] {
+            let error = Error::new(kind, "come back").with_effect(effect);
+            let read = Body::new(&error).to_error();
+            assert_eq!(read.effect, effect, "{kind:?}");
+        }
+    }
+}
