Measure a real cell of processes, and draw plots

The cost of idle entries, of calls, of changes and of failures had no measurement that starts the daemons. Counters name the bytes between entries by kind of message. The bytes of worker messages are not counted yet.

--- a/crates/laburnum-measure/src/lib.rs
+++ b/crates/laburnum-measure/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! Each module measures one part of the library and returns a [`report::Report`].
 
+pub mod cell;
 pub mod lease;
 pub mod placement;
+pub mod plot;
 pub mod report;
 pub mod request;
 pub mod stream;
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -485,20 +485,17 @@
 where
     S: SinkExt<Message> + Unpin,
 {
-    write(
-        &mut sink,
-        &Frame::Hello {
-            node: context.node(),
-        },
-    )
-    .await?;
+    let hello = Frame::Hello {
+        node: context.node(),
+    };
+    write(context, &mut sink, &hello).await?;
     loop {
         let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
         let frame = match queued {
             Ok(frame) => frame?,
             Err(_) => Frame::KeepAlive,
         };
-        write(&mut sink, &frame).await?;
+        write(context, &mut sink, &frame).await?;
     }
 }
 
@@ -518,10 +515,12 @@
 }
 
 /// Writes one frame; `None` when the link is broken.
-async fn write<S>(sink: &mut S, frame: &Frame) -> Option<()>
+async fn write<S>(context: &Context, sink: &mut S, frame: &Frame) -> Option<()>
 where
     S: SinkExt<Message> + Unpin,
 {
     let data = frame.encode().ok()?;
+    let message = label("message", frame.name());
+    context.metrics.peer_bytes.add(data.len() as u64, &message);
     sink.send(Message::Binary(Bytes::from(data))).await.ok()
 }
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -18,6 +18,8 @@
     pub latency: Histogram<f64>,
     /// Bytes sent to another region, by `reason`.
     pub region_bytes: Counter<u64>,
+    /// Bytes of messages sent to other entries, by `message`.
+    pub peer_bytes: Counter<u64>,
     /// Appends to the log, by `outcome`.
     pub appends: Counter<u64>,
     /// Records read from the log, by `stream`.
@@ -55,6 +57,11 @@
                 "laburnum_region_bytes",
                 "bytes sent to another region",
             ),
+            peer_bytes: counter(
+                &meter,
+                "laburnum_peer_bytes",
+                "bytes of messages sent to other entries",
+            ),
             appends: counter(&meter, "laburnum_appends", "appends to the log"),
             records: counter(&meter, "laburnum_records", "records read from the log"),
             ownership: counter(
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -79,6 +79,22 @@
 }
 
 impl Frame {
+    /// Returns the name of this kind of message, as counters show it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Frame::Hello { .. } => "hello",
+            Frame::KeepAlive => "keep_alive",
+            Frame::Ask { .. } => "ask",
+            Frame::Tell { .. } => "tell",
+            Frame::Membership(_) => "membership",
+            Frame::Lease(..) => "lease",
+            Frame::Relay { .. } => "relay",
+            Frame::SlotAsk(_) => "slot_ask",
+            Frame::SlotGrant(_) => "slot_grant",
+            Frame::SlotEstate(_) => "slot_estate",
+        }
+    }
+
     /// Encodes the frame.
     ///
     /// # Errors
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -6,11 +6,11 @@
 use argh::FromArgs;
 use laburnum_measure as measure;
 
-/// run measurements and write their tables as Markdown and JSON
+/// run measurements and write their tables as Markdown and JSON and their plots as SVG
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure")]
 pub(crate) struct Options {
-    /// measurements to run: lease, placement, request, stream (all when none is named)
+    /// measurements to run: cell, lease, placement, request, stream (all when none is named)
     #[argh(positional)]
     names: Vec<String>,
 
@@ -23,6 +23,7 @@
 type Measurement = (&'static str, fn() -> eyre::Result<measure::report::Report>);
 
 const MEASUREMENTS: &[Measurement] = &[
+    ("cell", measure::cell::run),
     ("lease", measure::lease::run),
     ("placement", measure::placement::run),
     ("request", measure::request::run),
@@ -47,6 +48,10 @@
             options.out.join(format!("{name}.json")),
             serde_json::to_vec_pretty(&report)?,
         )?;
+        for (index, plot) in report.plots.iter().enumerate() {
+            let file = options.out.join(format!("{name}-{index}.svg"));
+            measure::plot::write(plot, &file)?;
+        }
     }
     Ok(())
 }
