--- a/crates/laburnum-measure/src/cell/failure.rs
+++ b/crates/laburnum-measure/src/cell/failure.rs
@@ -1,11 +1,13 @@
 //! How long calls fail after an entry has ended, because a partition has no owner.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use laburnum_testkit::cell::{Builder, Cell};
 use laburnum_testkit::process::Signal;
 use laburnumplank::api::client::Client;
 use laburnumplank::api::schema::{CallRequest, CallResponse, Priority};
+use laburnumplank::core::error::Kind;
 use uuid::Uuid;
 
 use super::{CLIENT_TIMEOUT, SERVICE, pause};
@@ -39,11 +41,11 @@
 }
 
 /// What one caller saw.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Default)]
 struct Seen {
     /// When the last call that failed was sent, from the start on.
     last_error: Duration,
-    errors: u32,
+    errors: BTreeMap<Kind, u32>,
     answers: u32,
 }
 
@@ -61,14 +63,16 @@
     for caller in callers {
         let one = caller.await?;
         seen.last_error = seen.last_error.max(one.last_error);
-        seen.errors += one.errors;
+        for (kind, count) in one.errors {
+            *seen.errors.entry(kind).or_default() += count;
+        }
         seen.answers += one.answers;
     }
     let last = seen.last_error.saturating_sub(before);
     Ok(vec![
         name.to_owned(),
         format!("{:.2}", last.as_secs_f64()),
-        seen.errors.to_string(),
+        format!("{:?}", seen.errors),
         seen.answers.to_string(),
     ])
 }
@@ -86,11 +90,12 @@
         let answer = client
             .call::<_, CallResponse>("Caller", "Call", &request())
             .await;
-        if answer.is_ok() {
-            seen.answers += 1;
-        } else {
-            seen.errors += 1;
-            seen.last_error = sent;
+        match answer {
+            Ok(_) => seen.answers += 1,
+            Err(error) => {
+                *seen.errors.entry(error.kind).or_default() += 1;
+                seen.last_error = sent;
+            }
         }
         pause(Duration::from_millis(20)).await;
     }
