--- a/src/daemon/peer/mod.rs
+++ b/src/daemon/peer/mod.rs
@@ -189,8 +189,8 @@
             .is_some_and(|neighbour| neighbour.is_remote);
         if is_remote {
             let bytes = frame.encode().map_or(0, |data| data.len() as u64);
-            let reason = label("reason", frame.reason());
-            self.context.metrics.region_bytes.add(bytes, &reason);
+            let message = label("message", frame.name());
+            self.context.metrics.region_bytes.add(bytes, &message);
         }
     }
 
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -16,8 +16,10 @@
     pub answers: Counter<u64>,
     /// How long remote procedure calls took, in seconds, by `method`.
     pub latency: Histogram<f64>,
-    /// Bytes sent to another region, by `reason`.
+    /// Bytes of messages to entries of another region, by `message`.
     pub region_bytes: Counter<u64>,
+    /// Bytes of messages sent to other entries, by `message`.
+    pub peer_bytes: Counter<u64>,
     /// Appends to the log, by `outcome`.
     pub appends: Counter<u64>,
     /// Records read from the log, by `stream`.
@@ -53,7 +55,12 @@
             region_bytes: counter(
                 &meter,
                 "laburnum_region_bytes",
-                "bytes sent to another region",
+                "bytes of messages to entries of another region",
+            ),
+            peer_bytes: counter(
+                &meter,
+                "laburnum_peer_bytes",
+                "bytes of messages sent to other entries",
             ),
             appends: counter(&meter, "laburnum_appends", "appends to the log"),
             records: counter(&meter, "laburnum_records", "records read from the log"),
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -78,6 +78,22 @@
 }
 
 impl Frame {
+    /// Returns the name of this kind of message, as counters show it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Frame::Hello { .. } => "hello",
+            Frame::KeepAlive => "keep_alive",
+            Frame::Ask { .. } => "ask",
+            Frame::Tell { .. } => "tell",
+            Frame::Membership(_) => "membership",
+            Frame::Lease(..) => "lease",
+            Frame::Relay { .. } => "relay",
+            Frame::SlotAsk(_) => "slot_ask",
+            Frame::SlotGrant(_) => "slot_grant",
+            Frame::SlotEstate(_) => "slot_estate",
+        }
+    }
+
     /// Encodes the frame.
     ///
     /// # Errors
@@ -91,18 +107,6 @@
         Ok(out)
     }
 
-    /// Returns what the frame is sent for, as a metric label.
-    pub fn reason(&self) -> &'static str {
-        match self {
-            Frame::Hello { .. } | Frame::KeepAlive => "link",
-            Frame::Ask { .. } | Frame::Tell { .. } => "ask",
-            Frame::Membership(_) => "membership",
-            Frame::Lease(..) => "lease",
-            Frame::Relay { .. } => "relay",
-            Frame::SlotAsk(_) | Frame::SlotGrant(_) | Frame::SlotEstate(_) => "slots",
-        }
-    }
-
     /// Decodes a frame.
     ///
     /// # Errors
