--- a/src/api/fault.rs
+++ b/src/api/fault.rs
@@ -71,7 +71,7 @@
         };
         let kind = Kind::from_name(&detail.kind).unwrap_or(Kind::Internal);
         let mut error = Error::new(kind, self.message.clone());
-        error.effect = known_effect(detail.effect()).unwrap_or(error.effect);
+        error.effect = known_effect(detail.effect());
         error.retry_after =
             (detail.retry_after_ms > 0).then(|| Duration::from_millis(detail.retry_after_ms));
         error
@@ -90,13 +90,12 @@
     }
 }
 
-/// Returns the effect that the schema's form names, or `None` when it names none.
-fn known_effect(effect: schema::Effect) -> Option<Effect> {
+/// Returns the effect that the schema's form names; one that names none is unknown.
+fn known_effect(effect: schema::Effect) -> Effect {
     match effect {
-        schema::Effect::NotRun => Some(Effect::NotRun),
-        schema::Effect::Unknown => Some(Effect::Unknown),
-        schema::Effect::Ran => Some(Effect::Ran),
-        schema::Effect::Unspecified => None,
+        schema::Effect::NotRun => Effect::NotRun,
+        schema::Effect::Ran => Effect::Ran,
+        schema::Effect::Unknown | schema::Effect::Unspecified => Effect::Unknown,
     }
 }
 
@@ -108,13 +107,3 @@
         Effect::Ran => schema::Effect::Ran,
     }
 }
-
-/// Returns the effect that the schema's form names, if it names one.
-fn known_effect(effect: schema::Effect) -> Option<Effect> {
-    match effect {
-        schema::Effect::Unspecified => None,
-        schema::Effect::NotRun => Some(Effect::NotRun),
-        schema::Effect::Unknown => Some(Effect::Unknown),
-        schema::Effect::Ran => Some(Effect::Ran),
-    }
-}
