--- a/crates/laburnum-testkit/src/cell/builder.rs
+++ b/crates/laburnum-testkit/src/cell/builder.rs
@@ -277,6 +277,9 @@
 /// The ports that entries get, below those that the system gives to outgoing connections.
 const ENTRY_PORTS: Range<u16> = 15_000..32_000;
 
+/// How many ports apart two processes with neighbouring ids begin.
+const PORTS_APART: u32 = 97;
+
 /// Returns addresses that nobody listens on.
 ///
 /// One process never returns the same address twice before it has gone through all ports, so cells
