--- a/crates/laburnum-measure/src/cell/change.rs
+++ b/crates/laburnum-measure/src/cell/change.rs
@@ -70,6 +70,7 @@
         base_version: base,
         author: "measurement".to_owned(),
         document: document.to_string(),
+        ..PutConfigRequest::default()
     };
     let client = &clients[base as usize % clients.len()];
     let put: PutConfigResponse = client.call("Operator", "PutConfig", &request).await?;
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -147,6 +147,7 @@
     let counters = [
         &metrics.answers,
         &metrics.region_bytes,
+        &metrics.peer_bytes,
         &metrics.appends,
         &metrics.records,
         &metrics.ownership,
