Say nothing of a request's effect when no entry can be reached

Ruled out: the entries' own answers; without the table of keys they say 'unknown'. After: the client says 'unknown'. The wave test waited for 64 tasks on workers that keep a fifth of their room for tasks with accelerators, so it could not pass; its workers now have none and the bound of 64 stays.

--- a/src/api/client.rs
+++ b/src/api/client.rs
@@ -6,7 +6,7 @@
 
 use super::codec::{Body, Format};
 use super::fault;
-use crate::core::error::{Error, Kind, Result};
+use crate::core::error::{Effect, Error, Kind, Result};
 
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -83,6 +83,9 @@
 
 /// Says what a failure to send means for the request.
 ///
+/// A request that cannot be sent now may have been sent before with the same key, which only the
+/// owner of the key knows; so nothing is said of its effect.
+///
 /// `awc` calls a connection that closes after the request was written a failure to connect, too.
 fn transport_error(url: &str, error: &awc::error::SendRequestError) -> Error {
     use awc::error::{ConnectError, SendRequestError as E};
@@ -91,7 +94,10 @@
             Error::new(Kind::AnswerLost, format!("{url} closed the connection"))
         }
         E::Url(_) => Error::new(Kind::Malformed, format!("`{url}` is not a URL")),
-        E::Connect(_) => Error::new(Kind::NoOwner, format!("cannot connect to {url}: {error}")),
+        E::Connect(_) => {
+            let message = format!("cannot connect to {url}: {error}");
+            Error::new(Kind::NoOwner, message).with_effect(Effect::Unknown)
+        }
         _ => Error::new(Kind::AnswerLost, format!("no answer from {url}: {error}")),
     }
 }
--- a/tests/testsuite/daemon/wave.rs
+++ b/tests/testsuite/daemon/wave.rs
@@ -5,6 +5,7 @@
 use laburnumplank::api::client::Client;
 use laburnumplank::api::schema::{CancelJobRequest, CancelJobResponse, JobClass, JobState};
 use laburnumplank::core::error::Result;
+use laburnumplank::core::resource::Amount;
 
 use super::job::{check_workers, spec};
 use super::{cell, client, eventually, run, submit, watch};
@@ -39,7 +40,13 @@
 #[test]
 fn wave_of_cancellations_leaves_urgent_work_to_run() {
     run(async {
-        let cell = cell().start().await.unwrap();
+        // Workers without accelerators keep no room for tasks that ask for them.
+        let size = Amount {
+            cpu_millis: 16_000,
+            memory_mib: 65_536,
+            accelerators: 0,
+        };
+        let cell = cell().worker_size(size).start().await.unwrap();
         let clients: Vec<Client> = (0..3).map(|entry| client(&cell, entry)).collect();
         let submits = (0..JOBS).map(|number| {
             submit(
