Write an opening record again when its append is in doubt

Cause: a record that nothing waits for was dropped when the log could not tell whether it took it; the record that opens a partition was one of these, so the partition would have stayed closed under a living lease. Found by reading; no run showed it. Conclusion: every record of a partition that is still owned is written again.

--- a/src/daemon/control/follow.rs
+++ b/src/daemon/control/follow.rs
@@ -93,9 +93,14 @@
     /// Queues the records that the journal refused, unless their partition is not owned any more.
     pub(super) fn push_refused(&mut self) {
         for (pending, record) in std::mem::take(&mut self.refused) {
-            if self.tenure.epoch(record.partition) == Some(record.epoch) {
-                self.push_work(record, pending);
-            }
+            self.push_again(record, pending);
+        }
+    }
+
+    /// Queues a record again, unless its partition is not owned any more.
+    pub(super) fn push_again(&mut self, record: Record, pending: Pending) {
+        if self.tenure.epoch(record.partition) == Some(record.epoch) {
+            self.push_work(record, pending);
         }
     }
 
--- a/src/daemon/control/learn.rs
+++ b/src/daemon/control/learn.rs
@@ -138,9 +138,9 @@
                     self.jobs.forget_accept(job);
                     let _ = reply.send(Err(accept_unknown(job)));
                 }
-                Some((Pending::Nothing, _)) | None => {}
+                None => {}
                 // A record may stand in the log twice, so what waits for it is written again.
-                Some((pending, record)) => self.push_work(record, pending),
+                Some((pending, record)) => self.push_again(record, pending),
             }
         }
     }
