Reserve no more slots than the adaptive limit allows

Cause: after failures the limit of a target fell to one request, while the reserve for lookups was counted from the eight slots held; a filing then never found more than the reserve free, and as nothing was sent the limit never rose. A dump of the hung cell showed it: 8 slots held, none used, limit 1, 4 waiting.

--- a/src/core/request/dispatcher/target.rs
+++ b/src/core/request/dispatcher/target.rs
@@ -176,7 +176,7 @@
         for peer in self.peers.values() {
             let room = &mut rooms[peer.tier as usize];
             room.free += peer.room(now, &self.detector);
-            room.held += peer.holder.held(now);
+            room.held += peer.holder.held(now).min(peer.limit.slots());
         }
         if let Some(nearest) = rooms.iter_mut().find(|room| room.held > 0) {
             nearest.kept = reserve.min(nearest.held * MOST_KEPT_PERCENT / 100);
