--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -9,6 +9,7 @@
 
 use crate::core::id::{DataCentre, Node, Partition, Region, Vm};
 use crate::core::lease::{self, Acquired, Epoch};
+use crate::core::membership::rendezvous::Candidate;
 use crate::core::membership::{self, Site, View};
 use crate::core::request::dedup::Term;
 use crate::core::request::dispatcher::Owner;
@@ -292,8 +293,9 @@
     /// Returns the request partitions whose owner the dispatch part is to be told anew.
     pub(super) fn changed_owners(&mut self, now: Instant) -> Vec<(Partition, Owner)> {
         let mut changes = Vec::new();
+        let candidates = self.view.candidates();
         for partition in (0..self.partitions).map(Partition) {
-            let Some(owner) = self.dispatch_owner(partition, now) else {
+            let Some(owner) = self.dispatch_owner(partition, now, &candidates) else {
                 continue;
             };
             if self.told.insert(partition, owner) != Some(owner) {
@@ -304,14 +306,18 @@
     }
 
     /// Returns the owner of a partition as the dispatch part needs it.
-    fn dispatch_owner(&self, partition: Partition, now: Instant) -> Option<Owner> {
+    fn dispatch_owner(
+        &self,
+        partition: Partition,
+        now: Instant,
+        candidates: &[Candidate],
+    ) -> Option<Owner> {
         let grant = self.table.grant(partition)?;
         let node = grant.holder;
         let until = match node == self.node {
             true => self.deadline(partition, now).unwrap_or_default(),
             false => Instant::default(),
         };
-        let candidates = self.view.candidates();
         let site = candidates
             .iter()
             .find(|candidate| candidate.node == node)?
--- a/src/daemon/peer/link.rs
+++ b/src/daemon/peer/link.rs
@@ -13,6 +13,13 @@
 use crate::util::metric::label;
 use crate::wire::Frame;
 
+/// A frame that waits for its link.
+pub(super) struct Queued {
+    pub(super) frame: Frame,
+    /// Whether the other end is in another region.
+    pub(super) is_remote: bool,
+}
+
 /// Connects to another entry.
 pub(super) async fn connect(address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
     let dialled = async {
@@ -32,7 +39,7 @@
     context: &Context,
     link: u64,
     socket: WebSocketStream<TcpStream>,
-    frames: mpsc::Receiver<Frame>,
+    frames: mpsc::Receiver<Queued>,
 ) {
     let (sink, source) = socket.split();
     tokio::select! {
@@ -45,7 +52,7 @@
 async fn write_frames<S>(
     context: &Context,
     mut sink: S,
-    mut frames: mpsc::Receiver<Frame>,
+    mut frames: mpsc::Receiver<Queued>,
 ) -> Option<()>
 where
     S: SinkExt<Message> + Unpin,
@@ -56,11 +63,16 @@
     write(context, &mut sink, &hello).await?;
     loop {
         let queued = actix_rt::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await;
-        let frame = match queued {
-            Ok(frame) => frame?,
-            Err(_) => Frame::KeepAlive,
+        let Ok(queued) = queued else {
+            write(context, &mut sink, &Frame::KeepAlive).await?;
+            continue;
         };
-        write(context, &mut sink, &frame).await?;
+        let Queued { frame, is_remote } = queued?;
+        let bytes = write(context, &mut sink, &frame).await?;
+        if is_remote {
+            let message = label("message", frame.name());
+            context.metrics.region_bytes.add(bytes, &message);
+        }
     }
 }
 
@@ -79,13 +91,15 @@
     }
 }
 
-/// Writes one frame; `None` when the link is broken.
-async fn write<S>(context: &Context, sink: &mut S, frame: &Frame) -> Option<()>
+/// Writes one frame and returns its bytes; `None` when the link is broken.
+async fn write<S>(context: &Context, sink: &mut S, frame: &Frame) -> Option<u64>
 where
     S: SinkExt<Message> + Unpin,
 {
     let data = frame.encode().ok()?;
     let message = label("message", frame.name());
-    context.metrics.peer_bytes.add(data.len() as u64, &message);
-    sink.send(Message::Binary(Bytes::from(data))).await.ok()
+    let bytes = data.len() as u64;
+    context.metrics.peer_bytes.add(bytes, &message);
+    sink.send(Message::Binary(Bytes::from(data))).await.ok()?;
+    Some(bytes)
 }
--- a/src/daemon/peer/mod.rs
+++ b/src/daemon/peer/mod.rs
@@ -19,7 +19,7 @@
 use tokio_tungstenite::tungstenite::protocol::Role;
 
 pub use self::command::{Command, Neighbour};
-use self::link::{connect, serve_link};
+use self::link::{Queued, connect, serve_link};
 use super::context::Context;
 use super::supervisor::Inbox;
 use super::{control, dispatch};
@@ -48,7 +48,7 @@
 struct Link {
     vm: Option<Vm>,
     is_up: bool,
-    queue: mpsc::Sender<Frame>,
+    queue: mpsc::Sender<Queued>,
 }
 
 /// An ask that waits for its answer.
@@ -170,7 +170,7 @@
             Some(&link) => link,
             None => self.dial(to)?,
         };
-        self.count_remote(to, &frame);
+        let frame = self.queued(Some(to), frame);
         let queue = self.links.get(&link).map(|link| &link.queue);
         let queued = queue.is_some_and(|queue| queue.try_send(frame).is_ok());
         self.context
@@ -186,17 +186,11 @@
         ))
     }
 
-    /// Counts the bytes of a frame that goes to another region.
-    fn count_remote(&self, to: Vm, frame: &Frame) {
-        let is_remote = self
-            .neighbours
-            .get(&to)
-            .is_some_and(|neighbour| neighbour.is_remote);
-        if is_remote {
-            let bytes = frame.encode().map_or(0, |data| data.len() as u64);
-            let message = label("message", frame.name());
-            self.context.metrics.region_bytes.add(bytes, &message);
-        }
+    /// Returns a frame for the queue of a link to `to`.
+    fn queued(&self, to: Option<Vm>, frame: Frame) -> Queued {
+        let neighbour = to.and_then(|vm| self.neighbours.get(&vm));
+        let is_remote = neighbour.is_some_and(|neighbour| neighbour.is_remote);
+        Queued { frame, is_remote }
     }
 
     fn ask(&mut self, to: Vm, ask: Ask, timeout: Duration, asker: Asker) {
@@ -221,10 +215,7 @@
             return;
         };
         let tell = Box::new(tell);
-        let frame = Frame::Tell { id, tell };
-        if let Some(vm) = link.vm {
-            self.count_remote(vm, &frame);
-        }
+        let frame = self.queued(link.vm, Frame::Tell { id, tell });
         let _ = link.queue.try_send(frame);
     }
 
--- a/tests/testsuite/daemon/fault.rs
+++ b/tests/testsuite/daemon/fault.rs
@@ -9,7 +9,7 @@
 };
 use laburnumplank::core::error::{Effect, Kind};
 
-use super::job::{check_workers, spec};
+use super::job::{check_workers, spec, started};
 use super::load::{Load, runs};
 use super::{LIMIT, call, cell, client, eventually, filing, lookup, pause, run, submit, watch};
 
@@ -245,18 +245,7 @@
         })
         .await;
         check_workers(&cell).await;
-        let mut started = 0;
-        for worker in 0..cell.platform.workers.addresses.len() {
-            started += cell
-                .platform
-                .workers
-                .client
-                .worker_counts(worker)
-                .await
-                .unwrap()
-                .started;
-        }
-        assert_eq!(started, 43);
+        assert_eq!(started(&cell).await, 43);
     });
 }
 
@@ -342,13 +331,3 @@
         check_workers(&cell).await;
     });
 }
-
-/// Returns how many tasks all workers together have started.
-async fn started(cell: &Cell) -> u64 {
-    let mut started = 0;
-    for worker in 0..cell.platform.workers.addresses.len() {
-        let counts = cell.platform.workers.client.worker_counts(worker);
-        started += counts.await.unwrap().started;
-    }
-    started
-}
--- a/tests/testsuite/daemon/job.rs
+++ b/tests/testsuite/daemon/job.rs
@@ -41,6 +41,17 @@
     assert!(overlaps.is_empty(), "{overlaps:?}");
 }
 
+/// Returns how many tasks all workers together have started.
+pub(crate) async fn started(cell: &Cell) -> u64 {
+    let workers = &cell.platform.workers;
+    let mut started = 0;
+    for worker in 0..workers.addresses.len() {
+        let counts = workers.client.worker_counts(worker).await.unwrap();
+        started += counts.started;
+    }
+    started
+}
+
 #[test]
 fn submit_of_each_class_reaches_its_state() {
     run(async {
@@ -116,18 +127,7 @@
             .call::<_, SubmitJobResponse>("Caller", "SubmitJob", &other)
             .await;
         assert_eq!(answer.unwrap_err().kind, Kind::KeyReused);
-        let mut started = 0;
-        for worker in 0..cell.platform.workers.addresses.len() {
-            started += cell
-                .platform
-                .workers
-                .client
-                .worker_counts(worker)
-                .await
-                .unwrap()
-                .started;
-        }
-        assert_eq!(started, 3);
+        assert_eq!(started(&cell).await, 3);
     });
 }
 
--- a/tests/testsuite/daemon/link.rs
+++ b/tests/testsuite/daemon/link.rs
@@ -5,6 +5,7 @@
 use laburnumplank::core::error::Effect;
 use serde_json::json;
 
+use super::fault::make_progress;
 use super::load::{Load, Verdict};
 use super::relay::Relay;
 use super::{LEASE_MS, call, cell, client, eventually, filing, pause, run};
@@ -67,15 +68,6 @@
     .await;
 }
 
-/// Waits until some more filings have ended.
-async fn make_progress(load: &Load, more: usize) {
-    let wanted = load.ended() + more;
-    eventually("progress of the filings", || async {
-        load.ended() >= wanted
-    })
-    .await;
-}
-
 fn opened(relays: &[Relay]) -> u64 {
     relays.iter().map(Relay::opened).sum()
 }
--- a/tests/testsuite/daemon/pair.rs
+++ b/tests/testsuite/daemon/pair.rs
@@ -4,23 +4,14 @@
 use laburnum_testkit::standin::fault::{Faults, Loss};
 use laburnumplank::api::schema::{JobClass, JobState};
 
-use super::fault::{owner_of_last_partition, set_log_faults};
+use super::fault::{make_progress, owner_of_last_partition, set_log_faults};
 use super::job::{check_workers, spec};
 use super::load::Load;
-use super::{cell, client, eventually, run, submit, watch};
+use super::{cell, client, run, submit, watch};
 
 /// How many filers keep the cell busy.
 const FILERS: usize = 8;
 
-/// Waits until some more filings have ended.
-async fn make_progress(load: &Load, more: usize) {
-    let wanted = load.ended() + more;
-    eventually("progress of the filings", || async {
-        load.ended() >= wanted
-    })
-    .await;
-}
-
 #[test]
 fn kill_of_owner_while_log_loses_answers_doubles_nothing() {
     run(async {
--- a/tests/testsuite/daemon/wave.rs
+++ b/tests/testsuite/daemon/wave.rs
@@ -1,13 +1,12 @@
 //! Cancellations in a wave.
 
 use futures_util::future::join_all;
-use laburnum_testkit::cell::Cell;
 use laburnumplank::api::client::Client;
 use laburnumplank::api::schema::{CancelJobRequest, CancelJobResponse, JobClass, JobState};
 use laburnumplank::core::error::Result;
 use laburnumplank::core::resource::Amount;
 
-use super::job::{check_workers, spec};
+use super::job::{check_workers, spec, started};
 use super::{cell, client, eventually, run, submit, watch};
 
 /// How many jobs are cancelled at once.
@@ -19,16 +18,6 @@
 /// How many of the tasks the workers hold at once.
 const FULL: u64 = 64;
 
-/// Returns how many tasks the workers have started.
-async fn started(cell: &Cell) -> u64 {
-    let workers = &cell.platform.workers;
-    let mut sum = 0;
-    for worker in 0..workers.addresses.len() {
-        sum += workers.client.worker_counts(worker).await.unwrap().started;
-    }
-    sum
-}
-
 async fn cancel(client: &Client, id: &str) -> bool {
     let request = CancelJobRequest {
         job_id: id.to_owned(),
