Run jobs of steps on the users' platform: scheduler, ownership, adapter

The platform's jobs are lists of steps; the product's were one class of like tasks. A pure scheduler (core::scheduler) carries steps, gangs, checkpoints, retries, advice and recovery; ownership is a log of claims with conditional appends (core::tenure), whose offsets are the fencing tokens. platform/ only translates; entry/ carries decisions out.

--- /dev/null
+++ b/src/core/scheduler/runs.rs
@@ -0,0 +1,458 @@
+//! What becomes of single runs: started, seen, ended, stopped, lost.
+
+use std::sync::Arc;
+
+use super::id::{self, Run, Task, Worker};
+use super::job::Place;
+use super::message::{Ended, How, Outcome, Output, Refusal, Running};
+use super::record::Phase;
+use super::worker::{Attempt, State};
+use super::{Scheduler, Time};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+
+impl Scheduler {
+    /// Takes in a run that a worker lists as running.
+    pub(super) fn seen_running(
+        &mut self,
+        key: Worker,
+        running: Running,
+        time: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let Running {
+            task,
+            run,
+            checkpoint,
+            percent,
+        } = running;
+        self.keep_checkpoint(task, run, checkpoint);
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(attempt) = worker.attempts.get_mut(&(task, run)) {
+            attempt.percent = percent;
+            if matches!(attempt.state, State::Starting | State::Doubtful) {
+                attempt.state = State::Running;
+                attempt.since = time.now;
+            }
+            return;
+        }
+        self.adopt(key, task, run, time, out);
+    }
+
+    /// Takes over a run of an earlier owner, or stops one that nobody wants.
+    fn adopt(&mut self, key: Worker, task: Task, run: Run, time: Time, out: &mut Vec<Output>) {
+        let (need, is_wanted) = self.inherited_need(task);
+        let state = if is_wanted {
+            State::Running
+        } else {
+            State::Stopping
+        };
+        let attempt = Attempt {
+            need,
+            state,
+            since: time.now,
+            started: time.now,
+            stop_sent: None,
+            stop_answered: None,
+            percent: 0,
+        };
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.insert(task, run, attempt);
+        }
+        if !is_wanted {
+            self.send_stop(key, task, run, time.now, out);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.has_started = true;
+            job.last_run = job.last_run.max(run);
+            if job.phase == Phase::Queued {
+                job.phase = Phase::Running;
+            }
+            if let Some(step) = job.step_mut(task.step) {
+                step.set(task.index, Place::Active { worker: key, run });
+            }
+        }
+        self.refresh_ready(task.step.job, time.now);
+    }
+
+    /// Returns what an unexpected run takes, and whether its task waits for a run.
+    fn inherited_need(&self, task: Task) -> (Amount, bool) {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return (Amount::default(), false);
+        };
+        let step = job.spec.steps.get(usize::from(task.step.index));
+        let need = step.map(|step| step.room()).unwrap_or_default();
+        let is_waiting = job
+            .task(task)
+            .is_some_and(|task| task.place == Place::Waiting);
+        (need, is_waiting && !job.phase.is_final())
+    }
+
+    fn keep_checkpoint(&mut self, task: Task, run: Run, checkpoint: Option<Arc<str>>) {
+        let (Some(checkpoint), Some(job)) = (checkpoint, self.jobs.get_mut(&task.step.job)) else {
+            return;
+        };
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(usize::from(task.index)) else {
+            return;
+        };
+        // An older run's checkpoint would set the work back.
+        let is_older = matches!(task.place, Place::Active { run: current, .. } if current > run);
+        if !is_older && task.checkpoint.as_deref() != Some(&*checkpoint) {
+            task.checkpoint = Some(checkpoint);
+        }
+    }
+
+    /// Takes in an end that a worker lists.
+    pub(super) fn ended(&mut self, key: Worker, ended: Ended, time: Time, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if ended.number <= worker.seen {
+            return;
+        }
+        worker.seen = ended.number;
+        let Ended {
+            number,
+            task,
+            run,
+            how,
+            checkpoint,
+        } = ended;
+        worker.remove(task, run);
+        match how {
+            How::Done => worker.record.done(),
+            How::Failed => worker.record.failed(time.now, task.step.job),
+            _ => {}
+        }
+        out.push(Output::Ended {
+            worker: key,
+            task,
+            run,
+            how,
+        });
+        self.keep_checkpoint(task, run, checkpoint);
+        match how {
+            How::Done => self.task_done(key, task, run, time, out),
+            How::Failed => self.task_failed(key, task, run, time, out),
+            _ => self.wait_again(key, task, run, time.now),
+        }
+        self.acknowledge(key, number);
+    }
+
+    fn task_done(&mut self, key: Worker, task: Task, run: Run, time: Time, out: &mut Vec<Output>) {
+        let id = task.step.job;
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
+            return;
+        };
+        let Some(spec) = job.spec.steps.get(usize::from(task.step.index)) else {
+            return;
+        };
+        if spec.long_running {
+            self.wait_again(key, task, run, time.now);
+            return;
+        }
+        let is_gang = spec.gang;
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        let indices = if is_gang {
+            (0..step.tasks.len() as u16).collect()
+        } else {
+            vec![task.index]
+        };
+        let mut others = Vec::new();
+        let mut is_news = false;
+        for index in indices {
+            let Some(state) = step.tasks.get(usize::from(index)) else {
+                return;
+            };
+            match state.place {
+                Place::Done => continue,
+                // A member of the same gang run ends done as well; another run is not needed.
+                Place::Active { worker, run: other } if other != run => {
+                    others.push((worker, other))
+                }
+                _ => {}
+            }
+            step.set(index, Place::Done);
+            is_news = true;
+        }
+        if !is_news {
+            return;
+        }
+        for (worker, other) in others {
+            self.stop_run_of(worker, other, id, time.now, out);
+        }
+        self.complete_if_done(id, time, out);
+        self.note_progress(id, out);
+        self.refresh_ready(id, time.now);
+    }
+
+    fn task_failed(
+        &mut self,
+        key: Worker,
+        task: Task,
+        run: Run,
+        time: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let id = task.step.job;
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
+            return;
+        };
+        let attempts = job.queue.attempts;
+        let Some(spec) = job.spec.steps.get(usize::from(task.step.index)) else {
+            return;
+        };
+        let (is_gang, is_long_running) = (spec.gang, spec.long_running);
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        // A gang fails as one: its first task carries the count.
+        let counted = if is_gang { 0 } else { usize::from(task.index) };
+        let is_counted = !is_gang || step.failed_run.is_none_or(|last| run > last);
+        if is_gang {
+            step.failed_run = step.failed_run.max(Some(run));
+        }
+        let Some(state) = step.tasks.get_mut(counted) else {
+            return;
+        };
+        if state.place == Place::Done || !is_counted {
+            self.wait_again(key, task, run, time.now);
+            return;
+        }
+        state.failures += 1;
+        state.failed_on = Some(key);
+        let is_exhausted = !is_long_running && state.failures >= attempts;
+        self.wait_again(key, task, run, time.now);
+        if is_exhausted {
+            self.end(id, Phase::Failed, "too many failed runs", time, out);
+        } else if !is_long_running {
+            self.note_progress(id, out);
+        }
+    }
+
+    /// Lets a task wait for its next run, if `run` on `worker` is the one it had.
+    pub(super) fn wait_again(&mut self, worker: Worker, task: Task, run: Run, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        let place = step
+            .tasks
+            .get(usize::from(task.index))
+            .map(|task| task.place);
+        if place == Some(Place::Active { worker, run }) {
+            step.set(task.index, Place::Waiting);
+            self.refresh_ready(task.step.job, now);
+        }
+    }
+
+    /// Gives the room of a run back and lets its task wait again.
+    pub(super) fn release(&mut self, worker: Worker, task: Task, run: Run, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.remove(task, run);
+        }
+        self.wait_again(worker, task, run, now);
+        self.is_dirty = true;
+    }
+
+    pub(super) fn started(
+        &mut self,
+        time: Time,
+        key: Worker,
+        task: Task,
+        run: Run,
+        outcome: &Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let Some(attempt) = worker.attempts.get_mut(&(task, run)) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done(_) => {
+                if attempt.state == State::Starting {
+                    attempt.state = State::Running;
+                    attempt.since = time.now;
+                }
+            }
+            Outcome::Unknown => {
+                if attempt.state == State::Starting {
+                    attempt.state = State::Doubtful;
+                    attempt.since = time.now;
+                }
+            }
+            Outcome::Refused(refusal) => {
+                self.refused(time, key, task, run, *refusal, out);
+            }
+        }
+    }
+
+    /// A start that surely did not happen.
+    fn refused(
+        &mut self,
+        time: Time,
+        key: Worker,
+        task: Task,
+        run: Run,
+        refusal: Refusal,
+        out: &mut Vec<Output>,
+    ) {
+        self.release(key, task, run, time.now);
+        match refusal {
+            Refusal::Fenced => out.push(Output::Superseded),
+            Refusal::Permit => {
+                if let Some(step) = self
+                    .jobs
+                    .get_mut(&task.step.job)
+                    .and_then(|job| job.step_mut(task.step))
+                {
+                    step.permits.workers.remove(&key);
+                }
+            }
+            Refusal::Unhealthy | Refusal::Malformed => {
+                if let Some(worker) = self.workers.get_mut(key) {
+                    worker.record.failed(time.now, task.step.job);
+                }
+            }
+            _ => {}
+        }
+        self.stop_partial_gang(task, run, time.now, out);
+    }
+
+    /// Stops the members of a gang run that lacks one.
+    fn stop_partial_gang(&mut self, task: Task, run: Run, now: Instant, out: &mut Vec<Output>) {
+        let id = task.step.job;
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let is_gang = job
+            .spec
+            .steps
+            .get(usize::from(task.step.index))
+            .is_some_and(|step| step.gang);
+        if !is_gang {
+            return;
+        }
+        let Some(step) = job.step(task.step) else {
+            return;
+        };
+        let members: Vec<Worker> = step
+            .tasks
+            .iter()
+            .filter_map(|task| match task.place {
+                Place::Active { worker, run: other } if other == run => Some(worker),
+                _ => None,
+            })
+            .collect();
+        for worker in members {
+            self.stop_run_of(worker, run, id, now, out);
+        }
+    }
+
+    /// Stops the runs numbered `run` that a job has on a worker.
+    pub(super) fn stop_run_of(
+        &mut self,
+        key: Worker,
+        run: Run,
+        job: id::Job,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let tasks: Vec<Task> = worker
+            .attempts
+            .iter()
+            .filter(|((task, other), attempt)| {
+                task.step.job == job && *other == run && attempt.state != State::Stopping
+            })
+            .map(|((task, _), _)| *task)
+            .collect();
+        for task in tasks {
+            if let Some(attempt) = worker.attempts.get_mut(&(task, run)) {
+                attempt.state = State::Stopping;
+                attempt.since = now;
+            }
+        }
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let stopping: Vec<Task> = worker
+            .attempts
+            .iter()
+            .filter(|((task, other), attempt)| {
+                task.step.job == job
+                    && *other == run
+                    && attempt.stop_sent.is_none()
+                    && attempt.state == State::Stopping
+            })
+            .map(|((task, _), _)| *task)
+            .collect();
+        for task in stopping {
+            self.send_stop(key, task, run, now, out);
+        }
+    }
+
+    fn send_stop(
+        &mut self,
+        key: Worker,
+        task: Task,
+        run: Run,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(attempt) = worker.attempts.get_mut(&(task, run)) {
+            attempt.stop_sent = Some(now);
+        }
+        out.push(Output::Stop {
+            worker: key,
+            task,
+            run,
+        });
+    }
+
+    pub(super) fn stopped(
+        &mut self,
+        now: Instant,
+        key: Worker,
+        task: Task,
+        run: Run,
+        outcome: &Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        match outcome {
+            Outcome::Refused(Refusal::Fenced) => out.push(Output::Superseded),
+            Outcome::Done(_) | Outcome::Refused(Refusal::OldRun) => {
+                let worker = self.workers.get_mut(key);
+                let attempt = worker.and_then(|worker| worker.attempts.get_mut(&(task, run)));
+                if let Some(attempt) = attempt {
+                    attempt.stop_answered = Some(now);
+                }
+            }
+            // The next look sends it again.
+            Outcome::Refused(_) | Outcome::Unknown => {
+                let worker = self.workers.get_mut(key);
+                let attempt = worker.and_then(|worker| worker.attempts.get_mut(&(task, run)));
+                if let Some(attempt) = attempt {
+                    attempt.stop_sent = None;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/tenure.rs
@@ -0,0 +1,227 @@
+//! Who owns a cell, by claims on a log with conditional appends.
+//!
+//! A claim is appended on condition that the log ends where the claimant has read to. The last claim
+//! in the log names the owner, and its offset gives the fencing token, which therefore grows over
+//! every owner, restart and loss of all entries. The owner renews its claim; others claim when reads
+//! that succeed show no renewal for a while. No rule depends on clocks: workers and the log refuse
+//! what carries a lower token, so an owner that was paused can do nothing.
+//!
+//! Reads that fail count for nothing: while the log is away for all, nobody claims and the owner
+//! goes on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnum_derive::{message, state, value};
+
+use super::scheduler::id::Token;
+use super::time::Instant;
+
+/// What stands in the log.
+#[message]
+pub enum Record {
+    /// The writer is the owner from here on.
+    Claim(Owner),
+    /// The owner of this token lives.
+    Renewal(Token),
+    /// The owner of this token stops.
+    Release(Token),
+}
+
+/// An owner.
+#[message]
+pub struct Owner {
+    /// The entry's name.
+    pub name: String,
+    /// Where it takes links.
+    pub address: SocketAddr,
+    /// Tells the lives of an entry apart.
+    pub life: u64,
+}
+
+/// The claim in force.
+#[state]
+pub struct Claim {
+    /// Who.
+    pub owner: Owner,
+    /// Its token.
+    pub token: Token,
+    /// Whether the owner has said that it stops.
+    pub is_released: bool,
+}
+
+/// What an entry should do now.
+#[value]
+pub enum Action {
+    /// Append a claim on condition that the log ends at this offset.
+    Claim {
+        /// The offset.
+        at: u64,
+    },
+    /// Append a renewal.
+    Renew(Token),
+}
+
+/// How long the owner may be silent, and how often it renews.
+#[message]
+#[derive(Copy)]
+pub struct Rules {
+    /// From one renewal to the next.
+    pub renewal: Duration,
+    /// Claims are made after so long without a sign of the owner.
+    pub silence: Duration,
+}
+
+/// Decides for one entry.
+#[state]
+pub struct Elector {
+    rules: Rules,
+    me: Owner,
+    claim: Option<Claim>,
+    /// The offset to read from next.
+    next: u64,
+    /// Since when reads that succeeded have shown no sign of the owner.
+    quiet_since: Option<Instant>,
+    /// When the last read that succeeded was answered.
+    confirmed: Instant,
+    /// How long the last read that found nothing to wait for took; the nearest entry claims first.
+    round_trip: Duration,
+    renewed: Option<Instant>,
+    claimed: Option<Instant>,
+    /// Whether this entry may become the owner.
+    is_candidate: bool,
+}
+
+/// A claim without an owner to wait for is delayed by this many round trips to the log, so that the
+/// entry nearest to the log wins.
+const DELAY_ROUND_TRIPS: u32 = 8;
+/// How long an unanswered claim counts as under way.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Elector {
+    /// Makes the elector of an entry.
+    pub fn new(rules: Rules, me: Owner) -> Elector {
+        Elector {
+            rules,
+            me,
+            claim: None,
+            next: 0,
+            quiet_since: None,
+            confirmed: Instant(0),
+            round_trip: Duration::ZERO,
+            renewed: None,
+            claimed: None,
+            is_candidate: true,
+        }
+    }
+
+    /// Returns the offset to read from.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the claim in force, as far as was read.
+    pub fn claim(&self) -> Option<&Claim> {
+        self.claim.as_ref()
+    }
+
+    /// Returns this entry's token while its claim is in force.
+    pub fn token(&self) -> Option<Token> {
+        let claim = self.claim.as_ref()?;
+        (claim.owner == self.me && !claim.is_released).then_some(claim.token)
+    }
+
+    /// Lets this entry claim no more.
+    pub fn retire(&mut self) {
+        self.is_candidate = false;
+    }
+
+    /// Takes in a read that was sent at `sent` and gave `records` and the offset after them.
+    pub fn read(&mut self, now: Instant, sent: Instant, records: Vec<(u64, Record)>, next: u64) {
+        if self.quiet_since.is_none() {
+            self.round_trip = now.since(sent);
+        }
+        self.quiet_since.get_or_insert(sent);
+        self.confirmed = now;
+        for (offset, record) in records {
+            self.take(now, offset, record);
+        }
+        self.next = self.next.max(next);
+    }
+
+    fn take(&mut self, now: Instant, offset: u64, record: Record) {
+        let token = Token(offset + 1);
+        match record {
+            Record::Claim(owner) => {
+                self.claim = Some(Claim {
+                    owner,
+                    token,
+                    is_released: false,
+                });
+                self.claimed = None;
+                self.quiet_since = Some(now);
+            }
+            Record::Renewal(token) => {
+                if self
+                    .claim
+                    .as_ref()
+                    .is_some_and(|claim| claim.token == token)
+                {
+                    self.quiet_since = Some(now);
+                }
+            }
+            Record::Release(token) => {
+                let claim = self.claim.as_mut().filter(|claim| claim.token == token);
+                if let Some(claim) = claim {
+                    claim.is_released = true;
+                }
+            }
+        }
+    }
+
+    /// Takes in that a read failed: silence cannot be told from an outage.
+    pub fn read_failed(&mut self) {
+        self.quiet_since = None;
+    }
+
+    /// Takes in that records before `first` are gone.
+    pub fn truncated(&mut self, first: u64) {
+        self.next = self.next.max(first);
+    }
+
+    /// Takes in that a claim was refused: the log had moved on.
+    pub fn claim_refused(&mut self) {
+        self.claimed = None;
+    }
+
+    /// Returns what is due at `now`, and notes it as done.
+    pub fn action(&mut self, now: Instant) -> Option<Action> {
+        if let Some(token) = self.token() {
+            let is_due = self
+                .renewed
+                .is_none_or(|at| now.since(at) >= self.rules.renewal);
+            if is_due && self.is_candidate {
+                self.renewed = Some(now);
+                return Some(Action::Renew(token));
+            }
+            return None;
+        }
+        let is_under_way = self.claimed.is_some_and(|at| now.since(at) < CLAIM_TIMEOUT);
+        if !self.is_candidate || is_under_way {
+            return None;
+        }
+        let quiet = self.confirmed.since(self.quiet_since?);
+        let wait = match &self.claim {
+            Some(claim) if !claim.is_released && claim.owner.name != self.me.name => {
+                self.rules.silence + self.round_trip
+            }
+            // Nobody else owns the cell: its owner stopped, or was an earlier life of this entry.
+            _ => self.round_trip * DELAY_ROUND_TRIPS,
+        };
+        if quiet < wait {
+            return None;
+        }
+        self.claimed = Some(now);
+        Some(Action::Claim { at: self.next })
+    }
+}
--- /dev/null
+++ b/src/entry/owner.rs
@@ -0,0 +1,582 @@
+//! Carries out what the scheduler of an owned cell decides.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slab::Slab;
+use slog::{Logger, debug, info, warn};
+use tokio::sync::{Notify, oneshot, watch};
+
+use super::link::Link;
+use super::message::{Ask, Tell};
+use super::port::{Address, Appended, Change, Directory, Failure, Guard, Platform, Topic};
+use super::writer;
+use crate::core::error::{Error, Kind, Result};
+use crate::core::queue::Table;
+use crate::core::scheduler::advice::{self, Asker};
+use crate::core::scheduler::id::{Request, Run, Task, Token, Worker};
+use crate::core::scheduler::message::{Outcome, Start};
+use crate::core::scheduler::{Answer, Input, Output, Rules, Scheduler, Time};
+use crate::util::clock::Clock;
+
+/// How often time-driven decisions are looked at when nothing happens.
+const TICK: Duration = Duration::from_millis(50);
+/// How long a look may wait at a worker for an end.
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+/// The pause after a look that failed.
+const LOOK_RETRY: Duration = Duration::from_millis(250);
+/// How long ends may wait for the log before the worker is looked at again.
+const SETTLE_WAIT: Duration = Duration::from_millis(500);
+/// The pause between two readings of the directory: a worker that drains must get nothing new a few
+/// seconds later.
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(400);
+/// The pause before a step of a takeover is tried again.
+const TAKEOVER_RETRY: Duration = Duration::from_millis(100);
+/// The owner itself as an asker of the advisor.
+const SELF: Asker = Asker(0);
+/// How long past its estimate a call to the advisor may take.
+const ADVICE_GRACE: Duration = Duration::from_millis(1_000);
+
+/// The cell while this entry owns it.
+pub struct Owner<P: Platform> {
+    platform: P,
+    token: Token,
+    clock: Clock,
+    log: Logger,
+    scheduler: RefCell<Scheduler>,
+    outputs: RefCell<Vec<Output>>,
+    requests: RefCell<Slab<oneshot::Sender<Result<Answer>>>>,
+    queue: Rc<writer::Queue>,
+    /// Wakes the loop that carries outputs out.
+    wake: Notify,
+    /// Tells of records that reached the log.
+    durable: Notify,
+    /// Whether jobs can be served.
+    is_open: Cell<bool>,
+    /// Whether the ownership has ended.
+    is_over: Cell<bool>,
+    over: Notify,
+    askers: RefCell<HashMap<Asker, Link>>,
+    next_asker: Cell<u32>,
+}
+
+impl<P: Platform> Owner<P> {
+    /// Makes the owner of the claim that `token` names.
+    pub fn new(platform: P, rules: Rules, token: Token, clock: Clock, log: Logger) -> Rc<Owner<P>> {
+        Rc::new(Owner {
+            platform,
+            token,
+            clock,
+            log,
+            scheduler: RefCell::new(Scheduler::new(rules, token, clock.now())),
+            outputs: RefCell::default(),
+            requests: RefCell::default(),
+            queue: Rc::default(),
+            wake: Notify::new(),
+            durable: Notify::new(),
+            is_open: Cell::new(false),
+            is_over: Cell::new(false),
+            over: Notify::new(),
+            askers: RefCell::default(),
+            next_asker: Cell::new(1),
+        })
+    }
+
+    /// Returns the token of this ownership.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+
+    /// Whether jobs can be served.
+    pub fn is_open(&self) -> bool {
+        self.is_open.get() && !self.is_over.get()
+    }
+
+    /// Ends the ownership: nothing is decided any more.
+    pub fn finish(&self, reason: &'static str) {
+        if self.is_over.replace(true) {
+            return;
+        }
+        info!(self.log, "ownership ended"; "token" => self.token.0, "reason" => reason);
+        self.over.notify_waiters();
+        self.wake.notify_one();
+        // Whoever waits asks the next owner.
+        self.requests.borrow_mut().clear();
+    }
+
+    /// Whether the ownership has ended.
+    pub fn is_over(&self) -> bool {
+        self.is_over.get()
+    }
+
+    /// Waits until all records are in the log, or `limit` has passed.
+    pub async fn flush(&self, limit: Duration) {
+        let end = self.clock.now() + limit;
+        while !self.queue.is_empty() && self.clock.now() < end {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Takes over and carries out decisions until the ownership ends.
+    pub async fn run(self: Rc<Owner<P>>, tables: watch::Receiver<Option<std::sync::Arc<Table>>>) {
+        let began = self.clock.now();
+        if !self.fence().await || !self.recover().await {
+            return;
+        }
+        info!(self.log, "cell taken over"; "token" => self.token.0,
+            "took_ms" => self.clock.now().since(began).as_millis() as u64,
+            "jobs" => self.scheduler.borrow().load().jobs);
+        let writer = actix_rt::spawn(Rc::clone(&self).write());
+        let directory = actix_rt::spawn(Rc::clone(&self).follow_directory());
+        let configuration = actix_rt::spawn(Rc::clone(&self).follow_configuration(tables));
+        self.is_open.set(true);
+        while !self.is_over() {
+            self.turn();
+            // Whatever else is ready goes into the same turn.
+            tokio::task::yield_now().await;
+            if tokio::time::timeout(TICK, self.wake.notified())
+                .await
+                .is_err()
+            {
+                self.refresh_askers();
+            }
+        }
+        for task in [writer, directory, configuration] {
+            task.abort();
+        }
+    }
+
+    /// Decides on what came in, and carries it out.
+    fn turn(self: &Rc<Owner<P>>) {
+        let time = self.time();
+        let outputs = {
+            let mut outputs = self.outputs.borrow_mut();
+            self.scheduler.borrow_mut().tick(time, &mut outputs);
+            std::mem::take(&mut *outputs)
+        };
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    fn time(&self) -> Time {
+        Time {
+            now: self.clock.now(),
+            stamp: self.clock.stamp(),
+        }
+    }
+
+    /// Puts an input into the scheduler.
+    pub fn apply(&self, input: Input) {
+        if self.is_over() {
+            return;
+        }
+        let time = self.time();
+        let mut outputs = self.outputs.borrow_mut();
+        self.scheduler.borrow_mut().step(time, input, &mut outputs);
+        drop(outputs);
+        self.wake.notify_one();
+    }
+
+    fn carry_out(self: &Rc<Owner<P>>, output: Output) {
+        match output {
+            Output::Append { mark, key, value } => {
+                let key = Some(key);
+                self.queue.push(mark, super::port::Record { key, value });
+            }
+            Output::Start { worker, start } => {
+                actix_rt::spawn(Rc::clone(self).start(worker, start));
+            }
+            Output::Stop { worker, task, run } => {
+                actix_rt::spawn(Rc::clone(self).stop(worker, task, run));
+            }
+            Output::Ask(ask) => {
+                actix_rt::spawn(Rc::clone(self).advise(ask));
+            }
+            Output::Answer { request, answer } => self.answer(request, answer),
+            Output::Ended {
+                worker,
+                task,
+                run,
+                how,
+            } => {
+                info!(self.log, "run ended"; "task" => %task, "run" => run.0, "how" => how.name(),
+                    "worker" => self.name_of(worker));
+            }
+            Output::Phase { job, phase, reason } => {
+                info!(self.log, "job changed"; "job" => %job, "phase" => phase.name(), "reason" => reason);
+            }
+            Output::Worker { worker, event } => {
+                info!(self.log, "worker changed"; "worker" => self.name_of(worker), "event" => event);
+                if event == "listed" {
+                    actix_rt::spawn(Rc::clone(self).watch(worker));
+                }
+            }
+            Output::Superseded => self.finish("a worker has seen a higher token"),
+        }
+    }
+
+    fn name_of(&self, worker: Worker) -> String {
+        let scheduler = self.scheduler.borrow();
+        scheduler
+            .worker(worker)
+            .map(|worker| worker.entry.name.clone())
+            .unwrap_or_default()
+    }
+
+    fn address(&self, worker: Worker) -> Option<Address> {
+        let scheduler = self.scheduler.borrow();
+        let entry = &scheduler.worker(worker)?.entry;
+        Some(Address {
+            name: entry.name.clone(),
+            incarnation: entry.incarnation,
+            address: entry.address,
+        })
+    }
+
+    fn answer(&self, request: Request, answer: Result<Answer>) {
+        let reply = self.requests.borrow_mut().try_remove(request.0 as usize);
+        if let Some(reply) = reply {
+            // The asker may have given up.
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// Serves what a client asked.
+    pub async fn serve(&self, ask: Ask) -> Result<Tell> {
+        if !self.is_open() {
+            return Err(no_owner());
+        }
+        match ask {
+            Ask::Read { job, queue } => {
+                let phase = self.scheduler.borrow().phase(job, &queue);
+                Ok(phase.map_or(Tell::Gone, Tell::Phase))
+            }
+            Ask::Pending { queue } => {
+                Ok(Tell::Pending(self.scheduler.borrow().pending(&queue) as u64))
+            }
+            Ask::Submit { job, queue, spec } => {
+                let at = self.clock.stamp();
+                let spec = std::sync::Arc::new(spec);
+                info!(self.log, "job handed in"; "job" => %job, "queue" => &queue.name, "steps" => spec.steps.len());
+                let answer = self.request(|request| Input::Submit {
+                    request,
+                    job,
+                    queue,
+                    spec,
+                    at,
+                });
+                answer.await
+            }
+            Ask::Cancel { job, queue } => {
+                let at = self.clock.stamp();
+                info!(self.log, "job to be cancelled"; "job" => %job);
+                let answer = self.request(|request| Input::Cancel {
+                    request,
+                    job,
+                    queue,
+                    at,
+                });
+                answer.await
+            }
+            Ask::Advise { .. } => Err(Error::new(Kind::Internal, "the owner does not ask itself")),
+        }
+    }
+
+    async fn request(&self, input: impl FnOnce(Request) -> Input) -> Result<Tell> {
+        let (reply, answer) = oneshot::channel();
+        let request = Request(self.requests.borrow_mut().insert(reply) as u64);
+        self.apply(input(request));
+        match answer.await {
+            Ok(answer) => answer.map(|answer| match answer {
+                Answer::Accepted => Tell::Accepted,
+                Answer::Cancelled => Tell::Cancelled,
+                Answer::Gone => Tell::Gone,
+            }),
+            Err(_) => Err(Error::new(
+                Kind::AnswerLost,
+                "the ownership ended before the record was in the log",
+            )),
+        }
+    }
+
+    /// Makes the appends of every earlier owner void.
+    async fn fence(&self) -> bool {
+        while !self.is_over() {
+            let guard = Guard::Writer {
+                token: self.token,
+                sequence: 0,
+            };
+            match self.platform.append(Topic::Jobs, &[], guard).await {
+                Appended::Done => return true,
+                Appended::Fenced => {
+                    self.finish("a later owner has written");
+                    return false;
+                }
+                outcome => {
+                    warn!(self.log, "cannot fence the log"; "outcome" => ?outcome);
+                    tokio::time::sleep(TAKEOVER_RETRY).await;
+                }
+            }
+        }
+        false
+    }
+
+    /// Reads what the owners before left.
+    async fn recover(&self) -> bool {
+        let mut after: Option<Vec<u8>> = None;
+        while !self.is_over() {
+            match self.platform.newest(Topic::Jobs, after.as_deref()).await {
+                Ok(page) => {
+                    let time = self.time();
+                    let mut scheduler = self.scheduler.borrow_mut();
+                    for (key, value) in &page.records {
+                        if !scheduler.recover(time, key, value) {
+                            warn!(self.log, "record of no known kind"; "key" => String::from_utf8_lossy(key).into_owned());
+                        }
+                    }
+                    if !page.has_more {
+                        scheduler.recovered(time, &mut self.outputs.borrow_mut());
+                        return true;
+                    }
+                    after = page.records.last().map(|(key, _)| key.clone());
+                }
+                Err(failure) => {
+                    warn!(self.log, "cannot read the jobs"; "failure" => ?failure);
+                    tokio::time::sleep(TAKEOVER_RETRY).await;
+                }
+            }
+        }
+        false
+    }
+
+    async fn write(self: Rc<Owner<P>>) {
+        let told = |event| match event {
+            writer::Event::Durable(mark) => {
+                self.apply(Input::Durable(mark));
+                self.durable.notify_waiters();
+            }
+            writer::Event::Reachable(is_reachable) => self.apply(Input::LogReachable(is_reachable)),
+            writer::Event::Fenced => self.finish("a later owner has written"),
+        };
+        let queue = Rc::clone(&self.queue);
+        let platform = self.platform.clone();
+        writer::run(
+            platform,
+            queue,
+            self.token,
+            0,
+            self.clock,
+            self.log.clone(),
+            told,
+        )
+        .await;
+    }
+
+    async fn follow_directory(self: Rc<Owner<P>>) {
+        let mut directory = self.platform.directory();
+        let mut is_known = true;
+        loop {
+            match directory.changes().await {
+                Ok(changes) => {
+                    if !is_known {
+                        info!(self.log, "directory is back");
+                        is_known = true;
+                    }
+                    for change in changes {
+                        self.apply(match change {
+                            Change::Listed(entry) => Input::Listed(entry),
+                            Change::Unlisted(name) => Input::Unlisted(name),
+                        });
+                    }
+                }
+                Err(failure) if is_known => {
+                    warn!(self.log, "directory cannot be read"; "failure" => ?failure);
+                    is_known = false;
+                }
+                Err(_) => {}
+            }
+            tokio::time::sleep(DIRECTORY_PAUSE).await;
+        }
+    }
+
+    async fn follow_configuration(
+        self: Rc<Owner<P>>,
+        mut tables: watch::Receiver<Option<std::sync::Arc<Table>>>,
+    ) {
+        loop {
+            let table = tables.borrow_and_update().clone();
+            if let Some(table) = table {
+                self.apply(Input::Queues(table.queues().cloned().collect()));
+            }
+            if tables.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Keeps an eye on one life of a worker and its lease extended.
+    async fn watch(self: Rc<Owner<P>>, worker: Worker) {
+        let mut wait = Duration::ZERO;
+        while !self.is_over() {
+            let Some(address) = self.address(worker) else {
+                return;
+            };
+            let sent = self.clock.now();
+            let Some(look) = self.scheduler.borrow_mut().look(sent, worker) else {
+                return;
+            };
+            match self.platform.look(&address, look, wait, self.token).await {
+                Ok(inventory) => {
+                    self.apply(Input::Looked {
+                        worker,
+                        sent,
+                        inventory,
+                    });
+                    self.settle(worker).await;
+                    wait = LOOK_WAIT;
+                }
+                Err(refusal) => {
+                    let outcome = refusal.map_or(Outcome::Unknown, Outcome::Refused);
+                    debug!(self.log, "look failed"; "worker" => address.name, "outcome" => ?outcome);
+                    self.apply(Input::LookFailed { worker, outcome });
+                    wait = Duration::ZERO;
+                    tokio::time::sleep(LOOK_RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// Waits until the ends that a worker listed are in the log, for a while.
+    async fn settle(&self, worker: Worker) {
+        let end = self.clock.now() + SETTLE_WAIT;
+        while !self.scheduler.borrow().is_settled(worker) {
+            let left = end.since(self.clock.now());
+            if left.is_zero() {
+                return;
+            }
+            // The time limit is checked above.
+            let _ = tokio::time::timeout(left, self.durable.notified()).await;
+        }
+    }
+
+    async fn start(self: Rc<Owner<P>>, worker: Worker, start: Start) {
+        let Some(address) = self.address(worker) else {
+            return;
+        };
+        let (task, run) = (start.task, start.run);
+        let outcome = self.platform.start(&address, &start, self.token).await;
+        match &outcome {
+            Outcome::Done(_) => info!(self.log, "run started"; "task" => %task, "run" => run.0,
+                "worker" => address.name),
+            Outcome::Refused(refusal) => warn!(self.log, "start refused"; "task" => %task,
+                "run" => run.0, "worker" => address.name, "reason" => refusal.name()),
+            Outcome::Unknown => warn!(self.log, "start without an answer"; "task" => %task,
+                "run" => run.0, "worker" => address.name),
+        }
+        self.apply(Input::Started {
+            worker,
+            task,
+            run,
+            outcome,
+        });
+    }
+
+    async fn stop(self: Rc<Owner<P>>, worker: Worker, task: Task, run: Run) {
+        let Some(address) = self.address(worker) else {
+            return;
+        };
+        let outcome = self.platform.stop(&address, task, run, self.token).await;
+        info!(self.log, "run to be stopped"; "task" => %task, "run" => run.0,
+            "worker" => address.name, "outcome" => ?outcome);
+        self.apply(Input::Stopped {
+            worker,
+            task,
+            run,
+            outcome,
+        });
+    }
+
+    async fn advise(self: Rc<Owner<P>>, ask: advice::Ask) {
+        let workers: Vec<String> = {
+            let scheduler = self.scheduler.borrow();
+            let known = ask
+                .workers
+                .iter()
+                .filter_map(|&worker| scheduler.worker(worker));
+            known.map(|worker| worker.entry.name.clone()).collect()
+        };
+        let timeout = advice::CALL_GRACE + ADVICE_GRACE;
+        let link = self.askers.borrow().get(&ask.asker).cloned();
+        let allowed = match link {
+            Some(link) => {
+                let step = ask.step;
+                match link.ask(Ask::Advise { step, workers }, timeout).await {
+                    Ok(Tell::Advised { allowed, validity }) => {
+                        let allowed = allowed.into_iter();
+                        Some((
+                            allowed
+                                .map(|(name, ticket)| (name, ticket.into()))
+                                .collect(),
+                            validity,
+                        ))
+                    }
+                    _ => None,
+                }
+            }
+            None if ask.asker == SELF => {
+                let allowed = self.platform.advise(ask.step, &workers, timeout).await;
+                allowed.map(|allowed| (allowed.workers, allowed.validity))
+            }
+            None => None,
+        };
+        if allowed.is_none() {
+            warn!(self.log, "advisor did not answer"; "step" => %ask.step, "asker" => ask.asker.0);
+        }
+        let (allowed, validity) = allowed.unzip();
+        self.apply(Input::Advised {
+            asker: ask.asker,
+            step: ask.step,
+            named: ask.workers,
+            allowed,
+            validity: validity.unwrap_or_default(),
+        });
+    }
+
+    /// Takes a link to an entry that may call the advisor.
+    pub fn add_asker(&self, link: Link) {
+        let asker = Asker(self.next_asker.replace(self.next_asker.get() + 1));
+        self.askers.borrow_mut().insert(asker, link);
+        self.refresh_askers();
+    }
+
+    fn refresh_askers(&self) {
+        let mut askers = self.askers.borrow_mut();
+        askers.retain(|_, link| link.is_open());
+        let mut known: Vec<Asker> = askers.keys().copied().collect();
+        known.push(SELF);
+        known.sort_unstable();
+        drop(askers);
+        // Not an event: nothing is to be decided anew.
+        let mut outputs = self.outputs.borrow_mut();
+        let time = self.time();
+        self.scheduler
+            .borrow_mut()
+            .step(time, Input::Askers(known), &mut outputs);
+    }
+}
+
+/// Makes the error of an entry that owns nothing.
+pub fn no_owner() -> Error {
+    Error::new(Kind::NoOwner, "the cell has no owner here; come back")
+}
+
+/// Returns whether a read failed because records are gone, and from where to go on.
+pub fn truncated(failure: Failure) -> Option<u64> {
+    match failure {
+        Failure::Truncated { first } => Some(first),
+        Failure::Refused | Failure::Lost => None,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod core;
 pub mod daemon;
+pub mod entry;
 pub mod ops;
 pub mod platform;
 pub mod settings;
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -1,26 +1,30 @@
 //! The clocks of one process.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::core::time::{Instant, Stamp};
 
 /// Reads the monotonic and the wall clock; copies count from the same start.
+///
+/// The monotonic clock counts the time that the VM is suspended, which leases elsewhere do too.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: std::time::Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Makes a clock that counts from now.
     pub fn start() -> Clock {
         Clock {
-            start: std::time::Instant::now(),
+            start: since_boot(),
         }
     }
 
     /// Returns the monotonic time.
     pub fn now(self) -> Instant {
-        Instant(self.start.elapsed().as_micros() as u64)
+        Instant(since_boot().saturating_sub(self.start).as_micros() as u64)
     }
 
     /// Returns the wall-clock time.
@@ -31,3 +35,11 @@
         Stamp(since_epoch.as_millis() as u64)
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(
+        time.tv_sec.unsigned_abs(),
+        time.tv_nsec.unsigned_abs() as u32,
+    )
+}
--- a/src/util/logger.rs
+++ b/src/util/logger.rs
@@ -17,6 +17,23 @@
     root(format, level)
 }
 
+/// How many lines may wait to be written; further ones are dropped and counted.
+const QUEUED_LINES: usize = 4_096;
+
+/// Makes the logger of a process, which writes JSON lines of `level` and above to standard output.
+///
+/// It never blocks: lines that don't fit into the queue are dropped, and a line says how many.
+pub fn to_stdout(level: &str) -> Logger {
+    let format = Mutex::new(slog_json::Json::default(io::stdout())).fuse();
+    let filtered = LevelFilter::new(format, parse(level)).fuse();
+    let queued = slog_async::Async::new(filtered)
+        .chan_size(QUEUED_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(queued, o!())
+}
+
 /// Puts a filter and a queue in front of a drain.
 fn root<D>(drain: D, level: Level) -> Logger
 where
