Bound the calls to the advisor; count a failed run once over owners

A call is now made only while an entry is about to be idle, best rank first. Progress records now name the last failed run.

--- a/src/core/scheduler/advice.rs
+++ b/src/core/scheduler/advice.rs
@@ -15,6 +15,9 @@
 
 /// A call that takes longer than this is a long one.
 const LONG_CALL: Duration = Duration::from_millis(50);
+/// A call is given to an entry whose calls are expected to be answered within this span: it covers
+/// the way to the advisor and back, and more would wait there, where better ranks can't overtake.
+const LOOKAHEAD: Duration = Duration::from_millis(25);
 /// One in so many entries takes short calls only.
 const SHORT_ONLY_SHARE: usize = 3;
 /// How long past its expected end a call may take before it is given up.
@@ -117,16 +120,18 @@
         }
     }
 
-    /// Picks who makes a call that takes `cost`, and returns it with the expected end.
+    /// Picks who makes a call that takes `cost`, and returns it with the expected end; `None` while
+    /// all are busy.
     pub fn pick(&mut self, now: Instant, cost: Duration) -> Option<(Asker, Instant)> {
         let first = if cost > LONG_CALL && self.busy.len() >= SHORT_ONLY_SHARE {
             self.busy.len().div_ceil(SHORT_ONLY_SHARE)
         } else {
             0
         };
-        let load = self.busy[first..]
+        let idle = self.busy[first..]
             .iter_mut()
-            .min_by_key(|load| load.until.max(now))?;
+            .filter(|load| load.until <= now + LOOKAHEAD);
+        let load = idle.min_by_key(|load| load.until.max(now))?;
         load.until = load.until.max(now) + cost;
         load.calls += 1;
         Some((load.asker, load.until))
@@ -169,4 +174,6 @@
     pub step: Step,
     /// The workers.
     pub workers: Vec<Worker>,
+    /// How long the advisor takes.
+    pub cost: Duration,
 }
--- a/src/core/scheduler/advise.rs
+++ b/src/core/scheduler/advise.rs
@@ -53,7 +53,8 @@
         if named.is_empty() {
             return;
         }
-        let Some((asker, end)) = self.askers.pick(time.now, cost(&advice, named.len())) else {
+        let cost = cost(&advice, named.len());
+        let Some((asker, end)) = self.askers.pick(time.now, cost) else {
             return;
         };
         let state = self
@@ -71,6 +72,7 @@
             asker,
             step,
             workers: named,
+            cost,
         }));
     }
 
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -34,6 +34,8 @@
     pub place: Place,
     /// How many of its runs failed.
     pub failures: u16,
+    /// The last run that was counted as failed.
+    pub last_failed: Option<Run>,
     /// The newest checkpoint known.
     pub checkpoint: Option<Arc<str>>,
     /// The worker that the last run failed on.
@@ -49,8 +51,6 @@
     pub done: usize,
     /// How many tasks wait.
     pub waiting: usize,
-    /// The last run of a gang that was counted as failed.
-    pub failed_run: Option<Run>,
     /// Which workers may run it.
     pub permits: Permits,
     /// When it became ready to start.
@@ -129,6 +129,7 @@
         let task = Task {
             place: Place::Waiting,
             failures: 0,
+            last_failed: None,
             checkpoint: None,
             failed_on: None,
         };
@@ -136,7 +137,6 @@
             tasks: vec![task; usize::from(tasks)],
             done: 0,
             waiting: usize::from(tasks),
-            failed_run: None,
             permits: Permits::default(),
             ready_at: None,
         }
@@ -240,8 +240,12 @@
         if task.place == Place::Done {
             noted.set_done(index as u16);
         }
-        if task.failures > 0 {
-            noted.failures.push((index as u16, task.failures));
+        if let Some(last) = task.last_failed {
+            noted.failures.push(record::Failures {
+                task: index as u16,
+                count: task.failures,
+                last,
+            });
         }
     }
     noted
@@ -253,9 +257,10 @@
             step.set(index, Place::Done);
         }
     }
-    for &(index, failures) in &noted.failures {
-        if let Some(task) = step.tasks.get_mut(usize::from(index)) {
-            task.failures = failures;
+    for failures in &noted.failures {
+        if let Some(task) = step.tasks.get_mut(usize::from(failures.task)) {
+            task.failures = failures.count;
+            task.last_failed = Some(failures.last);
         }
     }
 }
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -6,7 +6,7 @@
 
 use laburnum_derive::{message, value};
 
-use super::id::Job;
+use super::id::{Job, Run};
 use super::spec::{Queue, Spec};
 use crate::core::time::Stamp;
 
@@ -92,8 +92,19 @@
     /// Bit `i % 8` of byte `i / 8` is set when task `i` is done.
     #[serde(with = "serde_bytes")]
     pub done: Vec<u8>,
-    /// Tasks with failed runs, and how many.
-    pub failures: Vec<(u16, u16)>,
+    /// Tasks with failed runs.
+    pub failures: Vec<Failures>,
+}
+
+/// The failed runs of a task.
+#[message]
+pub struct Failures {
+    /// The task.
+    pub task: u16,
+    /// How many.
+    pub count: u16,
+    /// The last of them: its end may be listed again to a later owner.
+    pub last: Run,
 }
 
 impl Step {
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -216,18 +216,17 @@
         };
         // A gang fails as one: its first task carries the count.
         let counted = if is_gang { 0 } else { usize::from(task.index) };
-        let is_counted = !is_gang || step.failed_run.is_none_or(|last| run > last);
-        if is_gang {
-            step.failed_run = step.failed_run.max(Some(run));
-        }
         let Some(state) = step.tasks.get_mut(counted) else {
             return;
         };
-        if state.place == Place::Done || !is_counted {
+        // An end that went into the log may be listed again to the next owner.
+        let is_counted = state.last_failed.is_some_and(|last| run <= last);
+        if state.place == Place::Done || is_counted {
             self.wait_again(key, task, run, time.now);
             return;
         }
         state.failures += 1;
+        state.last_failed = Some(run);
         state.failed_on = Some(key);
         let is_exhausted = !is_long_running && state.failures >= attempts;
         self.wait_again(key, task, run, time.now);
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -36,8 +36,6 @@
 const TAKEOVER_RETRY: Duration = Duration::from_millis(100);
 /// The owner itself as an asker of the advisor.
 const SELF: Asker = Asker(0);
-/// How long past its estimate a call to the advisor may take.
-const ADVICE_GRACE: Duration = Duration::from_millis(1_000);
 
 /// The cell while this entry owns it.
 pub struct Owner<P: Platform> {
@@ -508,7 +506,7 @@
                 .filter_map(|&worker| scheduler.worker(worker));
             known.map(|worker| worker.entry.name.clone()).collect()
         };
-        let timeout = advice::CALL_GRACE + ADVICE_GRACE;
+        let timeout = advice::CALL_GRACE + ask.cost;
         let link = self.askers.borrow().get(&ask.asker).cloned();
         let allowed = match link {
             Some(link) => {
