Keep which runs of a task failed, not only the last

Ruled out: the directory's lag (both workers were in touch 0.1 s after the takeover) and lost records (the log was down when the runs failed, so none was owed). Progress records now name every failed run.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -32,10 +32,8 @@
 pub struct Task {
     /// Where it stands.
     pub place: Place,
-    /// How many of its runs failed.
-    pub failures: u16,
-    /// The last run that was counted as failed.
-    pub last_failed: Option<Run>,
+    /// The runs that failed.
+    pub failed: Vec<Run>,
     /// The newest checkpoint known.
     pub checkpoint: Option<Arc<str>>,
     /// The worker that the last run failed on.
@@ -128,8 +126,7 @@
     fn new(tasks: u16) -> Step {
         let task = Task {
             place: Place::Waiting,
-            failures: 0,
-            last_failed: None,
+            failed: Vec::new(),
             checkpoint: None,
             failed_on: None,
         };
@@ -240,11 +237,10 @@
         if task.place == Place::Done {
             noted.set_done(index as u16);
         }
-        if let Some(last) = task.last_failed {
+        if !task.failed.is_empty() {
             noted.failures.push(record::Failures {
                 task: index as u16,
-                count: task.failures,
-                last,
+                runs: task.failed.clone(),
             });
         }
     }
@@ -259,8 +255,7 @@
     }
     for failures in &noted.failures {
         if let Some(task) = step.tasks.get_mut(usize::from(failures.task)) {
-            task.failures = failures.count;
-            task.last_failed = Some(failures.last);
+            task.failed.clone_from(&failures.runs);
         }
     }
 }
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -143,14 +143,15 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let attempts = job.queue.attempts;
+        let attempts = usize::from(job.queue.attempts);
         let is_exhausted = job.occurrences.values().any(|occurrence| {
             occurrence
                 .steps
                 .iter()
                 .zip(&job.spec.steps)
                 .any(|(step, spec)| {
-                    !spec.long_running && step.tasks.iter().any(|task| task.failures >= attempts)
+                    !spec.long_running
+                        && step.tasks.iter().any(|task| task.failed.len() >= attempts)
                 })
         });
         if is_exhausted {
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -101,10 +101,8 @@
 pub struct Failures {
     /// The task.
     pub task: u16,
-    /// How many.
-    pub count: u16,
-    /// The last of them: its end may be listed again to a later owner.
-    pub last: Run,
+    /// Which: workers list ends that are not acknowledged to every owner, in any order.
+    pub runs: Vec<Run>,
 }
 
 impl Step {
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -206,7 +206,7 @@
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
             return;
         };
-        let attempts = job.queue.attempts;
+        let attempts = usize::from(job.queue.attempts);
         let Some(spec) = job.spec.steps.get(usize::from(task.step.index)) else {
             return;
         };
@@ -219,20 +219,17 @@
         let Some(state) = step.tasks.get_mut(counted) else {
             return;
         };
-        // An end that went into the log may be listed again to the next owner.
-        let is_counted = state.last_failed.is_some_and(|last| run <= last);
-        if state.place == Place::Done || is_counted {
+        if state.place == Place::Done || is_long_running || state.failed.contains(&run) {
             self.wait_again(key, task, run, time.now);
             return;
         }
-        state.failures += 1;
-        state.last_failed = Some(run);
+        state.failed.push(run);
         state.failed_on = Some(key);
-        let is_exhausted = !is_long_running && state.failures >= attempts;
+        let is_exhausted = state.failed.len() >= attempts;
         self.wait_again(key, task, run, time.now);
         if is_exhausted {
             self.end(id, Phase::Failed, "too many failed runs", time, out);
-        } else if !is_long_running {
+        } else {
             self.note_progress(id, out);
         }
     }
