--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -40,6 +40,9 @@
 /// How many runs of a job one owner may start before its numbers reach those of the next.
 const RUN_BITS: u32 = 20;
 
+/// Placement is tried so often even when nothing happens: pauses end and surveys complete.
+const PLACE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The bounds that the scheduler keeps to.
 #[message]
 #[derive(Copy)]
@@ -110,6 +113,8 @@
     recovered_progress: HashMap<id::Job, record::Progress>,
     /// Whether anything changed that placement depends on.
     is_dirty: bool,
+    /// When tasks were placed last.
+    placed_at: Instant,
 }
 
 impl Scheduler {
@@ -134,6 +139,7 @@
             is_log_reachable: true,
             recovered_progress: HashMap::new(),
             is_dirty: true,
+            placed_at: now,
         }
     }
 
@@ -199,7 +205,9 @@
         self.release_lapsed(time, out);
         self.expire_calls(time.now);
         self.forget_ended(time.now, out);
-        if std::mem::take(&mut self.is_dirty) {
+        let is_stale = time.now.since(self.placed_at) >= PLACE_INTERVAL && !self.ready.is_empty();
+        if std::mem::take(&mut self.is_dirty) || is_stale {
+            self.placed_at = time.now;
             self.place(time, out);
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod placement;
 mod request;
+mod scheduler;
 mod schema;
 mod settings;
 mod standin;
--- /dev/null
+++ b/tests/testsuite/scheduler/cell.rs
@@ -0,0 +1,257 @@
+//! A scheduler with its inputs and outputs at hand.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumplank::core::error::Error;
+use laburnumplank::core::resource::Amount;
+use laburnumplank::core::scheduler::advice::Asker;
+use laburnumplank::core::scheduler::id::{Job, Mark, Request, Run, Step, Task, Token, Worker};
+use laburnumplank::core::scheduler::message::{Ended, How, Inventory, Outcome, Running, Start};
+use laburnumplank::core::scheduler::spec::{self, Queue, Spec};
+use laburnumplank::core::scheduler::worker::Entry;
+use laburnumplank::core::scheduler::{Answer, Input, Output, Rules, Scheduler, Time};
+use laburnumplank::core::time::{Instant, Stamp};
+
+/// Where the time of day starts.
+const MORNING: u64 = 1_700_000_000_000;
+
+pub fn rules() -> Rules {
+    Rules {
+        lease: Duration::from_millis(4_500),
+        max_lease: Duration::from_millis(6_000),
+        gang_timeout: Duration::from_millis(3_000),
+        remote_factor: 3.0,
+        status_kept: Duration::from_secs(120),
+        directory_lag: Duration::from_millis(2_000),
+    }
+}
+
+pub fn queue() -> Queue {
+    Queue {
+        name: "filings".to_owned(),
+        service: "desk".to_owned(),
+        priority: 1,
+        attempts: 2,
+        slack_factor: 2.0,
+        target: Duration::from_millis(1_000),
+        advice: None,
+    }
+}
+
+pub fn step(tasks: u16) -> spec::Step {
+    spec::Step {
+        tasks,
+        need: Amount {
+            cpu_millis: 4_000,
+            memory_mib: 1_000,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(1_000),
+        ..spec::Step::default()
+    }
+}
+
+pub fn spec(steps: Vec<spec::Step>) -> Arc<Spec> {
+    Arc::new(Spec {
+        payload: "filing".to_owned(),
+        steps,
+        schedule: None,
+    })
+}
+
+pub fn task(job: u64, step: u16, index: u16) -> Task {
+    let step = Step {
+        job: Job(job),
+        occurrence: 0,
+        index: step,
+    };
+    Task { step, index }
+}
+
+pub fn entry(name: &str) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        incarnation: 1,
+        address: "127.0.0.1:9".parse().unwrap(),
+        service: "desk".to_owned(),
+        data_centre: "quimper".to_owned(),
+        capacity: Amount {
+            cpu_millis: 16_000,
+            memory_mib: 64_000,
+            accelerators: 0,
+        },
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        rack: Some("r1".to_owned()),
+        draining: false,
+    }
+}
+
+/// One ownership of a cell.
+pub struct Cell {
+    pub scheduler: Scheduler,
+    pub now: Instant,
+    /// Appends that the log has not confirmed.
+    pub unconfirmed: VecDeque<(Mark, Vec<u8>, Option<Vec<u8>>)>,
+    /// Starts in order.
+    pub starts: Vec<(Worker, Start)>,
+    pub stops: Vec<(Worker, Task, Run)>,
+    pub asks: Vec<(Asker, Step, Vec<Worker>)>,
+    pub answers: Vec<(Request, Result<Answer, Error>)>,
+    pub is_superseded: bool,
+}
+
+impl Cell {
+    pub fn new(token: u64) -> Cell {
+        Cell::at(token, Instant(0))
+    }
+
+    pub fn at(token: u64, now: Instant) -> Cell {
+        Cell {
+            scheduler: Scheduler::new(rules(), Token(token), now),
+            now,
+            unconfirmed: VecDeque::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            asks: Vec::new(),
+            answers: Vec::new(),
+            is_superseded: false,
+        }
+    }
+
+    /// Makes the next owner from the records that the log has.
+    pub fn successor(token: u64, now: Instant, records: &[(Vec<u8>, Vec<u8>)]) -> Cell {
+        let mut cell = Cell::at(token, now);
+        let time = cell.time();
+        for (key, value) in records {
+            assert!(cell.scheduler.recover(time, key, value));
+        }
+        let mut out = Vec::new();
+        cell.scheduler.recovered(time, &mut out);
+        cell.take(out);
+        cell
+    }
+
+    pub fn time(&self) -> Time {
+        Time {
+            now: self.now,
+            stamp: Stamp(MORNING + self.now.0 / 1_000),
+        }
+    }
+
+    pub fn input(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.scheduler.step(self.time(), input, &mut out);
+        self.take(out);
+    }
+
+    pub fn tick(&mut self) {
+        let mut out = Vec::new();
+        self.scheduler.tick(self.time(), &mut out);
+        self.take(out);
+    }
+
+    pub fn wait(&mut self, span: Duration) {
+        self.now = self.now + span;
+        self.tick();
+    }
+
+    /// Confirms all appends.
+    pub fn confirm(&mut self) {
+        let last = self.unconfirmed.back().map(|(mark, ..)| *mark);
+        self.unconfirmed.clear();
+        if let Some(mark) = last {
+            self.input(Input::Durable(mark));
+        }
+        self.tick();
+    }
+
+    fn take(&mut self, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Append { mark, key, value } => {
+                    self.unconfirmed.push_back((mark, key, value))
+                }
+                Output::Start { worker, start } => self.starts.push((worker, start)),
+                Output::Stop { worker, task, run } => self.stops.push((worker, task, run)),
+                Output::Ask(ask) => self.asks.push((ask.asker, ask.step, ask.workers)),
+                Output::Answer { request, answer } => self.answers.push((request, answer)),
+                Output::Superseded => self.is_superseded = true,
+                Output::Ended { .. } | Output::Phase { .. } | Output::Worker { .. } => {}
+            }
+        }
+    }
+
+    /// Lists a worker, which answers a first look with nothing.
+    pub fn add_worker(&mut self, name: &str) -> Worker {
+        self.input(Input::Listed(entry(name)));
+        let worker = self.scheduler.worker_named(name).unwrap();
+        self.look(worker, Vec::new(), Vec::new());
+        worker
+    }
+
+    /// Lets a worker answer a look.
+    pub fn look(&mut self, worker: Worker, running: Vec<Running>, ended: Vec<Ended>) {
+        let sent = self.now;
+        self.scheduler.look(sent, worker);
+        let clock_ms = 1_000_000 + self.now.0 / 1_000;
+        self.input(Input::Looked {
+            worker,
+            sent,
+            inventory: Inventory {
+                clock_ms,
+                running,
+                ended,
+            },
+        });
+        self.tick();
+    }
+
+    pub fn submit(&mut self, job: u64, queue: Queue, spec: Arc<Spec>) {
+        let at = self.time().stamp;
+        self.input(Input::Submit {
+            request: Request(job),
+            job: Job(job),
+            queue,
+            spec,
+            at,
+        });
+        self.tick();
+    }
+
+    /// Answers all starts so far with success and returns them.
+    pub fn accept_starts(&mut self) -> Vec<(Worker, Start)> {
+        let starts = std::mem::take(&mut self.starts);
+        for (worker, start) in &starts {
+            self.input(Input::Started {
+                worker: *worker,
+                task: start.task,
+                run: start.run,
+                outcome: Outcome::Done(None),
+            });
+        }
+        self.now = self.now + Duration::from_millis(1);
+        self.tick();
+        starts
+    }
+}
+
+pub fn ended(number: u64, start: &Start, how: How) -> Ended {
+    Ended {
+        number,
+        task: start.task,
+        run: start.run,
+        how,
+        checkpoint: None,
+    }
+}
+
+pub fn running(start: &Start) -> Running {
+    Running {
+        task: start.task,
+        run: start.run,
+        checkpoint: None,
+        percent: 10,
+    }
+}
--- /dev/null
+++ b/tests/testsuite/scheduler/mod.rs
@@ -0,0 +1,7 @@
+//! The scheduler of jobs of steps.
+
+mod advice;
+mod cell;
+mod order;
+mod recovery;
+mod run;
--- /dev/null
+++ b/tests/testsuite/scheduler/run.rs
@@ -0,0 +1,203 @@
+//! Single runs: started, acknowledged, doubtful, lost, stopped.
+
+use std::time::Duration;
+
+use laburnumplank::core::scheduler::Input;
+use laburnumplank::core::scheduler::id::{Job, Request};
+use laburnumplank::core::scheduler::message::{How, Outcome, Refusal};
+use laburnumplank::core::scheduler::record::Phase;
+
+use super::cell::{Cell, ended, queue, running, spec, step, task};
+
+#[test]
+fn start_before_the_record_is_durable_never_leaves() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    assert!(cell.starts.is_empty());
+    assert!(cell.answers.is_empty());
+    cell.confirm();
+    assert_eq!(cell.starts.len(), 1);
+    assert_eq!(cell.answers.len(), 1);
+}
+
+#[test]
+fn end_is_acknowledged_once_it_is_durable() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(2)]));
+    cell.confirm();
+    let starts = cell.accept_starts();
+    cell.look(
+        worker,
+        vec![running(&starts[1].1)],
+        vec![ended(1, &starts[0].1, How::Done)],
+    );
+    assert_eq!(
+        cell.scheduler.look(cell.now, worker).unwrap().acknowledged,
+        0
+    );
+    cell.confirm();
+    assert_eq!(
+        cell.scheduler.look(cell.now, worker).unwrap().acknowledged,
+        1
+    );
+}
+
+#[test]
+fn step_waits_for_all_tasks_before() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    let mut second = step(1);
+    second.after = vec![0];
+    cell.submit(7, queue(), spec(vec![step(2), second]));
+    cell.confirm();
+    let starts = cell.accept_starts();
+    assert_eq!(starts.len(), 2);
+    cell.look(
+        worker,
+        vec![running(&starts[1].1)],
+        vec![ended(1, &starts[0].1, How::Done)],
+    );
+    assert!(cell.starts.is_empty());
+    cell.look(worker, Vec::new(), vec![ended(2, &starts[1].1, How::Done)]);
+    assert_eq!(cell.starts[0].1.task, task(7, 1, 0));
+}
+
+#[test]
+fn capacity_is_never_passed() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(9)]));
+    cell.confirm();
+    assert_eq!(cell.starts.len(), 4, "16 cores hold four tasks of 4");
+}
+
+#[test]
+fn doubtful_start_is_stopped_and_keeps_its_room_until_void() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.pop().unwrap();
+    cell.input(Input::Started {
+        worker,
+        task: start.task,
+        run: start.run,
+        outcome: Outcome::Unknown,
+    });
+    cell.wait(Duration::from_millis(10));
+    cell.look(worker, Vec::new(), Vec::new());
+    assert_eq!(cell.stops, [(worker, start.task, start.run)]);
+    assert!(cell.starts.is_empty(), "the start may still be carried out");
+    cell.input(Input::Stopped {
+        worker,
+        task: start.task,
+        run: start.run,
+        outcome: Outcome::Done(None),
+    });
+    cell.wait(Duration::from_millis(10));
+    cell.look(worker, Vec::new(), Vec::new());
+    assert_eq!(cell.starts.len(), 1);
+    assert!(cell.starts[0].1.run > start.run);
+}
+
+#[test]
+fn silent_worker_loses_its_tasks_after_the_lease_only() {
+    let mut cell = Cell::new(1);
+    let one = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    cell.accept_starts();
+    let two = cell.add_worker("w2");
+    cell.input(Input::LookFailed {
+        worker: one,
+        outcome: Outcome::Unknown,
+    });
+    cell.wait(Duration::from_millis(4_000));
+    cell.look(two, Vec::new(), Vec::new());
+    assert!(cell.starts.is_empty());
+    cell.wait(Duration::from_millis(900));
+    cell.look(two, Vec::new(), Vec::new());
+    assert_eq!(cell.starts.len(), 1);
+    assert_eq!(cell.starts[0].0, two);
+}
+
+#[test]
+fn gang_starts_whole_under_one_run() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    let mut gang = step(6);
+    gang.gang = true;
+    cell.submit(7, queue(), spec(vec![gang]));
+    cell.confirm();
+    assert!(
+        cell.starts.is_empty(),
+        "six tasks of 4 cores do not fit into 16"
+    );
+    cell.add_worker("w2");
+    assert_eq!(cell.starts.len(), 6);
+    assert!(
+        cell.starts
+            .iter()
+            .all(|(_, start)| start.run == cell.starts[0].1.run)
+    );
+}
+
+#[test]
+fn gang_whose_member_is_refused_is_stopped() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    let mut gang = step(2);
+    gang.gang = true;
+    cell.submit(7, queue(), spec(vec![gang]));
+    cell.confirm();
+    let starts = std::mem::take(&mut cell.starts);
+    cell.input(Input::Started {
+        worker,
+        task: starts[0].1.task,
+        run: starts[0].1.run,
+        outcome: Outcome::Refused(Refusal::Late),
+    });
+    assert_eq!(cell.stops, [(worker, starts[1].1.task, starts[1].1.run)]);
+}
+
+#[test]
+fn cancelled_job_is_stopped_and_answered_when_durable() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    cell.accept_starts();
+    cell.answers.clear();
+    cell.input(Input::Cancel {
+        request: Request(8),
+        job: Job(7),
+        queue: "filings".to_owned(),
+        at: cell.time().stamp,
+    });
+    assert_eq!(cell.stops.len(), 1);
+    assert!(cell.answers.is_empty());
+    cell.confirm();
+    assert_eq!(cell.answers.len(), 1);
+    assert_eq!(
+        cell.scheduler.phase(Job(7), "filings"),
+        Some(Phase::Cancelled)
+    );
+}
+
+#[test]
+fn fenced_start_ends_the_ownership() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.pop().unwrap();
+    cell.input(Input::Started {
+        worker,
+        task: start.task,
+        run: start.run,
+        outcome: Outcome::Refused(Refusal::Fenced),
+    });
+    assert!(cell.is_superseded);
+}
