Serve through entries that are cut off from the log; survey recorded workers

The survey after a takeover waited 2 s for workers that the directory may lack; the log now names the workers that may run something before they get anything. Jobs whose record has not left when the log stops are refused at once instead of at their deadline; a request in doubt is waited for until its deadline. A failed task goes to another worker. Ruled out: a shorter silence alone (the former owner would still refuse).

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -95,6 +95,8 @@
     pub is_inherited: bool,
     /// Whether any task was ever started.
     pub has_started: bool,
+    /// The mark of the record of its acceptance.
+    pub accepted_mark: Mark,
     /// The mark of its last progress record.
     pub progress_mark: Mark,
 }
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -7,24 +7,18 @@
 use super::id::{self, Mark, Request};
 use super::job::{Job, Occurrence, Place};
 use super::message::{Answer, Output};
-use super::record::{Key, Phase, Progress, Record};
+use super::record::{Key, Phase, Progress, Record, Workers, encode};
 use super::spec::{Queue, Spec};
 use super::{Effect, Scheduler, Time, answer};
 use crate::core::error::{Error, Kind};
 use crate::core::time::{Instant, Stamp};
 
-/// When to come back while the log takes no appends; about as long as an outage's end takes to show.
-const LOG_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back while the log takes no appends: outages last some seconds, and a client that
+/// comes back sooner is refused again.
+const LOG_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// How much longer than promised an ended job is kept, for answers that are late.
 const STATUS_MARGIN: Duration = Duration::from_secs(10);
 
-/// Encodes a durable record. Our records hold nothing that CBOR cannot.
-fn encode<T: serde::Serialize>(record: &T) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(record, &mut bytes).expect("records are plain data");
-    bytes
-}
-
 impl Scheduler {
     #[allow(clippy::too_many_arguments, reason = "the fields of one input")]
     pub(super) fn submit(
@@ -46,12 +40,7 @@
             return;
         }
         if !self.is_log_reachable {
-            let error = Error::new(Kind::LogDown, "the log takes no records now; come back")
-                .with_retry_after(LOG_RETRY_AFTER);
-            out.push(Output::Answer {
-                request,
-                answer: Err(error),
-            });
+            out.push(log_down(request));
             return;
         }
         let record = Record::Accepted {
@@ -65,9 +54,40 @@
         self.jobs.insert(id, job);
         let mark = self.append(Key::Job(id), Some(encode(&record)), out);
         self.after(mark, Effect::Accepted(id));
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.accepted_mark = mark;
+        }
         self.open(id, time, out);
     }
 
+    /// Takes back the jobs whose acceptance was not sent to the log: it takes no records, and their
+    /// clients can be told truthfully that nothing was accepted.
+    pub(super) fn withdraw(&mut self, sent: Mark, out: &mut Vec<Output>) {
+        let unsent: Vec<id::Job> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.is_durable && job.accepted_mark > sent)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in unsent {
+            let Some(job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            self.drop_steps(id, &job.occurrences);
+            self.scheduled.retain(|&(_, other)| other != id);
+            self.effects.retain(|(_, effect)| !effect.is_of(id));
+            out.push(Output::Withdraw {
+                key: Key::Job(id).encode(),
+            });
+            for request in job.submitters {
+                out.push(log_down(request));
+            }
+            for request in job.cancellers {
+                out.push(answer(request, Answer::Gone));
+            }
+        }
+    }
+
     /// Takes in one record of the log, before anything else.
     ///
     /// Records of something else are left alone.
@@ -88,6 +108,13 @@
                 self.recovered_progress.insert(id, progress);
                 true
             }
+            Some(Key::Workers) => {
+                let Ok(Workers(workers)) = ciborium::from_reader(value) else {
+                    return false;
+                };
+                self.inherited_workers = workers;
+                true
+            }
             None => false,
         }
     }
@@ -366,6 +393,15 @@
     }
 }
 
+/// Refuses a request whose record the log does not take.
+fn log_down(request: Request) -> Output {
+    let error = Error::new(Kind::LogDown, "the log takes no records now; come back");
+    Output::Answer {
+        request,
+        answer: Err(error.with_retry_after(LOG_RETRY_AFTER)),
+    }
+}
+
 fn new_job(queue: Queue, spec: Arc<Spec>, at: Stamp, accepted_at: Instant) -> Job {
     let payload = Arc::from(spec.payload.as_str());
     Job {
@@ -384,6 +420,7 @@
         cancellers: Vec::new(),
         is_inherited: false,
         has_started: false,
+        accepted_mark: Mark(0),
         progress_mark: Mark(0),
     }
 }
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -236,8 +236,13 @@
     Askers(Vec<Asker>),
     /// All appends up to a mark are in the log.
     Durable(Mark),
-    /// The log takes appends, or has not for a while.
-    LogReachable(bool),
+    /// The log has taken nothing for a while; what comes after `sent` has not left.
+    LogAway {
+        /// The last mark that was sent.
+        sent: Mark,
+    },
+    /// The log takes appends again.
+    LogBack,
 }
 
 /// What a client is told.
@@ -263,6 +268,11 @@
         /// The value; `None` drops the key.
         value: Option<Vec<u8>>,
     },
+    /// Takes the records of a key back that were not sent.
+    Withdraw {
+        /// The key.
+        key: Vec<u8>,
+    },
     /// Starts a run.
     Start {
         /// On this worker.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -57,8 +57,6 @@
     pub remote_factor: f64,
     /// How long an ended job can be asked for.
     pub status_kept: Duration,
-    /// How long the directory may lack a living worker after an outage of the log.
-    pub directory_lag: Duration,
 }
 
 /// The time of one step.
@@ -76,6 +74,14 @@
     Accepted(id::Job),
     Ended(id::Job),
     Acknowledge { worker: id::Worker, number: u64 },
+    Recorded(Vec<id::Worker>),
+}
+
+impl Effect {
+    /// Whether it is about a job.
+    fn is_of(&self, id: id::Job) -> bool {
+        matches!(self, Effect::Accepted(job) | Effect::Ended(job) if *job == id)
+    }
 }
 
 /// What a look at a worker carries.
@@ -101,6 +107,10 @@
     ended: VecDeque<(Instant, id::Job)>,
     workers: SlotMap<id::Worker, worker::Worker>,
     by_name: HashMap<String, id::Worker>,
+    /// The workers that owners before may have started something on, by name and incarnation.
+    inherited_workers: Vec<(String, u64)>,
+    /// Whether the log says which workers may run something.
+    are_workers_noted: bool,
     queues: HashMap<String, Queue>,
     askers: advice::Askers,
     /// The share of named workers that the advisor permitted lately, by queue.
@@ -130,6 +140,8 @@
             ended: VecDeque::new(),
             workers: SlotMap::with_key(),
             by_name: HashMap::new(),
+            inherited_workers: Vec::new(),
+            are_workers_noted: true,
             queues: HashMap::new(),
             askers: advice::Askers::default(),
             permitted: HashMap::new(),
@@ -194,7 +206,15 @@
             } => self.advised(time.now, asker, step, &named, allowed, validity),
             Input::Askers(askers) => self.askers.set(&askers),
             Input::Durable(mark) => self.durable(mark, out),
-            Input::LogReachable(is_reachable) => self.is_log_reachable = is_reachable,
+            Input::LogAway { sent } => {
+                self.is_log_reachable = false;
+                self.withdraw(sent, out);
+            }
+            Input::LogBack => {
+                self.is_log_reachable = true;
+                // A further record passes the marks that were taken back.
+                self.are_workers_noted = false;
+            }
         }
         self.is_dirty = true;
     }
@@ -205,6 +225,7 @@
         self.release_lapsed(time, out);
         self.expire_calls(time.now);
         self.forget_ended(time.now, out);
+        self.note_workers(out);
         let is_stale = time.now.since(self.placed_at) >= PLACE_INTERVAL && !self.ready.is_empty();
         if std::mem::take(&mut self.is_dirty) || is_stale {
             self.placed_at = time.now;
@@ -277,15 +298,15 @@
                 break;
             }
             if let Some((_, effect)) = self.effects.pop_front() {
-                self.apply(effect, out);
+                self.apply(&effect, out);
             }
         }
     }
 
-    fn apply(&mut self, effect: Effect, out: &mut Vec<Output>) {
+    fn apply(&mut self, effect: &Effect, out: &mut Vec<Output>) {
         match effect {
             Effect::Accepted(job) => {
-                let Some(job) = self.jobs.get_mut(&job) else {
+                let Some(job) = self.jobs.get_mut(job) else {
                     return;
                 };
                 job.is_durable = true;
@@ -294,7 +315,7 @@
                 }
             }
             Effect::Ended(job) => {
-                let Some(job) = self.jobs.get_mut(&job) else {
+                let Some(job) = self.jobs.get_mut(job) else {
                     return;
                 };
                 job.is_end_durable = true;
@@ -302,9 +323,16 @@
                     out.push(answer(request, Answer::Cancelled));
                 }
             }
+            Effect::Recorded(workers) => {
+                for worker in workers {
+                    if let Some(worker) = self.workers.get_mut(*worker) {
+                        worker.is_recorded = true;
+                    }
+                }
+            }
             Effect::Acknowledge { worker, number } => {
-                if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.acknowledged = worker.acknowledged.max(number);
+                if let Some(worker) = self.workers.get_mut(*worker) {
+                    worker.acknowledged = worker.acknowledged.max(*number);
                 }
             }
         }
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -38,6 +38,8 @@
     is_known: bool,
     /// Whether it is away from the step's data.
     is_remote: bool,
+    /// Whether a task of the step failed there: the next try tells whose fault it was.
+    has_failed: bool,
     rack: Option<String>,
 }
 
@@ -235,6 +237,7 @@
                 has_ticket: !needs_permit || step.permits.ticket(key, now).is_some(),
                 is_known: step.permits.verdict(key).is_some(),
                 is_remote: spec.data_rack.is_some() && spec.data_rack != worker.entry.rack,
+                has_failed: step.tasks.iter().any(|task| task.failed_on == Some(key)),
                 rack: worker.entry.rack.clone(),
             });
         }
@@ -341,7 +344,12 @@
             })
             .min_by_key(|(index, candidate)| {
                 let left = leftover(room[*index].0, need, candidate.capacity);
-                (!candidate.has_ticket, candidate.is_remote, left)
+                (
+                    candidate.has_failed,
+                    !candidate.has_ticket,
+                    candidate.is_remote,
+                    left,
+                )
             });
         let Some((index, _)) = best else {
             break;
@@ -403,6 +411,7 @@
         let candidate = &candidates[index];
         let taken = need.times(candidate.fits(need) as u64);
         (
+            candidate.has_failed,
             !candidate.has_ticket,
             candidate.is_remote,
             leftover(candidate.free, taken, candidate.capacity),
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -129,8 +129,18 @@
     Job(Job),
     /// A [`Progress`].
     Progress(Job),
+    /// The [`Workers`] that may run something.
+    Workers,
 }
 
+/// The workers that the owner may have started something on, by name and incarnation. It is in the
+/// log before the first start, so that the next owner knows whom to ask.
+#[message]
+#[derive(Default)]
+pub struct Workers(pub Vec<(String, u64)>);
+
+/// The key of [`Workers`].
+const WORKERS_KEY: &str = "workers";
 /// The key bytes that tell progress from the job itself.
 const PROGRESS_SUFFIX: &str = ".p";
 
@@ -140,15 +150,26 @@
         match self {
             Key::Job(job) => job.to_string().into_bytes(),
             Key::Progress(job) => format!("{job}{PROGRESS_SUFFIX}").into_bytes(),
+            Key::Workers => WORKERS_KEY.as_bytes().to_vec(),
         }
     }
 
     /// Reads the bytes of a key; `None` for those of something else.
     pub fn decode(bytes: &[u8]) -> Option<Key> {
         let text = std::str::from_utf8(bytes).ok()?;
+        if text == WORKERS_KEY {
+            return Some(Key::Workers);
+        }
         match text.strip_suffix(PROGRESS_SUFFIX) {
             Some(job) => Job::parse(job).map(Key::Progress),
             None => Job::parse(text).map(Key::Job),
         }
     }
 }
+
+/// Encodes a record.
+pub(super) fn encode<T: serde::Serialize>(record: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(record, &mut bytes).expect("records are plain data");
+    bytes
+}
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -93,6 +93,8 @@
     pub in_touch: bool,
     /// Whether it has answered this owner ever.
     pub surveyed: bool,
+    /// Whether the log says that it may run something.
+    pub is_recorded: bool,
     /// What may run there.
     pub attempts: HashMap<(Task, Run), Attempt>,
     /// The room that the attempts take.
@@ -120,6 +122,7 @@
             listed: true,
             in_touch: false,
             surveyed: false,
+            is_recorded: false,
             attempts: HashMap::new(),
             used: Amount::default(),
             seen: 0,
@@ -139,7 +142,7 @@
 
     /// Whether new work may be placed on it, room aside.
     pub fn is_usable(&self) -> bool {
-        self.listed && self.in_touch && !self.entry.draining
+        self.listed && self.in_touch && self.is_recorded && !self.entry.draining
     }
 
     /// Returns the worker's clock at `now`, at most; `None` before the first answer.
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -4,6 +4,7 @@
 
 use super::id::{Run, Task, Worker};
 use super::message::{Inventory, Outcome, Output, Refusal};
+use super::record::{self, Key, Workers};
 use super::worker::{self, Entry, State};
 use super::{Effect, Look, Scheduler, Time};
 use crate::core::time::Instant;
@@ -40,6 +41,7 @@
         let worker = worker::Worker::new(entry, now, self.rules.max_lease);
         let key = self.workers.insert(worker);
         self.by_name.insert(name, key);
+        self.are_workers_noted = false;
         out.push(event(key, "listed"));
     }
 
@@ -65,6 +67,7 @@
         self.release_all(key, now);
         if let Some(worker) = self.workers.remove(key) {
             self.by_name.remove(&worker.entry.name);
+            self.are_workers_noted = false;
             out.push(event(key, reason));
         }
     }
@@ -235,14 +238,42 @@
         worker.is_none_or(|worker| worker.acknowledged >= worker.seen)
     }
 
-    /// Whether every task of the owners before is known or has ended.
+    /// Whether every task of the owners before is known or has ended: each worker that they may have
+    /// started something on has answered, has restarted or can hold no lease any more.
     pub(super) fn is_survey_complete(&self, now: Instant) -> bool {
-        let waited = now.since(self.began);
-        let inherited = self.rules.max_lease + self.rules.max_lease / 20;
-        if waited >= inherited {
-            return true;
+        let longest_lease = self.rules.max_lease + self.rules.max_lease / 20;
+        let is_known = |name: &String, incarnation: u64| {
+            let worker = self
+                .by_name
+                .get(name)
+                .and_then(|&key| self.workers.get(key));
+            worker.is_some_and(|worker| worker.surveyed || worker.entry.incarnation > incarnation)
+        };
+        now.since(self.began) >= longest_lease
+            || self
+                .inherited_workers
+                .iter()
+                .all(|(name, incarnation)| is_known(name, *incarnation))
+    }
+
+    /// Notes in the log which workers may run something, if that has changed.
+    pub(super) fn note_workers(&mut self, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.are_workers_noted, true) {
+            return;
         }
-        waited >= self.rules.directory_lag && self.workers.values().all(|worker| worker.surveyed)
+        let known = self.workers.values();
+        let mut workers: Vec<(String, u64)> = known
+            .map(|worker| (worker.entry.name.clone(), worker.entry.incarnation))
+            .collect();
+        // Those that have not been listed again yet may still run something for a lease's time.
+        let unlisted = self
+            .inherited_workers
+            .iter()
+            .filter(|(name, _)| !self.by_name.contains_key(name));
+        workers.extend(unlisted.cloned());
+        let mark = self.append(Key::Workers, Some(record::encode(&Workers(workers))), out);
+        let keys: Vec<Worker> = self.workers.keys().collect();
+        self.after(mark, Effect::Recorded(keys));
     }
 
     /// Returns the workers to look at.
--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -9,6 +9,7 @@
 //! Reads that fail count for nothing: while the log is away for all, nobody claims and the owner
 //! goes on.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     Renewal(Token),
     /// The owner of this token stops.
     Release(Token),
+    /// The writer is there and takes links; it may be asked who owns the cell.
+    Present(Owner),
 }
 
 /// An owner.
@@ -40,7 +43,7 @@
 }
 
 /// The claim in force.
-#[state]
+#[message]
 pub struct Claim {
     /// Who.
     pub owner: Owner,
@@ -90,6 +93,8 @@
     claimed: Option<Instant>,
     /// Whether this entry may become the owner.
     is_candidate: bool,
+    /// The other entries, by name, as they last said.
+    peers: BTreeMap<String, SocketAddr>,
 }
 
 /// A claim without an owner to wait for is delayed by this many round trips to the log, so that the
@@ -112,6 +117,7 @@
             renewed: None,
             claimed: None,
             is_candidate: true,
+            peers: BTreeMap::new(),
         }
     }
 
@@ -152,7 +158,9 @@
     fn take(&mut self, now: Instant, offset: u64, record: Record) {
         let token = Token(offset + 1);
         match record {
+            Record::Present(owner) => self.note_peer(&owner),
             Record::Claim(owner) => {
+                self.note_peer(&owner);
                 self.claim = Some(Claim {
                     owner,
                     token,
@@ -179,6 +187,28 @@
         }
     }
 
+    fn note_peer(&mut self, peer: &Owner) {
+        if peer.name != self.me.name {
+            self.peers.insert(peer.name.clone(), peer.address);
+        }
+    }
+
+    /// Returns where the other entries take links.
+    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.values().copied()
+    }
+
+    /// Takes in what another entry has read; an older claim says nothing new.
+    pub fn learn(&mut self, claim: Claim) {
+        let known = self
+            .claim
+            .as_ref()
+            .map(|known| (known.token, known.is_released));
+        if known < Some((claim.token, claim.is_released)) {
+            self.claim = Some(claim);
+        }
+    }
+
     /// Takes in that a read failed: silence cannot be told from an outage.
     pub fn read_failed(&mut self) {
         self.quiet_since = None;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry: who owns the cell, links, and the way of a request to the owner.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,13 @@
 const ELECTION_TICK: Duration = Duration::from_millis(50);
 /// The pause before a link is dialled again.
 const DIAL_PAUSE: Duration = Duration::from_millis(150);
+/// The pause before other entries are asked again who owns the cell.
+const CONSULT_PAUSE: Duration = Duration::from_millis(300);
+/// How long another entry may take to say who owns the cell.
+const CONSULT_TIMEOUT: Duration = Duration::from_millis(500);
+/// From one word of this entry's presence in the log to the next: others must find one in what the
+/// log keeps.
+const PRESENCE_INTERVAL: Duration = Duration::from_secs(8);
 /// The pause before a request is tried again, unless the owner changes before.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 /// How long an advisor's answer is waited for.
@@ -40,6 +48,8 @@
 pub struct Call {
     /// What is asked.
     pub ask: Ask,
+    /// Until when an owner is waited for.
+    pub patience: Instant,
     /// When the answer is of no use any more.
     pub deadline: Instant,
     /// Where the answer goes.
@@ -66,6 +76,8 @@
     owner: RefCell<Option<Rc<Owner<P>>>>,
     /// The link to the owner, when that is another entry.
     link: RefCell<Option<(Token, Link)>>,
+    /// Whether the last read of the log succeeded.
+    is_log_reachable: Cell<bool>,
     /// Tells of any change of owner or link.
     changed: Notify,
     tables: watch::Sender<Option<Arc<Table>>>,
@@ -96,6 +108,7 @@
             me,
             owner: RefCell::default(),
             link: RefCell::default(),
+            is_log_reachable: Cell::new(true),
             changed: Notify::new(),
             tables,
             ready,
@@ -120,12 +133,13 @@
         actix_rt::spawn(Rc::clone(&self).accept(listener));
         actix_rt::spawn(Rc::clone(&self).read_claims());
         actix_rt::spawn(Rc::clone(&self).elect());
+        actix_rt::spawn(Rc::clone(&self).announce());
         actix_rt::spawn(Rc::clone(&self).follow_owner());
         actix_rt::spawn(Rc::clone(&self).follow_configuration());
         while let Some(call) = calls.recv().await {
             let control = Rc::clone(&self);
             actix_rt::spawn(async move {
-                let answer = control.handle(call.ask, call.deadline).await;
+                let answer = control.handle(call.ask, call.patience, call.deadline).await;
                 // The client may have gone.
                 let _ = call.reply.send(answer);
             });
@@ -149,7 +163,11 @@
     }
 
     /// Gets a request served by the owner, whoever that is by then.
-    pub async fn handle(&self, ask: Ask, deadline: Instant) -> Result<Tell> {
+    ///
+    /// A change of owner is waited for until `patience`, unless this entry is cut off from the log
+    /// and all owners: another entry may serve the caller then. A request that may have been taken
+    /// is asked for until `deadline`.
+    pub async fn handle(&self, ask: Ask, patience: Instant, deadline: Instant) -> Result<Tell> {
         let mut is_in_doubt = false;
         loop {
             let left = deadline.since(self.clock.now());
@@ -157,14 +175,17 @@
                 Ok(tell) => return Ok(tell),
                 Err(error) => error,
             };
+            let is_reachable = self.is_log_reachable.get();
             match error.kind {
-                Kind::NoOwner => {}
                 Kind::AnswerLost => is_in_doubt |= !ask.is_read(),
+                // An owner that has lost the log is replaced, if others have not.
+                Kind::NoOwner | Kind::LogDown if is_reachable || is_in_doubt => {}
                 _ if is_in_doubt => return Err(in_doubt()),
                 _ => return Err(error),
             }
-            if self.clock.now() + ASK_PAUSE >= deadline {
-                return Err(if is_in_doubt { in_doubt() } else { no_owner() });
+            let end = if is_in_doubt { deadline } else { patience };
+            if self.clock.now() + ASK_PAUSE >= end {
+                return Err(if is_in_doubt { in_doubt() } else { error });
             }
             // The time limit is checked above.
             let _ = tokio::time::timeout(ASK_PAUSE, self.changed.notified()).await;
@@ -199,6 +220,9 @@
                 validity: allowed.validity,
             });
         }
+        if let Ask::Claim = ask {
+            return Ok(Tell::Claim(self.elector.borrow().claim().cloned()));
+        }
         let owner = self.owner.borrow().clone();
         match owner {
             Some(owner) => owner.serve(ask).await,
@@ -238,12 +262,14 @@
         loop {
             let claim = self.claim_of_another();
             let Some(claim) = claim else {
-                *self.link.borrow_mut() = None;
                 self.note_ready();
-                self.changed.notified().await;
+                self.consult_peers().await;
+                // The time limit is what matters.
+                let _ = tokio::time::timeout(CONSULT_PAUSE, self.changed.notified()).await;
                 continue;
             };
             let Some(socket) = link::dial(claim.owner.address).await else {
+                self.consult_peers().await;
                 // The time limit is what matters.
                 let _ = tokio::time::timeout(DIAL_PAUSE, self.changed.notified()).await;
                 continue;
@@ -273,6 +299,46 @@
         }
     }
 
+    /// Asks other entries who owns the cell, while this one can't read the log and owns nothing.
+    async fn consult_peers(self: &Rc<Control<P>>) {
+        let is_owner = self
+            .owner
+            .borrow()
+            .as_ref()
+            .is_some_and(|owner| !owner.is_over());
+        if self.is_log_reachable.get() || is_owner {
+            return;
+        }
+        let peers: Vec<SocketAddr> = self.elector.borrow().peers().collect();
+        for peer in peers {
+            let Some(claim) = self.consult(peer).await else {
+                continue;
+            };
+            let former = self.elector.borrow().claim().map(|claim| claim.token);
+            if Some(claim.token) > former {
+                info!(self.log, "claim on the cell, told by another entry"; "owner" => &claim.owner.name,
+                    "token" => claim.token.0, "told_by" => %peer);
+                self.elector.borrow_mut().learn(claim);
+                self.change_owner();
+                self.changed.notify_waiters();
+            }
+            return;
+        }
+    }
+
+    async fn consult(&self, peer: SocketAddr) -> Option<Claim> {
+        let socket = link::dial(peer).await?;
+        let serve = |_| async { Err(no_owner()) };
+        let (link, carried) = link::open(socket, self.me.name.clone(), serve);
+        tokio::select! {
+            () = carried => None,
+            tell = link.ask(Ask::Claim, CONSULT_TIMEOUT) => match tell {
+                Ok(Tell::Claim(claim)) => claim,
+                _ => None,
+            },
+        }
+    }
+
     /// Returns the claim in force, if it is another entry's.
     fn claim_of_another(&self) -> Option<Claim> {
         let elector = self.elector.borrow();
@@ -294,7 +360,6 @@
 
     /// Follows the claims on the cell.
     async fn read_claims(self: Rc<Control<P>>) {
-        let mut is_reachable = true;
         loop {
             let sent = self.clock.now();
             let from = self.elector.borrow().next();
@@ -306,9 +371,8 @@
             };
             match self.platform.read(Topic::Claims, from, wait).await {
                 Ok(page) => {
-                    if !is_reachable {
+                    if !self.is_log_reachable.replace(true) {
                         info!(self.log, "log can be read again");
-                        is_reachable = true;
                     }
                     let is_empty = page.records.is_empty();
                     self.take_claims(sent, page.records, page.next);
@@ -321,9 +385,9 @@
                         self.elector.borrow_mut().truncated(first);
                         continue;
                     }
-                    if is_reachable {
+                    if self.is_log_reachable.replace(false) {
                         warn!(self.log, "log cannot be read"; "failure" => ?failure);
-                        is_reachable = false;
+                        self.changed.notify_waiters();
                     }
                     self.elector.borrow_mut().read_failed();
                     tokio::time::sleep(READ_RETRY).await;
@@ -394,6 +458,7 @@
         let tables = self.tables.subscribe();
         actix_rt::spawn(async move {
             owner.run(tables).await;
+            control.note_ready();
             control.changed.notify_waiters();
         });
         self.note_ready();
@@ -421,6 +486,20 @@
         }
     }
 
+    /// Tells other entries where this one takes links.
+    async fn announce(self: Rc<Control<P>>) {
+        loop {
+            let present = tenure::Record::Present(self.me.clone());
+            let outcome = self.append(&present, Guard::Always).await;
+            let pause = if outcome == Appended::Done {
+                PRESENCE_INTERVAL
+            } else {
+                READ_RETRY
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     async fn claim(&self, at: u64) {
         let claim = tenure::Record::Claim(self.me.clone());
         let outcome = self.append(&claim, Guard::End(at)).await;
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -8,8 +8,9 @@
 use crate::core::scheduler::id::{Job, Step};
 use crate::core::scheduler::record::Phase;
 use crate::core::scheduler::spec::{Queue, Spec};
+use crate::core::tenure::Claim;
 
-/// What is asked, of the owner but for [`Ask::Advise`].
+/// What is asked, of the owner but for [`Ask::Advise`] and [`Ask::Claim`].
 #[message]
 pub enum Ask {
     /// Accepts a job.
@@ -40,6 +41,8 @@
         /// The queue's name.
         queue: String,
     },
+    /// Asks any entry who owns the cell.
+    Claim,
     /// Calls the advisor on behalf of the owner.
     Advise {
         /// The step.
@@ -65,6 +68,7 @@
             Ask::Cancel { .. } => "cancel",
             Ask::Read { .. } => "read",
             Ask::Pending { .. } => "pending",
+            Ask::Claim => "claim",
             Ask::Advise { .. } => "advise",
         }
     }
@@ -83,6 +87,8 @@
     Phase(Phase),
     /// How many jobs have started nothing.
     Pending(u64),
+    /// The claim in force, as far as the asked entry knows.
+    Claim(Option<Claim>),
     /// The permitted workers.
     Advised {
         /// Names and tickets.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,12 +36,13 @@
     ///
     /// # Errors
     ///
-    /// What the owner answered; [`Kind::NoOwner`] when no owner was found before `deadline`, and
-    /// [`Kind::AnswerLost`] when the request may have been taken.
-    pub async fn ask(&self, ask: Ask, deadline: Instant) -> Result<Tell> {
+    /// What the owner answered; [`Kind::NoOwner`] when no owner was found before `patience`, and
+    /// [`Kind::AnswerLost`] when at `deadline` it is not known whether the request was taken.
+    pub async fn ask(&self, ask: Ask, patience: Instant, deadline: Instant) -> Result<Tell> {
         let (reply, answer) = oneshot::channel();
         let call = Call {
             ask,
+            patience,
             deadline,
             reply,
         };
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -184,6 +184,7 @@
                 let key = Some(key);
                 self.queue.push(mark, super::port::Record { key, value });
             }
+            Output::Withdraw { key } => self.queue.withdraw(&key),
             Output::Start { worker, start } => {
                 actix_rt::spawn(Rc::clone(self).start(worker, start));
             }
@@ -279,7 +280,10 @@
                 });
                 answer.await
             }
-            Ask::Advise { .. } => Err(Error::new(Kind::Internal, "the owner does not ask itself")),
+            Ask::Claim | Ask::Advise { .. } => Err(Error::new(
+                Kind::Internal,
+                "every entry answers this itself",
+            )),
         }
     }
 
@@ -356,7 +360,8 @@
                 self.apply(Input::Durable(mark));
                 self.durable.notify_waiters();
             }
-            writer::Event::Reachable(is_reachable) => self.apply(Input::LogReachable(is_reachable)),
+            writer::Event::Away(sent) => self.apply(Input::LogAway { sent }),
+            writer::Event::Back => self.apply(Input::LogBack),
             writer::Event::Fenced => self.finish("a later owner has written"),
         };
         let queue = Rc::clone(&self.queue);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -61,12 +61,10 @@
 /// A worker's lease: long enough for a change of owner, short enough that the tasks of a lost
 /// worker start again soon.
 const LEASE: Duration = Duration::from_millis(4_500);
-/// How long the directory may lack a living worker; from the platform's description.
-const DIRECTORY_LAG: Duration = Duration::from_millis(2_000);
 /// From one renewal of a claim to the next.
-const RENEWAL: Duration = Duration::from_millis(600);
-/// A claim counts as abandoned after so long without a renewal; three renewals.
-const SILENCE: Duration = Duration::from_millis(1_900);
+const RENEWAL: Duration = Duration::from_millis(400);
+/// A claim counts as abandoned after so long without a renewal: two renewals may be lost.
+const SILENCE: Duration = Duration::from_millis(1_300);
 
 impl Settings {
     /// Checks what types cannot say.
@@ -105,7 +103,6 @@
             gang_timeout: Duration::from_millis(self.gang_timeout_ms),
             remote_factor: self.remote_factor,
             status_kept: Duration::from_secs_f64(self.status_kept_s),
-            directory_lag: DIRECTORY_LAG,
         }
     }
 
--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -30,8 +30,10 @@
 pub enum Event {
     /// All records up to a mark are in the log.
     Durable(Mark),
-    /// The log takes appends again, or has not for a while.
-    Reachable(bool),
+    /// The log has taken nothing for a while; what comes after this mark has not been sent.
+    Away(Mark),
+    /// The log takes appends again.
+    Back,
     /// A later owner has written.
     Fenced,
 }
@@ -50,6 +52,12 @@
         self.filled.notify_one();
     }
 
+    /// Drops the records of a key that wait.
+    pub fn withdraw(&self, key: &[u8]) {
+        let mut waiting = self.records.borrow_mut();
+        waiting.retain(|(_, record)| record.key.as_deref() != Some(key));
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.records.borrow().is_empty()
@@ -115,7 +123,7 @@
                     if !is_away && clock.now().since(began) >= AWAY_AFTER {
                         is_away = true;
                         warn!(log, "log takes no appends"; "outcome" => ?outcome, "records" => records.len());
-                        told(Event::Reachable(false));
+                        told(Event::Away(mark));
                     }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
@@ -123,7 +131,7 @@
         }
         if is_away {
             info!(log, "log takes appends again"; "away_ms" => clock.now().since(began).as_millis() as u64);
-            told(Event::Reachable(true));
+            told(Event::Back);
         }
         sequence += 1;
         told(Event::Durable(mark));
