Claim sooner, hand over when slow, take back refused batches

Now an owner whose decisions run late releases the cell, claims are renewed every 250 ms and made after 1.1 s, and a batch that was only refused is taken back.

--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -13,9 +13,13 @@
 use crate::core::error::{Error, Kind};
 use crate::core::time::{Instant, Stamp};
 
-/// When to come back while the log takes no appends: outages last some seconds, and a client that
-/// comes back sooner is refused again.
-const LOG_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// When to come back at the earliest while the log takes no appends, in whole seconds: outages last
+/// some seconds, and a client that comes back sooner is refused again. Lookups are of use sooner.
+const URGENT_RETRY_S: u64 = 1;
+/// The same for jobs that have time.
+const PATIENT_RETRY_S: u64 = 2;
+/// Clients are spread over so many seconds, so that they don't return all at once.
+const RETRY_SPREAD_S: u64 = 2;
 /// How much longer than promised an ended job is kept, for answers that are late.
 const STATUS_MARGIN: Duration = Duration::from_secs(10);
 
@@ -40,7 +44,7 @@
             return;
         }
         if !self.is_log_reachable {
-            out.push(log_down(request));
+            out.push(log_down(request, id, &queue));
             return;
         }
         let record = Record::Accepted {
@@ -80,7 +84,7 @@
                 key: Key::Job(id).encode(),
             });
             for request in job.submitters {
-                out.push(log_down(request));
+                out.push(log_down(request, id, &job.queue));
             }
             for request in job.cancellers {
                 out.push(answer(request, Answer::Gone));
@@ -394,11 +398,17 @@
 }
 
 /// Refuses a request whose record the log does not take.
-fn log_down(request: Request) -> Output {
+fn log_down(request: Request, id: id::Job, queue: &Queue) -> Output {
+    let least = if queue.priority == 0 {
+        URGENT_RETRY_S
+    } else {
+        PATIENT_RETRY_S
+    };
+    let after = Duration::from_secs(least + id.0 % RETRY_SPREAD_S);
     let error = Error::new(Kind::LogDown, "the log takes no records now; come back");
     Output::Answer {
         request,
-        answer: Err(error.with_retry_after(LOG_RETRY_AFTER)),
+        answer: Err(error.with_retry_after(after)),
     }
 }
 
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -84,7 +84,7 @@
             return (Amount::default(), false);
         };
         let step = job.spec.steps.get(usize::from(task.step.index));
-        let need = step.map(|step| step.room()).unwrap_or_default();
+        let need = step.map(super::spec::Step::room).unwrap_or_default();
         let is_waiting = job
             .task(task)
             .is_some_and(|task| task.place == Place::Waiting);
@@ -176,7 +176,7 @@
                 Place::Done => continue,
                 // A member of the same gang run ends done as well; another run is not needed.
                 Place::Active { worker, run: other } if other != run => {
-                    others.push((worker, other))
+                    others.push((worker, other));
                 }
                 _ => {}
             }
--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -93,6 +93,8 @@
     claimed: Option<Instant>,
     /// Whether this entry may become the owner.
     is_candidate: bool,
+    /// Until when others are given precedence.
+    yields_until: Instant,
     /// The other entries, by name, as they last said.
     peers: BTreeMap<String, SocketAddr>,
 }
@@ -100,6 +102,8 @@
 /// A claim without an owner to wait for is delayed by this many round trips to the log, so that the
 /// entry nearest to the log wins.
 const DELAY_ROUND_TRIPS: u32 = 8;
+/// How much later an entry claims that gives others precedence.
+const YIELD_DELAY: Duration = Duration::from_millis(1_500);
 /// How long an unanswered claim counts as under way.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -117,6 +121,7 @@
             renewed: None,
             claimed: None,
             is_candidate: true,
+            yields_until: Instant(0),
             peers: BTreeMap::new(),
         }
     }
@@ -142,6 +147,11 @@
         self.is_candidate = false;
     }
 
+    /// Gives other entries precedence until `end`: this one is slow.
+    pub fn yield_until(&mut self, end: Instant) {
+        self.yields_until = end;
+    }
+
     /// Takes in a read that was sent at `sent` and gave `records` and the offset after them.
     pub fn read(&mut self, now: Instant, sent: Instant, records: Vec<(u64, Record)>, next: u64) {
         if self.quiet_since.is_none() {
@@ -248,7 +258,12 @@
             // Nobody else owns the cell: its owner stopped, or was an earlier life of this entry.
             _ => self.round_trip * DELAY_ROUND_TRIPS,
         };
-        if quiet < wait {
+        let yielding = if now < self.yields_until {
+            YIELD_DELAY
+        } else {
+            Duration::ZERO
+        };
+        if quiet < wait + yielding {
             return None;
         }
         self.claimed = Some(now);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -22,8 +22,11 @@
 use crate::core::time::Instant;
 use crate::util::clock::Clock;
 
-/// How long a read of the claims waits for a new one.
-const CLAIMS_WAIT: Duration = Duration::from_millis(1_000);
+/// How long a read of the claims waits for a new one; an outage of the log shows within it and the
+/// time that an answer may take.
+const CLAIMS_WAIT: Duration = Duration::from_millis(400);
+/// How long an entry that handed the cell over because it ran late gives others precedence.
+const YIELD_SPAN: Duration = Duration::from_secs(10);
 /// The pause after a read that failed.
 const READ_RETRY: Duration = Duration::from_millis(150);
 /// How often it is looked at whether to claim or renew.
@@ -151,11 +154,15 @@
     pub async fn retire(&self) {
         self.elector.borrow_mut().retire();
         let owner = self.owner.borrow().clone();
-        let Some(owner) = owner.filter(|owner| !owner.is_over()) else {
-            return;
-        };
+        if let Some(owner) = owner.filter(|owner| !owner.is_over()) {
+            self.release(&owner, "this entry stops").await;
+        }
+    }
+
+    /// Ends an ownership so that another entry takes it up at once.
+    async fn release(&self, owner: &Owner<P>, reason: &'static str) {
         owner.flush(FLUSH_LIMIT).await;
-        owner.finish("this entry stops");
+        owner.finish(reason);
         let release = tenure::Record::Release(owner.token());
         let outcome = self.append(&release, Guard::Always).await;
         info!(self.log, "cell released"; "token" => owner.token().0, "outcome" => ?outcome);
@@ -407,7 +414,7 @@
             match ciborium::from_reader::<tenure::Record, _>(&bytes[..]) {
                 Ok(record) => known.push((offset, record)),
                 Err(error) => {
-                    warn!(self.log, "unreadable claim"; "offset" => offset, "error" => %error)
+                    warn!(self.log, "unreadable claim"; "offset" => offset, "error" => %error);
                 }
             }
         }
@@ -457,7 +464,14 @@
         let control = Rc::clone(self);
         let tables = self.tables.subscribe();
         actix_rt::spawn(async move {
-            owner.run(tables).await;
+            tokio::select! {
+                () = Rc::clone(&owner).run(tables) => {}
+                () = owner.runs_late() => {
+                    let end = control.clock.now() + YIELD_SPAN;
+                    control.elector.borrow_mut().yield_until(end);
+                    control.release(&owner, "this entry runs late").await;
+                }
+            }
             control.note_ready();
             control.changed.notify_waiters();
         });
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -34,6 +34,14 @@
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(400);
 /// The pause before a step of a takeover is tried again.
 const TAKEOVER_RETRY: Duration = Duration::from_millis(100);
+/// How often it is measured whether decisions are late.
+const PACE_INTERVAL: Duration = Duration::from_millis(100);
+/// A mean delay above this hands the cell over: lookups are due within a few hundred milliseconds.
+const LATE_AFTER: Duration = Duration::from_millis(120);
+/// The weight of the latest delay in the mean; a single pause of half a second is no reason.
+const PACE_WEIGHT: f64 = 0.2;
+/// An ownership is not handed over before, so that slow entries don't pass it round.
+const LEAST_TENURE: Duration = Duration::from_secs(3);
 /// The owner itself as an asker of the advisor.
 const SELF: Asker = Asker(0);
 
@@ -126,9 +134,9 @@
         info!(self.log, "cell taken over"; "token" => self.token.0,
             "took_ms" => self.clock.now().since(began).as_millis() as u64,
             "jobs" => self.scheduler.borrow().load().jobs);
-        let writer = actix_rt::spawn(Rc::clone(&self).write());
-        let directory = actix_rt::spawn(Rc::clone(&self).follow_directory());
-        let configuration = actix_rt::spawn(Rc::clone(&self).follow_configuration(tables));
+        actix_rt::spawn(Rc::clone(&self).until_over(Rc::clone(&self).write()));
+        actix_rt::spawn(Rc::clone(&self).until_over(Rc::clone(&self).follow_directory()));
+        actix_rt::spawn(Rc::clone(&self).until_over(Rc::clone(&self).follow_configuration(tables)));
         self.is_open.set(true);
         while !self.is_over() {
             self.turn();
@@ -141,8 +149,30 @@
                 self.refresh_askers();
             }
         }
-        for task in [writer, directory, configuration] {
-            task.abort();
+    }
+
+    /// Does some work for as long as the ownership lasts.
+    async fn until_over(self: Rc<Owner<P>>, work: impl Future<Output = ()>) {
+        tokio::select! {
+            () = work => {}
+            () = self.over.notified() => {}
+        }
+    }
+
+    /// Ends when this entry has been too slow for a while to own the cell.
+    pub async fn runs_late(&self) {
+        let began = self.clock.now();
+        let mut mean = 0.0;
+        loop {
+            let due = self.clock.now() + PACE_INTERVAL;
+            tokio::time::sleep(PACE_INTERVAL).await;
+            let delay = self.clock.now().since(due).as_secs_f64();
+            mean += (delay - mean) * PACE_WEIGHT;
+            let is_settled = self.clock.now().since(began) >= LEAST_TENURE;
+            if is_settled && mean > LATE_AFTER.as_secs_f64() {
+                warn!(self.log, "decisions run late"; "mean_ms" => (mean * 1e3) as u64);
+                return;
+            }
         }
     }
 
@@ -360,7 +390,11 @@
                 self.apply(Input::Durable(mark));
                 self.durable.notify_waiters();
             }
-            writer::Event::Away(sent) => self.apply(Input::LogAway { sent }),
+            writer::Event::Away(sent) => {
+                self.apply(Input::LogAway { sent });
+                // What is taken back must have left the queue before the writer goes on.
+                self.turn();
+            }
             writer::Event::Back => self.apply(Input::LogBack),
             writer::Event::Fenced => self.finish("a later owner has written"),
         };
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -62,9 +62,9 @@
 /// worker start again soon.
 const LEASE: Duration = Duration::from_millis(4_500);
 /// From one renewal of a claim to the next.
-const RENEWAL: Duration = Duration::from_millis(400);
-/// A claim counts as abandoned after so long without a renewal: two renewals may be lost.
-const SILENCE: Duration = Duration::from_millis(1_300);
+const RENEWAL: Duration = Duration::from_millis(250);
+/// A claim counts as abandoned after so long without a renewal: three renewals may be lost.
+const SILENCE: Duration = Duration::from_millis(1_100);
 
 impl Settings {
     /// Checks what types cannot say.
--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -89,6 +89,14 @@
     }
 }
 
+impl Queue {
+    /// Puts a batch back in front of what waits.
+    fn put_back(&self, mark: Mark, records: Vec<Record>) {
+        let mut waiting = self.records.borrow_mut();
+        waiting.splice(0..0, records.into_iter().map(|record| (mark, record)));
+    }
+}
+
 /// Writes what is put into `queue` until a later owner is found. `told` hears of what is in the log.
 pub async fn run<L: Log>(
     platform: L,
@@ -100,39 +108,53 @@
     told: impl Fn(Event),
 ) {
     let mut sequence = first_sequence;
+    let mut written = Mark(0);
+    let mut is_away = false;
     loop {
         let Some((mark, records)) = queue.take() else {
             queue.filled.notified().await;
             continue;
         };
         let began = clock.now();
-        let mut is_away = false;
-        loop {
+        let mut is_in_doubt = false;
+        let is_written = loop {
             let guard = Guard::Writer { token, sequence };
             match platform.append(Topic::Jobs, &records, guard).await {
-                Appended::Done => break,
+                Appended::Done => break true,
                 Appended::Fenced => {
                     told(Event::Fenced);
                     return;
                 }
                 Appended::OutOfSequence { expected } if expected > sequence => {
                     // An earlier try was taken and its answer lost.
-                    break;
+                    break true;
                 }
                 outcome => {
+                    is_in_doubt |= outcome != Appended::Refused;
                     if !is_away && clock.now().since(began) >= AWAY_AFTER {
                         is_away = true;
-                        warn!(log, "log takes no appends"; "outcome" => ?outcome, "records" => records.len());
+                        warn!(log, "log takes no appends"; "outcome" => ?outcome,
+                            "records" => records.len(), "in_doubt" => is_in_doubt);
+                        if !is_in_doubt {
+                            break false;
+                        }
                         told(Event::Away(mark));
                     }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
+        };
+        if !is_written {
+            // The log refused every try: nothing of the batch has left.
+            queue.put_back(mark, records);
+            told(Event::Away(written));
+            continue;
         }
-        if is_away {
+        if std::mem::take(&mut is_away) {
             info!(log, "log takes appends again"; "away_ms" => clock.now().since(began).as_millis() as u64);
             told(Event::Back);
         }
+        written = mark;
         sequence += 1;
         told(Event::Durable(mark));
         let spent = clock.now().since(began);
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -17,7 +17,7 @@
 /// Where the time of day starts.
 const MORNING: u64 = 1_700_000_000_000;
 
-pub fn rules() -> Rules {
+pub(super) fn rules() -> Rules {
     Rules {
         lease: Duration::from_millis(4_500),
         max_lease: Duration::from_millis(6_000),
@@ -27,7 +27,7 @@
     }
 }
 
-pub fn queue() -> Queue {
+pub(super) fn queue() -> Queue {
     Queue {
         name: "filings".to_owned(),
         service: "desk".to_owned(),
@@ -39,7 +39,7 @@
     }
 }
 
-pub fn step(tasks: u16) -> spec::Step {
+pub(super) fn step(tasks: u16) -> spec::Step {
     spec::Step {
         tasks,
         need: Amount {
@@ -52,7 +52,7 @@
     }
 }
 
-pub fn spec(steps: Vec<spec::Step>) -> Arc<Spec> {
+pub(super) fn spec(steps: Vec<spec::Step>) -> Arc<Spec> {
     Arc::new(Spec {
         payload: "filing".to_owned(),
         steps,
@@ -60,7 +60,7 @@
     })
 }
 
-pub fn task(job: u64, step: u16, index: u16) -> Task {
+pub(super) fn task(job: u64, step: u16, index: u16) -> Task {
     let step = Step {
         job: Job(job),
         occurrence: 0,
@@ -69,7 +69,7 @@
     Task { step, index }
 }
 
-pub fn entry(name: &str) -> Entry {
+pub(super) fn entry(name: &str) -> Entry {
     Entry {
         name: name.to_owned(),
         incarnation: 1,
@@ -88,27 +88,27 @@
 }
 
 /// One ownership of a cell.
-pub struct Cell {
-    pub scheduler: Scheduler,
-    pub now: Instant,
+pub(super) struct Cell {
+    pub(super) scheduler: Scheduler,
+    pub(super) now: Instant,
     /// Appends that the log has not confirmed.
-    pub unconfirmed: VecDeque<(Mark, Vec<u8>, Option<Vec<u8>>)>,
+    pub(super) unconfirmed: VecDeque<(Mark, Vec<u8>, Option<Vec<u8>>)>,
     /// What the log has.
-    pub log: BTreeMap<Vec<u8>, Vec<u8>>,
+    pub(super) log: BTreeMap<Vec<u8>, Vec<u8>>,
     /// Starts in order.
-    pub starts: Vec<(Worker, Start)>,
-    pub stops: Vec<(Worker, Task, Run)>,
-    pub asks: Vec<(Asker, Step, Vec<Worker>)>,
-    pub answers: Vec<(Request, Result<Answer, Error>)>,
-    pub is_superseded: bool,
+    pub(super) starts: Vec<(Worker, Start)>,
+    pub(super) stops: Vec<(Worker, Task, Run)>,
+    pub(super) asks: Vec<(Asker, Step, Vec<Worker>)>,
+    pub(super) answers: Vec<(Request, Result<Answer, Error>)>,
+    pub(super) is_superseded: bool,
 }
 
 impl Cell {
-    pub fn new(token: u64) -> Cell {
+    pub(super) fn new(token: u64) -> Cell {
         Cell::at(token, Instant(0))
     }
 
-    pub fn at(token: u64, now: Instant) -> Cell {
+    pub(super) fn at(token: u64, now: Instant) -> Cell {
         Cell {
             scheduler: Scheduler::new(rules(), Token(token), now),
             now,
@@ -123,7 +123,7 @@
     }
 
     /// Makes the next owner, which has what the log has.
-    pub fn successor(&self, token: u64) -> Cell {
+    pub(super) fn successor(&self, token: u64) -> Cell {
         let mut cell = Cell::at(token, self.now);
         let time = cell.time();
         for (key, value) in &self.log {
@@ -136,32 +136,32 @@
         cell
     }
 
-    pub fn time(&self) -> Time {
+    pub(super) fn time(&self) -> Time {
         Time {
             now: self.now,
             stamp: Stamp(MORNING + self.now.0 / 1_000),
         }
     }
 
-    pub fn input(&mut self, input: Input) {
+    pub(super) fn input(&mut self, input: Input) {
         let mut out = Vec::new();
         self.scheduler.step(self.time(), input, &mut out);
         self.take(out);
     }
 
-    pub fn tick(&mut self) {
+    pub(super) fn tick(&mut self) {
         let mut out = Vec::new();
         self.scheduler.tick(self.time(), &mut out);
         self.take(out);
     }
 
-    pub fn wait(&mut self, span: Duration) {
+    pub(super) fn wait(&mut self, span: Duration) {
         self.now = self.now + span;
         self.tick();
     }
 
     /// Confirms all appends.
-    pub fn confirm(&mut self) {
+    pub(super) fn confirm(&mut self) {
         let last = self.unconfirmed.back().map(|(mark, ..)| *mark);
         for (_, key, value) in self.unconfirmed.drain(..) {
             match value {
@@ -179,7 +179,7 @@
         for output in out {
             match output {
                 Output::Append { mark, key, value } => {
-                    self.unconfirmed.push_back((mark, key, value))
+                    self.unconfirmed.push_back((mark, key, value));
                 }
                 Output::Start { worker, start } => self.starts.push((worker, start)),
                 Output::Stop { worker, task, run } => self.stops.push((worker, task, run)),
@@ -193,14 +193,14 @@
     }
 
     /// Lists a worker, which answers a first look with nothing.
-    pub fn add_worker(&mut self, name: &str) -> Worker {
+    pub(super) fn add_worker(&mut self, name: &str) -> Worker {
         let worker = self.list_worker(name);
         self.look(worker, Vec::new(), Vec::new());
         worker
     }
 
     /// Lists a worker, and lets the log take note of it.
-    pub fn list_worker(&mut self, name: &str) -> Worker {
+    pub(super) fn list_worker(&mut self, name: &str) -> Worker {
         self.input(Input::Listed(entry(name)));
         self.tick();
         self.confirm();
@@ -208,7 +208,7 @@
     }
 
     /// Lets a worker answer a look.
-    pub fn look(&mut self, worker: Worker, running: Vec<Running>, ended: Vec<Ended>) {
+    pub(super) fn look(&mut self, worker: Worker, running: Vec<Running>, ended: Vec<Ended>) {
         let sent = self.now;
         self.scheduler.look(sent, worker);
         let clock_ms = 1_000_000 + self.now.0 / 1_000;
@@ -224,7 +224,7 @@
         self.tick();
     }
 
-    pub fn submit(&mut self, job: u64, queue: Queue, spec: Arc<Spec>) {
+    pub(super) fn submit(&mut self, job: u64, queue: Queue, spec: Arc<Spec>) {
         let at = self.time().stamp;
         self.input(Input::Submit {
             request: Request(job),
@@ -237,7 +237,7 @@
     }
 
     /// Answers all starts so far with success and returns them.
-    pub fn accept_starts(&mut self) -> Vec<(Worker, Start)> {
+    pub(super) fn accept_starts(&mut self) -> Vec<(Worker, Start)> {
         let starts = std::mem::take(&mut self.starts);
         for (worker, start) in &starts {
             self.input(Input::Started {
@@ -253,7 +253,7 @@
     }
 }
 
-pub fn ended(number: u64, start: &Start, how: How) -> Ended {
+pub(super) fn ended(number: u64, start: &Start, how: How) -> Ended {
     Ended {
         number,
         task: start.task,
@@ -263,7 +263,7 @@
     }
 }
 
-pub fn running(start: &Start) -> Running {
+pub(super) fn running(start: &Start) -> Running {
     Running {
         task: start.task,
         run: start.run,
