--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -112,7 +112,27 @@
     let mut is_away = false;
     loop {
         let Some((mark, records)) = queue.take() else {
-            queue.filled.notified().await;
+            if !is_away {
+                queue.filled.notified().await;
+                continue;
+            }
+            // Nothing new is accepted while the log is away, so nothing else would show its return.
+            tokio::time::sleep(RETRY_PAUSE).await;
+            match platform
+                .append(Topic::Jobs, &[], Guard::Writer { token, sequence })
+                .await
+            {
+                Appended::Done => {
+                    is_away = false;
+                    info!(log, "log takes appends again");
+                    told(Event::Back);
+                }
+                Appended::Fenced => {
+                    told(Event::Fenced);
+                    return;
+                }
+                _ => {}
+            }
             continue;
         };
         let began = clock.now();
--- /dev/null
+++ b/tests/testsuite/entry/owner.rs
@@ -0,0 +1,130 @@
+use std::rc::Rc;
+
+use laburnumplank::core::error::{Effect, Kind};
+use laburnumplank::core::scheduler::id::{Job, Token};
+use laburnumplank::core::scheduler::spec::{Queue, Spec, Step};
+use laburnumplank::entry::message::{Ask, Tell};
+use laburnumplank::entry::owner::Owner;
+use laburnumplank::util::clock::Clock;
+use slog::{Discard, Logger, o};
+use tokio::sync::watch;
+
+use super::fake::Fake;
+use crate::scheduler::rules;
+
+/// More refusals than the writer takes before the log counts as away.
+const MANY: u32 = 50;
+/// Refusals until just after the log counts as away: 0.6 s of tries 0.1 s apart.
+const UNTIL_AWAY: u32 = 7;
+
+async fn open(platform: &Fake, token: u64) -> Rc<Owner<Fake>> {
+    let log = Logger::root(Discard, o!());
+    let owner = Owner::new(platform.clone(), rules(), Token(token), Clock::start(), log);
+    let (_, tables) = watch::channel(None);
+    actix_rt::spawn(Rc::clone(&owner).run(tables));
+    while !owner.is_open() && !owner.is_over() {
+        tokio::task::yield_now().await;
+    }
+    owner
+}
+
+fn submit(job: u64) -> Ask {
+    let step = Step {
+        tasks: 1,
+        ..Step::default()
+    };
+    Ask::Submit {
+        job: Job(job),
+        queue: Queue::named("filings".to_owned()),
+        spec: Spec {
+            payload: "filing".to_owned(),
+            steps: vec![step],
+            schedule: None,
+        },
+    }
+}
+
+#[test]
+fn accepted_job_is_in_the_log() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        assert_eq!(owner.serve(submit(7)).await, Ok(Tell::Accepted));
+        assert!(
+            platform
+                .0
+                .jobs
+                .borrow()
+                .contains_key(&b"0000000000000007"[..])
+        );
+    });
+}
+
+#[test]
+fn lost_answer_of_the_log_is_no_second_record() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        platform.0.lost_answers.set(1);
+        assert_eq!(owner.serve(submit(7)).await, Ok(Tell::Accepted));
+        assert_eq!(owner.serve(submit(8)).await, Ok(Tell::Accepted));
+    });
+}
+
+#[test]
+fn refused_job_never_reaches_the_log() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        platform.0.refusals.set(UNTIL_AWAY);
+        let error = owner.serve(submit(7)).await.unwrap_err();
+        assert_eq!((error.kind, error.effect), (Kind::LogDown, Effect::NotRun));
+        assert!(error.retry_after.is_some());
+        platform.0.refusals.set(0);
+        // The next record goes through once the log is back; the refused one must not.
+        while owner.serve(submit(8)).await != Ok(Tell::Accepted) {
+            tokio::task::yield_now().await;
+        }
+        assert!(
+            !platform
+                .0
+                .jobs
+                .borrow()
+                .contains_key(&b"0000000000000007"[..])
+        );
+    });
+}
+
+#[test]
+fn submission_while_the_log_is_away_is_refused_at_once() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        platform.0.refusals.set(MANY);
+        let first = owner.serve(submit(7)).await.unwrap_err();
+        let second = owner.serve(submit(8)).await.unwrap_err();
+        assert_eq!((first.kind, second.kind), (Kind::LogDown, Kind::LogDown));
+    });
+}
+
+#[test]
+fn later_owner_ends_the_former_one() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let former = open(&platform, 1).await;
+        assert_eq!(former.serve(submit(7)).await, Ok(Tell::Accepted));
+        let later = open(&platform, 2).await;
+        let error = former.serve(submit(8)).await.unwrap_err();
+        assert_eq!(
+            error.kind,
+            Kind::AnswerLost,
+            "what became of it is for the next owner to say"
+        );
+        assert!(former.is_over());
+        let read = Ask::Read {
+            job: Job(7),
+            queue: "filings".to_owned(),
+        };
+        assert!(matches!(later.serve(read).await, Ok(Tell::Phase(_))));
+    });
+}
--- /dev/null
+++ b/tests/testsuite/entry/tenure.rs
@@ -0,0 +1,125 @@
+use std::time::Duration;
+
+use laburnumplank::core::scheduler::id::Token;
+use laburnumplank::core::tenure::{Action, Elector, Owner, Record, Rules};
+use laburnumplank::core::time::Instant;
+
+const RULES: Rules = Rules {
+    renewal: Duration::from_millis(250),
+    silence: Duration::from_millis(1_100),
+};
+
+fn owner(name: &str, life: u64) -> Owner {
+    Owner {
+        name: name.to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        life,
+    }
+}
+
+fn at(ms: u64) -> Instant {
+    Instant(ms * 1_000)
+}
+
+/// Makes an elector that has read a claim of `name` at offset 4 at time 0.
+fn reader(name: &str) -> Elector {
+    let mut elector = Elector::new(RULES, owner("me", 1));
+    elector.read(at(0), at(0), vec![(4, Record::Claim(owner(name, 1)))], 5);
+    elector
+}
+
+#[test]
+fn token_is_past_the_offset_of_the_claim() {
+    let elector = reader("me");
+    assert_eq!(elector.token(), Some(Token(5)));
+    assert_eq!(reader("other").token(), None);
+}
+
+#[test]
+fn earlier_life_is_not_the_owner() {
+    let mut elector = Elector::new(RULES, owner("me", 2));
+    elector.read(at(0), at(0), vec![(4, Record::Claim(owner("me", 1)))], 5);
+    assert_eq!(elector.token(), None);
+}
+
+#[test]
+fn silent_owner_is_replaced_after_successful_reads() {
+    let mut elector = reader("other");
+    elector.read(at(1_000), at(600), Vec::new(), 5);
+    assert_eq!(elector.action(at(1_000)), None);
+    elector.read(at(1_200), at(1_000), Vec::new(), 5);
+    assert_eq!(elector.action(at(1_200)), Some(Action::Claim { at: 5 }));
+    assert_eq!(elector.action(at(1_250)), None, "a claim is under way");
+}
+
+#[test]
+fn outage_of_the_log_is_no_silence() {
+    let mut elector = reader("other");
+    elector.read_failed();
+    assert_eq!(elector.action(at(60_000)), None);
+    elector.read(at(60_000), at(59_990), Vec::new(), 5);
+    elector.read(at(60_400), at(60_000), Vec::new(), 5);
+    assert_eq!(elector.action(at(60_400)), None);
+}
+
+#[test]
+fn renewed_claim_is_left_alone() {
+    let mut elector = reader("other");
+    for ms in (250..5_000).step_by(250) {
+        elector.read(
+            at(ms),
+            at(ms - 250),
+            vec![(ms, Record::Renewal(Token(5)))],
+            ms + 1,
+        );
+        assert_eq!(elector.action(at(ms)), None);
+    }
+}
+
+#[test]
+fn released_cell_is_claimed_at_once_but_later_by_a_slow_entry() {
+    let release = || vec![(5, Record::Release(Token(5)))];
+    let mut quick = reader("other");
+    quick.read(at(10), at(5), release(), 6);
+    quick.read(at(20), at(10), Vec::new(), 6);
+    assert_eq!(quick.action(at(20)), Some(Action::Claim { at: 6 }));
+    let mut slow = reader("other");
+    slow.yield_until(at(10_000));
+    slow.read(at(10), at(5), release(), 6);
+    slow.read(at(20), at(10), Vec::new(), 6);
+    assert_eq!(slow.action(at(20)), None);
+    slow.read(at(1_700), at(20), Vec::new(), 6);
+    assert_eq!(slow.action(at(1_700)), Some(Action::Claim { at: 6 }));
+}
+
+#[test]
+fn owner_that_reads_a_later_claim_has_lost() {
+    let mut elector = reader("me");
+    elector.read(
+        at(10),
+        at(5),
+        vec![(9, Record::Claim(owner("other", 1)))],
+        10,
+    );
+    assert_eq!(elector.token(), None);
+    assert_eq!(elector.claim().unwrap().token, Token(10));
+}
+
+#[test]
+fn claim_told_by_another_entry_counts_when_it_is_newer() {
+    let mut elector = reader("me");
+    let mut other = Elector::new(RULES, owner("other", 1));
+    other.read(
+        at(10),
+        at(5),
+        vec![(9, Record::Claim(owner("other", 1)))],
+        10,
+    );
+    let told = other.claim().unwrap().clone();
+    elector.learn(told.clone());
+    assert_eq!(elector.token(), None);
+    let mut ahead = Elector::new(RULES, owner("me", 1));
+    ahead.read(at(10), at(5), vec![(12, Record::Claim(owner("me", 1)))], 13);
+    ahead.learn(told);
+    assert_eq!(ahead.token(), Some(Token(13)));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod daemon;
 mod docs;
+mod entry;
 mod fault;
 mod lease;
 mod load;
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -17,7 +17,7 @@
 /// Where the time of day starts.
 const MORNING: u64 = 1_700_000_000_000;
 
-pub(super) fn rules() -> Rules {
+pub(crate) fn rules() -> Rules {
     Rules {
         lease: Duration::from_millis(4_500),
         max_lease: Duration::from_millis(6_000),
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod cell;
+pub(crate) use cell::rules;
 mod order;
 mod recovery;
 mod run;
