--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -95,6 +95,8 @@
     is_candidate: bool,
     /// Until when others are given precedence.
     yields_until: Instant,
+    /// When it was read that the owner stops.
+    released: Option<Instant>,
     /// The other entries, by name, as they last said.
     peers: BTreeMap<String, SocketAddr>,
 }
@@ -102,6 +104,8 @@
 /// A claim without an owner to wait for is delayed by this many round trips to the log, so that the
 /// entry nearest to the log wins.
 const DELAY_ROUND_TRIPS: u32 = 8;
+/// The same after a release, when all entries are known to read the log.
+const RELEASED_ROUND_TRIPS: u32 = 2;
 /// How much later an entry claims that gives others precedence.
 const YIELD_DELAY: Duration = Duration::from_millis(1_500);
 /// How long an unanswered claim counts as under way.
@@ -122,6 +126,7 @@
             claimed: None,
             is_candidate: true,
             yields_until: Instant(0),
+            released: None,
             peers: BTreeMap::new(),
         }
     }
@@ -192,6 +197,7 @@
                 let claim = self.claim.as_mut().filter(|claim| claim.token == token);
                 if let Some(claim) = claim {
                     claim.is_released = true;
+                    self.released = Some(now);
                 }
             }
         }
@@ -250,12 +256,15 @@
         if !self.is_candidate || is_under_way {
             return None;
         }
-        let quiet = self.confirmed.since(self.quiet_since?);
+        let mut quiet = self.confirmed.since(self.quiet_since?);
         let wait = match &self.claim {
-            Some(claim) if !claim.is_released && claim.owner.name != self.me.name => {
-                self.rules.silence + self.round_trip
+            Some(claim) if claim.is_released => {
+                // Its last word was that it stops: no further read is needed.
+                quiet = now.since(self.released?);
+                self.round_trip * RELEASED_ROUND_TRIPS
             }
-            // Nobody else owns the cell: its owner stopped, or was an earlier life of this entry.
+            Some(claim) if claim.owner.name != self.me.name => self.rules.silence + self.round_trip,
+            // Nobody else owns the cell.
             _ => self.round_trip * DELAY_ROUND_TRIPS,
         };
         let yielding = if now < self.yields_until {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -21,6 +21,7 @@
 use crate::core::tenure::{self, Action, Claim, Elector};
 use crate::core::time::Instant;
 use crate::util::clock::Clock;
+use crate::util::metric::{Metrics, label};
 
 /// How long a read of the claims waits for a new one; an outage of the log shows within it and the
 /// time that an answer may take.
@@ -74,6 +75,7 @@
     settings: Settings,
     clock: Clock,
     log: Logger,
+    metrics: Metrics,
     me: tenure::Owner,
     elector: RefCell<Elector>,
     owner: RefCell<Option<Rc<Owner<P>>>>,
@@ -94,6 +96,7 @@
         settings: Settings,
         clock: Clock,
         log: Logger,
+        metrics: Metrics,
     ) -> (Rc<Control<P>>, View) {
         let me = tenure::Owner {
             name: settings.name.clone(),
@@ -108,6 +111,7 @@
             settings,
             clock,
             log,
+            metrics,
             me,
             owner: RefCell::default(),
             link: RefCell::default(),
@@ -459,7 +463,9 @@
             token,
             self.clock,
             self.log.clone(),
+            self.metrics.clone(),
         );
+        self.metrics.ownership.add(1, &label("change", "taken"));
         *self.owner.borrow_mut() = Some(Rc::clone(&owner));
         let control = Rc::clone(self);
         let tables = self.tables.subscribe();
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -20,6 +20,7 @@
 use crate::core::scheduler::message::{Outcome, Start};
 use crate::core::scheduler::{Answer, Input, Output, Rules, Scheduler, Time};
 use crate::util::clock::Clock;
+use crate::util::metric::{Metrics, label};
 
 /// How often time-driven decisions are looked at when nothing happens.
 const TICK: Duration = Duration::from_millis(50);
@@ -51,6 +52,7 @@
     token: Token,
     clock: Clock,
     log: Logger,
+    metrics: Metrics,
     scheduler: RefCell<Scheduler>,
     outputs: RefCell<Vec<Output>>,
     requests: RefCell<Slab<oneshot::Sender<Result<Answer>>>>,
@@ -70,12 +72,20 @@
 
 impl<P: Platform> Owner<P> {
     /// Makes the owner of the claim that `token` names.
-    pub fn new(platform: P, rules: Rules, token: Token, clock: Clock, log: Logger) -> Rc<Owner<P>> {
+    pub fn new(
+        platform: P,
+        rules: Rules,
+        token: Token,
+        clock: Clock,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Rc<Owner<P>> {
         Rc::new(Owner {
             platform,
             token,
             clock,
             log,
+            metrics,
             scheduler: RefCell::new(Scheduler::new(rules, token, clock.now())),
             outputs: RefCell::default(),
             requests: RefCell::default(),
@@ -105,6 +115,7 @@
         if self.is_over.replace(true) {
             return;
         }
+        self.metrics.ownership.add(1, &label("change", "ended"));
         info!(self.log, "ownership ended"; "token" => self.token.0, "reason" => reason);
         self.over.notify_waiters();
         self.wake.notify_one();
@@ -211,14 +222,21 @@
     fn carry_out(self: &Rc<Owner<P>>, output: Output) {
         match output {
             Output::Append { mark, key, value } => {
+                self.metrics.records.add(1, &label("stream", "jobs"));
                 let key = Some(key);
                 self.queue.push(mark, super::port::Record { key, value });
             }
             Output::Withdraw { key } => self.queue.withdraw(&key),
             Output::Start { worker, start } => {
+                self.metrics
+                    .worker_commands
+                    .add(1, &label("command", "start"));
                 actix_rt::spawn(Rc::clone(self).start(worker, start));
             }
             Output::Stop { worker, task, run } => {
+                self.metrics
+                    .worker_commands
+                    .add(1, &label("command", "stop"));
                 actix_rt::spawn(Rc::clone(self).stop(worker, task, run));
             }
             Output::Ask(ask) => {
@@ -387,10 +405,12 @@
     async fn write(self: Rc<Owner<P>>) {
         let told = |event| match event {
             writer::Event::Durable(mark) => {
+                self.metrics.appends.add(1, &label("outcome", "done"));
                 self.apply(Input::Durable(mark));
                 self.durable.notify_waiters();
             }
             writer::Event::Away(sent) => {
+                self.metrics.appends.add(1, &label("outcome", "away"));
                 self.apply(Input::LogAway { sent });
                 // What is taken back must have left the queue before the writer goes on.
                 self.turn();
