Forget closed links while busy; split the modules of entries

owner, control and place are split by job without a change of behaviour; parameters that nothing used are gone.

--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -61,7 +61,7 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.accepted_mark = mark;
         }
-        self.open(id, time, out);
+        self.open(id, time);
     }
 
     /// Takes back the jobs whose acceptance was not sent to the log: it takes no records, and their
@@ -162,7 +162,7 @@
                     job.phase = Phase::Running;
                 }
             }
-            self.open(id, time, out);
+            self.open(id, time);
             self.fail_exhausted(id, time, out);
             self.complete_if_done(id, time, out);
         }
@@ -191,7 +191,7 @@
     }
 
     /// Begins what of a job is due, and notes when the rest is.
-    fn open(&mut self, id: id::Job, time: Time, out: &mut Vec<Output>) {
+    fn open(&mut self, id: id::Job, time: Time) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -204,11 +204,11 @@
             job.next_occurrence = 1;
         }
         self.refresh_ready(id, time.now);
-        self.begin_occurrences(time, out);
+        self.begin_occurrences(time);
     }
 
     /// Begins the occurrences that are due.
-    pub(super) fn begin_occurrences(&mut self, time: Time, _out: &mut Vec<Output>) {
+    pub(super) fn begin_occurrences(&mut self, time: Time) {
         while let Some(&(due, id)) = self.scheduled.first() {
             if due > time.stamp {
                 return;
@@ -330,7 +330,7 @@
 
     fn stop_active(
         &mut self,
-        _id: id::Job,
+        id: id::Job,
         occurrence: &Occurrence,
         now: Instant,
         out: &mut Vec<Output>,
@@ -338,7 +338,7 @@
         for step in &occurrence.steps {
             for task in &step.tasks {
                 if let Place::Active { worker, run } = task.place {
-                    self.stop_run_of(worker, run, _id, now, out);
+                    self.stop_run_of(worker, run, id, now, out);
                 }
             }
         }
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -17,6 +17,7 @@
 pub mod message;
 mod order;
 mod place;
+mod plan;
 pub mod record;
 mod runs;
 pub mod spec;
@@ -221,7 +222,7 @@
 
     /// Does what is due at `time` and places what can be placed.
     pub fn tick(&mut self, time: Time, out: &mut Vec<Output>) {
-        self.begin_occurrences(time, out);
+        self.begin_occurrences(time);
         self.release_lapsed(time, out);
         self.expire_calls(time.now);
         self.forget_ended(time.now, out);
--- a/src/entry/owner.rs
+++ b/src/entry/owner/mod.rs
@@ -1,40 +1,34 @@
 //! Carries out what the scheduler of an owned cell decides.
 
+mod calls;
+mod takeover;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use slab::Slab;
-use slog::{Logger, debug, info, warn};
+use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot, watch};
 
-use super::link::Link;
-use super::message::{Ask, Tell};
-use super::port::{Address, Appended, Change, Directory, Failure, Guard, Platform, Topic};
-use super::writer;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::queue::Table;
-use crate::core::scheduler::advice::{self, Asker};
-use crate::core::scheduler::id::{Request, Run, Task, Token, Worker};
-use crate::core::scheduler::message::{Outcome, Start};
+use crate::core::scheduler::advice::Asker;
+use crate::core::scheduler::id::{Request, Token, Worker};
 use crate::core::scheduler::{Answer, Input, Output, Rules, Scheduler, Time};
+use crate::entry::link::Link;
+use crate::entry::message::{Ask, Tell};
+use crate::entry::port::{Address, Change, Directory, Failure, Platform};
+use crate::entry::writer;
 use crate::util::clock::Clock;
 use crate::util::metric::{Metrics, label};
 
 /// How often time-driven decisions are looked at when nothing happens.
 const TICK: Duration = Duration::from_millis(50);
-/// How long a look may wait at a worker for an end.
-const LOOK_WAIT: Duration = Duration::from_millis(1_000);
-/// The pause after a look that failed.
-const LOOK_RETRY: Duration = Duration::from_millis(250);
-/// How long ends may wait for the log before the worker is looked at again.
-const SETTLE_WAIT: Duration = Duration::from_millis(500);
 /// The pause between two readings of the directory: a worker that drains must get nothing new a few
 /// seconds later.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(400);
-/// The pause before a step of a takeover is tried again.
-const TAKEOVER_RETRY: Duration = Duration::from_millis(100);
 /// How often it is measured whether decisions are late.
 const PACE_INTERVAL: Duration = Duration::from_millis(100);
 /// A mean delay above this hands the cell over: lookups are due within a few hundred milliseconds.
@@ -149,14 +143,16 @@
         actix_rt::spawn(Rc::clone(&self).until_over(Rc::clone(&self).follow_directory()));
         actix_rt::spawn(Rc::clone(&self).until_over(Rc::clone(&self).follow_configuration(tables)));
         self.is_open.set(true);
+        self.tell_askers();
+        let mut refreshed = self.clock.now();
         while !self.is_over() {
             self.turn();
             // Whatever else is ready goes into the same turn.
             tokio::task::yield_now().await;
-            if tokio::time::timeout(TICK, self.wake.notified())
-                .await
-                .is_err()
-            {
+            // Without an event, time-driven decisions are looked at.
+            let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
+            if self.clock.now().since(refreshed) >= TICK {
+                refreshed = self.clock.now();
                 self.refresh_askers();
             }
         }
@@ -352,56 +348,6 @@
         }
     }
 
-    /// Makes the appends of every earlier owner void.
-    async fn fence(&self) -> bool {
-        while !self.is_over() {
-            let guard = Guard::Writer {
-                token: self.token,
-                sequence: 0,
-            };
-            match self.platform.append(Topic::Jobs, &[], guard).await {
-                Appended::Done => return true,
-                Appended::Fenced => {
-                    self.finish("a later owner has written");
-                    return false;
-                }
-                outcome => {
-                    warn!(self.log, "cannot fence the log"; "outcome" => ?outcome);
-                    tokio::time::sleep(TAKEOVER_RETRY).await;
-                }
-            }
-        }
-        false
-    }
-
-    /// Reads what the owners before left.
-    async fn recover(&self) -> bool {
-        let mut after: Option<Vec<u8>> = None;
-        while !self.is_over() {
-            match self.platform.newest(Topic::Jobs, after.as_deref()).await {
-                Ok(page) => {
-                    let time = self.time();
-                    let mut scheduler = self.scheduler.borrow_mut();
-                    for (key, value) in &page.records {
-                        if !scheduler.recover(time, key, value) {
-                            warn!(self.log, "record of no known kind"; "key" => String::from_utf8_lossy(key).into_owned());
-                        }
-                    }
-                    if !page.has_more {
-                        scheduler.recovered(time, &mut self.outputs.borrow_mut());
-                        return true;
-                    }
-                    after = page.records.last().map(|(key, _)| key.clone());
-                }
-                Err(failure) => {
-                    warn!(self.log, "cannot read the jobs"; "failure" => ?failure);
-                    tokio::time::sleep(TAKEOVER_RETRY).await;
-                }
-            }
-        }
-        false
-    }
-
     async fn write(self: Rc<Owner<P>>) {
         let told = |event| match event {
             writer::Event::Durable(mark) => {
@@ -474,154 +420,36 @@
         }
     }
 
-    /// Keeps an eye on one life of a worker and its lease extended.
-    async fn watch(self: Rc<Owner<P>>, worker: Worker) {
-        let mut wait = Duration::ZERO;
-        while !self.is_over() {
-            let Some(address) = self.address(worker) else {
-                return;
-            };
-            let sent = self.clock.now();
-            let Some(look) = self.scheduler.borrow_mut().look(sent, worker) else {
-                return;
-            };
-            match self.platform.look(&address, look, wait, self.token).await {
-                Ok(inventory) => {
-                    self.apply(Input::Looked {
-                        worker,
-                        sent,
-                        inventory,
-                    });
-                    self.settle(worker).await;
-                    wait = LOOK_WAIT;
-                }
-                Err(refusal) => {
-                    let outcome = refusal.map_or(Outcome::Unknown, Outcome::Refused);
-                    debug!(self.log, "look failed"; "worker" => address.name, "outcome" => ?outcome);
-                    self.apply(Input::LookFailed { worker, outcome });
-                    wait = Duration::ZERO;
-                    tokio::time::sleep(LOOK_RETRY).await;
-                }
-            }
-        }
-    }
-
-    /// Waits until the ends that a worker listed are in the log, for a while.
-    async fn settle(&self, worker: Worker) {
-        let end = self.clock.now() + SETTLE_WAIT;
-        while !self.scheduler.borrow().is_settled(worker) {
-            let left = end.since(self.clock.now());
-            if left.is_zero() {
-                return;
-            }
-            // The time limit is checked above.
-            let _ = tokio::time::timeout(left, self.durable.notified()).await;
-        }
-    }
-
-    async fn start(self: Rc<Owner<P>>, worker: Worker, start: Start) {
-        let Some(address) = self.address(worker) else {
-            return;
-        };
-        let (task, run) = (start.task, start.run);
-        let outcome = self.platform.start(&address, &start, self.token).await;
-        match &outcome {
-            Outcome::Done(_) => info!(self.log, "run started"; "task" => %task, "run" => run.0,
-                "worker" => address.name),
-            Outcome::Refused(refusal) => warn!(self.log, "start refused"; "task" => %task,
-                "run" => run.0, "worker" => address.name, "reason" => refusal.name()),
-            Outcome::Unknown => warn!(self.log, "start without an answer"; "task" => %task,
-                "run" => run.0, "worker" => address.name),
-        }
-        self.apply(Input::Started {
-            worker,
-            task,
-            run,
-            outcome,
-        });
-    }
-
-    async fn stop(self: Rc<Owner<P>>, worker: Worker, task: Task, run: Run) {
-        let Some(address) = self.address(worker) else {
-            return;
-        };
-        let outcome = self.platform.stop(&address, task, run, self.token).await;
-        info!(self.log, "run to be stopped"; "task" => %task, "run" => run.0,
-            "worker" => address.name, "outcome" => ?outcome);
-        self.apply(Input::Stopped {
-            worker,
-            task,
-            run,
-            outcome,
-        });
-    }
-
-    async fn advise(self: Rc<Owner<P>>, ask: advice::Ask) {
-        let workers: Vec<String> = {
-            let scheduler = self.scheduler.borrow();
-            let known = ask
-                .workers
-                .iter()
-                .filter_map(|&worker| scheduler.worker(worker));
-            known.map(|worker| worker.entry.name.clone()).collect()
-        };
-        let timeout = advice::CALL_GRACE + ask.cost;
-        let link = self.askers.borrow().get(&ask.asker).cloned();
-        let allowed = match link {
-            Some(link) => {
-                let step = ask.step;
-                match link.ask(Ask::Advise { step, workers }, timeout).await {
-                    Ok(Tell::Advised { allowed, validity }) => {
-                        let allowed = allowed.into_iter();
-                        Some((
-                            allowed
-                                .map(|(name, ticket)| (name, ticket.into()))
-                                .collect(),
-                            validity,
-                        ))
-                    }
-                    _ => None,
-                }
-            }
-            None if ask.asker == SELF => {
-                let allowed = self.platform.advise(ask.step, &workers, timeout).await;
-                allowed.map(|allowed| (allowed.workers, allowed.validity))
-            }
-            None => None,
-        };
-        if allowed.is_none() {
-            warn!(self.log, "advisor did not answer"; "step" => %ask.step, "asker" => ask.asker.0);
-        }
-        let (allowed, validity) = allowed.unzip();
-        self.apply(Input::Advised {
-            asker: ask.asker,
-            step: ask.step,
-            named: ask.workers,
-            allowed,
-            validity: validity.unwrap_or_default(),
-        });
-    }
-
     /// Takes a link to an entry that may call the advisor.
     pub fn add_asker(&self, link: Link) {
         let asker = Asker(self.next_asker.replace(self.next_asker.get() + 1));
         self.askers.borrow_mut().insert(asker, link);
-        self.refresh_askers();
+        self.tell_askers();
+    }
+
+    /// Returns how many entries can call the advisor, this one included.
+    pub fn askers(&self) -> usize {
+        self.askers.borrow().len() + 1
     }
 
+    /// Forgets entries whose links have closed.
     fn refresh_askers(&self) {
         let mut askers = self.askers.borrow_mut();
+        let before = askers.len();
         askers.retain(|_, link| link.is_open());
-        let mut known: Vec<Asker> = askers.keys().copied().collect();
+        let is_changed = askers.len() < before;
+        drop(askers);
+        if is_changed {
+            self.tell_askers();
+        }
+    }
+
+    /// Tells the scheduler which entries can call the advisor.
+    fn tell_askers(&self) {
+        let mut known: Vec<Asker> = self.askers.borrow().keys().copied().collect();
         known.push(SELF);
         known.sort_unstable();
-        drop(askers);
-        // Not an event: nothing is to be decided anew.
-        let mut outputs = self.outputs.borrow_mut();
-        let time = self.time();
-        self.scheduler
-            .borrow_mut()
-            .step(time, Input::Askers(known), &mut outputs);
+        self.apply(Input::Askers(known));
     }
 }
 
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -1,13 +1,17 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use laburnumplank::core::error::{Effect, Kind};
+use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::id::{Job, Token};
 use laburnumplank::core::scheduler::spec::{Queue, Spec, Step};
+use laburnumplank::entry::link::{self, Link};
 use laburnumplank::entry::message::{Ask, Tell};
-use laburnumplank::entry::owner::Owner;
+use laburnumplank::entry::owner::{Owner, no_owner};
 use laburnumplank::util::clock::Clock;
 use laburnumplank::util::metric::Metrics;
 use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::fake::Fake;
@@ -137,3 +141,45 @@
         assert!(matches!(later.serve(read).await, Ok(Tell::Phase(_))));
     });
 }
+
+/// Opens both ends of a link over loopback.
+async fn link() -> (
+    Link,
+    impl Future<Output = ()>,
+    Link,
+    impl Future<Output = ()>,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = async {
+        link::accept(listener.accept().await.unwrap().0)
+            .await
+            .unwrap()
+    };
+    let (near, far) = tokio::join!(async { link::dial(address).await.unwrap() }, accepted);
+    let (near, near_carried) = link::open(near, "near".to_owned(), |_| async { Err(no_owner()) });
+    let (far, far_carried) = link::open(far, "far".to_owned(), |_| async { Err(no_owner()) });
+    (near, near_carried, far, far_carried)
+}
+
+#[test]
+fn closed_link_is_no_asker_although_events_never_pause() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        let (near, near_carried, _far, far_carried) = link().await;
+        owner.add_asker(near.clone());
+        assert_eq!(owner.askers(), 2);
+        actix_rt::spawn(near_carried);
+        drop(far_carried);
+        let limit = Duration::from_secs(5);
+        let busy = async {
+            while owner.askers() > 1 {
+                owner.apply(Input::Askers(Vec::new()));
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(limit, busy).await.unwrap();
+        assert!(!near.is_open());
+    });
+}
