Fail asks at once when their link is dropped

Cause: when a new owner was claimed, the link to the dead one was dropped with its task, which skipped the clean-up; asks on it waited for their callers' deadlines instead of going to the new owner. Ruled out: the writer (nothing in doubt), the log (back at 22.2 s) and the takeover (44 ms). The clean-up now happens on drop. ask_ends_when_its_link_is_dropped fails without it.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -130,11 +130,22 @@
     let link = Link {
         shared: Rc::clone(&shared),
     };
-    (link, carry(shared, socket, frames, me, serve))
+    let end = End(shared);
+    (link, carry(end, socket, frames, me, serve))
+}
+
+/// One end's task. When it ends or is dropped, nobody waits for an answer any more.
+struct End(Rc<Shared>);
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.0.is_open.set(false);
+        self.0.waiting.borrow_mut().clear();
+    }
 }
 
 async fn carry<S, F>(
-    shared: Rc<Shared>,
+    end: End,
     socket: WebSocketStream<TcpStream>,
     mut frames: mpsc::Receiver<Frame>,
     me: String,
@@ -177,15 +188,13 @@
             let Ok(frame) = ciborium::from_reader::<Frame, _>(&bytes[..]) else {
                 return;
             };
-            arrived(&shared, frame, &serve);
+            arrived(&end.0, frame, &serve);
         }
     };
     tokio::select! {
         () = sending => {}
         () = receiving => {}
     }
-    shared.is_open.set(false);
-    shared.waiting.borrow_mut().clear();
 }
 
 fn arrived<S, F>(shared: &Rc<Shared>, frame: Frame, serve: &S)
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -183,3 +183,20 @@
         assert!(!near.is_open());
     });
 }
+
+#[test]
+fn ask_ends_when_its_link_is_dropped() {
+    actix_rt::System::new().block_on(async {
+        let (near, near_carried, _far, far_carried) = link().await;
+        actix_rt::spawn(async move {
+            tokio::select! {
+                () = near_carried => {}
+                () = tokio::time::sleep(Duration::from_millis(50)) => {}
+            }
+        });
+        let ask = near.ask(Ask::Claim, Duration::from_secs(60));
+        let answer = tokio::time::timeout(Duration::from_secs(5), ask).await;
+        assert_eq!(answer.unwrap().unwrap_err().kind, Kind::AnswerLost);
+        drop(far_carried);
+    });
+}
