Release a claim until the log shows so, and renew none that nobody serves

Cause: an owner whose decisions run late ends its ownership and appends one release.

Also: a renewal named only its token, so an entry that started after the log had dropped the claim's record knew of no owner and claimed the cell from a living one. Renewals carry the claim now.

--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use laburnum_derive::{message, state, value};
+use laburnum_derive::{message, state};
 
 use super::scheduler::id::Token;
 use super::time::Instant;
@@ -23,8 +23,8 @@
 pub enum Record {
     /// The writer is the owner from here on.
     Claim(Owner),
-    /// The owner of this token lives.
-    Renewal(Token),
+    /// The owner lives. It names itself, for readers who come when the log has dropped its claim.
+    Renewal(Claim),
     /// The owner of this token stops.
     Release(Token),
     /// The writer is there and takes links; it may be asked who owns the cell.
@@ -54,15 +54,17 @@
 }
 
 /// What an entry should do now.
-#[value]
+#[state]
 pub enum Action {
     /// Append a claim on condition that the log ends at this offset.
     Claim {
         /// The offset.
         at: u64,
     },
-    /// Append a renewal.
-    Renew(Token),
+    /// Append a renewal of this claim.
+    Renew(Claim),
+    /// Append a release.
+    Release(Token),
 }
 
 /// How long the owner may be silent, and how often it renews.
@@ -91,6 +93,8 @@
     round_trip: Duration,
     renewed: Option<Instant>,
     claimed: Option<Instant>,
+    /// The claim of this entry that it has given up and not read to be released yet.
+    resigned: Option<Token>,
     /// Whether this entry may become the owner.
     is_candidate: bool,
     /// Until when others are given precedence.
@@ -124,6 +128,7 @@
             round_trip: Duration::ZERO,
             renewed: None,
             claimed: None,
+            resigned: None,
             is_candidate: true,
             yields_until: Instant(0),
             released: None,
@@ -152,6 +157,22 @@
         self.is_candidate = false;
     }
 
+    /// Gives up the claim that `token` names, if it is this entry's: it is released, as often as
+    /// it takes until the log shows so, and renewed no more.
+    pub fn resign(&mut self, now: Instant, token: Token) {
+        let me = &self.me;
+        let claim = self
+            .claim
+            .as_mut()
+            .filter(|claim| claim.token == token && claim.owner == *me);
+        if let Some(claim) = claim.filter(|claim| !claim.is_released) {
+            claim.is_released = true;
+            self.released = Some(now);
+            self.resigned = Some(token);
+            self.renewed = Some(now);
+        }
+    }
+
     /// Gives other entries precedence until `end`: this one is slow.
     pub fn yield_until(&mut self, end: Instant) {
         self.yields_until = end;
@@ -182,20 +203,24 @@
                     is_released: false,
                 });
                 self.claimed = None;
+                self.resigned = None;
                 self.quiet_since = Some(now);
             }
-            Record::Renewal(token) => {
-                if self
-                    .claim
-                    .as_ref()
-                    .is_some_and(|claim| claim.token == token)
-                {
+            Record::Renewal(claim) => {
+                let known = self.claim.as_ref().map(|known| known.token);
+                if known <= Some(claim.token) {
                     self.quiet_since = Some(now);
                 }
+                if known < Some(claim.token) {
+                    self.claim = Some(claim);
+                }
             }
             Record::Release(token) => {
+                if self.resigned == Some(token) {
+                    self.resigned = None;
+                }
                 let claim = self.claim.as_mut().filter(|claim| claim.token == token);
-                if let Some(claim) = claim {
+                if let Some(claim) = claim.filter(|claim| !claim.is_released) {
                     claim.is_released = true;
                     self.released = Some(now);
                 }
@@ -242,16 +267,20 @@
 
     /// Returns what is due at `now`, and notes it as done.
     pub fn action(&mut self, now: Instant) -> Option<Action> {
-        if let Some(token) = self.token() {
-            let is_due = self
-                .renewed
-                .is_none_or(|at| now.since(at) >= self.rules.renewal);
+        let is_due = self
+            .renewed
+            .is_none_or(|at| now.since(at) >= self.rules.renewal);
+        if self.token().is_some() {
             if is_due && self.is_candidate {
                 self.renewed = Some(now);
-                return Some(Action::Renew(token));
+                return self.claim.clone().map(Action::Renew);
             }
             return None;
         }
+        if let Some(token) = self.resigned.filter(|_| is_due) {
+            self.renewed = Some(now);
+            return Some(Action::Release(token));
+        }
         let is_under_way = self.claimed.is_some_and(|at| now.since(at) < CLAIM_TIMEOUT);
         if !self.is_candidate || is_under_way {
             return None;
--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -126,7 +126,8 @@
         let tables = self.tables.subscribe();
         actix_rt::spawn(async move {
             tokio::select! {
-                () = Rc::clone(&owner).run(tables) => {}
+                // Where it ends by itself, a claim that stays would keep others from the cell.
+                () = Rc::clone(&owner).run(tables) => control.resign(owner.token()),
                 () = owner.runs_late() => {
                     let end = control.clock.now() + YIELD_SPAN;
                     control.elector.borrow_mut().yield_until(end);
@@ -146,16 +147,21 @@
             let action = self.elector.borrow_mut().action(self.clock.now());
             match action {
                 Some(Action::Claim { at }) => self.claim(at).await,
-                Some(Action::Renew(token)) => {
-                    let renewal = tenure::Record::Renewal(token);
+                Some(Action::Renew(claim)) => {
+                    let token = claim.token;
                     let control = Rc::clone(&self);
                     actix_rt::spawn(async move {
+                        let renewal = tenure::Record::Renewal(claim);
                         let outcome = control.append(&renewal, Guard::Always).await;
                         if outcome != Appended::Done {
                             warn!(control.log, "claim not renewed"; "token" => token.0, "outcome" => ?outcome);
                         }
                     });
                 }
+                Some(Action::Release(token)) => {
+                    let control = Rc::clone(&self);
+                    actix_rt::spawn(async move { control.append_release(token).await });
+                }
                 None => {}
             }
         }
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -153,12 +153,23 @@
     async fn release(&self, owner: &Owner<P>, reason: &'static str) {
         owner.flush(FLUSH_LIMIT).await;
         owner.finish(reason);
-        let release = tenure::Record::Release(owner.token());
-        let outcome = self.append(&release, Guard::Always).await;
-        info!(self.log, "cell released"; "token" => owner.token().0, "outcome" => ?outcome);
+        self.resign(owner.token());
+        self.append_release(owner.token()).await;
         self.changed.notify_waiters();
     }
 
+    /// Gives up a claim, if it is this entry's and still in force.
+    fn resign(&self, token: Token) {
+        let now = self.clock.now();
+        self.elector.borrow_mut().resign(now, token);
+    }
+
+    async fn append_release(&self, token: Token) {
+        let release = tenure::Record::Release(token);
+        let outcome = self.append(&release, Guard::Always).await;
+        info!(self.log, "cell released"; "token" => token.0, "outcome" => ?outcome);
+    }
+
     /// Gets a request served by the owner, whoever that is by then.
     ///
     /// A change of owner is waited for until `patience`, unless this entry is cut off from the log
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -60,6 +60,8 @@
     /// Whether the ownership has ended.
     is_over: Cell<bool>,
     over: Notify,
+    /// Whether the log takes no appends, as far as is known.
+    is_log_away: Cell<bool>,
     askers: RefCell<HashMap<Asker, Link>>,
     next_asker: Cell<u32>,
 }
@@ -89,6 +91,7 @@
             is_open: Cell::new(false),
             is_over: Cell::new(false),
             over: Notify::new(),
+            is_log_away: Cell::new(false),
             askers: RefCell::default(),
             next_asker: Cell::new(1),
         })
@@ -176,7 +179,8 @@
             let delay = self.clock.now().since(due).as_secs_f64();
             mean += (delay - mean) * PACE_WEIGHT;
             let is_settled = self.clock.now().since(began) >= LEAST_TENURE;
-            if is_settled && mean > LATE_AFTER.as_secs_f64() {
+            // Nobody can claim the cell without the log: a slow owner is better than none.
+            if is_settled && mean > LATE_AFTER.as_secs_f64() && !self.is_log_away.get() {
                 warn!(self.log, "decisions run late"; "mean_ms" => (mean * 1e3) as u64);
                 return;
             }
@@ -357,11 +361,15 @@
             }
             writer::Event::Away(sent) => {
                 self.metrics.appends.add(1, &label("outcome", "away"));
+                self.is_log_away.set(true);
                 self.apply(Input::LogAway { sent });
                 // What is taken back must have left the queue before the writer goes on.
                 self.turn();
             }
-            writer::Event::Back => self.apply(Input::LogBack),
+            writer::Event::Back => {
+                self.is_log_away.set(false);
+                self.apply(Input::LogBack);
+            }
             writer::Event::Fenced => self.finish("a later owner has written"),
         };
         let queue = Rc::clone(&self.queue);
--- a/tests/testsuite/entry/tenure.rs
+++ b/tests/testsuite/entry/tenure.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use laburnumplank::core::scheduler::id::Token;
-use laburnumplank::core::tenure::{Action, Elector, Owner, Record, Rules};
+use laburnumplank::core::tenure::{Action, Claim, Elector, Owner, Record, Rules};
 use laburnumplank::core::time::Instant;
 
 const RULES: Rules = Rules {
@@ -21,6 +21,14 @@
     Instant(ms * 1_000)
 }
 
+fn renewal(name: &str, token: u64) -> Record {
+    Record::Renewal(Claim {
+        owner: owner(name, 1),
+        token: Token(token),
+        is_released: false,
+    })
+}
+
 /// Makes an elector that has read a claim of `name` at offset 4 at time 0.
 fn reader(name: &str) -> Elector {
     let mut elector = Elector::new(RULES, owner("me", 1));
@@ -69,7 +77,7 @@
         elector.read(
             at(ms),
             at(ms - 250),
-            vec![(ms, Record::Renewal(Token(5)))],
+            vec![(ms, renewal("other", 5))],
             ms + 1,
         );
         assert_eq!(elector.action(at(ms)), None);
@@ -126,3 +134,49 @@
     ahead.learn(told);
     assert_eq!(ahead.token(), Some(Token(13)));
 }
+
+#[test]
+fn entry_that_gave_its_claim_up_releases_it_until_the_log_shows_so() {
+    let mut elector = reader("me");
+    assert!(matches!(elector.action(at(300)), Some(Action::Renew(_))));
+    elector.resign(at(400), Token(5));
+    assert_eq!(elector.token(), None);
+    // The log is away: neither a renewal nor a claim is due, and every release is lost.
+    elector.read_failed();
+    let release = Some(Action::Release(Token(5)));
+    assert_eq!(elector.action(at(700)), release);
+    assert_eq!(elector.action(at(1_000)), release);
+    elector.read(
+        at(1_100),
+        at(1_090),
+        vec![(6, Record::Release(Token(5)))],
+        7,
+    );
+    assert_eq!(elector.action(at(1_400)), Some(Action::Claim { at: 7 }));
+}
+
+#[test]
+fn claim_that_another_entry_followed_is_not_released() {
+    let mut elector = reader("me");
+    elector.resign(at(100), Token(5));
+    elector.read(
+        at(200),
+        at(190),
+        vec![(6, Record::Claim(owner("other", 1)))],
+        7,
+    );
+    elector.resign(at(210), Token(5));
+    assert_eq!(elector.action(at(500)), None);
+    assert_eq!(elector.claim().unwrap().token, Token(7));
+}
+
+#[test]
+fn renewal_names_the_owner_when_the_log_has_dropped_its_claim() {
+    let mut elector = Elector::new(RULES, owner("me", 1));
+    elector.read(at(10), at(0), vec![(90, renewal("other", 5))], 91);
+    elector.read(at(300), at(10), vec![(91, renewal("other", 5))], 92);
+    assert_eq!(elector.action(at(400)), None, "the owner lives");
+    assert_eq!(elector.claim().unwrap().owner, owner("other", 1));
+    elector.read(at(1_700), at(300), Vec::new(), 92);
+    assert_eq!(elector.action(at(1_700)), Some(Action::Claim { at: 92 }));
+}
