--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -40,6 +40,8 @@
     pub address: SocketAddr,
     /// Tells the lives of an entry apart.
     pub life: u64,
+    /// The share of processors that its VM has, in thousandths of a core.
+    pub processors_millis: u32,
 }
 
 /// The claim in force.
@@ -101,8 +103,19 @@
     yields_until: Instant,
     /// When it was read that the owner stops.
     released: Option<Instant>,
+    /// When this entry's claim was read.
+    owned_since: Instant,
     /// The other entries, by name, as they last said.
-    peers: BTreeMap<String, SocketAddr>,
+    peers: BTreeMap<String, Peer>,
+}
+
+/// Another entry.
+#[state]
+struct Peer {
+    address: SocketAddr,
+    processors_millis: u32,
+    /// When a word of it was read last.
+    heard: Instant,
 }
 
 /// A claim without an owner to wait for is delayed by this many round trips to the log, so that the
@@ -110,6 +123,15 @@
 const DELAY_ROUND_TRIPS: u32 = 8;
 /// The same after a release, when all entries are known to read the log.
 const RELEASED_ROUND_TRIPS: u32 = 2;
+/// An entry leaves the cell to one that has this many times its processors: placing for all workers
+/// takes a good part of a VM, and a cell moves only for a clear gain.
+const LARGER: u32 = 2;
+/// How much later an entry claims while it knows of a larger one; three times what the larger one
+/// needs to claim first.
+const SMALL_DELAY: Duration = Duration::from_millis(1_000);
+/// An ownership is not handed to a larger entry before, so that entries that come and go don't move
+/// the cell all the time.
+const LEAST_TENURE: Duration = Duration::from_secs(3);
 /// How much later an entry claims that gives others precedence.
 const YIELD_DELAY: Duration = Duration::from_millis(1_500);
 /// How long an unanswered claim counts as under way.
@@ -132,6 +154,7 @@
             is_candidate: true,
             yields_until: Instant(0),
             released: None,
+            owned_since: Instant(0),
             peers: BTreeMap::new(),
         }
     }
@@ -194,9 +217,10 @@
     fn take(&mut self, now: Instant, offset: u64, record: Record) {
         let token = Token(offset + 1);
         match record {
-            Record::Present(owner) => self.note_peer(&owner),
+            Record::Present(owner) => self.note_peer(now, &owner),
             Record::Claim(owner) => {
-                self.note_peer(&owner);
+                self.note_peer(now, &owner);
+                self.owned_since = now;
                 self.claim = Some(Claim {
                     owner,
                     token,
@@ -228,15 +252,37 @@
         }
     }
 
-    fn note_peer(&mut self, peer: &Owner) {
-        if peer.name != self.me.name {
-            self.peers.insert(peer.name.clone(), peer.address);
+    fn note_peer(&mut self, now: Instant, owner: &Owner) {
+        if owner.name == self.me.name {
+            return;
         }
+        let peer = Peer {
+            address: owner.address,
+            processors_millis: owner.processors_millis,
+            heard: now,
+        };
+        self.peers.insert(owner.name.clone(), peer);
     }
 
     /// Returns where the other entries take links.
     pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.values().copied()
+        self.peers.values().map(|peer| peer.address)
+    }
+
+    /// Whether an entry with more processors has been heard of since `since`.
+    fn is_outclassed(&self, since: Instant) -> bool {
+        let least = self.me.processors_millis.saturating_mul(LARGER);
+        let peers = self.peers.values();
+        peers
+            .filter(|peer| peer.heard >= since)
+            .any(|peer| peer.processors_millis >= least)
+    }
+
+    /// Whether this entry owns the cell and should leave it to a larger one that is there.
+    pub fn should_hand_over(&self, now: Instant) -> bool {
+        self.token().is_some()
+            && now.since(self.owned_since) >= LEAST_TENURE
+            && self.is_outclassed(self.owned_since)
     }
 
     /// Takes in what another entry has read; an older claim says nothing new.
@@ -298,6 +344,8 @@
         };
         let yielding = if now < self.yields_until {
             YIELD_DELAY
+        } else if self.is_outclassed(Instant(0)) {
+            SMALL_DELAY
         } else {
             Duration::ZERO
         };
--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -19,6 +19,8 @@
 const YIELD_SPAN: Duration = Duration::from_secs(10);
 /// How often it is looked at whether to claim or renew.
 const ELECTION_TICK: Duration = Duration::from_millis(50);
+/// How often it is looked at whether a larger entry should own the cell.
+const HAND_OVER_TICK: Duration = Duration::from_millis(500);
 /// From one word of this entry's presence in the log to the next: others must find one in what the
 /// log keeps.
 const PRESENCE_INTERVAL: Duration = Duration::from_secs(8);
@@ -133,6 +135,9 @@
                     control.elector.borrow_mut().yield_until(end);
                     control.release(&owner, "this entry runs late").await;
                 }
+                () = control.is_outclassed() => {
+                    control.release(&owner, "an entry with more processors is there").await;
+                }
             }
             control.note_ready();
             control.changed.notify_waiters();
@@ -140,6 +145,13 @@
         self.note_ready();
     }
 
+    /// Ends when the cell should be left to a larger entry.
+    async fn is_outclassed(&self) {
+        while !self.elector.borrow().should_hand_over(self.clock.now()) {
+            tokio::time::sleep(HAND_OVER_TICK).await;
+        }
+    }
+
     /// Claims and renews.
     pub(super) async fn elect(self: Rc<Control<P>>) {
         loop {
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -88,6 +88,7 @@
             name: settings.name.clone(),
             address: settings.links,
             life: clock.stamp().0 << 20 | rand::random::<u64>() & 0xf_ffff,
+            processors_millis: (settings.processors * 1_000.0) as u32,
         };
         let (tables, tables_view) = watch::channel(None);
         let (ready, ready_view) = watch::channel(false);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -39,6 +39,9 @@
     pub links: SocketAddr,
     /// Where metrics and the state dump are served.
     pub metrics: SocketAddr,
+    /// The VM's share of processors, in cores: the larger ones own the cell.
+    #[serde(default = "default_processors")]
+    pub processors: f64,
     /// How long a stop may take, in seconds.
     pub stop_s: f64,
     /// The longest lease that workers grant, in milliseconds.
@@ -54,6 +57,10 @@
     pub log_level: String,
 }
 
+fn default_processors() -> f64 {
+    1.0
+}
+
 fn default_level() -> String {
     "info".to_owned()
 }
@@ -83,6 +90,10 @@
             is_span(self.status_kept_s, 0.0),
             "entry.status_kept_s is not from 0 to 86400"
         );
+        ensure!(
+            self.processors > 0.0 && self.processors <= 1_024.0,
+            "entry.processors is not above 0 and at most 1024"
+        );
         ensure!(
             self.max_lease_ms >= 1_000,
             "entry.max_lease_ms is below 1000"
--- a/tests/testsuite/entry/tenure.rs
+++ b/tests/testsuite/entry/tenure.rs
@@ -14,6 +14,14 @@
         name: name.to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         life,
+        processors_millis: 250,
+    }
+}
+
+fn larger(name: &str) -> Owner {
+    Owner {
+        processors_millis: 500,
+        ..owner(name, 1)
     }
 }
 
@@ -180,3 +188,57 @@
     elector.read(at(1_700), at(300), Vec::new(), 92);
     assert_eq!(elector.action(at(1_700)), Some(Action::Claim { at: 92 }));
 }
+
+#[test]
+fn small_entry_leaves_a_free_cell_to_a_larger_one() {
+    let silent = |small: bool| {
+        let mut elector = reader("other");
+        if small {
+            elector.read(
+                at(10),
+                at(5),
+                vec![(5, Record::Present(larger("third")))],
+                6,
+            );
+        }
+        elector.read(at(1_300), at(1_200), Vec::new(), 6);
+        elector.action(at(1_300))
+    };
+    assert!(silent(false).is_some());
+    assert_eq!(silent(true), None);
+    let mut alone = reader("other");
+    alone.read(
+        at(10),
+        at(5),
+        vec![(5, Record::Present(larger("third")))],
+        6,
+    );
+    alone.read(at(2_300), at(2_200), Vec::new(), 6);
+    assert_eq!(
+        alone.action(at(2_300)),
+        Some(Action::Claim { at: 6 }),
+        "the larger one may be gone"
+    );
+}
+
+#[test]
+fn small_owner_hands_over_to_a_larger_entry_that_has_come_since() {
+    let mut elector = Elector::new(RULES, owner("me", 1));
+    elector.read(at(0), at(0), vec![(3, Record::Present(larger("gone")))], 4);
+    elector.read(at(10), at(5), vec![(4, Record::Claim(owner("me", 1)))], 5);
+    assert!(!elector.should_hand_over(at(5_000)), "not heard of since");
+    elector.read(
+        at(5_000),
+        at(4_990),
+        vec![(5, Record::Present(owner("equal", 1)))],
+        6,
+    );
+    assert!(!elector.should_hand_over(at(5_000)));
+    elector.read(
+        at(5_010),
+        at(5_000),
+        vec![(6, Record::Present(larger("third")))],
+        7,
+    );
+    assert!(elector.should_hand_over(at(5_010)));
+}
