Keep the room of gangs whose permits are on their way; log the cell's load and calls to the advisor

Gangs whose plan lacked permits lost the room of the plan to others while they called, and called again. They keep it now. Chains of steps are worked out once a job, racks are shared, and steps that wait for the advisor are skipped.

--- a/src/core/scheduler/advice.rs
+++ b/src/core/scheduler/advice.rs
@@ -137,6 +137,11 @@
         Some((load.asker, load.until))
     }
 
+    /// Whether some asker could take a call now.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        self.busy.iter().any(|load| load.until <= now + LOOKAHEAD)
+    }
+
     /// Takes in that a call ended; an asker without calls is free.
     pub fn ended(&mut self, asker: Asker, now: Instant) {
         if let Some(load) = self.busy.iter_mut().find(|load| load.asker == asker) {
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use laburnum_derive::{state, value};
 
@@ -69,6 +70,8 @@
     pub queue: Queue,
     /// What the client asked for.
     pub spec: Arc<Spec>,
+    /// By step, the estimated run time of the longest chain from it to the end.
+    pub chains: Vec<Duration>,
     /// Handed to every task.
     pub payload: Arc<str>,
     /// When it was accepted.
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -417,6 +417,7 @@
     Job {
         queue,
         payload,
+        chains: spec.chains(),
         spec,
         accepted: at,
         accepted_at,
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -269,6 +269,7 @@
         Load {
             jobs: self.jobs.len(),
             ready_steps: self.ready.len(),
+            waiting_cpu_millis: self.ready.iter().map(|&step| self.waiting_cpu(step)).sum(),
             workers: self.workers.len(),
             usable_workers: usable.clone().count(),
             free_cpu_millis: usable.clone().map(|worker| worker.free().cpu_millis).sum(),
@@ -276,6 +277,13 @@
         }
     }
 
+    /// Returns the processors that the waiting tasks of a step need, in thousandths of a core.
+    fn waiting_cpu(&self, id: id::Step) -> u64 {
+        let job = self.jobs.get(&id.job);
+        let found = job.and_then(|job| Some((job.step(id)?, &job.spec.steps[usize::from(id.index)])));
+        found.map_or(0, |(step, spec)| step.waiting as u64 * spec.need.cpu_millis)
+    }
+
     /// Appends a record and returns its mark.
     fn append(&mut self, key: record::Key, value: Option<Vec<u8>>, out: &mut Vec<Output>) -> Mark {
         self.last_mark = Mark(self.last_mark.0 + 1);
@@ -359,6 +367,8 @@
     pub jobs: usize,
     /// Steps with tasks to start.
     pub ready_steps: usize,
+    /// Processors that the tasks to start need, in thousandths of a core.
+    pub waiting_cpu_millis: u64,
     /// Workers known.
     pub workers: usize,
     /// Workers that may get new work.
--- a/src/core/scheduler/order.rs
+++ b/src/core/scheduler/order.rs
@@ -4,13 +4,10 @@
 //! and jobs that must start now keep coming. Lookups go first; the rest goes by the latest start
 //! that still meets the objective; what cannot meet it any more goes last.
 
-use std::time::Duration;
-
 use laburnum_derive::value;
 
 use super::id;
 use super::job::Job;
-use super::spec::Spec;
 use crate::core::time::Instant;
 
 /// Where a step stands in the order; the least goes first.
@@ -28,12 +25,14 @@
 
 /// Returns the objective of a job that began at `began`: the point in time by which it should be done.
 pub(super) fn objective(job: &Job, began: Instant) -> Instant {
-    began + job.spec.chain().mul_f64(job.queue.slack_factor.max(0.0)) + job.queue.target
+    let chain = job.chains.iter().max().copied().unwrap_or_default();
+    began + chain.mul_f64(job.queue.slack_factor.max(0.0)) + job.queue.target
 }
 
 /// Returns the rank of a step at `now`.
 pub(super) fn rank(job: &Job, step: id::Step, began: Instant, now: Instant) -> Rank {
-    let left = remaining(&job.spec, step.index);
+    let left = job.chains.get(usize::from(step.index)).copied();
+    let left = left.unwrap_or_default();
     let latest_start = objective(job, began) - left;
     Rank {
         is_late: latest_start < now,
@@ -42,7 +41,3 @@
         step,
     }
 }
-
-fn remaining(spec: &Spec, step: u16) -> Duration {
-    spec.remaining_chain(step)
-}
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -3,7 +3,8 @@
 //! Steps are taken in the order of their [rank](super::order). The load that this answers: gangs
 //! that need several large places at once, among many small tasks that would take every place as it
 //! comes free. Room that a gang of better rank waits for is held against steps of lesser rank, and
-//! a task goes where it leaves the least room over.
+//! a task goes where it leaves the least room over. A gang whose permits are on their way keeps the
+//! room of its plan: else many gangs would call for permits that are of no use when they come.
 
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 use super::job::Place;
 use super::message::{Output, Start};
 use super::order::{self, Rank};
-use super::plan::{self, Candidate, Held};
+use super::plan::{self, Candidate, Held, Reservation};
 use super::record::Phase;
 use super::worker::{Attempt, State};
 use super::{Scheduler, Time, spec};
@@ -40,19 +41,40 @@
             if job.is_inherited && !is_surveyed {
                 continue;
             }
-            let is_urgent = !rank.is_patient;
-            let ignored = Held::new();
-            let visible = if is_urgent { &ignored } else { &held };
-            let wish = self.place_step(rank.step, visible, time, out);
-            if let Some(wish) = wish.filter(|_| holders < MAX_HOLDERS) {
-                holders += 1;
-                for (worker, amount) in wish {
-                    *held.entry(worker).or_default() += amount;
+            if self.is_waiting_for_advice(rank.step, time.now) {
+                continue;
+            }
+            let mut reservation = self.place_step(rank.step, &held, time, out);
+            if !rank.is_patient && !held.is_empty() && self.ready.contains(&rank.step) {
+                // What is urgent takes held room when there is no other.
+                reservation = self.place_step(rank.step, &Held::new(), time, out);
+            }
+            let room = match reservation {
+                Some(Reservation::Planned(room)) => room,
+                Some(Reservation::Wanted(room)) if holders < MAX_HOLDERS => {
+                    holders += 1;
+                    room
                 }
+                _ => continue,
+            };
+            for (worker, amount) in room {
+                *held.entry(worker).or_default() += amount;
             }
         }
     }
 
+    /// Whether nothing can be done for a step before the advisor has answered or can be called.
+    fn is_waiting_for_advice(&self, id: Step, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let Some(step) = job.step(id) else {
+            return false;
+        };
+        let is_judged = job.queue.advice.is_none() || !step.permits.workers.is_empty();
+        !is_judged && (step.permits.call.is_some() || !self.askers.has_idle(now))
+    }
+
     fn rank(&self, step: Step, time: Time) -> Option<Rank> {
         let job = self.jobs.get(&step.job)?;
         let began = match job.spec.due(step.occurrence) {
@@ -62,14 +84,14 @@
         Some(order::rank(job, step, began, time.now))
     }
 
-    /// Starts what can be started of a step and returns the room that it should wait for.
+    /// Starts what can be started of a step and returns the room that it should keep.
     fn place_step(
         &mut self,
         id: Step,
         held: &Held,
         time: Time,
         out: &mut Vec<Output>,
-    ) -> Option<Held> {
+    ) -> Option<Reservation> {
         let job = self.jobs.get(&id.job)?;
         let spec = Arc::clone(&job.spec);
         let spec = spec.steps.get(usize::from(id.index))?;
@@ -112,10 +134,17 @@
             let missing = waiting.len() - planned;
             self.ask_for(id, &candidates, &lacks_ticket, missing, need, time, out);
         }
-        if spec.gang && (planned == 0 || !lacks_ticket.is_empty()) {
-            return Some(plan::wish(&candidates, need, waiting.len(), needs_permit));
+        if !spec.gang {
+            None
+        } else if planned == 0 {
+            let room = plan::wish(&candidates, need, waiting.len(), needs_permit);
+            Some(Reservation::Wanted(room))
+        } else if is_startable {
+            None
+        } else {
+            let room = plan::planned(&candidates, &plan, need);
+            Some(Reservation::Planned(room))
         }
-        None
     }
 
     /// Calls the advisor about the tickets that a plan lacks and the workers it has not judged.
@@ -156,6 +185,7 @@
             return Vec::new();
         };
         let most = spec.max_per_worker.map_or(usize::MAX, usize::from);
+        let failed_on: Vec<Worker> = step.tasks.iter().filter_map(|task| task.failed_on).collect();
         let needs_permit = job.queue.advice.is_some();
         let mut candidates = Vec::new();
         for (key, worker) in &self.workers {
@@ -189,8 +219,8 @@
                 has_ticket: !needs_permit || step.permits.ticket(key, now).is_some(),
                 is_known: step.permits.verdict(key).is_some(),
                 is_remote: spec.data_rack.is_some() && spec.data_rack != worker.entry.rack,
-                has_failed: step.tasks.iter().any(|task| task.failed_on == Some(key)),
-                rack: worker.entry.rack.clone(),
+                has_failed: failed_on.contains(&key),
+                rack: worker.rack.clone(),
             });
         }
         candidates
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -4,6 +4,7 @@
 //! whole or not at all, and [`wish`] says which room a gang that does not fit should wait for.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use super::id::Worker;
 use super::spec;
@@ -12,6 +13,14 @@
 /// Room that steps of better rank hold, by worker.
 pub(super) type Held = HashMap<Worker, Amount>;
 
+/// Room that a gang keeps from steps of lesser rank.
+pub(super) enum Reservation {
+    /// It is free, and the gang starts there when its permits have come.
+    Planned(Held),
+    /// It is not all free yet.
+    Wanted(Held),
+}
+
 /// A worker that may run a step, room aside.
 pub(super) struct Candidate {
     pub(super) worker: Worker,
@@ -28,7 +37,7 @@
     pub(super) is_remote: bool,
     /// Whether a task of the step failed there: the next try tells whose fault it was.
     pub(super) has_failed: bool,
-    pub(super) rack: Option<String>,
+    pub(super) rack: Option<Arc<str>>,
 }
 
 impl Candidate {
@@ -106,7 +115,7 @@
         .filter(|&index| !needs_permit || candidates[index].is_known)
         .collect();
     if spec.same_rack {
-        let mut racks: Vec<&String> = usable
+        let mut racks: Vec<&Arc<str>> = usable
             .iter()
             .filter_map(|&index| candidates[index].rack.as_ref())
             .collect();
@@ -162,6 +171,15 @@
     Vec::new()
 }
 
+/// Returns the room that a plan takes.
+pub(super) fn planned(candidates: &[Candidate], plan: &[(u16, usize)], need: Amount) -> Held {
+    let mut held = Held::new();
+    for &(_, index) in plan {
+        *held.entry(candidates[index].worker).or_default() += need;
+    }
+    held
+}
+
 /// Returns the room that a gang of `tasks` should wait for: on permitted workers, the emptiest first.
 pub(super) fn wish(
     candidates: &[Candidate],
--- a/src/core/scheduler/spec.rs
+++ b/src/core/scheduler/spec.rs
@@ -190,8 +190,8 @@
         Some(schedule.first + schedule.interval * occurrence)
     }
 
-    /// Returns the estimated run time of the longest chain of steps from `step` to the end.
-    pub fn remaining_chain(&self, step: u16) -> Duration {
+    /// Returns the estimated run time of the longest chain of steps from each step to the end.
+    pub fn chains(&self) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
         for index in (0..self.steps.len()).rev() {
             let followers = self.steps.iter().enumerate().skip(index + 1);
@@ -202,14 +202,6 @@
                 .unwrap_or_default();
             longest[index] = self.steps[index].estimate + after;
         }
-        longest.get(usize::from(step)).copied().unwrap_or_default()
-    }
-
-    /// Returns the estimated run time of the job's longest chain of steps.
-    pub fn chain(&self) -> Duration {
-        (0..self.steps.len())
-            .map(|index| self.remaining_chain(index as u16))
-            .max()
-            .unwrap_or_default()
+        longest
     }
 }
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use laburnum_derive::{message, state, value};
@@ -87,6 +88,8 @@
 pub struct Worker {
     /// The directory's entry.
     pub entry: Entry,
+    /// The entry's rack, shared by the plans that name it.
+    pub rack: Option<Arc<str>>,
     /// Whether the directory lists it now.
     pub listed: bool,
     /// Whether it has answered this owner and not fallen silent since.
@@ -118,6 +121,7 @@
     /// Makes a worker that was first listed at `now`; it may hold leases up to `max_lease` long.
     pub fn new(entry: Entry, now: Instant, max_lease: Duration) -> Worker {
         Worker {
+            rack: entry.rack.as_deref().map(Arc::from),
             entry,
             listed: true,
             in_touch: false,
--- a/src/entry/owner/calls.rs
+++ b/src/entry/owner/calls.rs
@@ -1,6 +1,7 @@
 //! Calls that the scheduler decided on: to workers and to the advisor.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{debug, info, warn};
@@ -113,6 +114,7 @@
             known.map(|worker| worker.entry.name.clone()).collect()
         };
         let timeout = advice::CALL_GRACE + ask.cost;
+        let sent = self.clock.now();
         let link = self.askers.borrow().get(&ask.asker).cloned();
         let allowed = match link {
             Some(link) => {
@@ -120,12 +122,10 @@
                 match link.ask(Ask::Advise { step, workers }, timeout).await {
                     Ok(Tell::Advised { allowed, validity }) => {
                         let allowed = allowed.into_iter();
-                        Some((
-                            allowed
-                                .map(|(name, ticket)| (name, ticket.into()))
-                                .collect(),
-                            validity,
-                        ))
+                        let allowed: Vec<(String, Arc<str>)> = allowed
+                            .map(|(name, ticket)| (name, ticket.into()))
+                            .collect();
+                        Some((allowed, validity))
                     }
                     _ => None,
                 }
@@ -136,9 +136,16 @@
             }
             None => None,
         };
-        if allowed.is_none() {
-            self.refresh_askers();
-            warn!(self.log, "advisor did not answer"; "step" => %ask.step, "asker" => ask.asker.0);
+        let took_ms = self.clock.now().since(sent).as_millis() as u64;
+        match &allowed {
+            Some((allowed, _)) => info!(self.log, "advisor answered"; "step" => %ask.step,
+                "asker" => ask.asker.0, "named" => ask.workers.len(), "allowed" => allowed.len(),
+                "took_ms" => took_ms),
+            None => {
+                self.refresh_askers();
+                warn!(self.log, "advisor did not answer"; "step" => %ask.step,
+                    "asker" => ask.asker.0, "took_ms" => took_ms);
+            }
         }
         let (allowed, validity) = allowed.unzip();
         self.apply(Input::Advised {
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -29,6 +29,8 @@
 /// The pause between two readings of the directory: a worker that drains must get nothing new a few
 /// seconds later.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(400);
+/// How often the owner logs the load of its cell.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// How often it is measured whether decisions are late.
 const PACE_INTERVAL: Duration = Duration::from_millis(100);
 /// A mean delay above this hands the cell over: lookups are due within a few hundred milliseconds.
@@ -151,6 +153,7 @@
         self.is_open.set(true);
         self.tell_askers();
         let mut refreshed = self.clock.now();
+        let mut reported = self.clock.now();
         while !self.is_over() {
             self.turn();
             // Whatever else is ready goes into the same turn.
@@ -161,9 +164,22 @@
                 refreshed = self.clock.now();
                 self.refresh_askers();
             }
+            if self.clock.now().since(reported) >= REPORT_INTERVAL {
+                reported = self.clock.now();
+                self.report_load();
+            }
         }
     }
 
+    /// Logs how much there is to do, for whoever looks for the cause of a delay.
+    fn report_load(&self) {
+        let load = self.scheduler.borrow().load();
+        info!(self.log, "load of the cell"; "jobs" => load.jobs, "ready_steps" => load.ready_steps,
+            "waiting_cpu_millis" => load.waiting_cpu_millis, "workers" => load.workers,
+            "usable_workers" => load.usable_workers, "free_cpu_millis" => load.free_cpu_millis,
+            "used_cpu_millis" => load.used_cpu_millis, "askers" => self.askers());
+    }
+
     /// Does some work for as long as the ownership lasts.
     async fn until_over(self: Rc<Owner<P>>, work: impl Future<Output = ()>) {
         tokio::select! {
