Let gangs wait for the slots that are free first; call the advisor only for room

Cause: gangs without room called the advisor again and again (up to 14 calls of 0.7 s a step), and waited for whole workers to empty. A gang that waits now keeps the slots that will be free first, by the estimates of what runs there, and has its permits renewed just before; one that may not wait calls only if the answer could let it start. Placements are 5 ms apart. Steps of a completed occurrence no longer stay in the list of ready ones (some 100 after a takeover).

--- a/src/core/scheduler/advise.rs
+++ b/src/core/scheduler/advise.rs
@@ -1,5 +1,6 @@
 //! Calls to the advisor: which steps need one, and what its answers mean.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,11 +35,7 @@
         let Some(advice) = job.queue.advice else {
             return;
         };
-        let share = self
-            .permitted
-            .get(&job.queue.name)
-            .copied()
-            .unwrap_or(FIRST_GUESS);
+        let share = share_of(&self.permitted, &job.queue.name);
         let Some(state) = job.step_mut(step) else {
             return;
         };
@@ -76,6 +73,14 @@
         }));
     }
 
+    /// Returns the share of workers that the advisor usually permits for the queue of a step.
+    pub(super) fn permitted_share(&self, step: Step) -> f64 {
+        let job = self.jobs.get(&step.job);
+        job.map_or(FIRST_GUESS, |job| {
+            share_of(&self.permitted, &job.queue.name)
+        })
+    }
+
     pub(super) fn advised(
         &mut self,
         now: Instant,
@@ -155,3 +160,7 @@
         }
     }
 }
+
+fn share_of(permitted: &HashMap<String, f64>, queue: &str) -> f64 {
+    permitted.get(queue).copied().unwrap_or(FIRST_GUESS)
+}
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -44,6 +44,12 @@
 /// Placement is tried so often even when nothing happens: pauses end and surveys complete.
 const PLACE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often time-driven decisions are looked at when nothing happens.
+const TICK: Duration = Duration::from_millis(50);
+/// The pause between two placements, so that what comes in between is placed together: a placement
+/// looks at every waiting step, and a start is on its way for longer.
+const PLACE_PAUSE: Duration = Duration::from_millis(5);
+
 /// The bounds that the scheduler keeps to.
 #[message]
 #[derive(Copy)]
@@ -126,6 +132,8 @@
     is_dirty: bool,
     /// When tasks were placed last.
     placed_at: Instant,
+    /// Free processors that gangs kept then, in thousandths of a core.
+    held_cpu_millis: u64,
 }
 
 impl Scheduler {
@@ -153,6 +161,7 @@
             recovered_progress: HashMap::new(),
             is_dirty: true,
             placed_at: now,
+            held_cpu_millis: 0,
         }
     }
 
@@ -227,13 +236,25 @@
         self.expire_calls(time.now);
         self.forget_ended(time.now, out);
         self.note_workers(out);
-        let is_stale = time.now.since(self.placed_at) >= PLACE_INTERVAL && !self.ready.is_empty();
-        if std::mem::take(&mut self.is_dirty) || is_stale {
+        let since = time.now.since(self.placed_at);
+        let is_stale = since >= PLACE_INTERVAL && !self.ready.is_empty();
+        let is_due = self.is_dirty && (since >= PLACE_PAUSE || self.placed_at == self.began);
+        if is_due || is_stale {
+            self.is_dirty = false;
             self.placed_at = time.now;
             self.place(time, out);
         }
     }
 
+    /// Returns how long the next [`tick`](Scheduler::tick) can wait when nothing comes in.
+    pub fn rest(&self, now: Instant) -> Duration {
+        if self.is_dirty {
+            PLACE_PAUSE.saturating_sub(now.since(self.placed_at))
+        } else {
+            TICK
+        }
+    }
+
     /// Returns how a job of `queue` stands, as far as the log knows; `None` for an unknown one.
     pub fn phase(&self, job: id::Job, queue: &str) -> Option<Phase> {
         let job = self.jobs.get(&job).filter(|job| job.queue.name == queue)?;
@@ -272,6 +293,7 @@
             waiting_cpu_millis: self.ready.iter().map(|&step| self.waiting_cpu(step)).sum(),
             workers: self.workers.len(),
             usable_workers: usable.clone().count(),
+            held_cpu_millis: self.held_cpu_millis,
             free_cpu_millis: usable.clone().map(|worker| worker.free().cpu_millis).sum(),
             used_cpu_millis: usable.map(|worker| worker.used.cpu_millis).sum(),
         }
@@ -280,7 +302,8 @@
     /// Returns the processors that the waiting tasks of a step need, in thousandths of a core.
     fn waiting_cpu(&self, id: id::Step) -> u64 {
         let job = self.jobs.get(&id.job);
-        let found = job.and_then(|job| Some((job.step(id)?, &job.spec.steps[usize::from(id.index)])));
+        let found =
+            job.and_then(|job| Some((job.step(id)?, &job.spec.steps[usize::from(id.index)])));
         found.map_or(0, |(step, spec)| step.waiting as u64 * spec.need.cpu_millis)
     }
 
@@ -373,6 +396,8 @@
     pub workers: usize,
     /// Workers that may get new work.
     pub usable_workers: usize,
+    /// Free processors that gangs keep, in thousandths of a core.
+    pub held_cpu_millis: u64,
     /// Free processors of these, in thousandths of a core.
     pub free_cpu_millis: u64,
     /// Taken processors of these, in thousandths of a core.
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -7,20 +7,38 @@
 //! room of its plan: else many gangs would call for permits that are of no use when they come.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use super::advice::cost;
 use super::id::{Run, Step, Task, Worker};
 use super::job::Place;
 use super::message::{Output, Start};
 use super::order::{self, Rank};
-use super::plan::{self, Candidate, Held, Reservation};
+use super::plan::{self, Candidate, Held, Reservation, Slot};
 use super::record::Phase;
 use super::worker::{Attempt, State};
 use super::{Scheduler, Time, spec};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
-/// How many gangs may hold room at once; more would idle too much of the cell.
+/// How many gangs may wait for room at once; more would idle too much of the cell.
 const MAX_HOLDERS: usize = 3;
+/// A gang that would wait longer for room asks which further workers may run it.
+const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// Permits are called for so long before they are needed, beyond what the call takes: the way to the
+/// advisor and back, and a turn of placement.
+const RENEWAL_MARGIN: Duration = Duration::from_millis(150);
+
+/// What of a step waits for room.
+struct Demand {
+    step: Step,
+    waiting: Vec<u16>,
+    /// What one task needs.
+    need: Amount,
+    needs_permit: bool,
+    /// Whether the job's acceptance is in the log.
+    is_durable: bool,
+}
 
 impl Scheduler {
     /// Starts what can be started, in order of rank.
@@ -44,23 +62,29 @@
             if self.is_waiting_for_advice(rank.step, time.now) {
                 continue;
             }
-            let mut reservation = self.place_step(rank.step, &held, time, out);
+            let may_hold = holders < MAX_HOLDERS;
+            let mut reservation = self.place_step(rank.step, &held, may_hold, time, out);
             if !rank.is_patient && !held.is_empty() && self.ready.contains(&rank.step) {
                 // What is urgent takes held room when there is no other.
-                reservation = self.place_step(rank.step, &Held::new(), time, out);
+                reservation = self.place_step(rank.step, &Held::new(), may_hold, time, out);
             }
             let room = match reservation {
                 Some(Reservation::Planned(room)) => room,
-                Some(Reservation::Wanted(room)) if holders < MAX_HOLDERS => {
+                Some(Reservation::Wanted(room)) => {
                     holders += 1;
                     room
                 }
-                _ => continue,
+                None => continue,
             };
             for (worker, amount) in room {
                 *held.entry(worker).or_default() += amount;
             }
         }
+        self.held_cpu_millis = held
+            .iter()
+            .filter_map(|(&worker, room)| Some((self.workers.get(worker)?.free(), room)))
+            .map(|(free, room)| free.cpu_millis.min(room.cpu_millis))
+            .sum();
     }
 
     /// Whether nothing can be done for a step before the advisor has answered or can be called.
@@ -84,11 +108,13 @@
         Some(order::rank(job, step, began, time.now))
     }
 
-    /// Starts what can be started of a step and returns the room that it should keep.
+    /// Starts what can be started of a step and returns the room that it should keep. A gang without
+    /// room waits for some if it `may_hold`.
     fn place_step(
         &mut self,
         id: Step,
         held: &Held,
+        may_hold: bool,
         time: Time,
         out: &mut Vec<Output>,
     ) -> Option<Reservation> {
@@ -101,64 +127,175 @@
         if waiting.is_empty() || is_partial_gang {
             return None;
         }
-        let needs_permit = job.queue.advice.is_some();
-        let is_durable = job.is_durable;
-        let need = spec.room();
-        let candidates = self.candidates(id, spec, held, time.now);
-        let plan = if spec.gang {
-            plan::gang(&candidates, &waiting, need, spec, needs_permit)
-        } else {
-            plan::single(&candidates, &waiting, need, needs_permit)
+        let demand = Demand {
+            step: id,
+            waiting,
+            need: spec.room(),
+            needs_permit: job.queue.advice.is_some(),
+            is_durable: job.is_durable,
         };
-        let planned = plan.len();
-        let lacks_ticket: Vec<Worker> = {
-            let mut lacking: Vec<Worker> = plan
-                .iter()
-                .filter(|(_, index)| needs_permit && !candidates[*index].has_ticket)
-                .map(|(_, index)| candidates[*index].worker)
-                .collect();
-            lacking.sort_unstable();
-            lacking.dedup();
-            lacking
-        };
-        let is_startable = is_durable && (!spec.gang || lacks_ticket.is_empty());
-        if is_startable {
-            let ready: Vec<(u16, Worker)> = plan
-                .iter()
-                .filter(|(_, index)| !needs_permit || candidates[*index].has_ticket)
-                .map(|&(task, index)| (task, candidates[index].worker))
-                .collect();
-            self.start_all(id, &ready, need, time, out);
+        let candidates = self.candidates(id, spec, held, time.now);
+        if spec.gang {
+            return self.place_gang(&demand, spec, &candidates, may_hold, time, out);
+        }
+        self.place_singles(&demand, &candidates, time, out);
+        None
+    }
+
+    fn place_singles(
+        &mut self,
+        demand: &Demand,
+        candidates: &[Candidate],
+        time: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let plan = plan::single(
+            candidates,
+            &demand.waiting,
+            demand.need,
+            demand.needs_permit,
+        );
+        if demand.is_durable {
+            self.start_planned(demand, candidates, &plan, time, out);
         }
+        if demand.needs_permit {
+            let lacking = lacking_ticket(candidates, &plan);
+            let missing = demand.waiting.len() - plan.len();
+            self.ask_for(demand, candidates, &lacking, missing, time, out);
+        }
+    }
+
+    fn place_gang(
+        &mut self,
+        demand: &Demand,
+        spec: &spec::Step,
+        candidates: &[Candidate],
+        may_hold: bool,
+        time: Time,
+        out: &mut Vec<Output>,
+    ) -> Option<Reservation> {
+        let Demand {
+            need, needs_permit, ..
+        } = *demand;
+        let plan = plan::gang(candidates, &demand.waiting, need, spec, needs_permit);
+        if !plan.is_empty() {
+            let lacking = if needs_permit {
+                lacking_ticket(candidates, &plan)
+            } else {
+                Vec::new()
+            };
+            if demand.is_durable && lacking.is_empty() {
+                self.start_planned(demand, candidates, &plan, time, out);
+                return None;
+            }
+            self.ask_for(demand, candidates, &lacking, 0, time, out);
+            return Some(Reservation::Planned(plan::planned(candidates, &plan, need)));
+        }
+        let tasks = demand.waiting.len();
+        if !may_hold {
+            // A call is of use only if with its answer the gang could start.
+            if self.could_fit(demand, candidates) {
+                self.ask_for(demand, candidates, &[], tasks, time, out);
+            }
+            return None;
+        }
+        let slots = self.slots(candidates, demand, time.now);
+        let wish = plan::wish(slots, tasks, need, spec, candidates);
         if needs_permit {
-            let missing = waiting.len() - planned;
-            self.ask_for(id, &candidates, &lacks_ticket, missing, need, time, out);
+            let wait = wish.ready_at.since(time.now);
+            let lacking: Vec<Worker> = wish
+                .room
+                .keys()
+                .filter(|&&worker| !self.has_ticket(demand.step, worker, wish.ready_at))
+                .copied()
+                .collect();
+            let is_soon = wish.is_whole && wait <= self.call_cost(demand.step, lacking.len());
+            let lacking = if is_soon { lacking } else { Vec::new() };
+            let missing = if wish.is_whole && wait <= LONG_WAIT {
+                0
+            } else {
+                tasks
+            };
+            self.ask_for(demand, candidates, &lacking, missing, time, out);
         }
-        if !spec.gang {
-            None
-        } else if planned == 0 {
-            let room = plan::wish(&candidates, need, waiting.len(), needs_permit);
-            Some(Reservation::Wanted(room))
-        } else if is_startable {
-            None
-        } else {
-            let room = plan::planned(&candidates, &plan, need);
-            Some(Reservation::Planned(room))
+        Some(Reservation::Wanted(wish.room))
+    }
+
+    /// Starts the planned tasks whose workers need no further permit.
+    fn start_planned(
+        &mut self,
+        demand: &Demand,
+        candidates: &[Candidate],
+        plan: &[(u16, usize)],
+        time: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let ready: Vec<(u16, Worker)> = plan
+            .iter()
+            .filter(|(_, index)| !demand.needs_permit || candidates[*index].has_ticket)
+            .map(|&(task, index)| (task, candidates[index].worker))
+            .collect();
+        self.start_all(demand.step, &ready, demand.need, time, out);
+    }
+
+    /// Whether there is room for all waiting tasks on workers that are permitted or, by the usual
+    /// share, may be.
+    fn could_fit(&self, demand: &Demand, candidates: &[Candidate]) -> bool {
+        let places = |is_known: bool| -> usize {
+            let of_kind = candidates.iter();
+            let of_kind = of_kind.filter(|candidate| candidate.is_known == is_known);
+            of_kind.map(|candidate| candidate.fits(demand.need)).sum()
+        };
+        let likely = places(false) as f64 * self.permitted_share(demand.step);
+        places(true) + likely as usize >= demand.waiting.len()
+    }
+
+    /// Whether a permit for a worker holds at `at`.
+    fn has_ticket(&self, id: Step, worker: Worker, at: Instant) -> bool {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        step.is_some_and(|step| step.permits.ticket(worker, at).is_some())
+    }
+
+    /// Returns how long before its room is there a gang should call for `workers` permits.
+    fn call_cost(&self, id: Step, workers: usize) -> Duration {
+        let job = self.jobs.get(&id.job);
+        let advice = job.and_then(|job| job.queue.advice);
+        advice.map_or(Duration::ZERO, |advice| cost(&advice, workers)) + RENEWAL_MARGIN
+    }
+
+    /// Returns when permitted workers will have room for tasks, by the estimates of what runs there.
+    fn slots(&self, candidates: &[Candidate], demand: &Demand, now: Instant) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for (index, candidate) in candidates.iter().enumerate() {
+            if demand.needs_permit && !candidate.is_known {
+                continue;
+            }
+            let Some(worker) = self.workers.get(candidate.worker) else {
+                continue;
+            };
+            let most = candidate.most.min(demand.waiting.len());
+            let times = worker.room_times(candidate.free, demand.need, most, now);
+            slots.extend(times.into_iter().map(|at| Slot {
+                at,
+                candidate: index,
+            }));
         }
+        slots
     }
 
     /// Calls the advisor about the tickets that a plan lacks and the workers it has not judged.
-    #[allow(clippy::too_many_arguments, reason = "the parts of one plan")]
     fn ask_for(
         &mut self,
-        id: Step,
+        demand: &Demand,
         candidates: &[Candidate],
         lacks_ticket: &[Worker],
         missing: usize,
-        need: Amount,
         time: Time,
         out: &mut Vec<Output>,
     ) {
+        if lacks_ticket.is_empty() && missing == 0 {
+            return;
+        }
         let mut unknown: Vec<&Candidate> = candidates
             .iter()
             .filter(|candidate| !candidate.is_known)
@@ -169,11 +306,14 @@
                 std::cmp::Reverse(candidate.free.cpu_millis),
             )
         });
-        let places: usize = unknown.iter().map(|candidate| candidate.fits(need)).sum();
+        let places: usize = unknown
+            .iter()
+            .map(|candidate| candidate.fits(demand.need))
+            .sum();
         let per_worker = (places / unknown.len().max(1)).max(1);
         let wanted = missing.div_ceil(per_worker);
         let unknown: Vec<Worker> = unknown.iter().map(|candidate| candidate.worker).collect();
-        self.ask(id, lacks_ticket, &unknown, wanted, time, out);
+        self.ask(demand.step, lacks_ticket, &unknown, wanted, time, out);
     }
 
     /// Returns the workers that may run a step, with their free room.
@@ -185,7 +325,11 @@
             return Vec::new();
         };
         let most = spec.max_per_worker.map_or(usize::MAX, usize::from);
-        let failed_on: Vec<Worker> = step.tasks.iter().filter_map(|task| task.failed_on).collect();
+        let failed_on: Vec<Worker> = step
+            .tasks
+            .iter()
+            .filter_map(|task| task.failed_on)
+            .collect();
         let needs_permit = job.queue.advice.is_some();
         let mut candidates = Vec::new();
         for (key, worker) in &self.workers {
@@ -276,6 +420,7 @@
             return;
         };
         let payload = Arc::clone(&job.payload);
+        let estimate = job.spec.steps[usize::from(task.step.index)].estimate;
         let Some(step) = job.step_mut(task.step) else {
             return;
         };
@@ -287,6 +432,7 @@
             state: State::Starting,
             since: now,
             started: now,
+            estimate,
             stop_sent: None,
             stop_answered: None,
             percent: 0,
@@ -305,3 +451,15 @@
         });
     }
 }
+
+/// Returns the planned workers for which there is no permit that can be used now.
+fn lacking_ticket(candidates: &[Candidate], plan: &[(u16, usize)]) -> Vec<Worker> {
+    let mut lacking: Vec<Worker> = plan
+        .iter()
+        .filter(|(_, index)| !candidates[*index].has_ticket)
+        .map(|(_, index)| candidates[*index].worker)
+        .collect();
+    lacking.sort_unstable();
+    lacking.dedup();
+    lacking
+}
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -9,6 +9,7 @@
 use super::id::Worker;
 use super::spec;
 use crate::core::resource::Amount;
+use crate::core::time::Instant;
 
 /// Room that steps of better rank hold, by worker.
 pub(super) type Held = HashMap<Worker, Amount>;
@@ -180,29 +181,58 @@
     held
 }
 
-/// Returns the room that a gang of `tasks` should wait for: on permitted workers, the emptiest first.
+/// Room for one task that a worker has or will have.
+pub(super) struct Slot {
+    /// When.
+    pub(super) at: Instant,
+    /// The index of the worker's candidate.
+    pub(super) candidate: usize,
+}
+
+/// Room that a gang should wait for.
+pub(super) struct Wish {
+    /// By worker.
+    pub(super) room: Held,
+    /// When all of it should be free.
+    pub(super) ready_at: Instant,
+    /// Whether it is enough for the gang.
+    pub(super) is_whole: bool,
+}
+
+/// Returns the room that a gang of `tasks` should wait for: the slots that are free first, on one
+/// rack if the tasks should share one.
 pub(super) fn wish(
-    candidates: &[Candidate],
-    need: Amount,
+    slots: Vec<Slot>,
     tasks: usize,
-    needs_permit: bool,
-) -> Held {
-    let mut order: Vec<&Candidate> = candidates
-        .iter()
-        .filter(|candidate| !needs_permit || candidate.is_known)
-        .collect();
-    order.sort_by_key(|candidate| std::cmp::Reverse(candidate.free.cpu_millis));
-    let mut held = Held::new();
-    let mut left = tasks;
-    for candidate in order {
-        if left == 0 {
-            break;
-        }
-        let count = fits(candidate.capacity, need).min(candidate.most).min(left);
-        if count > 0 {
-            left -= count;
-            held.insert(candidate.worker, need.times(count as u64));
-        }
+    need: Amount,
+    spec: &spec::Step,
+    candidates: &[Candidate],
+) -> Wish {
+    if !spec.same_rack {
+        return first_slots(slots, tasks, need, candidates);
+    }
+    let mut by_rack: HashMap<Option<&Arc<str>>, Vec<Slot>> = HashMap::new();
+    for slot in slots {
+        let rack = candidates[slot.candidate].rack.as_ref();
+        by_rack.entry(rack).or_default().push(slot);
+    }
+    by_rack
+        .into_values()
+        .map(|slots| first_slots(slots, tasks, need, candidates))
+        .min_by_key(|wish| (!wish.is_whole, wish.ready_at))
+        .unwrap_or_else(|| first_slots(Vec::new(), tasks, need, candidates))
+}
+
+fn first_slots(mut slots: Vec<Slot>, tasks: usize, need: Amount, candidates: &[Candidate]) -> Wish {
+    slots.sort_by_key(|slot| slot.at);
+    slots.truncate(tasks);
+    let mut room = Held::new();
+    for slot in &slots {
+        *room.entry(candidates[slot.candidate].worker).or_default() += need;
+    }
+    Wish {
+        room,
+        ready_at: slots.last().map_or(Instant(0), |slot| slot.at),
+        is_whole: slots.len() == tasks,
     }
-    held
 }
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -1,6 +1,7 @@
 //! What becomes of single runs: started, seen, ended, stopped, lost.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::id::{self, Run, Task, Worker};
 use super::job::Place;
@@ -43,7 +44,7 @@
 
     /// Takes over a run of an earlier owner, or stops one that nobody wants.
     fn adopt(&mut self, key: Worker, task: Task, run: Run, time: Time, out: &mut Vec<Output>) {
-        let (need, is_wanted) = self.inherited_need(task);
+        let (need, estimate, is_wanted) = self.inherited_need(task);
         let state = if is_wanted {
             State::Running
         } else {
@@ -54,6 +55,7 @@
             state,
             since: time.now,
             started: time.now,
+            estimate,
             stop_sent: None,
             stop_answered: None,
             percent: 0,
@@ -78,17 +80,19 @@
         self.refresh_ready(task.step.job, time.now);
     }
 
-    /// Returns what an unexpected run takes, and whether its task waits for a run.
-    fn inherited_need(&self, task: Task) -> (Amount, bool) {
+    /// Returns what an unexpected run takes, for how long at most, and whether its task waits for a
+    /// run.
+    fn inherited_need(&self, task: Task) -> (Amount, Duration, bool) {
         let Some(job) = self.jobs.get(&task.step.job) else {
-            return (Amount::default(), false);
+            return (Amount::default(), Duration::ZERO, false);
         };
         let step = job.spec.steps.get(usize::from(task.step.index));
         let need = step.map(super::spec::Step::room).unwrap_or_default();
+        let estimate = step.map(|step| step.estimate).unwrap_or_default();
         let is_waiting = job
             .task(task)
             .is_some_and(|task| task.place == Place::Waiting);
-        (need, is_waiting && !job.phase.is_final())
+        (need, estimate, is_waiting && !job.phase.is_final())
     }
 
     fn keep_checkpoint(&mut self, task: Task, run: Run, checkpoint: Option<Arc<str>>) {
@@ -189,9 +193,9 @@
         for (worker, other) in others {
             self.stop_run_of(worker, other, id, time.now, out);
         }
+        self.refresh_ready(id, time.now);
         self.complete_if_done(id, time, out);
         self.note_progress(id, out);
-        self.refresh_ready(id, time.now);
     }
 
     fn task_failed(
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -16,6 +16,8 @@
 
 /// How much slower than ours a worker's clock may be; from the platform's description.
 const CLOCK_DRIFT: f64 = 0.02;
+/// What is left at least of a run whose end is not listed.
+const SHORTEST_REST: Duration = Duration::from_millis(100);
 /// Added to the computed end of a lease, for the time that killing takes.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -66,6 +68,8 @@
     pub since: Instant,
     /// When it was decided.
     pub started: Instant,
+    /// How long its client expected it to take.
+    pub estimate: Duration,
     /// When the last stop was sent, if any.
     pub stop_sent: Option<Instant>,
     /// When a stop was answered: a later start of this run is void.
@@ -74,6 +78,18 @@
     pub percent: u8,
 }
 
+impl Attempt {
+    /// Returns when it should end, at the pace that it has shown.
+    pub fn expected_end(&self, now: Instant) -> Instant {
+        let spent = now.since(self.started);
+        let left = match self.percent {
+            0 => self.estimate.saturating_sub(spent),
+            percent => spent.mul_f64(f64::from(100 - percent.min(100)) / f64::from(percent)),
+        };
+        now + left.max(SHORTEST_REST)
+    }
+}
+
 /// A reading of a worker's clock.
 #[value]
 struct Reading {
@@ -193,6 +209,38 @@
         Some(attempt)
     }
 
+    /// Returns when tasks that need `need` will have room, each after the one before, `most` at most;
+    /// `free` is what is free now.
+    pub fn room_times(
+        &self,
+        free: Amount,
+        need: Amount,
+        most: usize,
+        now: Instant,
+    ) -> Vec<Instant> {
+        let mut ends: Vec<(Instant, Amount)> = self
+            .attempts
+            .values()
+            .map(|attempt| (attempt.expected_end(now), attempt.need))
+            .collect();
+        ends.sort_unstable_by_key(|(end, _)| *end);
+        let mut times = Vec::new();
+        let mut room = free;
+        let mut at = now;
+        let mut ends = ends.into_iter();
+        loop {
+            while times.len() < most && need.fits(room) {
+                room -= need;
+                times.push(at);
+            }
+            let Some((end, amount)) = ends.next().filter(|_| times.len() < most) else {
+                return times;
+            };
+            room += amount;
+            at = end;
+        }
+    }
+
     /// Returns how many tasks of the step of `task` may be there.
     pub fn tasks_of(&self, step: super::id::Step) -> usize {
         let tasks = self.attempts.keys();
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -24,8 +24,8 @@
 use crate::util::clock::Clock;
 use crate::util::metric::{Metrics, label};
 
-/// How often time-driven decisions are looked at when nothing happens.
-const TICK: Duration = Duration::from_millis(50);
+/// How often it is looked at which links have closed.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause between two readings of the directory: a worker that drains must get nothing new a few
 /// seconds later.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(400);
@@ -158,9 +158,10 @@
             self.turn();
             // Whatever else is ready goes into the same turn.
             tokio::task::yield_now().await;
+            let rest = self.scheduler.borrow().rest(self.clock.now());
             // Without an event, time-driven decisions are looked at.
-            let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
-            if self.clock.now().since(refreshed) >= TICK {
+            let _ = tokio::time::timeout(rest, self.wake.notified()).await;
+            if self.clock.now().since(refreshed) >= REFRESH_INTERVAL {
                 refreshed = self.clock.now();
                 self.refresh_askers();
             }
@@ -177,6 +178,7 @@
         info!(self.log, "load of the cell"; "jobs" => load.jobs, "ready_steps" => load.ready_steps,
             "waiting_cpu_millis" => load.waiting_cpu_millis, "workers" => load.workers,
             "usable_workers" => load.usable_workers, "free_cpu_millis" => load.free_cpu_millis,
+            "held_cpu_millis" => load.held_cpu_millis,
             "used_cpu_millis" => load.used_cpu_millis, "askers" => self.askers());
     }
 
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -17,6 +17,9 @@
 /// Where the time of day starts.
 const MORNING: u64 = 1_700_000_000_000;
 
+/// No placement waits longer for what else comes in.
+const PLACE_PAUSE: Duration = Duration::from_millis(5);
+
 pub(crate) fn rules() -> Rules {
     Rules {
         lease: Duration::from_millis(4_500),
@@ -150,6 +153,8 @@
     }
 
     pub(super) fn tick(&mut self) {
+        // A placement waits for a moment after the one before.
+        self.now = self.now + self.scheduler.rest(self.now).min(PLACE_PAUSE);
         let mut out = Vec::new();
         self.scheduler.tick(self.time(), &mut out);
         self.take(out);
