Overlap slow appends; place on workers with room only; rank late work by use

Up to four appends are under way now, steps without a durable record call once, placement looks only at workers with room, and steps that ask about equal workers name different ones.

Late steps were taken oldest first, which is to say the useless ones first: what can still be done within three times its objective now comes before what can't. Members of a gang went on from checkpoints of their own; they share one now.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -35,12 +35,23 @@
     pub place: Place,
     /// The runs that failed.
     pub failed: Vec<Run>,
-    /// The newest checkpoint known.
-    pub checkpoint: Option<Arc<str>>,
+    /// The newest checkpoint known. The first task of a gang has that of the whole gang.
+    pub checkpoint: Option<Checkpoint>,
     /// The worker that the last run failed on.
     pub failed_on: Option<Worker>,
 }
 
+/// A checkpoint, and how far it goes.
+#[state]
+pub struct Checkpoint {
+    /// Shown to the worker at the next start.
+    pub value: Arc<str>,
+    /// The run that saved it.
+    pub run: Run,
+    /// How much of the work was done when it was seen, in percent.
+    pub percent: u8,
+}
+
 /// A step of an occurrence.
 #[state]
 pub struct Step {
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -6,6 +6,8 @@
 //! a task goes where it leaves the least room over. A gang whose permits are on their way keeps the
 //! room of its plan: else many gangs would call for permits that are of no use when they come.
 
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +52,7 @@
             .filter_map(|&step| self.rank(step, time))
             .collect();
         ranks.sort_unstable();
+        let pools = self.pools(time.now);
         let mut held = Held::new();
         let mut holders = 0;
         for rank in ranks {
@@ -59,14 +62,18 @@
             if job.is_inherited && !is_surveyed {
                 continue;
             }
-            if self.is_waiting_for_advice(rank.step, time.now) {
+            if self.is_blocked(rank.step, time.now) {
                 continue;
             }
+            let Some(pool) = pools.get(&job.queue.service) else {
+                continue;
+            };
             let may_hold = holders < MAX_HOLDERS;
-            let mut reservation = self.place_step(rank.step, &held, may_hold, time, out);
+            let mut reservation = self.place_step(rank.step, pool, &held, may_hold, time, out);
             if !rank.is_patient && !held.is_empty() && self.ready.contains(&rank.step) {
                 // What is urgent takes held room when there is no other.
-                reservation = self.place_step(rank.step, &Held::new(), may_hold, time, out);
+                let none = Held::new();
+                reservation = self.place_step(rank.step, pool, &none, may_hold, time, out);
             }
             let room = match reservation {
                 Some(Reservation::Planned(room)) => room,
@@ -87,16 +94,37 @@
             .sum();
     }
 
-    /// Whether nothing can be done for a step before the advisor has answered or can be called.
-    fn is_waiting_for_advice(&self, id: Step, now: Instant) -> bool {
+    /// Returns the workers that may get new work, by service.
+    fn pools(&self, now: Instant) -> HashMap<String, Vec<Worker>> {
+        let mut pools: HashMap<String, Vec<Worker>> = HashMap::new();
+        for (key, worker) in &self.workers {
+            if !worker.is_usable() || !worker.record.permits(now, worker.attempts.len()) {
+                continue;
+            }
+            match pools.get_mut(&worker.entry.service) {
+                Some(pool) => pool.push(key),
+                None => {
+                    pools.insert(worker.entry.service.clone(), vec![key]);
+                }
+            }
+        }
+        pools
+    }
+
+    /// Whether nothing can be done for a step now: the advisor has to answer or be free first, or
+    /// the job's acceptance to be in the log.
+    fn is_blocked(&self, id: Step, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
-            return false;
+            return true;
         };
         let Some(step) = job.step(id) else {
-            return false;
+            return true;
         };
         let is_judged = job.queue.advice.is_none() || !step.permits.workers.is_empty();
-        !is_judged && (step.permits.call.is_some() || !self.askers.has_idle(now))
+        if is_judged {
+            return !job.is_durable;
+        }
+        step.permits.call.is_some() || !self.askers.has_idle(now)
     }
 
     fn rank(&self, step: Step, time: Time) -> Option<Rank> {
@@ -113,6 +141,7 @@
     fn place_step(
         &mut self,
         id: Step,
+        pool: &[Worker],
         held: &Held,
         may_hold: bool,
         time: Time,
@@ -134,12 +163,17 @@
             needs_permit: job.queue.advice.is_some(),
             is_durable: job.is_durable,
         };
-        let candidates = self.candidates(id, spec, held, time.now);
-        if spec.gang {
-            return self.place_gang(&demand, spec, &candidates, may_hold, time, out);
+        let candidates = self.candidates(&demand, spec, pool, held, true, time.now);
+        if !spec.gang {
+            self.place_singles(&demand, &candidates, time, out);
+            return None;
         }
-        self.place_singles(&demand, &candidates, time, out);
-        None
+        let planned = self.place_gang(&demand, spec, &candidates, may_hold, time, out);
+        if planned.is_some() || !may_hold || !self.ready.contains(&id) {
+            return planned;
+        }
+        let candidates = self.candidates(&demand, spec, pool, held, false, time.now);
+        Some(self.wait_for_room(&demand, spec, &candidates, time, out))
     }
 
     fn place_singles(
@@ -191,14 +225,28 @@
             self.ask_for(demand, candidates, &lacking, 0, time, out);
             return Some(Reservation::Planned(plan::planned(candidates, &plan, need)));
         }
-        let tasks = demand.waiting.len();
-        if !may_hold {
-            // A call is of use only if with its answer the gang could start.
-            if self.could_fit(demand, candidates) {
-                self.ask_for(demand, candidates, &[], tasks, time, out);
-            }
-            return None;
+        // A call is of use only if with its answer the gang could start.
+        if !may_hold && self.could_fit(demand, candidates) {
+            let tasks = demand.waiting.len();
+            self.ask_for(demand, candidates, &[], tasks, time, out);
         }
+        None
+    }
+
+    /// Keeps the room that will be free first for a gang, and sees to it that it has its permits
+    /// by then.
+    fn wait_for_room(
+        &mut self,
+        demand: &Demand,
+        spec: &spec::Step,
+        candidates: &[Candidate],
+        time: Time,
+        out: &mut Vec<Output>,
+    ) -> Reservation {
+        let Demand {
+            need, needs_permit, ..
+        } = *demand;
+        let tasks = demand.waiting.len();
         let slots = self.slots(candidates, demand, time.now);
         let wish = plan::wish(slots, tasks, need, spec, candidates);
         if needs_permit {
@@ -218,7 +266,7 @@
             };
             self.ask_for(demand, candidates, &lacking, missing, time, out);
         }
-        Some(Reservation::Wanted(wish.room))
+        Reservation::Wanted(wish.room)
     }
 
     /// Starts the planned tasks whose workers need no further permit.
@@ -300,10 +348,13 @@
             .iter()
             .filter(|candidate| !candidate.is_known)
             .collect();
-        unknown.sort_by_key(|candidate| {
+        // Workers with room for much come first; among equals, each step asks about others, so that
+        // a burst of steps does not ask for the same few.
+        unknown.sort_by_cached_key(|candidate| {
             (
                 candidate.is_remote,
-                std::cmp::Reverse(candidate.free.cpu_millis),
+                std::cmp::Reverse(candidate.fits(demand.need).min(missing)),
+                spread(demand.step, candidate.worker),
             )
         });
         let places: usize = unknown
@@ -316,12 +367,20 @@
         self.ask(demand.step, lacks_ticket, &unknown, wanted, time, out);
     }
 
-    /// Returns the workers that may run a step, with their free room.
-    fn candidates(&self, id: Step, spec: &spec::Step, held: &Held, now: Instant) -> Vec<Candidate> {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return Vec::new();
-        };
-        let Some(step) = job.step(id) else {
+    /// Returns the workers of a pool that may run a step, with their free room; only those that have
+    /// room for a task now, or all.
+    fn candidates(
+        &self,
+        demand: &Demand,
+        spec: &spec::Step,
+        pool: &[Worker],
+        held: &Held,
+        only_with_room: bool,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let id = demand.step;
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        let Some(step) = step else {
             return Vec::new();
         };
         let most = spec.max_per_worker.map_or(usize::MAX, usize::from);
@@ -330,38 +389,38 @@
             .iter()
             .filter_map(|task| task.failed_on)
             .collect();
-        let needs_permit = job.queue.advice.is_some();
         let mut candidates = Vec::new();
-        for (key, worker) in &self.workers {
-            if !worker.is_usable()
-                || worker.entry.service != job.queue.service
-                || !worker.record.permits(now, worker.attempts.len())
-                || spec
-                    .label
-                    .as_ref()
-                    .is_some_and(|label| !worker.entry.labels.contains(label))
-                || step.permits.verdict(key) == Some(false)
-            {
+        for &key in pool {
+            let Some(worker) = self.workers.get(key) else {
                 continue;
-            }
-            let there = if most == usize::MAX {
-                0
-            } else {
-                worker.tasks_of(id)
             };
+            let held = held.get(&key).copied().unwrap_or_default();
+            let free = worker.free() - held;
+            if only_with_room && !demand.need.fits(free) {
+                continue;
+            }
+            let verdict = step.permits.verdict(key);
+            let lacks_label = spec
+                .label
+                .as_ref()
+                .is_some_and(|label| !worker.entry.labels.contains(label));
+            if lacks_label || verdict == Some(false) {
+                continue;
+            }
             let most = if worker.record.is_suspect() {
                 1
+            } else if most == usize::MAX {
+                most
             } else {
-                most.saturating_sub(there)
+                most.saturating_sub(worker.tasks_of(id))
             };
-            let held = held.get(&key).copied().unwrap_or_default();
             candidates.push(Candidate {
                 worker: key,
-                free: worker.free() - held,
+                free,
                 capacity: worker.entry.capacity,
                 most,
-                has_ticket: !needs_permit || step.permits.ticket(key, now).is_some(),
-                is_known: step.permits.verdict(key).is_some(),
+                has_ticket: !demand.needs_permit || step.permits.ticket(key, now).is_some(),
+                is_known: verdict.is_some(),
                 is_remote: spec.data_rack.is_some() && spec.data_rack != worker.entry.rack,
                 has_failed: failed_on.contains(&key),
                 rack: worker.rack.clone(),
@@ -420,19 +479,26 @@
             return;
         };
         let payload = Arc::clone(&job.payload);
-        let estimate = job.spec.steps[usize::from(task.step.index)].estimate;
+        let spec = Arc::clone(&job.spec);
+        let spec = &spec.steps[usize::from(task.step.index)];
         let Some(step) = job.step_mut(task.step) else {
             return;
         };
         let ticket = step.permits.ticket(key, now).cloned();
-        let checkpoint = step.tasks[usize::from(task.index)].checkpoint.clone();
+        let saver = if spec.gang {
+            0
+        } else {
+            usize::from(task.index)
+        };
+        let checkpoint = step.tasks[saver].checkpoint.as_ref();
+        let checkpoint = checkpoint.map(|checkpoint| Arc::clone(&checkpoint.value));
         step.set(task.index, Place::Active { worker: key, run });
         let attempt = Attempt {
             need,
             state: State::Starting,
             since: now,
             started: now,
-            estimate,
+            estimate: spec.estimate,
             stop_sent: None,
             stop_answered: None,
             percent: 0,
@@ -463,3 +529,10 @@
     lacking.dedup();
     lacking
 }
+
+/// Returns a number that orders workers differently for each step.
+fn spread(step: Step, worker: Worker) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (step.job.0, step.index, worker).hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::id::{self, Run, Task, Worker};
-use super::job::Place;
+use super::job::{Checkpoint, Place};
 use super::message::{Ended, How, Outcome, Output, Refusal, Running};
 use super::record::Phase;
 use super::worker::{Attempt, State};
@@ -12,6 +12,9 @@
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
+/// All of a run's work.
+const ALL_PERCENT: u8 = 100;
+
 impl Scheduler {
     /// Takes in a run that a worker lists as running.
     pub(super) fn seen_running(
@@ -27,7 +30,7 @@
             checkpoint,
             percent,
         } = running;
-        self.keep_checkpoint(task, run, checkpoint);
+        self.keep_checkpoint(task, run, checkpoint, percent);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -95,20 +98,31 @@
         (need, estimate, is_waiting && !job.phase.is_final())
     }
 
-    fn keep_checkpoint(&mut self, task: Task, run: Run, checkpoint: Option<Arc<str>>) {
-        let (Some(checkpoint), Some(job)) = (checkpoint, self.jobs.get_mut(&task.step.job)) else {
-            return;
-        };
-        let Some(step) = job.step_mut(task.step) else {
+    /// Keeps a checkpoint, unless a newer one is known: an older one would set the work back. All
+    /// members of a gang go on from the same one.
+    fn keep_checkpoint(&mut self, task: Task, run: Run, value: Option<Arc<str>>, percent: u8) {
+        let (Some(value), Some(job)) = (value, self.jobs.get_mut(&task.step.job)) else {
             return;
         };
-        let Some(task) = step.tasks.get_mut(usize::from(task.index)) else {
+        let spec = job.spec.steps.get(usize::from(task.step.index));
+        let is_gang = spec.is_some_and(|spec| spec.gang);
+        let index = if is_gang { 0 } else { usize::from(task.index) };
+        let state = job
+            .step_mut(task.step)
+            .and_then(|step| step.tasks.get_mut(index));
+        let Some(state) = state else {
             return;
         };
-        // An older run's checkpoint would set the work back.
-        let is_older = matches!(task.place, Place::Active { run: current, .. } if current > run);
-        if !is_older && task.checkpoint.as_deref() != Some(&*checkpoint) {
-            task.checkpoint = Some(checkpoint);
+        let known = state
+            .checkpoint
+            .as_ref()
+            .map(|known| (known.run, known.percent));
+        if known <= Some((run, percent)) {
+            state.checkpoint = Some(Checkpoint {
+                value,
+                run,
+                percent,
+            });
         }
     }
 
@@ -140,7 +154,8 @@
             run,
             how,
         });
-        self.keep_checkpoint(task, run, checkpoint);
+        // What a run saved at its end is the newest of it.
+        self.keep_checkpoint(task, run, checkpoint, ALL_PERCENT);
         match how {
             How::Done => self.task_done(key, task, run, time, out),
             How::Failed => self.task_failed(key, task, run, time, out),
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -23,6 +23,10 @@
     pub(super) refusals: Cell<u32>,
     /// How many more appends are done without an answer.
     pub(super) lost_answers: Cell<u32>,
+    /// Whether appends with records wait before they are taken.
+    pub(super) is_slow: Cell<bool>,
+    /// How many appends wait.
+    pub(super) waiting: Cell<u32>,
     /// The number of the next append.
     sequence: Cell<u64>,
     /// The highest token that has written.
@@ -38,6 +42,13 @@
         let Guard::Writer { token, sequence } = guard else {
             return Appended::Done;
         };
+        if state.is_slow.get() && !records.is_empty() {
+            state.waiting.set(state.waiting.get() + 1);
+            while state.is_slow.get() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            state.waiting.set(state.waiting.get() - 1);
+        }
         if state.refusals.get() > 0 && !records.is_empty() {
             state.refusals.set(state.refusals.get() - 1);
             return Appended::Refused;
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -19,6 +19,8 @@
 
 /// More refusals than the writer takes before the log counts as away.
 const MANY: u32 = 50;
+/// How many appends are under way at most: the log recognizes the repeats of five.
+const MOST_APPENDS: u32 = 4;
 /// Refusals until just after the log counts as away: 0.6 s of tries 0.1 s apart.
 const UNTIL_AWAY: u32 = 7;
 
@@ -120,6 +122,33 @@
     });
 }
 
+#[test]
+fn record_does_not_wait_for_a_slow_append_before_it() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        platform.0.is_slow.set(true);
+        let jobs = (1..=8).map(|job| {
+            let owner = Rc::clone(&owner);
+            actix_rt::spawn(async move { owner.serve(submit(job)).await })
+        });
+        let mut answers = Vec::new();
+        for (index, answer) in jobs.enumerate() {
+            answers.push(answer);
+            let under_way = (index as u32 + 1).min(MOST_APPENDS);
+            while platform.0.waiting.get() < under_way {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+        assert_eq!(platform.0.waiting.get(), MOST_APPENDS);
+        platform.0.is_slow.set(false);
+        for answer in answers {
+            assert_eq!(answer.await.unwrap(), Ok(Tell::Accepted));
+        }
+        assert_eq!(platform.0.jobs.borrow().len(), 8);
+    });
+}
+
 #[test]
 fn later_owner_ends_the_former_one() {
     actix_rt::System::new().block_on(async {
--- a/tests/testsuite/scheduler/advice.rs
+++ b/tests/testsuite/scheduler/advice.rs
@@ -4,10 +4,12 @@
 
 use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::advice::{Asker, Askers};
-use laburnumplank::core::scheduler::spec::Advice;
+use laburnumplank::core::scheduler::id::{Step, Worker};
+use laburnumplank::core::scheduler::message::How;
+use laburnumplank::core::scheduler::spec::{self, Advice, Queue};
 use laburnumplank::core::time::Instant;
 
-use super::cell::{Cell, queue, spec, step};
+use super::cell::{Cell, ended, queue, running, spec, step};
 
 const CALL: Duration = Duration::from_millis(400);
 
@@ -68,3 +70,152 @@
     assert_eq!(cell.starts.len(), 1);
     assert_eq!(cell.starts[0].1.ticket.as_deref(), Some("ticket"));
 }
+
+fn advised_queue() -> Queue {
+    let mut queue = queue();
+    queue.advice = Some(Advice {
+        base: CALL,
+        per_worker: Duration::from_millis(5),
+        validity: Duration::from_millis(2_500),
+    });
+    queue
+}
+
+fn gang(tasks: u16) -> spec::Step {
+    spec::Step {
+        gang: true,
+        ..step(tasks)
+    }
+}
+
+/// Makes a cell with workers `w1`, `w2`, … and many askers.
+fn advised_cell(workers: usize) -> (Cell, Vec<Worker>) {
+    let mut cell = Cell::new(1);
+    let workers = (1..=workers).map(|index| cell.add_worker(&format!("w{index}")));
+    let workers = workers.collect();
+    cell.input(Input::Askers((0..30).map(Asker).collect()));
+    (cell, workers)
+}
+
+/// Answers a call with permits for all that it names.
+fn permit_all(cell: &mut Cell, (asker, step, named): (Asker, Step, Vec<Worker>)) {
+    let names = named.iter().map(|&worker| {
+        let worker = cell.scheduler.worker(worker).unwrap();
+        (worker.entry.name.clone(), "ticket".into())
+    });
+    let allowed = Some(names.collect());
+    cell.input(Input::Advised {
+        asker,
+        step,
+        named,
+        allowed,
+        validity: Duration::from_millis(2_500),
+    });
+    cell.tick();
+}
+
+#[test]
+fn burst_before_the_log_answers_calls_once_a_step() {
+    let (mut cell, _) = advised_cell(4);
+    for job in 0..8 {
+        cell.submit(job, advised_queue(), spec(vec![step(2)]));
+    }
+    for call in std::mem::take(&mut cell.asks) {
+        permit_all(&mut cell, call);
+    }
+    for _ in 0..20 {
+        cell.wait(Duration::from_millis(20));
+    }
+    assert!(
+        cell.asks.is_empty(),
+        "the log is slow, the advisor is not to blame"
+    );
+    cell.confirm();
+    assert_eq!(cell.starts.len(), 16);
+}
+
+#[test]
+fn gang_keeps_the_room_of_its_plan_while_its_permits_are_on_their_way() {
+    let (mut cell, _) = advised_cell(2);
+    cell.submit(1, advised_queue(), spec(vec![gang(8)]));
+    cell.confirm();
+    let call = cell.asks.pop().unwrap();
+    permit_all(&mut cell, call);
+    let starts = cell.accept_starts();
+    assert_eq!(starts.len(), 8);
+    let mut patient = advised_queue();
+    patient.target = Duration::from_secs(60);
+    cell.submit(2, patient, spec(vec![gang(8)]));
+    cell.confirm();
+    let call = cell.asks.pop().unwrap();
+    cell.wait(Duration::from_secs(3));
+    permit_all(&mut cell, call);
+    cell.wait(Duration::from_secs(3));
+    let workers: Vec<Worker> = starts.iter().map(|(worker, _)| *worker).collect();
+    for worker in [workers[0], workers[7]] {
+        let mine = starts.iter().filter(|(other, _)| *other == worker);
+        let ends = mine
+            .enumerate()
+            .map(|(index, (_, start))| ended(index as u64 + 1, start, How::Done));
+        cell.look(worker, Vec::new(), ends.collect());
+    }
+    assert!(cell.starts.is_empty(), "the permits have ended");
+    let mut later = queue();
+    later.target = Duration::from_secs(600);
+    cell.submit(3, later, spec(vec![step(4)]));
+    cell.confirm();
+    assert!(cell.starts.is_empty(), "the room is the gang's");
+    let call = cell.asks.pop().unwrap();
+    permit_all(&mut cell, call);
+    assert_eq!(cell.starts.len(), 8);
+    assert!(
+        cell.starts
+            .iter()
+            .all(|(_, start)| start.task.step.job.0 == 2)
+    );
+}
+
+#[test]
+fn gang_waits_for_the_room_that_is_free_first() {
+    let mut cell = Cell::new(1);
+    for name in ["w1", "w2"] {
+        cell.add_worker(name);
+    }
+    // Half of each worker is free after a second, the rest after a minute.
+    let mut long = step(2);
+    long.estimate = Duration::from_secs(60);
+    for (job, step) in [(1, long.clone()), (2, step(2)), (3, long), (4, step(2))] {
+        cell.submit(job, queue(), spec(vec![step]));
+        cell.confirm();
+    }
+    let starts = cell.accept_starts();
+    let mut tight = queue();
+    tight.slack_factor = 1.1;
+    cell.submit(5, tight, spec(vec![gang(4)]));
+    cell.submit(6, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    for job in [4, 2] {
+        assert!(cell.starts.is_empty(), "the room is kept for the gang");
+        let ended_tasks: Vec<_> = starts
+            .iter()
+            .filter(|(_, start)| start.task.step.job.0 == job)
+            .collect();
+        let worker = ended_tasks[0].0;
+        assert!(ended_tasks.iter().all(|(other, _)| *other == worker));
+        let rest = starts
+            .iter()
+            .filter(|(other, start)| *other == worker && start.task.step.job.0 != job);
+        let rest = rest.map(|(_, start)| running(start)).collect();
+        let ends = ended_tasks
+            .iter()
+            .enumerate()
+            .map(|(index, (_, start))| ended(index as u64 + 1, start, How::Done));
+        cell.look(worker, rest, ends.collect());
+    }
+    assert_eq!(cell.starts.len(), 4);
+    assert!(
+        cell.starts
+            .iter()
+            .all(|(_, start)| start.task.step.job.0 == 5)
+    );
+}
--- a/tests/testsuite/scheduler/order.rs
+++ b/tests/testsuite/scheduler/order.rs
@@ -50,3 +50,17 @@
             .all(|(_, start)| start.task.step.job.0 == 2)
     );
 }
+
+#[test]
+fn step_that_is_of_no_use_any_more_goes_after_one_that_is_late() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    cell.wait(Duration::from_secs(10));
+    cell.submit(2, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    cell.wait(Duration::from_secs(5));
+    cell.add_worker("w1");
+    let mut jobs = cell.starts.iter().map(|(_, start)| start.task.step.job.0);
+    assert!(jobs.all(|job| job == 2));
+}
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use laburnumplank::core::scheduler::Input;
-use laburnumplank::core::scheduler::id::{Job, Request};
-use laburnumplank::core::scheduler::message::{How, Outcome, Refusal};
+use laburnumplank::core::scheduler::id::{Job, Request, Worker};
+use laburnumplank::core::scheduler::message::{Ended, How, Outcome, Refusal, Running};
 use laburnumplank::core::scheduler::record::Phase;
 
 use super::cell::{Cell, ended, queue, running, spec, step, task};
@@ -201,3 +201,47 @@
     });
     assert!(cell.is_superseded);
 }
+
+#[test]
+fn gang_goes_on_from_one_checkpoint() {
+    let mut cell = Cell::new(1);
+    let workers = ["w1", "w2"].map(|name| cell.add_worker(name));
+    let mut gang = step(8);
+    gang.gang = true;
+    gang.checkpoints = true;
+    cell.submit(7, queue(), spec(vec![gang]));
+    cell.confirm();
+    let starts = cell.accept_starts();
+    let seen = |worker: Worker, percent: u8, value: &str| -> Vec<Running> {
+        let there = starts.iter().filter(|(other, _)| *other == worker);
+        let runs = there.map(|(_, start)| Running {
+            percent,
+            checkpoint: Some(value.into()),
+            ..running(start)
+        });
+        runs.collect()
+    };
+    let reports = [
+        (workers[0], seen(workers[0], 40, "new")),
+        (workers[1], seen(workers[1], 20, "old")),
+    ];
+    for (worker, runs) in reports.clone() {
+        cell.look(worker, runs, Vec::new());
+    }
+    for (worker, runs) in reports {
+        let ends = runs.into_iter().enumerate().map(|(index, run)| Ended {
+            number: index as u64 + 1,
+            task: run.task,
+            run: run.run,
+            how: How::Broken,
+            checkpoint: None,
+        });
+        cell.look(worker, Vec::new(), ends.collect());
+    }
+    assert_eq!(cell.starts.len(), 8);
+    let mut values = cell
+        .starts
+        .iter()
+        .map(|(_, start)| start.checkpoint.as_deref());
+    assert!(values.all(|value| value == Some("new")));
+}
