Try unanswered appends again at once; notice the log's return within 150 ms

The first append is tried again after 300 ms without an answer, under the same number; after 900 ms the log counts as away; then it is probed every 150 ms. An entry whose link to the owner closes counts the owner as unreachable at once.

Ruled out: Retry-After (clients come back after 1.07, 0.7, 0.6 and 0.3 s).

--- a/src/entry/control/links.rs
+++ b/src/entry/control/links.rs
@@ -86,7 +86,10 @@
                 }
             };
             tokio::select! {
-                () = carried => {}
+                () = carried => {
+                    // Until it can be dialled again, its silence in the log counts for more.
+                    self.elector.borrow_mut().note_reachable(claim.token, false);
+                }
                 () = replaced => {}
             }
             info!(self.log, "link to the owner is down"; "owner" => &claim.owner.name, "token" => claim.token.0);
--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -13,6 +13,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use laburnum_derive::value;
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
@@ -30,8 +31,17 @@
 const OVERTAKEN_PAUSE: Duration = Duration::from_millis(15);
 /// The most appends under way; the log remembers the last five to recognize repeats.
 const MAX_UNDER_WAY: usize = 4;
+/// An append without an answer is tried once more after so long: a slow log answers within 240 ms.
+const HEDGE_AFTER: Duration = Duration::from_millis(300);
+/// The most tries of one append, or probes, under way.
+const MAX_TRIES: usize = 5;
+/// From one probe of a log that is away to the next: what clients try meanwhile is refused.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// The log counts as away when an append is not answered at all for so long: at its slowest, four
+/// appends take 720 ms.
+const SILENT_AFTER: Duration = Duration::from_millis(900);
 /// Timers are no finer.
-const LAUNCH_PAUSE: Duration = Duration::from_millis(1);
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
 /// The log counts as away when an append has been under way for so long.
 const AWAY_AFTER: Duration = Duration::from_millis(600);
 /// The owner is told that the log refuses it when every try of an append was refused for so long: a
@@ -122,8 +132,10 @@
     sequence: u64,
     /// When it was sent first.
     began: Instant,
-    /// Whether a try is under way.
-    is_trying: bool,
+    /// When the last try left.
+    tried_at: Instant,
+    /// How many tries are under way.
+    tries: usize,
     /// Whether the log may have it, although no try was answered with success.
     is_in_doubt: bool,
     /// Whether the log has it.
@@ -147,6 +159,19 @@
     next_start: Instant,
     /// Whether the log takes no appends.
     is_away: bool,
+    /// When the log was probed last, while it is away.
+    probed_at: Instant,
+    /// How many probes are under way.
+    probes: usize,
+}
+
+/// What an append is for.
+#[value]
+enum Purpose {
+    /// The batch of this number.
+    Batch(u64),
+    /// To see whether the log takes appends again; it has no records.
+    Probe,
 }
 
 /// Writes what is put into `queue` until a later owner is found. `told` hears of what is in the log.
@@ -171,30 +196,25 @@
         written: Mark(0),
         next_start: Instant(0),
         is_away: false,
+        probed_at: Instant(0),
+        probes: 0,
     };
     let mut tries = FuturesUnordered::new();
     loop {
-        while let Some(sequence) = pipeline.launch() {
-            tries.push(pipeline.attempt(sequence, Duration::ZERO));
-        }
-        if pipeline.batches.is_empty() && pipeline.is_away {
-            // Nothing new is accepted while the log is away, so nothing else would show its return.
-            if !pipeline.probe().await {
-                return;
-            }
-            continue;
+        while let Some(purpose) = pipeline.next_try() {
+            tries.push(pipeline.attempt(purpose, Duration::ZERO));
         }
-        let pause = pipeline.next_start.since(clock.now()).max(LAUNCH_PAUSE);
+        let pause = pipeline.pause();
         tokio::select! {
-            Some((sequence, outcome)) = tries.next(), if !tries.is_empty() => {
-                match pipeline.answered(sequence, outcome) {
-                    Next::Retry(pause) => tries.push(pipeline.attempt(sequence, pause)),
+            Some((purpose, outcome)) = tries.next(), if !tries.is_empty() => {
+                match pipeline.answered(purpose, outcome) {
+                    Next::Retry(pause) => tries.push(pipeline.attempt(purpose, pause)),
                     Next::Nothing => {}
                     Next::Stop => return,
                 }
             }
             () = queue.filled.notified(), if !pipeline.is_full() => {}
-            () = tokio::time::sleep(pause), if pipeline.is_launch_due() => {}
+            () = tokio::time::sleep(pause.unwrap_or_default()), if pause.is_some() => {}
         }
     }
 }
@@ -214,14 +234,76 @@
         self.is_away || self.batches.len() >= MAX_UNDER_WAY
     }
 
-    /// Whether records wait only for the interval between two appends to pass.
-    fn is_launch_due(&self) -> bool {
-        !self.is_full() && !self.queue.is_empty()
+    /// Returns how long to wait for the next try that is due by the clock, if any is to come.
+    fn pause(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let launch = (!self.is_full() && !self.queue.is_empty()).then_some(self.next_start);
+        let hedge = self
+            .batches
+            .front()
+            .filter(|batch| batch.tries < MAX_TRIES)
+            .map(|batch| batch.tried_at + HEDGE_AFTER);
+        let away = self
+            .batches
+            .front()
+            .filter(|_| !self.is_away)
+            .map(|batch| batch.began + SILENT_AFTER);
+        let probe = self
+            .is_probe_due()
+            .then_some(self.probed_at + PROBE_INTERVAL);
+        let due = [launch, hedge, away, probe].into_iter().flatten().min()?;
+        Some(due.since(now).max(LEAST_PAUSE))
+    }
+
+    fn is_probe_due(&self) -> bool {
+        self.is_away && self.batches.is_empty() && self.probes < MAX_TRIES
     }
 
-    /// Takes a batch from the queue, if one may be sent now, and returns its number.
-    fn launch(&mut self) -> Option<u64> {
+    /// Returns what is to be tried now, and notes it as under way.
+    fn next_try(&mut self) -> Option<Purpose> {
         let now = self.clock.now();
+        self.note_silence(now);
+        if self.is_probe_due() && now >= self.probed_at + PROBE_INTERVAL {
+            self.probed_at = now;
+            self.probes += 1;
+            return Some(Purpose::Probe);
+        }
+        self.hedge(now).or_else(|| self.launch(now))
+    }
+
+    /// Notes that the log is away when the first append is not answered at all.
+    fn note_silence(&mut self, now: Instant) {
+        let is_silent = self
+            .batches
+            .front()
+            .is_some_and(|batch| now.since(batch.began) >= SILENT_AFTER);
+        if is_silent && !self.is_away {
+            self.went_away("no answer");
+            self.take_back();
+        }
+    }
+
+    fn went_away(&mut self, outcome: &str) {
+        self.is_away = true;
+        self.probed_at = self.clock.now();
+        warn!(self.log, "log takes no appends"; "outcome" => outcome,
+            "appends" => self.batches.len());
+    }
+
+    /// Tries the first batch once more while its last try is not answered: its connection may have
+    /// gone silent. The log takes only one of them.
+    fn hedge(&mut self, now: Instant) -> Option<Purpose> {
+        let batch = self.batches.front_mut()?;
+        if batch.tries >= MAX_TRIES || now < batch.tried_at + HEDGE_AFTER {
+            return None;
+        }
+        batch.tried_at = now;
+        batch.tries += 1;
+        Some(Purpose::Batch(batch.sequence))
+    }
+
+    /// Takes a batch from the queue, if one may be sent now.
+    fn launch(&mut self, now: Instant) -> Option<Purpose> {
         if self.is_full() || now < self.next_start {
             return None;
         }
@@ -234,95 +316,116 @@
             records: records.into(),
             sequence,
             began: now,
-            is_trying: true,
+            tried_at: now,
+            tries: 1,
             is_in_doubt: false,
             is_done: false,
         });
-        Some(sequence)
+        Some(Purpose::Batch(sequence))
+    }
+
+    fn batch(&mut self, sequence: u64) -> Option<&mut Batch> {
+        let mut batches = self.batches.iter_mut();
+        batches.find(|batch| batch.sequence == sequence)
     }
 
-    /// Returns one try of a batch.
+    /// Returns one append.
     fn attempt(
-        &self,
-        sequence: u64,
+        &mut self,
+        purpose: Purpose,
         pause: Duration,
-    ) -> impl Future<Output = (u64, Appended)> + use<L, F> {
+    ) -> impl Future<Output = (Purpose, Appended)> + use<L, F> {
         let platform = self.platform.clone();
         let token = self.token;
-        let batch = self.batches.iter().find(|batch| batch.sequence == sequence);
-        let records = batch.map(|batch| Rc::clone(&batch.records));
+        let (sequence, records) = match purpose {
+            Purpose::Probe => (self.sequence, None),
+            Purpose::Batch(sequence) => {
+                let batch = self.batch(sequence);
+                (sequence, batch.map(|batch| Rc::clone(&batch.records)))
+            }
+        };
         async move {
             tokio::time::sleep(pause).await;
             let records = records.unwrap_or_default();
             let guard = Guard::Writer { token, sequence };
-            (
-                sequence,
-                platform.append(Topic::Jobs, &records, guard).await,
-            )
+            let outcome = platform.append(Topic::Jobs, &records, guard).await;
+            (purpose, outcome)
+        }
+    }
+
+    /// Takes the answer to a probe in.
+    fn probed(&mut self, outcome: Appended) -> Next {
+        self.probes -= 1;
+        match outcome {
+            Appended::Fenced => return self.fenced(),
+            Appended::Done if self.is_away => self.came_back(),
+            _ => {}
         }
+        Next::Nothing
     }
 
-    fn answered(&mut self, sequence: u64, outcome: Appended) -> Next {
+    fn came_back(&mut self) {
+        self.is_away = false;
         let now = self.clock.now();
-        let batch = self
-            .batches
-            .iter_mut()
-            .find(|batch| batch.sequence == sequence);
-        let Some(batch) = batch else {
+        for batch in &mut self.batches {
+            batch.began = now;
+        }
+        info!(self.log, "log takes appends again");
+        (self.told)(Event::Back);
+    }
+
+    fn fenced(&self) -> Next {
+        (self.told)(Event::Fenced);
+        Next::Stop
+    }
+
+    fn answered(&mut self, purpose: Purpose, outcome: Appended) -> Next {
+        let Purpose::Batch(sequence) = purpose else {
+            return self.probed(outcome);
+        };
+        let now = self.clock.now();
+        let Some(batch) = self.batch(sequence) else {
             return Next::Nothing;
         };
-        batch.is_trying = false;
+        batch.tries -= 1;
         let spent = now.since(batch.began);
-        let next = match outcome {
-            Appended::Fenced => {
-                (self.told)(Event::Fenced);
-                return Next::Stop;
-            }
-            Appended::Done => {
-                batch.is_done = true;
-                Next::Nothing
-            }
+        let pause = match outcome {
+            Appended::Fenced => return self.fenced(),
+            Appended::Done => None,
             // An earlier try was taken and its answer lost.
-            Appended::OutOfSequence { expected } if expected > sequence => {
-                batch.is_done = true;
-                Next::Nothing
-            }
+            Appended::OutOfSequence { expected } if expected > sequence => None,
             // The append before has not arrived.
-            Appended::OutOfSequence { .. } => Next::Retry(OVERTAKEN_PAUSE),
-            Appended::Refused => {
-                if spent >= REFUSED_AFTER {
-                    (self.told)(Event::Refused);
-                }
-                Next::Retry(RETRY_PAUSE)
-            }
+            Appended::OutOfSequence { .. } => Some(OVERTAKEN_PAUSE),
+            Appended::Refused => Some(RETRY_PAUSE),
             Appended::Unknown | Appended::Moved => {
                 batch.is_in_doubt = true;
-                Next::Retry(RETRY_PAUSE)
+                Some(RETRY_PAUSE)
             }
         };
-        if let Next::Nothing = next {
+        let Some(pause) = pause else {
+            batch.is_done = true;
             self.settle();
-            return next;
+            return Next::Nothing;
+        };
+        if outcome == Appended::Refused && spent >= REFUSED_AFTER {
+            (self.told)(Event::Refused);
         }
         if !self.is_away && spent >= AWAY_AFTER {
-            self.is_away = true;
-            warn!(self.log, "log takes no appends"; "outcome" => ?outcome,
-                "appends" => self.batches.len());
+            self.went_away(&format!("{outcome:?}"));
         }
         if self.is_away {
             self.take_back();
         }
-        if !self.batches.iter().any(|batch| batch.sequence == sequence) {
-            return Next::Nothing;
-        }
-        if let Some(batch) = self
-            .batches
-            .iter_mut()
-            .find(|batch| batch.sequence == sequence)
-        {
-            batch.is_trying = true;
+        match self.batch(sequence) {
+            // Another try is under way.
+            Some(batch) if batch.tries > 0 => Next::Nothing,
+            Some(batch) => {
+                batch.tries += 1;
+                batch.tried_at = now + pause;
+                Next::Retry(pause)
+            }
+            None => Next::Nothing,
         }
-        next
     }
 
     /// Reports the batches that are in the log, with all before them.
@@ -337,9 +440,8 @@
         if !is_news {
             return;
         }
-        if std::mem::take(&mut self.is_away) {
-            info!(self.log, "log takes appends again");
-            (self.told)(Event::Back);
+        if self.is_away {
+            self.came_back();
         }
         (self.told)(Event::Durable(self.written));
     }
@@ -348,7 +450,7 @@
     /// been sent.
     fn take_back(&mut self) {
         while let Some(batch) = self.batches.back() {
-            if batch.is_trying || batch.is_in_doubt || batch.is_done {
+            if batch.tries > 0 || batch.is_in_doubt || batch.is_done {
                 break;
             }
             self.queue.put_back(batch.mark, &batch.records);
@@ -358,26 +460,4 @@
         let sent = self.batches.back().map_or(self.written, |batch| batch.mark);
         (self.told)(Event::Away(sent));
     }
-
-    /// Tries an empty append after a pause; returns whether this owner may go on.
-    async fn probe(&mut self) -> bool {
-        tokio::time::sleep(RETRY_PAUSE).await;
-        let guard = Guard::Writer {
-            token: self.token,
-            sequence: self.sequence,
-        };
-        match self.platform.append(Topic::Jobs, &[], guard).await {
-            Appended::Done => {
-                self.is_away = false;
-                info!(self.log, "log takes appends again");
-                (self.told)(Event::Back);
-                true
-            }
-            Appended::Fenced => {
-                (self.told)(Event::Fenced);
-                false
-            }
-            _ => true,
-        }
-    }
 }
