--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -290,6 +290,18 @@
         self.peers.values().map(|peer| peer.address)
     }
 
+    /// Whether the log shows that another entry lives and owns the cell.
+    pub fn is_owned_elsewhere(&self, now: Instant) -> bool {
+        let is_claimed = self
+            .claim
+            .as_ref()
+            .is_some_and(|claim| claim.owner != self.me && !claim.is_released);
+        let is_renewed = self
+            .quiet_since
+            .is_some_and(|since| now.since(since) < self.rules.unreachable_silence);
+        is_claimed && is_renewed
+    }
+
     /// Takes in whether this entry can reach the owner of a claim.
     pub fn note_reachable(&mut self, token: Token, is_reachable: bool) {
         self.unreachable = (!is_reachable).then_some(token);
--- a/src/entry/control/links.rs
+++ b/src/entry/control/links.rs
@@ -94,6 +94,7 @@
             }
             info!(self.log, "link to the owner is down"; "owner" => &claim.owner.name, "token" => claim.token.0);
             *self.link.borrow_mut() = None;
+            self.unlinked_since.set(self.clock.now());
             self.note_ready();
         }
     }
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -29,6 +29,8 @@
 const READ_RETRY: Duration = Duration::from_millis(150);
 /// The pause before a request is tried again, unless the owner changes before.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// How long a link may take to come up before callers are sent to other entries.
+const LINK_GRACE: Duration = Duration::from_millis(300);
 /// How long an advisor's answer is waited for.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a stop waits for the last records.
@@ -67,6 +69,8 @@
     owner: RefCell<Option<Rc<Owner<P>>>>,
     /// The link to the owner, when that is another entry.
     link: RefCell<Option<(Token, Link)>>,
+    /// Since when there is no link, or the owner is another one.
+    unlinked_since: Cell<Instant>,
     /// Whether the last read of the log succeeded.
     is_log_reachable: Cell<bool>,
     /// Tells of any change of owner or link.
@@ -102,6 +106,7 @@
             me,
             owner: RefCell::default(),
             link: RefCell::default(),
+            unlinked_since: Cell::new(clock.now()),
             is_log_reachable: Cell::new(true),
             changed: Notify::new(),
             tables,
@@ -196,11 +201,22 @@
             if self.clock.now() + ASK_PAUSE >= end {
                 return Err(if is_in_doubt { in_doubt() } else { error });
             }
+            if !is_in_doubt && self.is_cut_off() {
+                return Err(error.with_retry_after(Duration::ZERO));
+            }
             // The time limit is checked above.
             let _ = tokio::time::timeout(ASK_PAUSE, self.changed.notified()).await;
         }
     }
 
+    /// Whether the owner lives and only this entry can't reach it: others can serve the caller.
+    fn is_cut_off(&self) -> bool {
+        let now = self.clock.now();
+        let is_unlinked = self.link.borrow().is_none()
+            && now.since(self.unlinked_since.get()) >= LINK_GRACE;
+        is_unlinked && self.elector.borrow().is_owned_elsewhere(now)
+    }
+
     async fn ask_owner(&self, ask: Ask, timeout: Duration) -> Result<Tell> {
         let owner = self.owner.borrow().clone();
         if let Some(owner) = owner.filter(|owner| owner.is_open()) {
@@ -250,8 +266,12 @@
                 .as_ref()
                 .is_some_and(|owner| !owner.is_over());
         let is_ready = has_owner && self.tables.borrow().is_some();
-        self.ready
+        let is_news = self
+            .ready
             .send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
+        if is_news {
+            info!(self.log, "readiness changed"; "ready" => is_ready, "has_owner" => has_owner);
+        }
     }
 
     /// Follows what operators configure.
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -20,11 +20,11 @@
 use crate::core::error::{Error, Kind, Result};
 
 /// From one heartbeat to the next.
-const HEARTBEAT: Duration = Duration::from_millis(600);
-/// A link without a frame for so long is closed; three heartbeats.
-const SILENCE: Duration = Duration::from_millis(1_800);
-/// How long dialling may take.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(800);
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// A link without a frame for so long is closed; three heartbeats. Lookups are due within 0.9 s.
+const SILENCE: Duration = Duration::from_millis(900);
+/// How long dialling may take: two round trips between regions and a busy entry.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How many frames may wait for a slow link.
 const QUEUE_FRAMES: usize = 4_096;
 
--- a/tests/testsuite/entry/tenure.rs
+++ b/tests/testsuite/entry/tenure.rs
@@ -266,3 +266,14 @@
     elector.read(at(20), at(5), vec![(4, Record::Claim(owner("me", 1)))], 5);
     assert_eq!(elector.token(), None, "the claim was given up");
 }
+
+#[test]
+fn cell_is_owned_elsewhere_while_another_entry_renews_its_claim() {
+    let mut elector = reader("other");
+    elector.read(at(250), at(10), vec![(5, renewal("other", 5))], 6);
+    assert!(elector.is_owned_elsewhere(at(500)));
+    assert!(!elector.is_owned_elsewhere(at(900)), "it may be gone");
+    elector.read_failed();
+    assert!(!elector.is_owned_elsewhere(at(500)), "nothing is known");
+    assert!(!reader("me").is_owned_elsewhere(at(10)));
+}
