--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -9,7 +9,9 @@
 //! Reads that fail count for nothing: while the log is away for all, nobody claims and the owner
 //! goes on.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -127,9 +129,14 @@
 const DELAY_ROUND_TRIPS: u32 = 8;
 /// The same after a release, when all entries are known to read the log.
 const RELEASED_ROUND_TRIPS: u32 = 2;
+/// An entry that has not been heard of for so long is not waited for: two announcements.
+const PEER_LIFE: Duration = Duration::from_secs(17);
 /// An entry leaves the cell to one that has this many times its processors: placing for all workers
 /// takes a good part of a VM, and a cell moves only for a clear gain.
 const LARGER: u32 = 2;
+/// An entry claims so many round trips after the one before it: a read and an append that waits for
+/// another one, so that the claim before can be seen.
+const POSITION_ROUND_TRIPS: u32 = 4;
 /// How much later an entry claims while it knows of a larger one; three times what the larger one
 /// needs to claim first.
 const SMALL_DELAY: Duration = Duration::from_millis(1_000);
@@ -206,6 +213,13 @@
         }
     }
 
+    /// Takes in that the log has this entry's release of a claim.
+    pub fn released(&mut self, token: Token) {
+        if self.resigned == Some(token) {
+            self.resigned = None;
+        }
+    }
+
     /// Gives other entries precedence until `end`: this one is slow.
     pub fn yield_until(&mut self, end: Instant) {
         self.yields_until = end;
@@ -254,9 +268,7 @@
                 }
             }
             Record::Release(token) => {
-                if self.resigned == Some(token) {
-                    self.resigned = None;
-                }
+                self.released(token);
                 let claim = self.claim.as_mut().filter(|claim| claim.token == token);
                 if let Some(claim) = claim.filter(|claim| !claim.is_released) {
                     claim.is_released = true;
@@ -307,6 +319,40 @@
         self.unreachable = (!is_reachable).then_some(token);
     }
 
+    /// Returns how many entries claim before this one: the larger first, those of one size in an order
+    /// that changes with each claim. All at once would make a slow log slower, and fail but for one.
+    fn position(&self) -> u32 {
+        let token = self.claim.as_ref().map(|claim| claim.token);
+        let owner = self.claim.as_ref().map(|claim| claim.owner.name.as_str());
+        let place = |name: &str, processors_millis: u32| {
+            let mut hasher = DefaultHasher::new();
+            (name, token).hash(&mut hasher);
+            (Reverse(processors_millis), hasher.finish())
+        };
+        let mine = place(&self.me.name, self.me.processors_millis);
+        let others = self.peers.iter().filter(|(name, peer)| {
+            Some(name.as_str()) != owner
+                && self.confirmed.since(peer.heard) < PEER_LIFE
+                && place(name, peer.processors_millis) < mine
+        });
+        others.count() as u32
+    }
+
+    /// Whether a read was answered within `span` before `now`.
+    pub fn has_read_within(&self, now: Instant, span: Duration) -> bool {
+        now.since(self.confirmed) < span
+    }
+
+    /// Returns when the last sign of the owner was read.
+    pub fn renewed_at(&self) -> Option<Instant> {
+        self.quiet_since
+    }
+
+    /// Takes in how long a read took beyond its own wait.
+    pub fn note_round_trip(&mut self, span: Duration) {
+        self.round_trip = span;
+    }
+
     /// Whether an entry with more processors has been heard of since `since`.
     fn is_outclassed(&self, since: Instant) -> bool {
         let least = self.me.processors_millis.saturating_mul(LARGER);
@@ -344,7 +390,7 @@
         self.next = self.next.max(first);
     }
 
-    /// Takes in that a claim was refused: the log had moved on.
+    /// Takes in that a claim was not taken: the log had moved on.
     pub fn claim_refused(&mut self) {
         self.claimed = None;
     }
@@ -387,6 +433,7 @@
             // Nobody else owns the cell.
             _ => self.round_trip * DELAY_ROUND_TRIPS,
         };
+        let wait = wait + self.round_trip * (POSITION_ROUND_TRIPS * self.position());
         let yielding = if now < self.yields_until {
             YIELD_DELAY
         } else if self.is_outclassed(Instant(0)) {
--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -8,7 +8,7 @@
 use super::{Control, READ_RETRY};
 use crate::core::error::Result;
 use crate::core::scheduler::id::Token;
-use crate::core::tenure::{self, Action};
+use crate::core::tenure::{self, Action, Claim};
 use crate::core::time::Instant;
 use crate::entry::message::{Ask, Tell};
 use crate::entry::owner::{Owner, no_owner, truncated};
@@ -20,20 +20,33 @@
 const CLAIMS_WAIT: Duration = Duration::from_millis(400);
 /// How long an entry that handed the cell over because it ran late gives others precedence.
 const YIELD_SPAN: Duration = Duration::from_secs(10);
+/// The pause between two reads of an entry that owns the cell or has a link to its owner: the link
+/// shows sooner when the owner is gone, and every read is paid for.
+const LINKED_PAUSE: Duration = Duration::from_millis(1_000);
 /// How often it is looked at whether to claim or renew.
 const ELECTION_TICK: Duration = Duration::from_millis(50);
+/// The pause after a word that was not taken; nothing waits for it.
+const PRESENCE_RETRY: Duration = Duration::from_secs(1);
+/// An entry that has read the log within this span has seen no outage: reads are 1 s apart.
+const READ_LATELY: Duration = Duration::from_millis(1_300);
+/// An owner that the log refuses is taken to renew again within this span once the log is back for
+/// all: a renewal every 150 ms.
+const REFUSAL_CHECK: Duration = Duration::from_millis(200);
 /// How many entries are asked at once to take a cell over: one may have lost the log as well.
-const SUCCESSORS: usize = 3;
+const SUCCESSORS: usize = 2;
 /// How often an entry tries to take over while others append.
 const SUCCEED_TRIES: usize = 3;
-/// The pause between these tries: a read shows what was appended.
-const SUCCEED_PAUSE: Duration = Duration::from_millis(20);
-/// How long an entry that is asked to take over may take.
-const SUCCEED_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long an entry that is asked to take over may take: a read and an append of a slow log.
+const SUCCEED_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How often it is looked at whether the log refuses the owner.
 const PASS_ON_TICK: Duration = Duration::from_millis(50);
 /// The pause after nobody could take over.
 const PASS_ON_PAUSE: Duration = Duration::from_millis(400);
+/// A renewal or release that is not answered for so long is not waited for: its connection may be
+/// silent.
+const REPEAT_PATIENCE: Duration = Duration::from_millis(400);
+/// The most of them under way.
+const MAX_REPEATS: u32 = 4;
 /// How often it is looked at whether a larger entry should own the cell.
 const HAND_OVER_TICK: Duration = Duration::from_millis(500);
 /// From one word of this entry's presence in the log to the next: others must find one in what the
@@ -58,10 +71,16 @@
                         info!(self.log, "log can be read again");
                     }
                     let is_empty = page.records.is_empty();
+                    self.note_round_trip(sent, wait, is_empty);
                     self.take_claims(sent, page.records, page.next);
                     if is_empty && wait.is_zero() {
                         tokio::time::sleep(ELECTION_TICK).await;
                     }
+                    if self.has_owner() {
+                        // The time limit is what matters.
+                        let wanted = self.read_wanted.notified();
+                        let _ = tokio::time::timeout(LINKED_PAUSE, wanted).await;
+                    }
                 }
                 Err(failure) => {
                     if let Some(first) = truncated(failure) {
@@ -188,25 +207,40 @@
             match action {
                 Some(Action::Claim { at }) => self.claim(at).await,
                 Some(Action::Renew(claim)) => {
-                    let token = claim.token;
-                    let control = Rc::clone(&self);
-                    actix_rt::spawn(async move {
-                        let renewal = tenure::Record::Renewal(claim);
-                        let outcome = control.append(&renewal, Guard::Always).await;
-                        if outcome != Appended::Done {
-                            warn!(control.log, "claim not renewed"; "token" => token.0, "outcome" => ?outcome);
-                        }
-                    });
+                    let renewal = tenure::Record::Renewal(claim);
+                    actix_rt::spawn(Rc::clone(&self).repeat(renewal));
                 }
                 Some(Action::Release(token)) => {
-                    let control = Rc::clone(&self);
-                    actix_rt::spawn(async move { control.append_release(token).await });
+                    let release = tenure::Record::Release(token);
+                    actix_rt::spawn(Rc::clone(&self).repeat(release));
                 }
                 None => {}
             }
         }
     }
 
+    /// Appends a renewal or a release, unless those before are still under way: a slow log is not to
+    /// be made slower.
+    async fn repeat(self: Rc<Control<P>>, record: tenure::Record) {
+        let under_way = self.repeats.get();
+        let now = self.clock.now();
+        let since = now.since(self.repeated.get());
+        if under_way > 0 && (since < REPEAT_PATIENCE || under_way >= MAX_REPEATS) {
+            return;
+        }
+        self.repeated.set(now);
+        self.repeats.set(under_way + 1);
+        if let tenure::Record::Release(token) = record {
+            self.append_release(token).await;
+        } else {
+            let outcome = self.append(&record, Guard::Always).await;
+            if outcome != Appended::Done {
+                warn!(self.log, "claim not renewed"; "record" => ?record, "outcome" => ?outcome);
+            }
+        }
+        self.repeats.set(self.repeats.get() - 1);
+    }
+
     /// Tells other entries where this one takes links.
     pub(super) async fn announce(self: Rc<Control<P>>) {
         loop {
@@ -215,7 +249,7 @@
             let pause = if outcome == Appended::Done {
                 PRESENCE_INTERVAL
             } else {
-                READ_RETRY
+                PRESENCE_RETRY
             };
             tokio::time::sleep(pause).await;
         }
@@ -223,10 +257,8 @@
 
     async fn claim(self: &Rc<Control<P>>, at: u64) {
         let claim = vec![tenure::Record::Claim(self.me.clone())];
-        if matches!(
-            self.append_claim(claim, at).await,
-            Appended::Moved | Appended::Refused
-        ) {
+        // A log that refuses is busy: the next try waits as after a claim that is not answered.
+        if self.append_claim(claim, at).await == Appended::Moved {
             self.elector.borrow_mut().claim_refused();
         }
     }
@@ -248,13 +280,62 @@
         outcome
     }
 
-    /// Takes the cell over from an owner that asks for it.
-    pub(super) async fn succeed(self: &Rc<Control<P>>, token: Token) -> Result<Tell> {
+    /// Measures the way to the log and back by a read that was sent at `sent`.
+    fn note_round_trip(&self, sent: Instant, wait: Duration, is_empty: bool) {
+        let took = self.clock.now().since(sent);
+        let span = match (is_empty, self.has_owner()) {
+            (true, _) => took.saturating_sub(wait),
+            // After a pause there is always something to read.
+            (false, true) => took,
+            (false, false) => return,
+        };
+        self.elector.borrow_mut().note_round_trip(span);
+    }
+
+    /// Takes in what was appended since the last read; returns whether the log could be read.
+    async fn read_once(self: &Rc<Control<P>>) -> bool {
+        let sent = self.clock.now();
+        let from = self.elector.borrow().next();
+        match self
+            .platform
+            .read(Topic::Claims, from, Duration::ZERO)
+            .await
+        {
+            Ok(page) => {
+                self.take_claims(sent, page.records, page.next);
+                true
+            }
+            Err(failure) => {
+                warn!(self.log, "log cannot be read"; "failure" => ?failure);
+                false
+            }
+        }
+    }
+
+    /// Takes the cell over from an owner that asks for it, because it stops or since the log refuses
+    /// it. In that case nothing is done when the owner is seen to renew again.
+    pub(super) async fn succeed(
+        self: &Rc<Control<P>>,
+        token: Token,
+        is_stopping: bool,
+    ) -> Result<Tell> {
+        let now = self.clock.now();
+        let has_read = self.elector.borrow().has_read_within(now, READ_LATELY);
+        if !self.read_once().await {
+            return Err(no_owner());
+        }
+        // The log may just be back for all, the owner included.
+        if !is_stopping && !(has_read && self.is_log_reachable.get()) {
+            let renewed = self.elector.borrow().renewed_at();
+            tokio::time::sleep(REFUSAL_CHECK).await;
+            if !self.read_once().await || self.elector.borrow().renewed_at() != renewed {
+                return Err(no_owner());
+            }
+        }
         for _ in 0..SUCCEED_TRIES {
             let claim = self.elector.borrow().claim().cloned();
             let is_current = claim.is_some_and(|claim| claim.token == token && !claim.is_released);
-            if !is_current || !self.is_log_reachable.get() || !self.elector.borrow().is_candidate()
-            {
+            if !is_current || !self.elector.borrow().is_candidate() {
                 return Err(no_owner());
             }
             let records = vec![
@@ -266,7 +347,7 @@
                 Appended::Done => {
                     return Ok(Tell::Claim(self.elector.borrow().claim().cloned()));
                 }
-                Appended::Moved => tokio::time::sleep(SUCCEED_PAUSE).await,
+                Appended::Moved if self.read_once().await => {}
                 _ => return Err(no_owner()),
             }
         }
@@ -274,29 +355,13 @@
     }
 
     /// Ends when the log refused the owner's records and another entry has taken the cell.
-    async fn pass_on_when_refused(self: &Rc<Control<P>>, owner: &Owner<P>) {
+    async fn pass_on_when_refused(&self, owner: &Owner<P>) {
         loop {
             tokio::time::sleep(PASS_ON_TICK).await;
             if !owner.is_refused() {
                 continue;
             }
-            let mut links = owner.links();
-            {
-                let elector = self.elector.borrow();
-                links
-                    .sort_by_key(|link| std::cmp::Reverse(elector.processors_millis(&link.name())));
-            }
-            links.truncate(SUCCESSORS);
-            let asks = links
-                .iter()
-                .map(|link| link.ask(Ask::Succeed(owner.token()), SUCCEED_TIMEOUT));
-            let tells = futures_util::future::join_all(asks).await;
-            let claims = tells.into_iter().filter_map(|tell| match tell {
-                Ok(Tell::Claim(claim)) => claim,
-                _ => None,
-            });
-            if let Some(claim) = claims.max_by_key(|claim| claim.token) {
-                info!(self.log, "cell passed on"; "to" => &claim.owner.name, "token" => claim.token.0);
+            if let Some(claim) = self.pass_on(owner, false).await {
                 self.elector.borrow_mut().learn(claim);
                 return;
             }
@@ -305,6 +370,31 @@
         }
     }
 
+    /// Asks the largest entries to take the cell over and returns the claim of the one that did.
+    pub(super) async fn pass_on(&self, owner: &Owner<P>, is_stopping: bool) -> Option<Claim> {
+        let mut links = owner.links();
+        {
+            let elector = self.elector.borrow();
+            links.sort_by_key(|link| std::cmp::Reverse(elector.processors_millis(&link.name())));
+        }
+        links.truncate(SUCCESSORS);
+        let ask = Ask::Succeed {
+            token: owner.token(),
+            is_stopping,
+        };
+        let asks = links
+            .iter()
+            .map(|link| link.ask(ask.clone(), SUCCEED_TIMEOUT));
+        let tells = futures_util::future::join_all(asks).await;
+        let claims = tells.into_iter().filter_map(|tell| match tell {
+            Ok(Tell::Claim(claim)) => claim,
+            _ => None,
+        });
+        let claim = claims.max_by_key(|claim| claim.token)?;
+        info!(self.log, "cell passed on"; "to" => &claim.owner.name, "token" => claim.token.0);
+        Some(claim)
+    }
+
     pub(super) async fn append(&self, record: &tenure::Record, guard: Guard) -> Appended {
         self.append_all(std::slice::from_ref(record), guard).await
     }
--- a/src/entry/control/links.rs
+++ b/src/entry/control/links.rs
@@ -52,6 +52,15 @@
     /// Holds a link to the owner.
     pub(super) async fn follow_owner(self: Rc<Control<P>>) {
         loop {
+            if self.is_denied.take() {
+                let former = self.claim_of_another();
+                // Without the log, only another entry can tell who follows.
+                self.consult_peers().await;
+                if self.claim_of_another() == former {
+                    // The time limit is what matters.
+                    let _ = tokio::time::timeout(DIAL_PAUSE, self.changed.notified()).await;
+                }
+            }
             let claim = self.claim_of_another();
             let Some(claim) = claim else {
                 self.note_ready();
@@ -80,7 +89,8 @@
             let replaced = async {
                 loop {
                     self.changed.notified().await;
-                    if self.claim_of_another().map(|claim| claim.token) != Some(claim.token) {
+                    let current = self.claim_of_another().map(|claim| claim.token);
+                    if current != Some(claim.token) || self.is_denied.get() {
                         return;
                     }
                 }
@@ -95,6 +105,7 @@
             info!(self.log, "link to the owner is down"; "owner" => &claim.owner.name, "token" => claim.token.0);
             *self.link.borrow_mut() = None;
             self.unlinked_since.set(self.clock.now());
+            self.read_wanted.notify_one();
             self.note_ready();
         }
     }
@@ -121,8 +132,8 @@
                 self.elector.borrow_mut().learn(claim);
                 self.change_owner();
                 self.changed.notify_waiters();
+                return;
             }
-            return;
         }
     }
 
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -20,7 +20,7 @@
 use crate::entry::link::Link;
 use crate::entry::message::{Ask, Tell};
 use crate::entry::owner::{Owner, no_owner};
-use crate::entry::port::{Configuration, Guard, Platform};
+use crate::entry::port::{Appended, Configuration, Guard, Platform};
 use crate::entry::settings::Settings;
 use crate::util::clock::Clock;
 use crate::util::metric::Metrics;
@@ -69,12 +69,20 @@
     owner: RefCell<Option<Rc<Owner<P>>>>,
     /// The link to the owner, when that is another entry.
     link: RefCell<Option<(Token, Link)>>,
+    /// Whether the entry at the other end of the link has said that it owns nothing.
+    is_denied: Cell<bool>,
     /// Since when there is no link, or the owner is another one.
     unlinked_since: Cell<Instant>,
     /// Whether the last read of the log succeeded.
     is_log_reachable: Cell<bool>,
     /// Tells of any change of owner or link.
     changed: Notify,
+    /// How many renewals and releases are under way.
+    repeats: Cell<u32>,
+    /// When the last of them left.
+    repeated: Cell<Instant>,
+    /// Asks for a read of the claims.
+    read_wanted: Notify,
     tables: watch::Sender<Option<Arc<Table>>>,
     ready: watch::Sender<bool>,
 }
@@ -106,9 +114,13 @@
             me,
             owner: RefCell::default(),
             link: RefCell::default(),
+            is_denied: Cell::new(false),
             unlinked_since: Cell::new(clock.now()),
             is_log_reachable: Cell::new(true),
             changed: Notify::new(),
+            repeats: Cell::new(0),
+            repeated: Cell::new(clock.now()),
+            read_wanted: Notify::new(),
             tables,
             ready,
         };
@@ -158,9 +170,14 @@
     /// Ends an ownership so that another entry takes it up at once.
     async fn release(&self, owner: &Owner<P>, reason: &'static str) {
         owner.flush(FLUSH_LIMIT).await;
-        owner.finish(reason);
-        self.resign(owner.token());
-        self.append_release(owner.token()).await;
+        if let Some(claim) = self.pass_on(owner, true).await {
+            owner.finish(reason);
+            self.elector.borrow_mut().learn(claim);
+        } else {
+            owner.finish(reason);
+            self.resign(owner.token());
+            self.append_release(owner.token()).await;
+        }
         self.changed.notify_waiters();
     }
 
@@ -174,6 +191,9 @@
         let release = tenure::Record::Release(token);
         let outcome = self.append(&release, Guard::Always).await;
         info!(self.log, "cell released"; "token" => token.0, "outcome" => ?outcome);
+        if outcome == Appended::Done {
+            self.elector.borrow_mut().released(token);
+        }
     }
 
     /// Gets a request served by the owner, whoever that is by then.
@@ -212,8 +232,8 @@
     /// Whether the owner lives and only this entry can't reach it: others can serve the caller.
     fn is_cut_off(&self) -> bool {
         let now = self.clock.now();
-        let is_unlinked = self.link.borrow().is_none()
-            && now.since(self.unlinked_since.get()) >= LINK_GRACE;
+        let is_unlinked =
+            self.link.borrow().is_none() && now.since(self.unlinked_since.get()) >= LINK_GRACE;
         is_unlinked && self.elector.borrow().is_owned_elsewhere(now)
     }
 
@@ -225,7 +245,15 @@
         }
         let link = self.link.borrow().clone();
         match link {
-            Some((_, link)) => link.ask(ask, timeout).await,
+            Some((_, link)) => {
+                let answer = link.ask(ask, timeout).await;
+                if matches!(&answer, Err(error) if error.kind == Kind::NoOwner) {
+                    self.is_denied.set(true);
+                    self.read_wanted.notify_one();
+                    self.changed.notify_waiters();
+                }
+                answer
+            }
             None => Err(no_owner()),
         }
     }
@@ -248,8 +276,8 @@
         if let Ask::Claim = ask {
             return Ok(Tell::Claim(self.elector.borrow().claim().cloned()));
         }
-        if let Ask::Succeed(token) = ask {
-            return self.succeed(token).await;
+        if let Ask::Succeed { token, is_stopping } = ask {
+            return self.succeed(token, is_stopping).await;
         }
         let owner = self.owner.borrow().clone();
         match owner {
@@ -258,13 +286,14 @@
         }
     }
 
+    /// Whether this entry owns the cell or has a link to its owner.
+    fn has_owner(&self) -> bool {
+        let owner = self.owner.borrow();
+        self.link.borrow().is_some() || owner.as_ref().is_some_and(|owner| !owner.is_over())
+    }
+
     fn note_ready(&self) {
-        let has_owner = self.link.borrow().is_some()
-            || self
-                .owner
-                .borrow()
-                .as_ref()
-                .is_some_and(|owner| !owner.is_over());
+        let has_owner = self.has_owner();
         let is_ready = has_owner && self.tables.borrow().is_some();
         let is_news = self
             .ready
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -12,7 +12,7 @@
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
@@ -20,9 +20,10 @@
 use crate::core::error::{Error, Kind, Result};
 
 /// From one heartbeat to the next.
-const HEARTBEAT: Duration = Duration::from_millis(300);
-/// A link without a frame for so long is closed; three heartbeats. Lookups are due within 0.9 s.
-const SILENCE: Duration = Duration::from_millis(900);
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// A link without a frame for so long is closed: lookups are due within 0.9 s, and an entry may stand
+/// still for a tenth of a second when its share of the processor is used up.
+const SILENCE: Duration = Duration::from_millis(400);
 /// How long dialling may take: two round trips between regions and a busy entry.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How many frames may wait for a slow link.
@@ -41,6 +42,7 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<Result<Tell>>>>,
     next_id: Cell<u64>,
     is_open: Cell<bool>,
+    closed: Notify,
 }
 
 impl Link {
@@ -54,6 +56,12 @@
         self.shared.is_open.get()
     }
 
+    /// Closes the link; both ends then look for the owner.
+    pub fn close(&self) {
+        self.shared.is_open.set(false);
+        self.shared.closed.notify_one();
+    }
+
     /// Asks the other end.
     ///
     /// # Errors
@@ -126,6 +134,7 @@
         waiting: RefCell::default(),
         next_id: Cell::new(0),
         is_open: Cell::new(true),
+        closed: Notify::new(),
     });
     let link = Link {
         shared: Rc::clone(&shared),
@@ -194,6 +203,7 @@
     tokio::select! {
         () = sending => {}
         () = receiving => {}
+        () = end.0.closed.notified() => {}
     }
 }
 
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -10,7 +10,8 @@
 use crate::core::scheduler::spec::{Queue, Spec};
 use crate::core::tenure::Claim;
 
-/// What is asked, of the owner but for [`Ask::Advise`], [`Ask::Claim`] and [`Ask::Succeed`].
+/// What is asked, of the owner but for [`Ask::Advise`], [`Ask::Claim`] and
+/// [`Ask::Succeed`].
 #[message]
 pub enum Ask {
     /// Accepts a job.
@@ -43,8 +44,13 @@
     },
     /// Asks any entry who owns the cell.
     Claim,
-    /// Asks another entry to take the cell over from the owner of this token, which the log refuses.
-    Succeed(Token),
+    /// Asks another entry to take the cell over from the asking owner.
+    Succeed {
+        /// The owner's token.
+        token: Token,
+        /// Whether the owner stops; else the log refuses its records.
+        is_stopping: bool,
+    },
     /// Calls the advisor on behalf of the owner.
     Advise {
         /// The step.
@@ -71,7 +77,7 @@
             Ask::Read { .. } => "read",
             Ask::Pending { .. } => "pending",
             Ask::Claim => "claim",
-            Ask::Succeed(_) => "succeed",
+            Ask::Succeed { .. } => "succeed",
             Ask::Advise { .. } => "advise",
         }
     }
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -24,6 +24,8 @@
 use crate::util::clock::Clock;
 use crate::util::metric::{Metrics, label};
 
+/// How often a request looks whether the takeover is done.
+const OPEN_TICK: Duration = Duration::from_millis(10);
 /// How often it is looked at which links have closed.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause between two readings of the directory: a worker that drains must get nothing new a few
@@ -123,6 +125,9 @@
         self.wake.notify_one();
         // Whoever waits asks the next owner.
         self.requests.borrow_mut().clear();
+        for link in self.links() {
+            link.close();
+        }
     }
 
     /// Whether the ownership has ended.
@@ -314,7 +319,10 @@
 
     /// Serves what a client asked.
     pub async fn serve(&self, ask: Ask) -> Result<Tell> {
-        if !self.is_open() {
+        while !self.is_open.get() && !self.is_over() {
+            tokio::time::sleep(OPEN_TICK).await;
+        }
+        if self.is_over() {
             return Err(no_owner());
         }
         match ask {
@@ -349,7 +357,7 @@
                 });
                 answer.await
             }
-            Ask::Claim | Ask::Succeed(_) | Ask::Advise { .. } => Err(Error::new(
+            Ask::Claim | Ask::Succeed { .. } | Ask::Advise { .. } => Err(Error::new(
                 Kind::Internal,
                 "every entry answers this itself",
             )),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -69,11 +69,11 @@
 /// worker start again soon.
 const LEASE: Duration = Duration::from_millis(4_500);
 /// From one renewal of a claim to the next.
-const RENEWAL: Duration = Duration::from_millis(250);
-/// A claim counts as abandoned after so long without a renewal: three renewals may be lost.
+const RENEWAL: Duration = Duration::from_millis(150);
+/// A claim counts as abandoned after so long without a renewal: six renewals may be lost.
 const SILENCE: Duration = Duration::from_millis(1_100);
-/// The same when the owner's VM takes no links either: two renewals may be late.
-const UNREACHABLE_SILENCE: Duration = Duration::from_millis(550);
+/// The same when the owner's VM takes no links either: one renewal may be lost, the next be late.
+const UNREACHABLE_SILENCE: Duration = Duration::from_millis(350);
 
 impl Settings {
     /// Checks what types cannot say.
--- a/tests/testsuite/entry/tenure.rs
+++ b/tests/testsuite/entry/tenure.rs
@@ -277,3 +277,26 @@
     assert!(!elector.is_owned_elsewhere(at(500)), "nothing is known");
     assert!(!reader("me").is_owned_elsewhere(at(10)));
 }
+
+#[test]
+fn entries_of_one_size_claim_one_after_the_other() {
+    let names = ["a", "b", "c", "d"];
+    let claimed_at = |me: &str| {
+        let mut elector = Elector::new(RULES, owner(me, 1));
+        let present = names.iter().map(|name| Record::Present(owner(name, 1)));
+        let mut records: Vec<_> = (0..).zip(present).collect();
+        records.push((4, Record::Claim(owner("gone", 1))));
+        elector.read(at(0), at(0), records, 5);
+        elector.note_round_trip(Duration::from_millis(300));
+        (1..100).map(|turn| turn * 100).find(|&ms| {
+            elector.read(at(ms), at(ms - 10), Vec::new(), 5);
+            elector.action(at(ms)).is_some()
+        })
+    };
+    let mut times: Vec<u64> = names.iter().map(|name| claimed_at(name).unwrap()).collect();
+    times.sort_unstable();
+    assert!(
+        times.windows(2).all(|pair| pair[1] - pair[0] >= 300),
+        "{times:?}"
+    );
+}
