--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -325,7 +325,8 @@
             return Err(no_owner());
         }
         // The log may just be back for all, the owner included.
-        if !is_stopping && !(has_read && self.is_log_reachable.get()) {
+        let may_be_back = !has_read || !self.is_log_reachable.get();
+        if !is_stopping && may_be_back {
             let renewed = self.elector.borrow().renewed_at();
             tokio::time::sleep(REFUSAL_CHECK).await;
             if !self.read_once().await || self.elector.borrow().renewed_at() != renewed {
--- a/src/entry/control/links.rs
+++ b/src/entry/control/links.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpListener;
 
 use super::Control;
+use crate::core::scheduler::id::Token;
 use crate::core::tenure::Claim;
 use crate::entry::link;
 use crate::entry::message::{Ask, Tell};
@@ -70,9 +71,7 @@
                 continue;
             };
             let dialled = link::dial(claim.owner.address).await;
-            let mut elector = self.elector.borrow_mut();
-            elector.note_reachable(claim.token, dialled.is_some());
-            drop(elector);
+            self.note_reachable(claim.token, dialled.is_some());
             let Some(socket) = dialled else {
                 self.consult_peers().await;
                 // The time limit is what matters.
@@ -98,7 +97,7 @@
             tokio::select! {
                 () = carried => {
                     // Until it can be dialled again, its silence in the log counts for more.
-                    self.elector.borrow_mut().note_reachable(claim.token, false);
+                    self.note_reachable(claim.token, false);
                 }
                 () = replaced => {}
             }
@@ -110,6 +109,11 @@
         }
     }
 
+    fn note_reachable(&self, owner: Token, is_reachable: bool) {
+        let mut elector = self.elector.borrow_mut();
+        elector.note_reachable(owner, is_reachable);
+    }
+
     /// Asks other entries who owns the cell, while this one can't read the log and owns nothing.
     async fn consult_peers(self: &Rc<Control<P>>) {
         let is_owner = self
