Give a suspect worker one run in a turn of placement; call renewals and releases notices

Cause: placement lists the workers that may get work once a turn now, so that two steps of one turn could each start a task on a worker on probation, which is to get single runs. Found by reading; the new test failed with two starts before. Names in the control thread changed, nothing else.

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -407,6 +407,10 @@
             if lacks_label || verdict == Some(false) {
                 continue;
             }
+            // An earlier step of this turn may have got the single run of a worker on probation.
+            if worker.record.is_suspect() && !worker.attempts.is_empty() {
+                continue;
+            }
             let most = if worker.record.is_suspect() {
                 1
             } else if most == usize::MAX {
--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -214,7 +214,7 @@
     }
 
     /// Takes in that the log has this entry's release of a claim.
-    pub fn released(&mut self, token: Token) {
+    pub fn note_released(&mut self, token: Token) {
         if self.resigned == Some(token) {
             self.resigned = None;
         }
@@ -268,7 +268,7 @@
                 }
             }
             Record::Release(token) => {
-                self.released(token);
+                self.note_released(token);
                 let claim = self.claim.as_mut().filter(|claim| claim.token == token);
                 if let Some(claim) = claim.filter(|claim| !claim.is_released) {
                     claim.is_released = true;
--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -44,9 +44,9 @@
 const PASS_ON_PAUSE: Duration = Duration::from_millis(400);
 /// A renewal or release that is not answered for so long is not waited for: its connection may be
 /// silent.
-const REPEAT_PATIENCE: Duration = Duration::from_millis(400);
-/// The most of them under way.
-const MAX_REPEATS: u32 = 4;
+const NOTICE_PATIENCE: Duration = Duration::from_millis(400);
+/// The most renewals and releases under way.
+const MAX_NOTICES: u32 = 4;
 /// How often it is looked at whether a larger entry should own the cell.
 const HAND_OVER_TICK: Duration = Duration::from_millis(500);
 /// From one word of this entry's presence in the log to the next: others must find one in what the
@@ -208,11 +208,11 @@
                 Some(Action::Claim { at }) => self.claim(at).await,
                 Some(Action::Renew(claim)) => {
                     let renewal = tenure::Record::Renewal(claim);
-                    actix_rt::spawn(Rc::clone(&self).repeat(renewal));
+                    actix_rt::spawn(Rc::clone(&self).append_notice(renewal));
                 }
                 Some(Action::Release(token)) => {
                     let release = tenure::Record::Release(token);
-                    actix_rt::spawn(Rc::clone(&self).repeat(release));
+                    actix_rt::spawn(Rc::clone(&self).append_notice(release));
                 }
                 None => {}
             }
@@ -221,15 +221,15 @@
 
     /// Appends a renewal or a release, unless those before are still under way: a slow log is not to
     /// be made slower.
-    async fn repeat(self: Rc<Control<P>>, record: tenure::Record) {
-        let under_way = self.repeats.get();
+    async fn append_notice(self: Rc<Control<P>>, record: tenure::Record) {
+        let under_way = self.notices.get();
         let now = self.clock.now();
-        let since = now.since(self.repeated.get());
-        if under_way > 0 && (since < REPEAT_PATIENCE || under_way >= MAX_REPEATS) {
+        let since = now.since(self.notice_sent.get());
+        if under_way > 0 && (since < NOTICE_PATIENCE || under_way >= MAX_NOTICES) {
             return;
         }
-        self.repeated.set(now);
-        self.repeats.set(under_way + 1);
+        self.notice_sent.set(now);
+        self.notices.set(under_way + 1);
         if let tenure::Record::Release(token) = record {
             self.append_release(token).await;
         } else {
@@ -238,7 +238,7 @@
                 warn!(self.log, "claim not renewed"; "record" => ?record, "outcome" => ?outcome);
             }
         }
-        self.repeats.set(self.repeats.get() - 1);
+        self.notices.set(self.notices.get() - 1);
     }
 
     /// Tells other entries where this one takes links.
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -77,10 +77,10 @@
     is_log_reachable: Cell<bool>,
     /// Tells of any change of owner or link.
     changed: Notify,
-    /// How many renewals and releases are under way.
-    repeats: Cell<u32>,
-    /// When the last of them left.
-    repeated: Cell<Instant>,
+    /// How many renewals and releases, called notices, are under way.
+    notices: Cell<u32>,
+    /// When the last notice left.
+    notice_sent: Cell<Instant>,
     /// Asks for a read of the claims.
     read_wanted: Notify,
     tables: watch::Sender<Option<Arc<Table>>>,
@@ -118,8 +118,8 @@
             unlinked_since: Cell::new(clock.now()),
             is_log_reachable: Cell::new(true),
             changed: Notify::new(),
-            repeats: Cell::new(0),
-            repeated: Cell::new(clock.now()),
+            notices: Cell::new(0),
+            notice_sent: Cell::new(clock.now()),
             read_wanted: Notify::new(),
             tables,
             ready,
@@ -192,7 +192,7 @@
         let outcome = self.append(&release, Guard::Always).await;
         info!(self.log, "cell released"; "token" => token.0, "outcome" => ?outcome);
         if outcome == Appended::Done {
-            self.elector.borrow_mut().released(token);
+            self.elector.borrow_mut().note_released(token);
         }
     }
 
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -245,3 +245,21 @@
         .map(|(_, start)| start.checkpoint.as_deref());
     assert!(values.all(|value| value == Some("new")));
 }
+
+#[test]
+fn suspect_worker_gets_one_run_although_two_steps_wait() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    for job in [1, 2] {
+        cell.submit(job, queue(), spec(vec![step(1)]));
+        cell.confirm();
+    }
+    let starts = cell.accept_starts();
+    let ends = (1..).zip(&starts);
+    let ends = ends.map(|(number, (_, start))| ended(number, start, How::Failed));
+    cell.look(worker, Vec::new(), ends.collect());
+    cell.confirm();
+    assert!(cell.starts.is_empty(), "the worker is left alone");
+    cell.wait(Duration::from_secs(3));
+    assert_eq!(cell.starts.len(), 1);
+}
