Send the first append of an owner alone, so that none overtakes it

The log takes any number as the first of a writer, so when the second append of a new owner arrived before its first, which a slow log and several connections make likely, the first was refused as out of sequence with a higher number expected, which the writer reads as "an earlier try was taken". The records were lost though their clients were told that the jobs were accepted, and runs of those jobs were not counted by the next owner.

The new test fails without the change (four appends under way instead of one).

--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -231,7 +231,14 @@
 
 impl<L: Log + Clone, F: Fn(Event)> Pipeline<'_, L, F> {
     fn is_full(&self) -> bool {
-        self.is_away || self.batches.len() >= MAX_UNDER_WAY
+        // The log takes any number as the first of a writer: one that overtakes the first append
+        // would make the log take that for a repeat, and its records would be lost.
+        let most = if self.written == Mark(0) {
+            1
+        } else {
+            MAX_UNDER_WAY
+        };
+        self.is_away || self.batches.len() >= most
     }
 
     /// Returns how long to wait for the next try that is due by the clock, if any is to come.
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -127,6 +127,7 @@
     actix_rt::System::new().block_on(async {
         let platform = Fake::default();
         let owner = open(&platform, 1).await;
+        assert_eq!(owner.serve(submit(9)).await, Ok(Tell::Accepted));
         platform.0.is_slow.set(true);
         let jobs = (1..=8).map(|job| {
             let owner = Rc::clone(&owner);
@@ -145,6 +146,30 @@
         for answer in answers {
             assert_eq!(answer.await.unwrap(), Ok(Tell::Accepted));
         }
+        assert_eq!(platform.0.jobs.borrow().len(), 9);
+    });
+}
+
+#[test]
+fn first_append_of_an_owner_is_not_overtaken() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let owner = open(&platform, 1).await;
+        platform.0.is_slow.set(true);
+        let mut answers = Vec::new();
+        for job in 1..=8 {
+            let owner = Rc::clone(&owner);
+            answers.push(actix_rt::spawn(
+                async move { owner.serve(submit(job)).await },
+            ));
+            // Longer than the interval between two appends.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(platform.0.waiting.get(), 1);
+        platform.0.is_slow.set(false);
+        for answer in answers {
+            assert_eq!(answer.await.unwrap(), Ok(Tell::Accepted));
+        }
         assert_eq!(platform.0.jobs.borrow().len(), 8);
     });
 }
