Log what an owner counts for the runs of a worker

New lines name each run that an owner finds on a worker with what it counts for it, each run that it takes for gone without an end with the reason, and with each start the capacity in use and the age of the worker's report. An owner that finds a worker over its capacity warns and counts it.

'worker changed' and the new lines name the worker also after it was removed, where the name was empty before. No decision changes.

--- a/src/core/resource.rs
+++ b/src/core/resource.rs
@@ -1,5 +1,6 @@
 //! Amounts of processors, memory and accelerators.
 
+use std::fmt;
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
 use laburnum_derive::value;
@@ -16,6 +17,16 @@
     pub accelerators: u64,
 }
 
+impl fmt::Display for Amount {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            out,
+            "{}m/{}Mi/{}",
+            self.cpu_millis, self.memory_mib, self.accelerators
+        )
+    }
+}
+
 impl Amount {
     /// Returns whether no resource of `self` exceeds that of `available`.
     pub fn fits(self, available: Amount) -> bool {
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -9,8 +9,9 @@
 use super::id::{Job, Mark, Request, Run, Step, Task, Worker};
 use super::record::Phase;
 use super::spec::{Queue, Spec};
-use super::worker::Entry;
+use super::worker::{Account, Entry};
 use crate::core::error::Error;
+use crate::core::resource::Amount;
 use crate::core::time::Stamp;
 
 /// How a run ended.
@@ -282,6 +283,8 @@
         worker: Worker,
         /// The command.
         start: Start,
+        /// What the decision was based on, for the log line.
+        account: Account,
     },
     /// Send a stop command.
     Stop {
@@ -312,6 +315,30 @@
         /// How the run ended.
         end: RunEnd,
     },
+    /// Write a log line: a worker reports a run that this owner did not start or had given up.
+    Adopted {
+        /// The worker.
+        worker: Worker,
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The capacity that the run is known to use; `None` when its job's steps are not known.
+        need: Option<Amount>,
+        /// Whether the run goes on; otherwise it is stopped.
+        is_wanted: bool,
+    },
+    /// Write a log line: the capacity of a run is free although the worker reported no end of it.
+    Released {
+        /// The worker's name.
+        worker: String,
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// Why the run cannot be on the worker.
+        reason: &'static str,
+    },
     /// Write a log line: a job has entered a phase.
     Phase {
         /// The job.
@@ -326,6 +353,8 @@
     Worker {
         /// The worker.
         worker: Worker,
+        /// The worker's name, also of one that was removed.
+        name: String,
         /// The change, as log lines name it.
         event: &'static str,
     },
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -34,6 +34,7 @@
 use slotmap::SlotMap;
 
 pub use message::{Answer, Input, Output};
+pub use workers::OVERCOMMITTED;
 
 use super::time::{Instant, Stamp};
 use id::{Mark, Request, Run, Token};
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -519,8 +519,10 @@
             percent: 0,
         };
         worker.insert(task, run, attempt);
+        let account = worker.account(now);
         out.push(Output::Start {
             worker: key,
+            account,
             start: Start {
                 task,
                 run,
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -49,13 +49,20 @@
     /// run.
     fn adopt(&mut self, key: Worker, task: Task, run: Run, time: Time, out: &mut Vec<Output>) {
         let (need, estimate, is_wanted) = self.inherited_need(task);
+        out.push(Output::Adopted {
+            worker: key,
+            task,
+            run,
+            need,
+            is_wanted,
+        });
         let state = if is_wanted {
             State::Running
         } else {
             State::Stopping
         };
         let attempt = Attempt {
-            need,
+            need: need.unwrap_or_default(),
             state,
             since: time.now,
             started: time.now,
@@ -84,16 +91,14 @@
         self.refresh_ready(task.step.job, time.now);
     }
 
-    /// Returns the capacity that a run of an earlier owner uses, the estimate of its run time, and
-    /// whether its task waits for a run.
-    fn inherited_need(&self, task: Task) -> (Amount, Duration, bool) {
+    /// Returns the capacity that a run of an earlier owner uses, if it is known, the estimate of its
+    /// run time, and whether its task waits for a run.
+    fn inherited_need(&self, task: Task) -> (Option<Amount>, Duration, bool) {
         let Some(job) = self.jobs.get(&task.step.job) else {
-            return (Amount::default(), Duration::ZERO, false);
+            return (None, Duration::ZERO, false);
         };
         let step = job.spec.steps.get(usize::from(task.step.index));
-        let need = step
-            .map(super::spec::Step::capacity_need)
-            .unwrap_or_default();
+        let need = step.map(super::spec::Step::capacity_need);
         let estimate = step.map(|step| step.estimate).unwrap_or_default();
         let is_waiting = job
             .task(task)
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -95,6 +95,17 @@
     }
 }
 
+/// What is known of a worker's capacity when a run is placed on it.
+#[value]
+pub struct Account {
+    /// The capacity that runs use, the new one included.
+    pub used: Amount,
+    /// The worker's capacity.
+    pub capacity: Amount,
+    /// The time since the worker last reported its runs.
+    pub report_age: Duration,
+}
+
 /// A reading of a worker's clock.
 #[value]
 struct Reading {
@@ -129,6 +140,8 @@
     pub acknowledged: u64,
     /// When the worker last responded; before its first response, when it was first listed.
     pub answered: Instant,
+    /// Whether the runs used more than the capacity after the last response.
+    pub is_overcommitted: bool,
     /// The results of the latest runs, which show whether the worker is faulty.
     pub history: super::suspicion::RunHistory,
     /// The latest lease end that was sent to the worker, on its clock in milliseconds.
@@ -154,6 +167,7 @@
             last_end: 0,
             acknowledged: 0,
             answered: now,
+            is_overcommitted: false,
             history: super::suspicion::RunHistory::default(),
             deadline_ms: 0,
             reading: None,
@@ -166,6 +180,15 @@
         self.entry.capacity - self.used
     }
 
+    /// Returns the figures on which placements are based.
+    pub fn account(&self, now: Instant) -> Account {
+        Account {
+            used: self.used,
+            capacity: self.entry.capacity,
+            report_age: now.since(self.answered),
+        }
+    }
+
     /// Whether new tasks may be placed on the worker if it has the capacity.
     pub fn is_usable(&self) -> bool {
         self.listed && self.is_responding && self.is_recorded && !self.entry.draining
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -15,6 +15,10 @@
 const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2_500);
 /// The most ended runs that a worker reports in one response; specified by the platform.
 const MAX_REPORTED_ENDS: usize = 500;
+/// The event of a worker whose runs use more than its capacity.
+pub const OVERCOMMITTED: &str = "over its capacity";
+/// The event of a silent worker whose lease has ended.
+const LEASE_ENDED: &str = "lease ended without an answer";
 /// How long a stop command may go unanswered before it is sent again.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -29,7 +33,7 @@
                 worker.entry = entry;
                 worker.listed = true;
                 if was_usable && worker.entry.draining {
-                    out.push(event(key, "draining"));
+                    out.push(event(key, worker, "draining"));
                 }
                 return;
             }
@@ -41,9 +45,9 @@
         let name = entry.name.clone();
         let worker = worker::Worker::new(entry, now, self.rules.max_lease);
         let key = self.workers.insert(worker);
+        out.push(event(key, &self.workers[key], "listed"));
         self.by_name.insert(name, key);
         self.is_worker_list_recorded = false;
-        out.push(event(key, "listed"));
     }
 
     /// Processes that the directory no longer lists a worker. The worker gets no new tasks, and its
@@ -54,7 +58,7 @@
         };
         if let Some(worker) = self.workers.get_mut(key) {
             worker.listed = false;
-            out.push(event(key, "unlisted"));
+            out.push(event(key, worker, "unlisted"));
         }
     }
 
@@ -67,22 +71,30 @@
         reason: &'static str,
         out: &mut Vec<Output>,
     ) {
-        self.release_all(key, now);
+        self.release_all(key, now, reason, out);
         if let Some(worker) = self.workers.remove(key) {
             self.by_name.remove(&worker.entry.name);
             self.is_worker_list_recorded = false;
-            out.push(event(key, reason));
+            out.push(event(key, &worker, reason));
         }
     }
 
     /// Removes all runs of a worker and returns their tasks to the waiting state.
-    fn release_all(&mut self, key: Worker, now: Instant) {
+    fn release_all(
+        &mut self,
+        key: Worker,
+        now: Instant,
+        reason: &'static str,
+        out: &mut Vec<Output>,
+    ) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
+        let name = worker.entry.name.clone();
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
         for (task, run) in runs {
             self.release(key, task, run, now);
+            out.push(released(&name, task, run, reason));
         }
     }
 
@@ -97,11 +109,12 @@
             .collect();
         for key in lapsed {
             self.is_dirty = true;
-            if self.workers.get(key).is_some_and(|worker| worker.listed) {
-                self.release_all(key, time.now);
-                out.push(event(key, "lease ended without an answer"));
-            } else {
-                self.remove_worker(key, time.now, "gone", out);
+            match self.workers.get(key).filter(|worker| worker.listed) {
+                Some(worker) => {
+                    out.push(event(key, worker, LEASE_ENDED));
+                    self.release_all(key, time.now, LEASE_ENDED, out);
+                }
+                None => self.remove_worker(key, time.now, "gone", out),
             }
         }
     }
@@ -140,7 +153,7 @@
                     .filter(|worker| worker.is_responding)
                 {
                     worker.is_responding = false;
-                    out.push(event(key, "silent"));
+                    out.push(event(key, worker, "silent"));
                 }
             }
         }
@@ -161,7 +174,7 @@
         if !worker.is_responding {
             worker.is_responding = true;
             worker.has_responded = true;
-            out.push(event(key, "responding"));
+            out.push(event(key, worker, "responding"));
         }
         let is_complete = inventory.ended.len() < MAX_REPORTED_ENDS;
         let reported: Vec<(Task, Run)> = inventory
@@ -178,6 +191,24 @@
         if is_complete {
             self.check_unreported(key, sent, &reported, time, out);
         }
+        self.check_commitment(key, out);
+    }
+
+    /// Reports when the runs of a worker begin to use more than its capacity, and when they no longer
+    /// do.
+    fn check_commitment(&mut self, key: Worker, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let is_overcommitted = !worker.used.fits(worker.entry.capacity);
+        if std::mem::replace(&mut worker.is_overcommitted, is_overcommitted) != is_overcommitted {
+            let change = if is_overcommitted {
+                OVERCOMMITTED
+            } else {
+                "within its capacity"
+            };
+            out.push(event(key, worker, change));
+        }
     }
 
     /// Releases runs that the worker should have but does not report, and repeats stop commands.
@@ -198,7 +229,7 @@
                 let is_void = attempt.stop_answered.is_some_and(|at| at < sent);
                 let is_reported = reported.contains(&(task, run));
                 if is_void && !is_reported {
-                    gone.push((task, run));
+                    gone.push((task, run, "stopped and not reported"));
                 } else if attempt.stop_answered.is_none()
                     && attempt
                         .stop_sent
@@ -215,11 +246,13 @@
                 && attempt.since < sent
                 && !reported.contains(&(task, run))
             {
-                gone.push((task, run));
+                gone.push((task, run, "not reported"));
             }
         }
-        for (task, run) in gone {
+        let name = worker.entry.name.clone();
+        for (task, run, reason) in gone {
             self.release(key, task, run, time.now);
+            out.push(released(&name, task, run, reason));
         }
     }
 
@@ -292,6 +325,19 @@
     }
 }
 
-fn event(worker: Worker, event: &'static str) -> Output {
-    Output::Worker { worker, event }
+fn event(key: Worker, worker: &worker::Worker, event: &'static str) -> Output {
+    Output::Worker {
+        worker: key,
+        name: worker.entry.name.clone(),
+        event,
+    }
+}
+
+fn released(worker: &str, task: Task, run: Run, reason: &'static str) -> Output {
+    Output::Released {
+        worker: worker.to_owned(),
+        task,
+        run,
+        reason,
+    }
 }
--- a/src/entry/owner/calls.rs
+++ b/src/entry/owner/calls.rs
@@ -11,6 +11,7 @@
 use crate::core::scheduler::advice;
 use crate::core::scheduler::id::{Run, Task, Worker};
 use crate::core::scheduler::message::{Outcome, Start};
+use crate::core::scheduler::worker::Account;
 use crate::entry::message::{EntryRequest, EntryResponse};
 use crate::entry::port::Platform;
 
@@ -68,7 +69,7 @@
         }
     }
 
-    pub(super) async fn start(self: Rc<Owner<P>>, worker: Worker, start: Start) {
+    pub(super) async fn start(self: Rc<Owner<P>>, worker: Worker, start: Start, account: Account) {
         let Some(address) = self.address(worker) else {
             return;
         };
@@ -76,11 +77,13 @@
         let outcome = self.platform.start(&address, &start, self.token).await;
         match &outcome {
             Outcome::Done(_) => info!(self.log, "run started"; "task" => %task, "run" => run.0,
-                "worker" => address.name),
+                "worker" => &address.name, "used" => %account.used, "capacity" => %account.capacity,
+                "report_age_ms" => account.report_age.as_millis() as u64, "token" => self.token.0),
             Outcome::Refused(refusal) => warn!(self.log, "start refused"; "task" => %task,
-                "run" => run.0, "worker" => address.name, "reason" => refusal.name()),
+                "run" => run.0, "worker" => &address.name, "incarnation" => address.incarnation,
+                "reason" => refusal.name()),
             Outcome::Unknown => warn!(self.log, "start without an answer"; "task" => %task,
-                "run" => run.0, "worker" => address.name),
+                "run" => run.0, "worker" => &address.name, "incarnation" => address.incarnation),
         }
         self.apply(Input::Started {
             worker,
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -16,7 +16,7 @@
 use crate::core::queue::QueueTable;
 use crate::core::scheduler::advice::AdvisorProxy;
 use crate::core::scheduler::id::{Request, Token, Worker};
-use crate::core::scheduler::{Answer, Input, Output, Rules, Scheduler, Time};
+use crate::core::scheduler::{Answer, Input, OVERCOMMITTED, Output, Rules, Scheduler, Time};
 use crate::entry::link::Link;
 use crate::entry::message::{EntryRequest, EntryResponse};
 use crate::entry::port::{Address, Directory, DirectoryChange, Platform, ReadError};
@@ -270,11 +270,15 @@
                 self.queue.push(mark, super::port::Record { key, value });
             }
             Output::Withdraw { key } => self.queue.withdraw(&key),
-            Output::Start { worker, start } => {
+            Output::Start {
+                worker,
+                start,
+                account,
+            } => {
                 self.metrics
                     .worker_commands
                     .add(1, &label("command", "start"));
-                actix_rt::spawn(Rc::clone(self).start(worker, start));
+                actix_rt::spawn(Rc::clone(self).start(worker, start, account));
             }
             Output::Stop { worker, task, run } => {
                 self.metrics
@@ -298,16 +302,56 @@
             Output::Phase { job, phase, reason } => {
                 info!(self.log, "job changed"; "job" => %job, "phase" => phase.name(), "reason" => reason);
             }
-            Output::Worker { worker, event } => {
-                info!(self.log, "worker changed"; "worker" => self.worker_name(worker), "event" => event);
-                if event == "listed" {
-                    actix_rt::spawn(Rc::clone(self).poll_worker(worker));
+            Output::Adopted {
+                worker,
+                task,
+                run,
+                need,
+                is_wanted,
+            } => {
+                info!(self.log, "run found on a worker"; "task" => %task, "run" => run.0,
+                    "worker" => self.worker_name(worker), "goes_on" => is_wanted,
+                    "cpu_millis" => need.map(|need| need.cpu_millis),
+                    "memory_mib" => need.map(|need| need.memory_mib), "token" => self.token.0);
+            }
+            Output::Released {
+                worker,
+                task,
+                run,
+                reason,
+            } => {
+                info!(self.log, "run released without an end"; "task" => %task, "run" => run.0,
+                    "worker" => worker, "reason" => reason);
+            }
+            Output::Worker {
+                worker,
+                name,
+                event,
+            } => {
+                info!(self.log, "worker changed"; "worker" => name, "event" => event);
+                match event {
+                    "listed" => {
+                        actix_rt::spawn(Rc::clone(self).poll_worker(worker));
+                    }
+                    OVERCOMMITTED => self.report_overcommitted(worker),
+                    _ => {}
                 }
             }
             Output::Superseded => self.finish("a worker has seen a higher token"),
         }
     }
 
+    fn report_overcommitted(&self, worker: Worker) {
+        self.metrics.overcommitted_workers.add(1, &[]);
+        let scheduler = self.scheduler.borrow();
+        if let Some(worker) = scheduler.worker(worker) {
+            let account = worker.account(self.clock.now());
+            warn!(self.log, "worker has more runs than capacity"; "worker" => &worker.entry.name,
+                "used" => %account.used, "capacity" => %account.capacity,
+                "runs" => worker.attempts.len(), "token" => self.token.0);
+        }
+    }
+
     fn worker_name(&self, worker: Worker) -> String {
         let scheduler = self.scheduler.borrow();
         scheduler
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -33,6 +33,8 @@
     pub peer_messages: Counter<u64>,
     /// Commands sent to workers, by `command`.
     pub worker_commands: Counter<u64>,
+    /// Workers whose runs were found to use more than their capacity.
+    pub overcommitted_workers: Counter<u64>,
     /// Restarts of the daemon's supervised parts, by `part`.
     pub restarts: Counter<u64>,
 }
@@ -81,6 +83,11 @@
                 "laburnum_worker_commands",
                 "commands sent to workers",
             ),
+            overcommitted_workers: counter(
+                &meter,
+                "laburnum_overcommitted_workers",
+                "workers found with more runs than capacity",
+            ),
             restarts: counter(
                 &meter,
                 "laburnum_restarts",
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -189,13 +189,17 @@
                 Output::Append { mark, key, value } => {
                     self.unconfirmed.push_back((mark, key, value));
                 }
-                Output::Start { worker, start } => self.starts.push((worker, start)),
+                Output::Start { worker, start, .. } => self.starts.push((worker, start)),
                 Output::Stop { worker, task, run } => self.stops.push((worker, task, run)),
                 Output::CallAdvisor(call) => self.calls.push((call.proxy, call.step, call.workers)),
                 Output::Answer { request, answer } => self.answers.push((request, answer)),
                 Output::Superseded => self.is_superseded = true,
                 Output::Withdraw { key } => self.unconfirmed.retain(|(_, other, _)| *other != key),
-                Output::Ended { .. } | Output::Phase { .. } | Output::Worker { .. } => {}
+                Output::Adopted { .. }
+                | Output::Ended { .. }
+                | Output::Phase { .. }
+                | Output::Released { .. }
+                | Output::Worker { .. } => {}
             }
         }
     }
