--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -185,3 +185,39 @@
     cell.confirm();
     assert_eq!(cell.answers.len(), 2);
 }
+
+#[test]
+fn takeover_during_a_cancellation_overcommits_no_worker() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(3)]));
+    first.confirm();
+    let cancelled = first.accept_starts();
+    assert_eq!(cancelled.len(), 3, "12 of 16 cores");
+    first.submit(8, queue(), spec(vec![step(4)]));
+    first.input(Input::Cancel {
+        request: Request(9),
+        job: Job(7),
+        queue: "filings".to_owned(),
+        at: first.time().stamp,
+    });
+    first.confirm();
+    first.starts.clear();
+
+    // The stop commands take a while: the next owner finds the runs of the ended job.
+    let mut second = first.successor(9);
+    let worker = second.list_worker("w1");
+    let being_stopped = cancelled.iter().map(|(_, start)| running(start)).collect();
+    second.poll(worker, being_stopped, Vec::new());
+    second.wait(Duration::from_millis(100));
+    assert!(
+        second.starts.len() <= 1,
+        "4 of 16 cores are free, and {} runs of 4 cores were started",
+        second.starts.len()
+    );
+
+    let ends = cancelled.iter().zip(1..);
+    let ends = ends.map(|((_, start), number)| ended(number, start, RunEnd::Stopped));
+    second.poll(worker, Vec::new(), ends.collect());
+    assert_eq!(second.starts.len(), 4, "the whole worker is free");
+}
