--- a/crates/laburnum-testkit/src/process/mod.rs
+++ b/crates/laburnum-testkit/src/process/mod.rs
@@ -34,6 +34,8 @@
     Stop,
     /// `SIGCONT`: resumes a suspended program.
     Continue,
+    /// `SIGHUP`: requests the program to read its settings again.
+    Hangup,
     /// `SIGTERM`: requests the program to exit.
     Terminate,
     /// `SIGKILL`: ends the program immediately.
@@ -45,6 +47,7 @@
         match signal {
             Signal::Stop => rustix::process::Signal::STOP,
             Signal::Continue => rustix::process::Signal::CONT,
+            Signal::Hangup => rustix::process::Signal::HUP,
             Signal::Terminate => rustix::process::Signal::TERM,
             Signal::Kill => rustix::process::Signal::KILL,
         }
--- a/crates/laburnum-testkit/src/standin/http.rs
+++ b/crates/laburnum-testkit/src/standin/http.rs
@@ -13,12 +13,15 @@
 
 /// A request whose body has been read.
 #[derive(Debug)]
-pub(super) struct Request {
-    pub(super) method: Method,
-    pub(super) path: String,
+pub struct Request {
+    /// The HTTP method.
+    pub method: Method,
+    /// The path, without the query.
+    pub path: String,
     query: String,
     headers: HeaderMap,
-    pub(super) body: Bytes,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 impl Request {
@@ -27,7 +30,7 @@
     /// # Errors
     ///
     /// Fails with an error response when the body is incomplete or too large.
-    pub(super) async fn read(mut request: actix_http::Request) -> Result<Request, Response> {
+    pub async fn read(mut request: actix_http::Request) -> Result<Request, Response> {
         let mut payload = request.take_payload();
         let mut body = BytesMut::new();
         while let Some(chunk) = payload.next().await {
@@ -51,21 +54,26 @@
     }
 
     /// Returns whether the request changes state.
-    pub(super) fn is_change(&self) -> bool {
+    pub fn is_change(&self) -> bool {
         self.method != Method::GET
     }
 
-    /// Returns a query parameter, or `None` when it is absent or not a number.
-    pub(super) fn number(&self, name: &str) -> Option<u64> {
+    /// Returns a query parameter as it was sent, or `None` when it is absent.
+    pub fn parameter(&self, name: &str) -> Option<&str> {
         self.query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
             .find(|(key, _)| *key == name)
-            .and_then(|(_, value)| value.parse().ok())
+            .map(|(_, value)| value)
+    }
+
+    /// Returns a query parameter, or `None` when it is absent or not a number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.parameter(name)?.parse().ok()
     }
 
     /// Returns a header, or `None` when it is absent or not text.
-    pub(super) fn header(&self, name: &str) -> Option<&str> {
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
 
@@ -74,7 +82,7 @@
     /// # Errors
     ///
     /// Fails with an error response when the body is not a `T` in JSON.
-    pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T, Response> {
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Response> {
         serde_json::from_slice(&self.body)
             .map_err(|error| Response::error(StatusCode::BAD_REQUEST, &error.to_string()))
     }
@@ -82,8 +90,9 @@
 
 /// A response.
 #[derive(Debug)]
-pub(super) struct Response {
-    pub(super) status: StatusCode,
+pub struct Response {
+    /// The status code.
+    pub status: StatusCode,
     content_type: &'static str,
     headers: Vec<(HeaderName, HeaderValue)>,
     body: Bytes,
@@ -91,7 +100,7 @@
 
 impl Response {
     /// Creates a response with a binary body.
-    pub(super) fn bytes(status: StatusCode, body: impl Into<Bytes>) -> Response {
+    pub fn bytes(status: StatusCode, body: impl Into<Bytes>) -> Response {
         Response {
             status,
             content_type: "application/octet-stream",
@@ -101,7 +110,7 @@
     }
 
     /// Creates a response of status 200 with a JSON body.
-    pub(super) fn json(message: &impl Serialize) -> Response {
+    pub fn json(message: &impl Serialize) -> Response {
         match serde_json::to_vec(message) {
             Ok(body) => Response {
                 content_type: "application/json",
@@ -112,7 +121,7 @@
     }
 
     /// Creates a response of status 200 with a CBOR body.
-    pub(super) fn cbor(message: &impl Serialize) -> Response {
+    pub fn cbor(message: &impl Serialize) -> Response {
         let mut body = Vec::new();
         match ciborium::into_writer(message, &mut body) {
             Ok(()) => Response {
@@ -123,13 +132,21 @@
         }
     }
 
+    /// Creates a response with a JSON body.
+    pub fn json_with(status: StatusCode, message: &impl Serialize) -> Response {
+        Response {
+            status,
+            ..Response::json(message)
+        }
+    }
+
     /// Creates the response `{}` of status 200.
-    pub(super) fn empty() -> Response {
+    pub fn empty() -> Response {
         Response::json(&json!({}))
     }
 
     /// Creates an error response; its JSON body holds `message` in the field `error`.
-    pub(super) fn error(status: StatusCode, message: &str) -> Response {
+    pub fn error(status: StatusCode, message: &str) -> Response {
         Response {
             status,
             ..Response::json(&json!({ "error": message }))
@@ -137,13 +154,13 @@
     }
 
     /// Creates the response to a request whose method and path no handler matches.
-    pub(super) fn not_found(request: &Request) -> Response {
+    pub fn not_found(request: &Request) -> Response {
         let message = format!("no {} {}", request.method, request.path);
         Response::error(StatusCode::NOT_FOUND, &message)
     }
 
     /// Adds a header; does nothing when the value is not a valid header value.
-    pub(super) fn with_header(mut self, name: &'static str, value: &str) -> Response {
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Response {
         if let Ok(value) = HeaderValue::from_str(value) {
             self.headers.push((HeaderName::from_static(name), value));
         }
@@ -151,7 +168,7 @@
     }
 
     /// Converts the response to the HTTP library's type.
-    pub(super) fn into_response(self) -> actix_http::Response<Bytes> {
+    pub fn into_response(self) -> actix_http::Response<Bytes> {
         let mut response = actix_http::Response::with_body(self.status, self.body);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(self.content_type));
--- a/crates/laburnum-testkit/src/standin/server.rs
+++ b/crates/laburnum-testkit/src/standin/server.rs
@@ -30,12 +30,15 @@
 const BIND_RETRY: Duration = Duration::from_millis(20);
 
 /// The request handling of a stand-in.
-pub(super) trait Serve: 'static {
+pub trait Serve: 'static {
     /// Handles a request on the stand-in's own port.
     fn serve(&self, request: Request, faults: Faults) -> impl Future<Output = Response>;
 
     /// Handles a request on the control port; `path` is the part after `/v1/{role}/{index}/`.
-    fn control(&self, path: &str, request: &Request) -> Response;
+    fn control(&self, path: &str, request: &Request) -> Response {
+        let _ = path;
+        Response::not_found(request)
+    }
 
     /// Returns whether a new connection is accepted while `open` others are open.
     fn accepts_connection(&self, open: usize) -> bool {
@@ -44,6 +47,20 @@
     }
 }
 
+impl<S: Serve> Serve for Rc<S> {
+    async fn serve(&self, request: Request, faults: Faults) -> Response {
+        S::serve(self, request, faults).await
+    }
+
+    fn control(&self, path: &str, request: &Request) -> Response {
+        S::control(self, path, request)
+    }
+
+    fn accepts_connection(&self, open: usize) -> bool {
+        S::accepts_connection(self, open)
+    }
+}
+
 /// A command to a connection's task.
 #[derive(Clone, Copy, PartialEq)]
 enum Command {
@@ -60,9 +77,10 @@
 }
 
 /// A stand-in and the port that it listens on.
-pub(super) struct Server<S> {
+pub struct Server<S> {
     address: SocketAddr,
-    pub(super) service: S,
+    /// The request handling.
+    pub service: S,
     faults: watch::Sender<Faults>,
     connections: RefCell<HashMap<SocketAddr, Connection>>,
 }
@@ -73,7 +91,7 @@
     /// # Errors
     ///
     /// Fails when the server cannot listen on `address`.
-    pub(super) fn start(address: SocketAddr, service: S) -> io::Result<Rc<Server<S>>> {
+    pub fn start(address: SocketAddr, service: S) -> io::Result<Rc<Server<S>>> {
         let listener = bind(address)?.listen(BACKLOG)?;
         let server = Rc::new(Server {
             address: listener.local_addr()?,
@@ -86,17 +104,17 @@
     }
 
     /// Returns the address that the stand-in listens on.
-    pub(super) fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Returns the faults that are switched on.
-    pub(super) fn faults(&self) -> Faults {
+    pub fn faults(&self) -> Faults {
         self.faults.borrow().clone()
     }
 
     /// Sets all fault switches and applies `down` and `silent` to the open connections.
-    pub(super) fn set_faults(&self, faults: Faults) {
+    pub fn set_faults(&self, faults: Faults) {
         let silent = faults.silent;
         let down = faults.down;
         for connection in self.connections.borrow_mut().values_mut() {
