Count a run whose need is not known as all that a worker has left

After a change of owner, the next owner finds runs of jobs that have ended: their stop takes up to 400 ms or was lost with the former owner. The record of an ended job holds no steps, so what such a run needs cannot be looked up, and it counted as nothing. The owner then filled the worker as if the run were gone.

Class: what is not known was taken as none. Now a run without a known need leaves its worker no free capacity until it has ended. A record that is lost or cannot be read is covered as well, which storing the need in the record of the end would not do.

Ruled out as the cause of the traced cases: late orders, a wrong capacity and two owners (the starts named came from one owner, at once, on workers that it had polled and whose capacity it logged correctly).

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -509,7 +509,7 @@
         let checkpoint = checkpoint.map(|checkpoint| Arc::clone(&checkpoint.value));
         step.set(task.index, TaskState::Active { worker: key, run });
         let attempt = Attempt {
-            need,
+            need: Some(need),
             state: State::Starting,
             since: now,
             started: now,
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -62,7 +62,7 @@
             State::Stopping
         };
         let attempt = Attempt {
-            need: need.unwrap_or_default(),
+            need,
             state,
             since: time.now,
             started: time.now,
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -2,7 +2,7 @@
 //!
 //! A run uses capacity from the decision to start it until it certainly is not on the worker any
 //! more. The capacity stays in use after a lost response, while a stop is in progress and while the
-//! worker does not respond.
+//! worker does not respond. A run whose need is not known uses all capacity that the others leave.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -63,8 +63,9 @@
 /// A run that may be on a worker.
 #[state]
 pub struct Attempt {
-    /// The capacity that the run uses.
-    pub need: Amount,
+    /// The capacity that the run uses; `None` when the steps of its job are not known, because an
+    /// earlier owner recorded the end of the job.
+    pub need: Option<Amount>,
     /// The current state.
     pub state: State,
     /// When the state was entered.
@@ -132,8 +133,10 @@
     pub is_recorded: bool,
     /// The runs that may be on the worker.
     pub attempts: HashMap<(Task, Run), Attempt>,
-    /// The capacity that the attempts use.
+    /// The capacity that the attempts with a known need use.
     pub used: Amount,
+    /// The number of attempts whose need is not known.
+    unknown_needs: usize,
     /// The number of the last ended run that was processed.
     pub last_end: u64,
     /// The number of the last ended run that is in the log.
@@ -164,6 +167,7 @@
             is_recorded: false,
             attempts: HashMap::new(),
             used: Amount::default(),
+            unknown_needs: 0,
             last_end: 0,
             acknowledged: 0,
             answered: now,
@@ -175,8 +179,11 @@
         }
     }
 
-    /// Returns the capacity that is not used.
+    /// Returns the capacity that is certainly not used: none while the need of a run is not known.
     pub fn free(&self) -> Amount {
+        if self.unknown_needs > 0 {
+            return Amount::default();
+        }
         self.entry.capacity - self.used
     }
 
@@ -225,16 +232,21 @@
 
     /// Adds a run, whose capacity is used from now on.
     pub fn insert(&mut self, task: Task, run: Run, attempt: Attempt) {
-        self.used += attempt.need;
-        if let Some(former) = self.attempts.insert((task, run), attempt) {
-            self.used -= former.need;
+        self.remove(task, run);
+        match attempt.need {
+            Some(need) => self.used += need,
+            None => self.unknown_needs += 1,
         }
+        self.attempts.insert((task, run), attempt);
     }
 
     /// Removes a run and frees its capacity; `None` if the run is not on the worker.
     pub fn remove(&mut self, task: Task, run: Run) -> Option<Attempt> {
         let attempt = self.attempts.remove(&(task, run))?;
-        self.used -= attempt.need;
+        match attempt.need {
+            Some(need) => self.used -= need,
+            None => self.unknown_needs -= 1,
+        }
         Some(attempt)
     }
 
@@ -250,7 +262,7 @@
         let mut ends: Vec<(Instant, Amount)> = self
             .attempts
             .values()
-            .map(|attempt| (attempt.expected_end(now), attempt.need))
+            .map(|attempt| (attempt.expected_end(now), attempt.need.unwrap_or_default()))
             .collect();
         ends.sort_unstable_by_key(|(end, _)| *end);
         let mut times = Vec::new();
