Keep the capacity of a stopped run until the stop must be over

An owner took a run for gone as soon as its stop was confirmed and a later report left it out. A stop takes up to the platform's stop time, and the platform frees capacity only when the end is listed; a worker that leaves out a run that is being stopped was filled early.

A run that is neither reported as running nor as ended now keeps its capacity until the stop time has passed since the stop was confirmed. The stop time is a setting, worker_stop_ms. A run that is still reported after that is stopped again, where before the owner waited for good.

stopped_run_that_is_not_reported_keeps_its_capacity_for_the_stop_time failed before. doubtful_start_is_stopped_and_keeps_its_room_until_void expected the release 10 ms after the confirmation, which this fault is about: it now checks that nothing starts 390 ms after it and that the task starts 400 ms after it.

--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -63,6 +63,8 @@
     pub lease: Duration,
     /// The longest lease that a worker grants.
     pub max_lease: Duration,
+    /// The longest time that a worker takes to stop a run.
+    pub stop_time: Duration,
     /// How long the tasks of a gang wait for each other to start.
     pub gang_timeout: Duration,
     /// The run time of a task away from its data, as a multiple of its run time next to it.
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -55,8 +55,8 @@
     Doubtful,
     /// The run has started and is not known to have ended.
     Running,
-    /// The run is to be stopped. Its capacity is free once the worker reports its end, or once the
-    /// stop is confirmed and the run is no longer reported.
+    /// The run is to be stopped. Its capacity is free once the worker reports its end, or does not
+    /// report the run although the stop was confirmed and must be over.
     Stopping,
 }
 
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -220,21 +220,25 @@
         time: Time,
         out: &mut Vec<Output>,
     ) {
+        let stop_time = self.rules.stop_time;
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
         let mut gone = Vec::new();
         for (&(task, run), attempt) in &mut worker.attempts {
             if attempt.state == State::Stopping || attempt.state == State::Doubtful {
-                let is_void = attempt.stop_answered.is_some_and(|at| at < sent);
+                // A run that is being stopped uses capacity until its end, also if it is not reported.
+                let is_stop_over = attempt
+                    .stop_answered
+                    .is_some_and(|at| at + stop_time <= sent);
                 let is_reported = reported.contains(&(task, run));
-                if is_void && !is_reported {
+                let may_retry = attempt
+                    .stop_sent
+                    .is_none_or(|at| time.now.since(at) > STOP_RETRY_AFTER);
+                if is_stop_over && !is_reported {
                     gone.push((task, run, "stopped and not reported"));
-                } else if attempt.stop_answered.is_none()
-                    && attempt
-                        .stop_sent
-                        .is_none_or(|at| time.now.since(at) > STOP_RETRY_AFTER)
-                {
+                } else if may_retry && (is_stop_over || attempt.stop_answered.is_none()) {
+                    attempt.stop_answered = None;
                     attempt.stop_sent = Some(time.now);
                     out.push(Output::Stop {
                         worker: key,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -47,6 +47,8 @@
     pub stop_s: f64,
     /// The longest lease that workers grant, in milliseconds.
     pub max_lease_ms: u64,
+    /// The longest time that a worker takes to stop a run, in milliseconds.
+    pub worker_stop_ms: u64,
     /// How long the members of a gang wait for each other at a worker, in milliseconds.
     pub gang_timeout_ms: u64,
     /// The factor by which a task takes longer on a worker that is remote from its data.
@@ -115,6 +117,7 @@
         Rules {
             lease: LEASE.min(max_lease),
             max_lease,
+            stop_time: Duration::from_millis(self.worker_stop_ms),
             gang_timeout: Duration::from_millis(self.gang_timeout_ms),
             remote_factor: self.remote_factor,
             status_kept: Duration::from_secs_f64(self.status_kept_s),
--- /dev/null
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -0,0 +1,68 @@
+//! Tests that the capacity of a run stays in use until the run is certainly gone.
+
+use std::time::Duration;
+
+use laburnumplank::core::scheduler::Input;
+use laburnumplank::core::scheduler::id::{Job, Request, Worker};
+use laburnumplank::core::scheduler::message::{Outcome, RunEnd, Start};
+
+use super::cell::{Cell, ended, queue, running, spec, step};
+
+/// The longest time that a worker takes to stop a run.
+const STOP_TIME: Duration = Duration::from_millis(400);
+
+/// Creates a cell with one worker that is full.
+fn full_cell() -> (Cell, Worker, Vec<Start>) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    let starts = cell.accept_starts().into_iter().map(|(_, start)| start);
+    let starts: Vec<Start> = starts.collect();
+    assert_eq!(starts.len(), 4, "four tasks of 4 cores on 16");
+    (cell, worker, starts)
+}
+
+fn cancel(cell: &mut Cell, job: u64) {
+    let at = cell.time().stamp;
+    cell.input(Input::Cancel {
+        request: Request(100 + job),
+        job: Job(job),
+        queue: "filings".to_owned(),
+        at,
+    });
+    cell.tick();
+    cell.confirm();
+}
+
+fn answer_stops(cell: &mut Cell) {
+    for (worker, task, run) in std::mem::take(&mut cell.stops) {
+        cell.input(Input::Stopped {
+            worker,
+            task,
+            run,
+            outcome: Outcome::Done(None),
+        });
+    }
+    cell.wait(Duration::from_millis(1));
+}
+
+#[test]
+fn stopped_run_that_is_not_reported_keeps_its_capacity_for_the_stop_time() {
+    let (mut cell, worker, starts) = full_cell();
+    cell.submit(8, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    cancel(&mut cell, 7);
+    answer_stops(&mut cell);
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert!(cell.starts.is_empty(), "the end of no run is reported");
+    let ends = starts[..2].iter().zip(1..);
+    let ends = ends.map(|(start, number)| ended(number, start, RunEnd::Stopped));
+    cell.poll(worker, Vec::new(), ends.collect());
+    assert_eq!(cell.starts.len(), 2, "two of four runs have ended");
+    let started = cell.accept_starts();
+    cell.wait(STOP_TIME);
+    let running = started.iter().map(|(_, start)| running(start)).collect();
+    cell.poll(worker, running, Vec::new());
+    assert_eq!(cell.starts.len(), 2, "a stop takes no longer than this");
+}
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -26,6 +26,7 @@
     Rules {
         lease: Duration::from_millis(4_500),
         max_lease: Duration::from_millis(6_000),
+        stop_time: Duration::from_millis(400),
         gang_timeout: Duration::from_millis(3_000),
         remote_factor: 3.0,
         status_kept: Duration::from_secs(120),
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler that places the tasks of jobs on workers.
 
 mod advice;
+mod capacity;
 mod cell;
 pub(crate) use cell::rules;
 mod order;
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -100,6 +100,9 @@
         run: start.run,
         outcome: Outcome::Done(None),
     });
+    cell.wait(Duration::from_millis(390));
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert!(cell.starts.is_empty(), "a run may still be being stopped");
     cell.wait(Duration::from_millis(10));
     cell.poll(worker, Vec::new(), Vec::new());
     assert_eq!(cell.starts.len(), 1);
