Heed the lease of an earlier owner after a worker's first report

Until a worker first responds, an owner assumes the longest lease from an earlier owner. From the first response on it went by its own grants only. If the next poll fails, the runs of the earlier owner were released when the shorter lease of this owner ends, 1.5 s too early if the earlier one granted the longest: tasks start elsewhere beside their old runs.

--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -155,9 +155,9 @@
 }
 
 impl Worker {
-    /// Creates a worker that was first listed at `now` and may hold a lease of up to `max_lease` from
-    /// an earlier owner.
-    pub fn new(entry: Entry, now: Instant, max_lease: Duration) -> Worker {
+    /// Creates a worker that was first listed at `now`. `inherited_lease` is the longest lease that it
+    /// may hold from an earlier owner.
+    pub fn new(entry: Entry, now: Instant, inherited_lease: Duration) -> Worker {
         Worker {
             rack: entry.rack.as_deref().map(Arc::from),
             entry,
@@ -175,7 +175,7 @@
             history: super::suspicion::RunHistory::default(),
             deadline_ms: 0,
             reading: None,
-            inherited_until: now + max_local_duration(max_lease) + LEASE_MARGIN,
+            inherited_until: now + max_local_duration(inherited_lease) + LEASE_MARGIN,
         }
     }
 
@@ -221,13 +221,15 @@
         self.answered = now;
     }
 
-    /// Returns when every lease that the worker may hold has ended, on this process's clock.
+    /// Returns when every lease that the worker may hold, also one of an earlier owner, has ended on
+    /// this process's clock.
     pub fn lease_end(&self) -> Instant {
         let Some(reading) = self.reading else {
             return self.inherited_until;
         };
         let left = self.deadline_ms.saturating_sub(reading.clock_ms);
-        reading.at + max_local_duration(Duration::from_millis(left)) + LEASE_MARGIN
+        let own_end = reading.at + max_local_duration(Duration::from_millis(left)) + LEASE_MARGIN;
+        own_end.max(self.inherited_until)
     }
 
     /// Adds a run, whose capacity is used from now on.
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -43,13 +43,25 @@
             self.remove_worker(key, now, "restarted", out);
         }
         let name = entry.name.clone();
-        let worker = worker::Worker::new(entry, now, self.rules.max_lease);
+        let incarnation = entry.incarnation;
+        let worker = worker::Worker::new(entry, now, self.inherited_lease(&name, incarnation));
         let key = self.workers.insert(worker);
         out.push(event(key, &self.workers[key], "listed"));
         self.by_name.insert(name, key);
         self.is_worker_list_recorded = false;
     }
 
+    /// Returns the longest lease that an earlier owner may have granted to a worker.
+    fn inherited_lease(&self, name: &str, incarnation: u64) -> Duration {
+        let mut inherited = self.inherited_workers.iter();
+        let is_inherited = inherited.any(|(other, since)| other == name && *since == incarnation);
+        if is_inherited {
+            self.rules.max_lease
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Processes that the directory no longer lists a worker. The worker gets no new tasks, and its
     /// runs are kept until its lease ends.
     pub(super) fn unlisted(&mut self, name: &str, out: &mut Vec<Output>) {
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -66,3 +66,26 @@
     cell.poll(worker, running, Vec::new());
     assert_eq!(cell.starts.len(), 2, "a stop takes no longer than this");
 }
+
+#[test]
+fn silence_after_the_first_report_leaves_the_lease_of_an_earlier_owner() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let starts = first.accept_starts();
+
+    let mut second = first.successor(9);
+    let one = second.list_worker("w1");
+    second.poll(one, vec![running(&starts[0].1)], Vec::new());
+    second.add_worker("w2");
+    second.input(Input::PollFailed {
+        worker: one,
+        outcome: Outcome::Unknown,
+    });
+    second.wait(Duration::from_millis(5_900));
+    assert!(
+        second.starts.is_empty(),
+        "an earlier owner may have granted a lease of 6 s"
+    );
+}
