Free no capacity when a start is rejected whose run was reported

A rejected start released its run in any state. If the worker got the command twice, or its report overtook the response, the run is there: the rejection speaks of the second copy. The capacity was given away and the task started elsewhere.

A rejection now counts only while the worker has neither reported the run nor confirmed its start. rejection_of_a_run_that_was_reported_frees_no_capacity failed before.

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -516,6 +516,7 @@
             estimate: spec.estimate,
             stop_sent: None,
             stop_answered: None,
+            is_confirmed: false,
             percent: 0,
         };
         worker.insert(task, run, attempt);
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -36,6 +36,7 @@
         };
         if let Some(attempt) = worker.attempts.get_mut(&(task, run)) {
             attempt.percent = percent;
+            attempt.is_confirmed = true;
             if matches!(attempt.state, State::Starting | State::Doubtful) {
                 attempt.state = State::Running;
                 attempt.since = time.now;
@@ -69,6 +70,7 @@
             estimate,
             stop_sent: None,
             stop_answered: None,
+            is_confirmed: true,
             percent: 0,
         };
         if let Some(worker) = self.workers.get_mut(key) {
@@ -312,6 +314,7 @@
         };
         match outcome {
             Outcome::Done(_) => {
+                attempt.is_confirmed = true;
                 if attempt.state == State::Starting {
                     attempt.state = State::Running;
                     attempt.since = time.now;
@@ -323,6 +326,8 @@
                     attempt.since = time.now;
                 }
             }
+            // The worker has the run: an earlier copy of the command was carried out.
+            Outcome::Refused(refusal) if attempt.is_confirmed && *refusal != Refusal::Fenced => {}
             Outcome::Refused(refusal) => {
                 self.refused(time, key, task, run, *refusal, out);
             }
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -79,6 +79,8 @@
     /// When a stop command was confirmed. From then on the worker rejects a late start command of
     /// this run.
     pub stop_answered: Option<Instant>,
+    /// Whether the worker has reported the run or confirmed its start.
+    pub is_confirmed: bool,
     /// The progress of the run, in percent.
     pub percent: u8,
 }
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -4,7 +4,7 @@
 
 use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::id::{Job, Request, Worker};
-use laburnumplank::core::scheduler::message::{Outcome, RunEnd, Start};
+use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 
 use super::cell::{Cell, ended, queue, running, spec, step};
 
@@ -89,3 +89,24 @@
         "an earlier owner may have granted a lease of 6 s"
     );
 }
+
+#[test]
+fn rejection_of_a_run_that_was_reported_frees_no_capacity() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(5)]));
+    cell.confirm();
+    let starts: Vec<Start> = std::mem::take(&mut cell.starts)
+        .into_iter()
+        .map(|(_, start)| start)
+        .collect();
+    cell.poll(worker, starts.iter().map(running).collect(), Vec::new());
+    cell.input(Input::Started {
+        worker,
+        task: starts[0].task,
+        run: starts[0].run,
+        outcome: Outcome::Refused(Refusal::OldRun),
+    });
+    cell.tick();
+    assert!(cell.starts.is_empty(), "the worker reported all four runs");
+}
