Free no capacity on a report with rows that cannot be decoded

The adapter skipped a row of a worker's report that it could not decode, and the scheduler took the report as complete: a run named by such a row counted as gone, and its capacity was given away.

An inventory now says whether it is complete. While it is not, no run is taken for gone, and nothing is placed on the worker: an undecoded row may be of a run that is not known.

With the two decisions taken back, report_with_unreadable_rows_frees_no_capacity fails at its first check.

--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -83,6 +83,9 @@
     /// The oldest ended runs that are not acknowledged, in the order of their numbers. The worker
     /// may have further ones.
     pub ended: Vec<EndedRun>,
+    /// Whether every run that the worker reported is in `running` or `ended`; otherwise some could
+    /// not be decoded.
+    pub is_complete: bool,
 }
 
 /// Why a worker rejected a command.
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -131,6 +131,8 @@
     pub is_responding: bool,
     /// Whether the worker has ever responded to a poll of this owner.
     pub has_responded: bool,
+    /// Whether all runs of the last report are known.
+    pub is_report_complete: bool,
     /// Whether the record of workers in the log contains this one.
     pub is_recorded: bool,
     /// The runs that may be on the worker.
@@ -166,6 +168,7 @@
             listed: true,
             is_responding: false,
             has_responded: false,
+            is_report_complete: false,
             is_recorded: false,
             attempts: HashMap::new(),
             used: Amount::default(),
@@ -200,7 +203,11 @@
 
     /// Whether new tasks may be placed on the worker if it has the capacity.
     pub fn is_usable(&self) -> bool {
-        self.listed && self.is_responding && self.is_recorded && !self.entry.draining
+        self.listed
+            && self.is_responding
+            && self.is_report_complete
+            && self.is_recorded
+            && !self.entry.draining
     }
 
     /// Returns an estimate of the worker's clock at `now`; `None` before the first response.
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -188,7 +188,8 @@
             worker.has_responded = true;
             out.push(event(key, worker, "responding"));
         }
-        let is_complete = inventory.ended.len() < MAX_REPORTED_ENDS;
+        worker.is_report_complete = inventory.is_complete;
+        let is_complete = inventory.is_complete && inventory.ended.len() < MAX_REPORTED_ENDS;
         let reported: Vec<(Task, Run)> = inventory
             .running
             .iter()
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -110,3 +110,18 @@
     cell.tick();
     assert!(cell.starts.is_empty(), "the worker reported all four runs");
 }
+
+#[test]
+fn report_with_unreadable_rows_frees_no_capacity() {
+    let (mut cell, worker, starts) = full_cell();
+    cell.submit(8, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    cell.poll_with(worker, Vec::new(), Vec::new(), false);
+    assert!(cell.starts.is_empty(), "the rows may be of the four runs");
+    let ends = starts.iter().zip(1..);
+    let ends = ends.map(|(start, number)| ended(number, start, RunEnd::Done));
+    cell.poll_with(worker, Vec::new(), ends.collect(), false);
+    assert!(cell.starts.is_empty(), "the rows may be of further runs");
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert_eq!(cell.starts.len(), 4);
+}
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -222,6 +222,17 @@
 
     /// Polls a worker, which responds with this inventory.
     pub(super) fn poll(&mut self, worker: Worker, running: Vec<ActiveRun>, ended: Vec<EndedRun>) {
+        self.poll_with(worker, running, ended, true);
+    }
+
+    /// Polls a worker, which responds with an inventory that may be incomplete.
+    pub(super) fn poll_with(
+        &mut self,
+        worker: Worker,
+        running: Vec<ActiveRun>,
+        ended: Vec<EndedRun>,
+        is_complete: bool,
+    ) {
         let sent = self.now;
         self.scheduler.poll(sent, worker);
         let clock_ms = 1_000_000 + self.now.0 / 1_000;
@@ -232,6 +243,7 @@
                 clock_ms,
                 running,
                 ended,
+                is_complete,
             },
         });
         self.tick();
