Let starts under way use capacity of a worker's next incarnation

When a worker restarts under its name, its owner released all of its runs. A start command without an outcome may still reach the next incarnation, which takes any token: the task ran there while it was started elsewhere, and the worker's first report, without that run, was filled up to its capacity.

Runs that the former incarnation had neither reported nor confirmed now move to the next one. They use its capacity and keep their tasks until the worker reports them or a stop command has made them void there, as for any other start without an answer. Between the end of one incarnation and the listing of the next, the former one is kept for them, without polls, until its lease ends.

start_under_way_when_a_worker_restarts_uses_capacity_of_the_next_incarnation failed before; start_confirmed_by_the_next_incarnation_of_a_worker_goes_on_there covers the time between the two.

Left: a start that is sent after the restart and before the owner knows of it. The next incarnation may be smaller, and nothing in the command names the incarnation that it is meant for.

--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -131,6 +131,9 @@
     pub is_responding: bool,
     /// Whether the worker has ever responded to a poll of this owner.
     pub has_responded: bool,
+    /// Whether this incarnation has ended and the directory does not list the next one yet. Only
+    /// runs that the next incarnation may carry out are left.
+    pub is_replaced: bool,
     /// Whether all runs of the last report are known.
     pub is_report_complete: bool,
     /// Whether the record of workers in the log contains this one.
@@ -168,6 +171,7 @@
             listed: true,
             is_responding: false,
             has_responded: false,
+            is_replaced: false,
             is_report_complete: false,
             is_recorded: false,
             attempts: HashMap::new(),
@@ -293,6 +297,14 @@
         }
     }
 
+    /// Returns the runs that the worker's next incarnation may carry out: those that this one has
+    /// neither reported nor confirmed. What is confirmed after its end is the next one's response.
+    pub fn undecided(&self) -> Vec<(Task, Run)> {
+        let attempts = self.attempts.iter();
+        let undecided = attempts.filter(|(_, attempt)| self.is_replaced || !attempt.is_confirmed);
+        undecided.map(|(&id, _)| id).collect()
+    }
+
     /// Returns the number of runs of a step that may be on the worker.
     pub fn tasks_of(&self, step: super::id::Step) -> usize {
         let tasks = self.attempts.keys();
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::id::{Run, Task, Worker};
+use super::job::TaskState;
 use super::message::{Inventory, Outcome, Output, Refusal};
 use super::record::{self, Key, Workers};
-use super::worker::{self, Entry, State};
+use super::worker::{self, Attempt, Entry, State};
 use super::{Effect, Scheduler, Time, WorkerPoll};
 use crate::core::time::Instant;
 
@@ -40,8 +41,16 @@
             if worker.entry.incarnation > entry.incarnation {
                 return;
             }
+            let undecided = self.take_undecided(key);
             self.remove_worker(key, now, "restarted", out);
+            let next = self.add_worker(entry, now, out);
+            self.transfer(key, next, undecided, now);
+            return;
         }
+        self.add_worker(entry, now, out);
+    }
+
+    fn add_worker(&mut self, entry: Entry, now: Instant, out: &mut Vec<Output>) -> Worker {
         let name = entry.name.clone();
         let incarnation = entry.incarnation;
         let worker = worker::Worker::new(entry, now, self.inherited_lease(&name, incarnation));
@@ -49,6 +58,57 @@
         out.push(event(key, &self.workers[key], "listed"));
         self.by_name.insert(name, key);
         self.is_worker_list_recorded = false;
+        key
+    }
+
+    /// Removes and returns the runs of a worker that its next incarnation may carry out.
+    fn take_undecided(&mut self, key: Worker) -> Vec<(Task, Run, Attempt)> {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return Vec::new();
+        };
+        let undecided = worker.undecided().into_iter();
+        undecided
+            .filter_map(|(task, run)| Some((task, run, worker.remove(task, run)?)))
+            .collect()
+    }
+
+    /// Moves runs to the next incarnation of their worker, which has the same name and may carry the
+    /// start commands out. They use its capacity until it reports them or a stop command has made
+    /// them void there.
+    fn transfer(
+        &mut self,
+        from: Worker,
+        to: Worker,
+        runs: Vec<(Task, Run, Attempt)>,
+        now: Instant,
+    ) {
+        for (task, run, attempt) in runs {
+            let state = match attempt.state {
+                State::Stopping => State::Stopping,
+                _ => State::Doubtful,
+            };
+            let attempt = Attempt {
+                state,
+                since: now,
+                stop_sent: None,
+                stop_answered: None,
+                ..attempt
+            };
+            if let Some(worker) = self.workers.get_mut(to) {
+                worker.insert(task, run, attempt);
+            }
+            let job = self.jobs.get_mut(&task.step.job);
+            let Some(step) = job.and_then(|job| job.step_mut(task.step)) else {
+                continue;
+            };
+            let state = step
+                .tasks
+                .get(usize::from(task.index))
+                .map(|task| task.state);
+            if state == Some(TaskState::Active { worker: from, run }) {
+                step.set(task.index, TaskState::Active { worker: to, run });
+            }
+        }
     }
 
     /// Returns the longest lease that an earlier owner may have granted to a worker.
@@ -110,6 +170,29 @@
         }
     }
 
+    /// Processes that an incarnation of a worker has ended. The directory will list the next one.
+    fn replaced(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let undecided = worker.undecided();
+        worker.is_replaced = true;
+        worker.is_responding = false;
+        let name = worker.entry.name.clone();
+        if undecided.is_empty() {
+            self.remove_worker(key, now, "restarted", out);
+            return;
+        }
+        out.push(event(key, worker, "restarted with starts under way"));
+        let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
+        for (task, run) in runs {
+            if !undecided.contains(&(task, run)) {
+                self.release(key, task, run, now);
+                out.push(released(&name, task, run, "restarted"));
+            }
+        }
+    }
+
     /// Releases the runs of workers that don't respond and whose leases have ended for certain.
     pub(super) fn release_lapsed(&mut self, time: Time, out: &mut Vec<Output>) {
         let lapsed: Vec<Worker> = self
@@ -121,7 +204,8 @@
             .collect();
         for key in lapsed {
             self.is_dirty = true;
-            match self.workers.get(key).filter(|worker| worker.listed) {
+            let worker = self.workers.get(key);
+            match worker.filter(|worker| worker.listed && !worker.is_replaced) {
                 Some(worker) => {
                     out.push(event(key, worker, LEASE_ENDED));
                     self.release_all(key, time.now, LEASE_ENDED, out);
@@ -131,10 +215,14 @@
         }
     }
 
-    /// Returns the contents of a poll of a worker; `None` for an unknown worker.
+    /// Returns the contents of a poll of a worker; `None` for an unknown worker and for an incarnation
+    /// that has ended.
     pub fn poll(&mut self, now: Instant, key: Worker) -> Option<WorkerPoll> {
         let lease = self.rules.lease;
-        let worker = self.workers.get_mut(key)?;
+        let worker = self
+            .workers
+            .get_mut(key)
+            .filter(|worker| !worker.is_replaced)?;
         let may_extend = worker.is_responding || now.since(worker.answered) < MAX_RESPONSE_AGE;
         Some(WorkerPoll {
             acknowledged: worker.acknowledged,
@@ -155,9 +243,7 @@
     ) {
         match outcome {
             Outcome::Refused(Refusal::Fenced) => out.push(Output::Superseded),
-            Outcome::Refused(Refusal::OtherIncarnation) => {
-                self.remove_worker(key, time.now, "restarted", out);
-            }
+            Outcome::Refused(Refusal::OtherIncarnation) => self.replaced(key, time.now, out),
             _ => {
                 if let Some(worker) = self
                     .workers
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -6,7 +6,7 @@
 use laburnumplank::core::scheduler::id::{Job, Request, Worker};
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 
-use super::cell::{Cell, ended, queue, running, spec, step};
+use super::cell::{Cell, ended, entry, queue, running, spec, step};
 
 /// The longest time that a worker takes to stop a run.
 const STOP_TIME: Duration = Duration::from_millis(400);
@@ -125,3 +125,66 @@
     cell.poll(worker, Vec::new(), Vec::new());
     assert_eq!(cell.starts.len(), 4);
 }
+
+#[test]
+fn start_under_way_when_a_worker_restarts_uses_capacity_of_the_next_incarnation() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    let starts = std::mem::take(&mut cell.starts);
+    assert_eq!(starts.len(), 4);
+
+    let mut restarted = entry("w1");
+    restarted.incarnation = 2;
+    cell.input(Input::Listed(restarted));
+    cell.tick();
+    cell.confirm();
+    let worker = cell.scheduler.worker_named("w1").unwrap();
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert!(
+        cell.starts.is_empty(),
+        "the worker has the same name and may yet carry the commands out"
+    );
+    assert_eq!(cell.stops.len(), 4);
+    answer_stops(&mut cell);
+    cell.wait(STOP_TIME);
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert_eq!(cell.starts.len(), 4);
+    let is_later = |start: &Start| start.run > starts[0].1.run;
+    assert!(cell.starts.iter().all(|(_, start)| is_later(start)));
+}
+
+#[test]
+fn start_confirmed_by_the_next_incarnation_of_a_worker_goes_on_there() {
+    let mut cell = Cell::new(1);
+    let former = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    let starts = std::mem::take(&mut cell.starts);
+    cell.input(Input::PollFailed {
+        worker: former,
+        outcome: Outcome::Refused(Refusal::OtherIncarnation),
+    });
+    cell.input(Input::Started {
+        worker: former,
+        task: starts[0].1.task,
+        run: starts[0].1.run,
+        outcome: Outcome::Done(None),
+    });
+    cell.wait(Duration::from_millis(100));
+    assert!(cell.starts.is_empty() && cell.stops.is_empty());
+
+    let mut restarted = entry("w1");
+    restarted.incarnation = 2;
+    cell.input(Input::Listed(restarted));
+    cell.tick();
+    cell.confirm();
+    let worker = cell.scheduler.worker_named("w1").unwrap();
+    cell.poll(worker, vec![running(&starts[0].1)], Vec::new());
+    assert_eq!(cell.stops.len(), 3, "the first run is known to be there");
+    answer_stops(&mut cell);
+    cell.wait(STOP_TIME);
+    cell.poll(worker, vec![running(&starts[0].1)], Vec::new());
+    assert_eq!(cell.starts.len(), 3);
+}
