Share the fake worker between the soak and tests in virtual time

The worker that starts whatever it is told is now a state machine of the test kit; the soak puts the platform's protocol around it, and a fuzz test of the scheduler can use it with its own clock.

--- a/crates/laburnum-testkit/src/fake/mod.rs
+++ b/crates/laburnum-testkit/src/fake/mod.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod region;
+pub mod worker;
 
 pub use log::Log;
 pub use region::{Fault, Member, Region};
