Wait for a silent next incarnation that may carry out an old start

Found by the fuzz test of the scheduler that follows. The next incarnation of a worker had no lease from an earlier owner, so one that stayed silent lost the starts moved to it 0.2 s after it was listed, and their tasks started elsewhere before it could carry the commands out. It now keeps them for the longest lease.

start_under_way_is_not_given_up_while_the_next_incarnation_is_silent failed before.

--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -157,7 +157,7 @@
     /// The latest lease end that was sent to the worker, on its clock in milliseconds.
     deadline_ms: u64,
     reading: Option<Reading>,
-    /// When a lease of an earlier owner has ended for certain.
+    /// When a lease that this owner has not granted to this incarnation has ended for certain.
     inherited_until: Instant,
 }
 
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Records that the worker may get a lease of up to `max_lease` by a command that was meant for
+    /// its former incarnation.
+    pub fn expect_lease(&mut self, now: Instant, max_lease: Duration) {
+        let end = now + max_local_duration(max_lease) + LEASE_MARGIN;
+        self.inherited_until = self.inherited_until.max(end);
+    }
+
     /// Returns the capacity that is certainly not used: none while the need of a run is not known.
     pub fn free(&self) -> Amount {
         if self.unknown_needs > 0 {
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -96,6 +96,7 @@
             };
             if let Some(worker) = self.workers.get_mut(to) {
                 worker.insert(task, run, attempt);
+                worker.expect_lease(now, self.rules.max_lease);
             }
             let job = self.jobs.get_mut(&task.step.job);
             let Some(step) = job.and_then(|job| job.step_mut(task.step)) else {
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -188,3 +188,25 @@
     cell.poll(worker, vec![running(&starts[0].1)], Vec::new());
     assert_eq!(cell.starts.len(), 3);
 }
+
+#[test]
+fn start_under_way_is_not_given_up_while_the_next_incarnation_is_silent() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    cell.starts.clear();
+    cell.add_worker("w2");
+    let mut restarted = entry("w1");
+    restarted.incarnation = 2;
+    cell.input(Input::Listed(restarted));
+    cell.wait(Duration::from_millis(5_900));
+    assert!(
+        cell.starts.is_empty(),
+        "w1 may carry the command out and hold a lease of 6 s"
+    );
+    cell.wait(Duration::from_millis(500));
+    let two = cell.scheduler.worker_named("w2").unwrap();
+    cell.poll(two, Vec::new(), Vec::new());
+    assert_eq!(cell.starts.len(), 1);
+}
