Wait for the report of a restarted worker before inherited tasks start

Found by the fuzz test of the scheduler that follows. A new owner took a worker that had restarted for known at once, since the incarnation that an earlier owner used is gone. That owner, or a command of it that is under way, may reach the next incarnation, which knows no token until the new owner polls it: the same task then ran there and on the worker that the new owner chose.

inherited_task_waits_for_restarted_worker_that_has_not_reported failed before.

--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -383,23 +383,21 @@
     }
 
     /// Whether every run that an earlier owner started is known or has ended: each worker on which
-    /// one may have been started has responded, has restarted or can no longer hold a lease.
+    /// one may have been started has responded or can no longer hold a lease. A worker that has
+    /// restarted has to respond as well: it may have got a command that was meant for the incarnation
+    /// before.
     pub(super) fn are_inherited_runs_known(&self, now: Instant) -> bool {
         let longest_lease = self.rules.max_lease + self.rules.max_lease / 20;
-        let is_known = |name: &String, incarnation: u64| {
-            let worker = self
-                .by_name
-                .get(name)
-                .and_then(|&key| self.workers.get(key));
-            worker.is_some_and(|worker| {
-                worker.has_responded || worker.entry.incarnation > incarnation
-            })
+        let is_known = |name: &String| {
+            let key = self.by_name.get(name);
+            let worker = key.and_then(|&key| self.workers.get(key));
+            worker.is_some_and(|worker| worker.has_responded)
         };
         now.since(self.began) >= longest_lease
             || self
                 .inherited_workers
                 .iter()
-                .all(|(name, incarnation)| is_known(name, *incarnation))
+                .all(|(name, _)| is_known(name))
     }
 
     /// Appends the record of the workers on which tasks may run, if the list has changed.
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -8,7 +8,7 @@
 use laburnumplank::core::scheduler::message::RunEnd;
 use laburnumplank::core::scheduler::record::Phase;
 
-use super::cell::{Cell, ended, queue, running, spec, step};
+use super::cell::{Cell, ended, entry, queue, running, spec, step};
 
 #[test]
 fn end_listed_again_counts_once() {
@@ -80,6 +80,27 @@
     assert_eq!(second.starts.len(), 1);
 }
 
+#[test]
+fn inherited_task_waits_for_restarted_worker_that_has_not_reported() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+
+    let mut second = first.successor(9);
+    let mut restarted = entry("w1");
+    restarted.incarnation = 2;
+    second.input(Input::Listed(restarted));
+    second.add_worker("w2");
+    assert!(
+        second.starts.is_empty(),
+        "w1 may have got a command that was meant for its former incarnation"
+    );
+    let one = second.scheduler.worker_named("w1").unwrap();
+    second.poll(one, Vec::new(), Vec::new());
+    assert_eq!(second.starts.len(), 1);
+}
+
 #[test]
 fn inherited_task_starts_at_once_when_all_workers_answered() {
     let mut first = Cell::new(1);
@@ -97,7 +118,7 @@
     let mut cell = Cell::new(1);
     cell.submit(7, queue(), spec(vec![step(1)]));
     cell.confirm();
-    cell.input(Input::Listed(super::cell::entry("w1")));
+    cell.input(Input::Listed(entry("w1")));
     let worker = cell.scheduler.worker_named("w1").unwrap();
     cell.poll(worker, Vec::new(), Vec::new());
     assert!(cell.starts.is_empty());
