Count a job as pending until a worker has begun it

The replay's log: workers i-f83fe43e6b and i-20ac84838e were cut off from 15.4 to 22.0 s; the starts of four jobs sent to them got no answer, and the jobs had no other run until 23 s.

A job became running when the first start was decided. It now becomes running when a worker has confirmed or reported a run of it, so the count of pending jobs and the state that a client reads are true.

job_whose_start_has_no_answer_is_pending failed before.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -107,8 +107,6 @@
     pub cancellers: Vec<Request>,
     /// Whether the job was accepted by an earlier owner, which may have started tasks.
     pub is_inherited: bool,
-    /// Whether any task was ever started.
-    pub has_started: bool,
     /// The mark of the record of the job's acceptance.
     pub accepted_mark: Mark,
     /// The mark of the job's last progress record.
@@ -237,7 +235,7 @@
                 restore(step, recorded);
             }
             self.next_occurrence = self.next_occurrence.max(recorded.index + 1);
-            self.has_started = true;
+            self.phase = Phase::Running;
         }
         // An occurrence that is missing between two recorded ones had neither a done task nor a
         // failed run.
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -161,9 +161,6 @@
         for id in unfinished {
             if let (Some(job), Some(progress)) = (self.jobs.get_mut(&id), progress.get(&id)) {
                 job.restore(progress);
-                if job.has_started {
-                    job.phase = Phase::Running;
-                }
             }
             self.activate(id, time);
             self.fail_exhausted(id, time, out);
@@ -283,6 +280,19 @@
         }
     }
 
+    /// Records that a worker has begun a run of a job.
+    pub(super) fn begun(&mut self, id: id::Job, out: &mut Vec<Output>) {
+        let job = self.jobs.get_mut(&id);
+        if let Some(job) = job.filter(|job| job.phase == Phase::Queued) {
+            job.phase = Phase::Running;
+            out.push(Output::Phase {
+                job: id,
+                phase: Phase::Running,
+                reason: "first task started",
+            });
+        }
+    }
+
     /// Ends a job: appends its end to the log and stops its runs.
     pub(super) fn end(
         &mut self,
@@ -434,7 +444,6 @@
         submitters: Vec::new(),
         cancellers: Vec::new(),
         is_inherited: false,
-        has_started: false,
         accepted_mark: Mark(0),
         progress_mark: Mark(0),
     }
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -18,7 +18,6 @@
 use super::message::{Output, Start};
 use super::order::{self, Rank};
 use super::plan::{self, Candidate, Reservation, Reserved, Slot};
-use super::record::Phase;
 use super::worker::{Attempt, State};
 use super::{Scheduler, Time, spec};
 use crate::core::resource::Amount;
@@ -459,15 +458,6 @@
             return;
         };
         let run = job.next_run();
-        job.has_started = true;
-        if job.phase == Phase::Queued {
-            job.phase = Phase::Running;
-            out.push(Output::Phase {
-                job: id.job,
-                phase: Phase::Running,
-                reason: "first task started",
-            });
-        }
         for &(index, worker) in placements {
             self.start(Task { step: id, index }, run, worker, need, time.now, out);
         }
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -41,6 +41,7 @@
                 attempt.state = State::Running;
                 attempt.since = time.now;
             }
+            self.begun(task.step.job, out);
             return;
         }
         self.adopt(key, task, run, time, out);
@@ -81,15 +82,12 @@
             return;
         }
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            job.has_started = true;
             job.last_run = job.last_run.max(run);
-            if job.phase == Phase::Queued {
-                job.phase = Phase::Running;
-            }
             if let Some(step) = job.step_mut(task.step) {
                 step.set(task.index, TaskState::Active { worker: key, run });
             }
         }
+        self.begun(task.step.job, out);
         self.refresh_ready(task.step.job, time.now);
     }
 
@@ -170,6 +168,7 @@
             run,
             end,
         });
+        self.begun(task.step.job, out);
         // A checkpoint that is reported with the end of a run is the newest of that run.
         self.store_checkpoint(task, run, checkpoint, ALL_PERCENT);
         match end {
@@ -319,6 +318,7 @@
                     attempt.state = State::Running;
                     attempt.since = time.now;
                 }
+                self.begun(task.step.job, out);
             }
             Outcome::Unknown => {
                 if attempt.state == State::Starting {
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -270,3 +270,31 @@
     cell.wait(Duration::from_secs(3));
     assert_eq!(cell.starts.len(), 1);
 }
+
+#[test]
+fn job_whose_start_has_no_answer_is_pending() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.pop().unwrap();
+    cell.input(Input::Started {
+        worker,
+        task: start.task,
+        run: start.run,
+        outcome: Outcome::Unknown,
+    });
+    assert_eq!(
+        cell.scheduler.pending("filings"),
+        1,
+        "no task is known to run"
+    );
+    assert_eq!(cell.scheduler.phase(Job(7), "filings"), Some(Phase::Queued));
+    cell.wait(Duration::from_millis(10));
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    assert_eq!(cell.scheduler.pending("filings"), 0);
+    assert_eq!(
+        cell.scheduler.phase(Job(7), "filings"),
+        Some(Phase::Running)
+    );
+}
