--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -150,8 +150,8 @@
     pub acknowledged: u64,
     /// When the worker last responded; before its first response, when it was first listed.
     pub answered: Instant,
-    /// Whether the runs used more than the capacity after the last response.
-    pub is_overcommitted: bool,
+    /// The capacity that the runs of the last report use, as far as it is known.
+    pub reported: Amount,
     /// The results of the latest runs, which show whether the worker is faulty.
     pub history: super::suspicion::RunHistory,
     /// The latest lease end that was sent to the worker, on its clock in milliseconds.
@@ -180,7 +180,7 @@
             last_end: 0,
             acknowledged: 0,
             answered: now,
-            is_overcommitted: false,
+            reported: Amount::default(),
             history: super::suspicion::RunHistory::default(),
             deadline_ms: 0,
             reading: None,
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Whether the worker has reported more runs than fit into its capacity.
+    pub fn is_overcommitted(&self) -> bool {
+        !self.reported.fits(self.entry.capacity)
+    }
+
     /// Whether new tasks may be placed on the worker if it has the capacity.
     pub fn is_usable(&self) -> bool {
         self.listed
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -9,6 +9,7 @@
 use super::record::{self, Key, Workers};
 use super::worker::{self, Attempt, Entry, State};
 use super::{Effect, Scheduler, Time, WorkerPoll};
+use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
 /// The lease of a worker whose last poll failed is extended only while its last response is younger
@@ -291,23 +292,25 @@
         if is_complete {
             self.check_unreported(key, sent, &reported, time, out);
         }
-        self.check_commitment(key, out);
+        self.check_commitment(key, &reported, out);
     }
 
-    /// Reports when the runs of a worker begin to use more than its capacity, and when they no longer
-    /// do.
-    fn check_commitment(&mut self, key: Worker, out: &mut Vec<Output>) {
+    /// Compares the runs that a worker reports with its capacity, and reports when they begin to exceed
+    /// it and when they no longer do.
+    fn check_commitment(&mut self, key: Worker, reported: &[(Task, Run)], out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let is_overcommitted = !worker.used.fits(worker.entry.capacity);
-        if std::mem::replace(&mut worker.is_overcommitted, is_overcommitted) != is_overcommitted {
-            let change = if is_overcommitted {
-                OVERCOMMITTED
-            } else {
-                "within its capacity"
-            };
-            out.push(event(key, worker, change));
+        let was_overcommitted = worker.is_overcommitted();
+        worker.reported = Amount::default();
+        for id in reported {
+            let attempt = worker.attempts.get(id);
+            worker.reported += attempt.and_then(|attempt| attempt.need).unwrap_or_default();
+        }
+        match (was_overcommitted, worker.is_overcommitted()) {
+            (false, true) => out.push(event(key, worker, OVERCOMMITTED)),
+            (true, false) => out.push(event(key, worker, "within its capacity")),
+            _ => {}
         }
     }
 
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -347,8 +347,8 @@
         if let Some(worker) = scheduler.worker(worker) {
             let account = worker.account(self.clock.now());
             warn!(self.log, "worker has more runs than capacity"; "worker" => &worker.entry.name,
-                "used" => %account.used, "capacity" => %account.capacity,
-                "runs" => worker.attempts.len(), "token" => self.token.0);
+                "reported" => %worker.reported, "used" => %account.used,
+                "capacity" => %account.capacity, "runs" => worker.attempts.len(), "token" => self.token.0);
         }
     }
 
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::id::{Job, Request, Worker};
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
+use laburnumplank::core::scheduler::{Input, OVERCOMMITTED};
 
 use super::cell::{Cell, ended, entry, queue, running, spec, step};
 
@@ -210,3 +210,29 @@
     cell.poll(two, Vec::new(), Vec::new());
     assert_eq!(cell.starts.len(), 1);
 }
+
+#[test]
+fn report_of_more_runs_than_capacity_is_noticed_once() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.add_worker("w2");
+    first.submit(7, queue(), spec(vec![step(8)]));
+    first.confirm();
+    let starts = first.accept_starts();
+    assert_eq!(starts.len(), 8, "two workers for four tasks each");
+
+    let mut second = first.successor(9);
+    let worker = second.list_worker("w1");
+    let runs: Vec<_> = starts.iter().map(|(_, start)| running(start)).collect();
+    second.poll(worker, runs.clone(), Vec::new());
+    second.poll(worker, runs.clone(), Vec::new());
+    let of_event = |cell: &Cell| {
+        let events = cell.events.iter();
+        events.filter(|(_, event)| *event == OVERCOMMITTED).count()
+    };
+    assert_eq!(of_event(&second), 1);
+    second.poll(worker, runs[..4].to_vec(), Vec::new());
+    assert!(second.events.contains(&(worker, "within its capacity")));
+    second.poll(worker, runs, Vec::new());
+    assert_eq!(of_event(&second), 2);
+}
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -107,6 +107,8 @@
     /// Calls to the advisor: the entry that makes the call, the step and the named workers.
     pub(super) calls: Vec<(AdvisorProxy, Step, Vec<Worker>)>,
     pub(super) answers: Vec<(Request, Result<Answer, Error>)>,
+    /// Changes of workers, in order.
+    pub(super) events: Vec<(Worker, &'static str)>,
     pub(super) is_superseded: bool,
 }
 
@@ -125,6 +127,7 @@
             stops: Vec::new(),
             calls: Vec::new(),
             answers: Vec::new(),
+            events: Vec::new(),
             is_superseded: false,
         }
     }
@@ -196,11 +199,11 @@
                 Output::Answer { request, answer } => self.answers.push((request, answer)),
                 Output::Superseded => self.is_superseded = true,
                 Output::Withdraw { key } => self.unconfirmed.retain(|(_, other, _)| *other != key),
+                Output::Worker { worker, event, .. } => self.events.push((worker, event)),
                 Output::Adopted { .. }
                 | Output::Ended { .. }
                 | Output::Phase { .. }
-                | Output::Released { .. }
-                | Output::Worker { .. } => {}
+                | Output::Released { .. } => {}
             }
         }
     }
