End the probation of a suspect worker after as long as its pause

A suspect worker got one run at a time until a run was done. When all workers of a cell were suspect and no other job waited, a gang wider than the cell never found room: no run could be done to end the suspicion.

After its pause, a worker is now on probation for as long as the pause was; a failed run in that time starts a longer pause, as before, and without one the worker counts like any other. A worker that fails everything stays suspect as long as work is placed on it. The fuzz test draws wide gangs again.

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -418,10 +418,10 @@
             }
             // A suspect worker gets one run at a time, and an earlier step of this placement may have
             // taken it.
-            if worker.history.is_suspect() && !worker.attempts.is_empty() {
+            if worker.history.is_suspect(now) && !worker.attempts.is_empty() {
                 continue;
             }
-            let max_tasks = if worker.history.is_suspect() {
+            let max_tasks = if worker.history.is_suspect(now) {
                 1
             } else if max_per_worker == usize::MAX {
                 max_per_worker
--- a/src/core/scheduler/suspicion.rs
+++ b/src/core/scheduler/suspicion.rs
@@ -2,7 +2,9 @@
 //!
 //! A faulty worker may fail every run at once. It then always has free capacity, attracts all waiting
 //! tasks, and uses up their attempts. A worker whose last runs of several jobs all failed is suspect:
-//! it gets no runs for a pause, and then one run at a time until one is done.
+//! it gets no runs for a pause, and then one run at a time until one is done or none has failed for as
+//! long as the pause was. Without that limit, a gang wider than the cell could wait for good once all
+//! workers are suspect.
 
 use std::time::Duration;
 
@@ -54,12 +56,12 @@
     }
 
     /// Whether the worker is suspect: it gets no runs until the pause ends, then one at a time.
-    pub fn is_suspect(&self) -> bool {
-        self.pause.is_some()
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.pause.is_some_and(|pause| now < self.until + pause)
     }
 
     /// Whether a run may be placed on the worker at `now`, while `running` other runs are there.
     pub fn allows_run(&self, now: Instant, running: usize) -> bool {
-        !self.is_suspect() || (now >= self.until && running == 0)
+        !self.is_suspect(now) || (now >= self.until && running == 0)
     }
 }
--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -77,12 +77,7 @@
     let weighted = prop::bool::weighted;
     (1u16..6, 1u64..6, weighted(0.2), weighted(0.3)).prop_map(
         |(tasks, cores, gang, checkpoints)| Shape {
-            // A wider gang never starts once all workers are suspect, see KNOWN-RED.txt.
-            tasks: if gang {
-                tasks.min(WORKERS as u16)
-            } else {
-                tasks
-            },
+            tasks,
             cores,
             gang,
             checkpoints,
