--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use laburnumplank::core::scheduler::id::{Job, Request, Worker};
+use laburnumplank::core::scheduler::id::Worker;
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 use laburnumplank::core::scheduler::{Input, OVERCOMMITTED};
 
-use super::cell::{Cell, ended, entry, queue, running, spec, step};
+use super::cell::{Cell, ended, queue, running, spec, step};
 
 /// The longest time that a worker takes to stop a run.
 const STOP_TIME: Duration = Duration::from_millis(400);
@@ -23,18 +23,6 @@
     (cell, worker, starts)
 }
 
-fn cancel(cell: &mut Cell, job: u64) {
-    let at = cell.time().stamp;
-    cell.input(Input::Cancel {
-        request: Request(100 + job),
-        job: Job(job),
-        queue: "filings".to_owned(),
-        at,
-    });
-    cell.tick();
-    cell.confirm();
-}
-
 fn answer_stops(cell: &mut Cell) {
     for (worker, task, run) in std::mem::take(&mut cell.stops) {
         cell.input(Input::Stopped {
@@ -52,7 +40,8 @@
     let (mut cell, worker, starts) = full_cell();
     cell.submit(8, queue(), spec(vec![step(4)]));
     cell.confirm();
-    cancel(&mut cell, 7);
+    cell.cancel(7);
+    cell.confirm();
     answer_stops(&mut cell);
     cell.poll(worker, Vec::new(), Vec::new());
     assert!(cell.starts.is_empty(), "the end of no run is reported");
@@ -135,12 +124,7 @@
     let starts = std::mem::take(&mut cell.starts);
     assert_eq!(starts.len(), 4);
 
-    let mut restarted = entry("w1");
-    restarted.incarnation = 2;
-    cell.input(Input::Listed(restarted));
-    cell.tick();
-    cell.confirm();
-    let worker = cell.scheduler.worker_named("w1").unwrap();
+    let worker = cell.restart_worker("w1");
     cell.poll(worker, Vec::new(), Vec::new());
     assert!(
         cell.starts.is_empty(),
@@ -175,12 +159,7 @@
     cell.wait(Duration::from_millis(100));
     assert!(cell.starts.is_empty() && cell.stops.is_empty());
 
-    let mut restarted = entry("w1");
-    restarted.incarnation = 2;
-    cell.input(Input::Listed(restarted));
-    cell.tick();
-    cell.confirm();
-    let worker = cell.scheduler.worker_named("w1").unwrap();
+    let worker = cell.restart_worker("w1");
     cell.poll(worker, vec![running(&starts[0].1)], Vec::new());
     assert_eq!(cell.stops.len(), 3, "the first run is known to be there");
     answer_stops(&mut cell);
@@ -197,9 +176,7 @@
     cell.confirm();
     cell.starts.clear();
     cell.add_worker("w2");
-    let mut restarted = entry("w1");
-    restarted.incarnation = 2;
-    cell.input(Input::Listed(restarted));
+    cell.restart_worker("w1");
     cell.wait(Duration::from_millis(5_900));
     assert!(
         cell.starts.is_empty(),
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -223,6 +223,28 @@
         self.scheduler.worker_named(name).unwrap()
     }
 
+    /// Lists the next incarnation of a worker, and confirms the record of workers.
+    pub(super) fn restart_worker(&mut self, name: &str) -> Worker {
+        let mut restarted = entry(name);
+        restarted.incarnation += 1;
+        self.input(Input::Listed(restarted));
+        self.tick();
+        self.confirm();
+        self.scheduler.worker_named(name).unwrap()
+    }
+
+    /// Cancels a job; the record of its end is not confirmed.
+    pub(super) fn cancel(&mut self, job: u64) {
+        let at = self.time().stamp;
+        self.input(Input::Cancel {
+            request: Request(100 + job),
+            job: Job(job),
+            queue: queue().name,
+            at,
+        });
+        self.tick();
+    }
+
     /// Polls a worker, which responds with this inventory.
     pub(super) fn poll(&mut self, worker: Worker, running: Vec<ActiveRun>, ended: Vec<EndedRun>) {
         self.poll_with(worker, running, ended, true);
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -88,15 +88,12 @@
     first.confirm();
 
     let mut second = first.successor(9);
-    let mut restarted = entry("w1");
-    restarted.incarnation = 2;
-    second.input(Input::Listed(restarted));
+    let one = second.restart_worker("w1");
     second.add_worker("w2");
     assert!(
         second.starts.is_empty(),
         "w1 may have got a command that was meant for its former incarnation"
     );
-    let one = second.scheduler.worker_named("w1").unwrap();
     second.poll(one, Vec::new(), Vec::new());
     assert_eq!(second.starts.len(), 1);
 }
@@ -216,12 +213,7 @@
     let cancelled = first.accept_starts();
     assert_eq!(cancelled.len(), 3, "12 of 16 cores");
     first.submit(8, queue(), spec(vec![step(4)]));
-    first.input(Input::Cancel {
-        request: Request(9),
-        job: Job(7),
-        queue: "filings".to_owned(),
-        at: first.time().stamp,
-    });
+    first.cancel(7);
     first.confirm();
     first.starts.clear();
 
