--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -146,15 +146,15 @@
     }
     world.delay_appends(Duration::from_millis(5));
     let end = world.now + FINISH_LIMIT;
-    while world.violations.is_empty() && !world.unfinished().is_empty() && world.now < end {
+    while world.oracle.violations.is_empty() && !world.unfinished().is_empty() && world.now < end {
         world.run(Duration::from_millis(500));
     }
-    if let Some(violation) = world.violations.first() {
-        return Err(format!("{violation}\n{}", world.history()));
+    if let Some(violation) = world.oracle.violations.first() {
+        return Err(format!("{violation}\n{}", world.oracle.history()));
     }
     let unfinished = world.unfinished();
     if !unfinished.is_empty() {
-        let (history, beliefs) = (world.history(), world.beliefs());
+        let (history, beliefs) = (world.oracle.history(), world.beliefs());
         return Err(format!(
             "LOST: {unfinished:?} not ended {FINISH_LIMIT:?} later\n{history}{beliefs}"
         ));
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod cell;
 pub(crate) use cell::rules;
 mod fuzz;
+mod oracle;
 mod order;
 mod recovery;
 mod run;
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -1,22 +1,21 @@
-//! A cell in virtual time: owners that follow each other, workers that start what they are told,
-//! messages that are delayed, lost and overtaken, and an oracle that sees only the workers.
+//! A cell in virtual time: owners that follow each other, workers that start what they are told, and
+//! messages that are delayed, lost and overtaken.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use laburnum_testkit::fake::worker::{Bounds, Work, Worker as Model, advance, checkpoint_owner};
+use laburnum_testkit::fake::worker::{Bounds, Work, Worker as Model, advance};
 use laburnumplank::core::resource::Amount;
 use laburnumplank::core::scheduler::id::{Job, Mark, Request, Run, Task, Token, Worker};
-use laburnumplank::core::scheduler::message::{
-    EndedRun, Inventory, Outcome, Refusal, RunEnd, Start,
-};
+use laburnumplank::core::scheduler::message::{Inventory, Outcome, Refusal, Start};
 use laburnumplank::core::scheduler::spec::{Spec, Step};
 use laburnumplank::core::scheduler::worker::Entry;
 use laburnumplank::core::scheduler::{Input, Output, Scheduler, Time, WorkerPoll};
 use laburnumplank::core::time::{Instant, Stamp};
 
 use super::cell::{entry, queue, rules};
+use super::oracle::Oracle;
 
 /// The step of virtual time.
 pub(super) const STEP: Duration = Duration::from_millis(10);
@@ -127,15 +126,6 @@
     ends_at: Option<Instant>,
 }
 
-/// An end of a run that is done.
-struct DoneEnd {
-    host: usize,
-    incarnation: u64,
-    number: u64,
-    is_noted: bool,
-    is_followed: bool,
-}
-
 /// The whole cell.
 pub(super) struct World {
     pub(super) now: Instant,
@@ -147,16 +137,10 @@
     event_count: u64,
     works: HashMap<Job, (Arc<Spec>, Duration, bool)>,
     cancelled: Vec<Job>,
-    done: HashMap<Task, Vec<DoneEnd>>,
     append_delay: Duration,
-    /// The latest events, for the report of a broken promise.
-    events_seen: VecDeque<String>,
-    pub(super) violations: Vec<String>,
+    pub(super) oracle: Oracle,
 }
 
-/// How many events a report shows.
-const HISTORY_LENGTH: usize = 120;
-
 impl World {
     pub(super) fn new(workers: usize) -> World {
         let now = Instant(0);
@@ -178,10 +162,8 @@
             event_count: 0,
             works: HashMap::new(),
             cancelled: Vec::new(),
-            done: HashMap::new(),
             append_delay: TRANSIT,
-            events_seen: VecDeque::new(),
-            violations: Vec::new(),
+            oracle: Oracle::default(),
         };
         world.take_over(false);
         world
@@ -194,18 +176,8 @@
         }
     }
 
-    /// Returns the latest events, oldest first.
-    pub(super) fn history(&self) -> String {
-        let events = self.events_seen.iter();
-        events.flat_map(|event| [event.as_str(), "\n"]).collect()
-    }
-
     fn remember(&mut self, event: &str) {
-        let millis = self.now.0 / 1_000;
-        self.events_seen.push_back(format!("{millis} ms: {event}"));
-        if self.events_seen.len() > HISTORY_LENGTH {
-            self.events_seen.pop_front();
-        }
+        self.oracle.remember(self.now, event);
     }
 
     fn schedule(&mut self, at: Instant, event: Event) {
@@ -304,7 +276,7 @@
 
     pub(super) fn run(&mut self, span: Duration) {
         let end = self.now + span;
-        while self.now < end && self.violations.is_empty() {
+        while self.now < end && self.oracle.violations.is_empty() {
             self.step();
         }
     }
@@ -373,7 +345,7 @@
             if worker.used != sum {
                 let (name, used) = (&worker.entry.name, worker.used);
                 let text = format!("the account of {name} says {used}, its runs use {sum}");
-                self.violations.push(text);
+                self.oracle.violations.push(text);
             }
         }
     }
@@ -387,43 +359,17 @@
         let mut models: Vec<&mut Model> = hosts.map(|host| &mut host.model).collect();
         let ends = advance(&mut models, self.now);
         for (index, end) in ends {
-            self.ended(up[index], &end);
-        }
-        let mut seen: HashMap<Task, usize> = HashMap::new();
-        for &host in &up {
-            for (task, run) in self.hosts[host].model.runs() {
-                if let Some(other) = seen.insert(task, host) {
-                    let text = format!("TWICE {task}: on w{other} and, run {}, on w{host}", run.0);
-                    self.violations.push(text);
-                }
-            }
-        }
-    }
-
-    fn ended(&mut self, host: usize, end: &EndedRun) {
-        let (task, run, how) = (end.task, end.run.0, end.end.name());
-        self.remember(&format!(
-            "w{host} ends {task} run {run}: {how}, number {}",
-            end.number
-        ));
-        if end.end != RunEnd::Done {
-            return;
-        }
-        let step = self.step_of(end.task);
-        let indices = match step.filter(|step| step.gang) {
-            Some(step) => 0..step.tasks,
-            None => end.task.index..end.task.index + 1,
-        };
-        for index in indices {
-            let done = self.done.entry(Task { index, ..end.task }).or_default();
-            done.push(DoneEnd {
-                host,
-                incarnation: self.hosts[host].model.incarnation(),
-                number: end.number,
-                is_noted: false,
-                is_followed: false,
-            });
+            let host = up[index];
+            let gang = self.step_of(end.task).filter(|step| step.gang);
+            let gang = gang.map(|step| step.tasks);
+            let incarnation = self.hosts[host].model.incarnation();
+            self.oracle.end(self.now, (host, incarnation), &end, gang);
         }
+        let runs = up.into_iter().flat_map(|host| {
+            let runs = self.hosts[host].model.runs();
+            runs.map(move |(task, run)| (host, task, run))
+        });
+        self.oracle.check_doubles(runs);
     }
 
     fn step_of(&self, task: Task) -> Option<&Step> {
@@ -683,7 +629,8 @@
                 let work = self.work(start.task);
                 let model = &mut self.hosts[host].model;
                 if model.start(now, Token(token), start, work)? {
-                    self.check_start(host, token, start, work);
+                    let is_gang = work.gang.is_some();
+                    self.oracle.start(now, host, token, start, is_gang, model);
                 }
             }
             Command::Stop(task, run) => {
@@ -699,7 +646,7 @@
                 let incarnation = model.incarnation();
                 let noted = model.hold(now, Token(token), poll.deadline_ms, poll.acknowledged)?;
                 for noted in noted.iter().filter(|noted| !noted.has_lapsed) {
-                    self.note(host, incarnation, &noted.end);
+                    self.oracle.note((host, incarnation), &noted.end);
                 }
             }
         }
@@ -721,47 +668,6 @@
         }
     }
 
-    fn check_start(&mut self, host: usize, token: u64, start: &Start, work: Work) {
-        let model = &self.hosts[host].model;
-        let (task, run, now) = (start.task, start.run.0, self.now.0 / 1_000);
-        let text = format!("{task} run {run} on w{host} by token {token} at {now} ms");
-        let (used, capacity) = (model.used(), model.capacity());
-        self.remember(&format!("start of {text}, {used} of {capacity}"));
-        if !used.fits(capacity) {
-            self.violations
-                .push(format!("LIMIT {text}: {used} of {capacity}"));
-        }
-        let owner = checkpoint_owner(task, work.gang.is_some());
-        let checkpoint = start.checkpoint.as_deref();
-        if checkpoint.is_some_and(|checkpoint| !checkpoint.starts_with(&owner)) {
-            self.violations
-                .push(format!("UNASKED {text}: checkpoint {checkpoint:?}"));
-        }
-        for end in self.done.entry(task).or_default() {
-            end.is_followed = true;
-            if end.is_noted {
-                self.violations.push(format!("TWICE {text}: it is done"));
-            }
-        }
-    }
-
-    /// Records that an owner acknowledged an end.
-    fn note(&mut self, host: usize, incarnation: u64, noted: &EndedRun) {
-        let of_step = self.done.iter_mut();
-        for (task, ends) in of_step.filter(|(task, _)| task.step == noted.task.step) {
-            let is_same = |end: &&mut DoneEnd| {
-                (end.host, end.incarnation, end.number) == (host, incarnation, noted.number)
-            };
-            if let Some(end) = ends.iter_mut().find(is_same) {
-                end.is_noted = true;
-                if end.is_followed {
-                    let text = format!("TWICE {task}: started after it was done on w{host}");
-                    self.violations.push(text);
-                }
-            }
-        }
-    }
-
     fn returned(
         &mut self,
         token: u64,
