--- a/src/core/scheduler/suspicion.rs
+++ b/src/core/scheduler/suspicion.rs
@@ -27,7 +27,7 @@
 pub struct RunHistory {
     /// The jobs of the runs that failed since the last run that was done.
     failed_jobs: Vec<Job>,
-    /// The length of the last pause; `None` if the worker is not suspect.
+    /// The length of the last pause; `None` if there was none since a run was done.
     pause: Option<Duration>,
     /// When the pause ends.
     until: Instant,
