--- a/crates/laburnum-testkit/src/fake/worker.rs
+++ b/crates/laburnum-testkit/src/fake/worker.rs
@@ -61,12 +61,12 @@
     resumed: Option<Arc<str>>,
 }
 
-/// An end that was acknowledged by the owner of the cell.
+/// An end that a worker lists until it is acknowledged.
 #[state]
-pub struct Noted {
+pub struct ListedEnd {
     /// The end.
     pub end: EndedRun,
-    /// Whether the lease lapsed between the end and its acknowledgement.
+    /// Whether the lease has lapsed since.
     pub has_lapsed: bool,
 }
 
@@ -85,7 +85,7 @@
     /// The highest run of each task that was stopped or has ended.
     void: HashMap<Task, Run>,
     /// Ends that are not acknowledged.
-    ends: VecDeque<Noted>,
+    ends: VecDeque<ListedEnd>,
     last_number: u64,
 }
 
@@ -216,13 +216,17 @@
         token: Token,
         deadline_ms: Option<u64>,
         acknowledged: u64,
-    ) -> Result<Vec<Noted>, Refusal> {
+    ) -> Result<Vec<ListedEnd>, Refusal> {
         self.check(token)?;
         if let Some(deadline_ms) = deadline_ms {
             self.extend(now, deadline_ms);
         }
-        let is_known = |noted: &Noted| noted.end.number <= acknowledged;
-        let count = self.ends.iter().take_while(|noted| is_known(noted)).count();
+        let is_known = |listed: &ListedEnd| listed.end.number <= acknowledged;
+        let count = self
+            .ends
+            .iter()
+            .take_while(|listed| is_known(listed))
+            .count();
         Ok(self.ends.drain(..count).collect())
     }
 
@@ -238,7 +242,7 @@
         Inventory {
             clock_ms: self.clock_ms(now),
             running: running.collect(),
-            ended: ends.map(|noted| noted.end.clone()).collect(),
+            ended: ends.map(|listed| listed.end.clone()).collect(),
             is_complete: true,
         }
     }
@@ -300,7 +304,7 @@
             end,
             checkpoint: self.checkpoint(task, &active, now),
         };
-        self.ends.push_back(Noted {
+        self.ends.push_back(ListedEnd {
             end: ended.clone(),
             has_lapsed: false,
         });
@@ -322,7 +326,7 @@
             worker
                 .ends
                 .iter_mut()
-                .for_each(|noted| noted.has_lapsed = true);
+                .for_each(|listed| listed.has_lapsed = true);
         }
         let active = worker.active.iter();
         let due: Vec<(Task, RunEnd)> = active
--- a/tests/testsuite/scheduler/oracle.rs
+++ b/tests/testsuite/scheduler/oracle.rs
@@ -17,7 +17,7 @@
 struct DoneEnd {
     origin: Origin,
     number: u64,
-    is_noted: bool,
+    is_acknowledged: bool,
     /// Whether the task was started again after this end.
     is_followed: bool,
 }
@@ -72,7 +72,7 @@
         }
         for end in self.done.entry(task).or_default() {
             end.is_followed = true;
-            if end.is_noted {
+            if end.is_acknowledged {
                 self.violations.push(format!("TWICE {text}: it is done"));
             }
         }
@@ -95,22 +95,22 @@
             done.push(DoneEnd {
                 origin,
                 number,
-                is_noted: false,
+                is_acknowledged: false,
                 is_followed: false,
             });
         }
     }
 
     /// Records that an owner acknowledged an end.
-    pub(super) fn note(&mut self, origin: Origin, noted: &EndedRun) {
+    pub(super) fn acknowledge(&mut self, origin: Origin, acknowledged: &EndedRun) {
         let of_step = self.done.iter_mut();
-        for (task, ends) in of_step.filter(|(task, _)| task.step == noted.task.step) {
+        for (task, ends) in of_step.filter(|(task, _)| task.step == acknowledged.task.step) {
             let mut ends = ends.iter_mut();
-            let end = ends.find(|end| (end.origin, end.number) == (origin, noted.number));
+            let end = ends.find(|end| (end.origin, end.number) == (origin, acknowledged.number));
             let Some(end) = end else {
                 continue;
             };
-            end.is_noted = true;
+            end.is_acknowledged = true;
             if end.is_followed {
                 let text = format!("TWICE {task}: started after it was done on w{}", origin.0);
                 self.violations.push(text);
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -644,9 +644,10 @@
             Command::Poll(poll, _) => {
                 let model = &mut self.hosts[host].model;
                 let incarnation = model.incarnation();
-                let noted = model.hold(now, Token(token), poll.deadline_ms, poll.acknowledged)?;
-                for noted in noted.iter().filter(|noted| !noted.has_lapsed) {
-                    self.oracle.note((host, incarnation), &noted.end);
+                let acknowledged =
+                    model.hold(now, Token(token), poll.deadline_ms, poll.acknowledged)?;
+                for listed in acknowledged.iter().filter(|listed| !listed.has_lapsed) {
+                    self.oracle.acknowledge((host, incarnation), &listed.end);
                 }
             }
         }
