Place long-running tasks that lost their run before bulk work

Cause: a long-running step was ranked by the objective of its job, which lies minutes back when a task has to be restarted, so it counted as too late to be of use and came after all bulk work of a full cell. Small tasks also took each core that became free, since only gangs reserved capacity.

Ruled out: lost reports (the log shows the capacity released at once when the workers were gone) and the advisor (the first call for the task was made when the others had no more work, at 35.7 s).

Now no start of a long-running step is too late: it ranks by how long it has waited, is urgent after 1 s, and reserves the capacity that is free first.

Three tests of order.rs failed before.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -63,8 +63,8 @@
     pub waiting: usize,
     /// The advisor's answers on which workers may run the step.
     pub permits: Permits,
-    /// When the step first had waiting tasks with all dependencies done.
-    pub ready_at: Option<Instant>,
+    /// When the step began to have waiting tasks with all dependencies done; `None` while it has none.
+    pub waiting_since: Option<Instant>,
 }
 
 /// One occurrence of a job.
@@ -149,7 +149,7 @@
             done: 0,
             waiting: usize::from(tasks),
             permits: Permits::default(),
-            ready_at: None,
+            waiting_since: None,
         }
     }
 
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -246,11 +246,12 @@
                     occurrence: index,
                     index: step,
                 };
+                let state = &mut occurrence.steps[usize::from(step)];
                 if is_ready {
-                    let state = &mut occurrence.steps[usize::from(step)];
-                    state.ready_at.get_or_insert(now);
+                    state.waiting_since.get_or_insert(now);
                     self.ready.insert(key);
                 } else {
+                    state.waiting_since = None;
                     self.ready.remove(&key);
                 }
             }
--- a/src/core/scheduler/order.rs
+++ b/src/core/scheduler/order.rs
@@ -5,6 +5,12 @@
 //! of their job are placed first, then those that are late but still of use, then those that come
 //! too late to be of use. Within each of these groups, steps of urgent queues precede the others,
 //! and steps with an earlier latest start precede those with a later one.
+//!
+//! Long-running steps serve users for as long as their tasks run, so no start of theirs is too late.
+//! When workers are taken away from a full cell, their tasks must not wait behind the bulk jobs of
+//! that load: a task that has waited for [`LONG_RUNNING_PATIENCE`] is urgent.
+
+use std::time::Duration;
 
 use laburnum_derive::value;
 
@@ -15,6 +21,8 @@
 /// A job that ends after more than this many times its objective is of no use; specified by the
 /// platform.
 const USEFUL_FACTOR: u32 = 3;
+/// A long-running step whose tasks have waited this long is urgent.
+pub(super) const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(1);
 
 /// The best completion that is still possible for a job.
 #[value]
@@ -44,6 +52,11 @@
 /// Returns the rank of a step at `now`; `began` is when its occurrence was due or, without a
 /// schedule, when its job was accepted.
 pub(super) fn rank(job: &Job, step: id::Step, began: Instant, now: Instant) -> Rank {
+    let spec = job.spec.steps.get(usize::from(step.index));
+    if spec.is_some_and(|spec| spec.long_running) {
+        let waiting_since = job.step(step).and_then(|step| step.waiting_since);
+        return rank_long_running(job, step, waiting_since.unwrap_or(now), now);
+    }
     let chain = job.chains.iter().max().copied().unwrap_or_default();
     let objective = chain.mul_f64(job.queue.slack_factor.max(0.0)) + job.queue.target;
     let left = job.chains.get(usize::from(step.index)).copied();
@@ -64,3 +77,13 @@
         step,
     }
 }
+
+fn rank_long_running(job: &Job, step: id::Step, waiting_since: Instant, now: Instant) -> Rank {
+    let is_overdue = now.since(waiting_since) >= LONG_RUNNING_PATIENCE;
+    Rank {
+        prospect: Prospect::InTime,
+        is_non_urgent: job.queue.priority > 0 && !is_overdue,
+        latest_start: waiting_since,
+        step,
+    }
+}
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -14,7 +14,7 @@
 
 use super::advice::cost;
 use super::id::{Run, Step, Task, Worker};
-use super::job::TaskState;
+use super::job::{Job, Step as StepState, TaskState};
 use super::message::{Output, Start};
 use super::order::{self, Rank};
 use super::plan::{self, Candidate, Reservation, Reserved, Slot};
@@ -26,12 +26,40 @@
 /// How many gangs may have capacity reserved that is not yet free; more would leave too much of the
 /// cell idle.
 const MAX_WAITING_GANGS: usize = 3;
+/// How many long-running steps may have capacity reserved that is not yet free. A worker that is
+/// taken away leaves a few of them without a run.
+const MAX_WAITING_LONG_RUNNING: usize = 8;
 /// A gang that would wait longer than this for capacity requests permits for further workers.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
 /// Permits are requested this long before they are needed, in addition to the time that the call
 /// takes. It covers the round trip to the advisor and the time until the next placement.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(150);
 
+/// How many steps wait for capacity that was reserved for them at this placement.
+#[derive(Default)]
+struct Waiting {
+    gangs: usize,
+    long_running: usize,
+}
+
+impl Waiting {
+    fn may_reserve(&self, is_long_running: bool) -> bool {
+        if is_long_running {
+            self.long_running < MAX_WAITING_LONG_RUNNING
+        } else {
+            self.gangs < MAX_WAITING_GANGS
+        }
+    }
+
+    fn add(&mut self, is_long_running: bool) {
+        if is_long_running {
+            self.long_running += 1;
+        } else {
+            self.gangs += 1;
+        }
+    }
+}
+
 /// The waiting tasks of a step and what they need.
 struct Demand {
     step: Step,
@@ -55,7 +83,7 @@
         ranks.sort_unstable();
         let pools = self.pools(time.now);
         let mut reserved = Reserved::new();
-        let mut waiting_gangs = 0;
+        let mut waiting = Waiting::default();
         for rank in ranks {
             let Some(job) = self.jobs.get(&rank.step.job) else {
                 continue;
@@ -69,7 +97,7 @@
             let Some(pool) = pools.get(&job.queue.service) else {
                 continue;
             };
-            let may_reserve = waiting_gangs < MAX_WAITING_GANGS;
+            let may_reserve = waiting.may_reserve(is_long_running(job, rank.step));
             let mut reservation =
                 self.place_step(rank.step, pool, &reserved, may_reserve, time, out);
             if !rank.is_non_urgent && !reserved.is_empty() && self.ready.contains(&rank.step) {
@@ -80,7 +108,8 @@
             let amounts = match reservation {
                 Some(Reservation::Planned(amounts)) => amounts,
                 Some(Reservation::Wanted(amounts)) => {
-                    waiting_gangs += 1;
+                    let job = self.jobs.get(&rank.step.job);
+                    waiting.add(job.is_some_and(|job| is_long_running(job, rank.step)));
                     amounts
                 }
                 None => continue,
@@ -169,7 +198,17 @@
         let candidates = self.candidates(&demand, spec, pool, reserved, true, time.now);
         if !spec.gang {
             self.place_singles(&demand, &candidates, time, out);
-            return None;
+            if !spec.long_running || !may_reserve {
+                return None;
+            }
+            let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+            let waiting = step.map(StepState::waiting_tasks).unwrap_or_default();
+            if waiting.is_empty() {
+                return None;
+            }
+            let demand = Demand { waiting, ..demand };
+            let candidates = self.candidates(&demand, spec, pool, reserved, false, time.now);
+            return Some(self.reserve_awaited_capacity(&demand, spec, &candidates, time, out));
         }
         let planned = self.place_gang(&demand, spec, &candidates, may_reserve, time, out);
         if planned.is_some() || !may_reserve || !self.ready.contains(&id) {
@@ -526,6 +565,11 @@
     }
 }
 
+fn is_long_running(job: &Job, id: Step) -> bool {
+    let spec = job.spec.steps.get(usize::from(id.index));
+    spec.is_some_and(|spec| spec.long_running)
+}
+
 /// Returns the planned workers without a permit that can be used now.
 fn workers_without_permit(candidates: &[Candidate], plan: &[(u16, usize)]) -> Vec<Worker> {
     let mut without_permit: Vec<Worker> = plan
--- a/tests/testsuite/scheduler/order.rs
+++ b/tests/testsuite/scheduler/order.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::cell::{Cell, queue, spec, step, task};
+use laburnumplank::core::scheduler::message::RunEnd;
+use laburnumplank::core::scheduler::spec::Step;
+
+use super::cell::{Cell, ended, queue, running, spec, step, task};
 
 #[test]
 fn lookup_is_placed_before_waiting_bulk_step() {
@@ -64,3 +67,72 @@
     let mut jobs = cell.starts.iter().map(|(_, start)| start.task.step.job.0);
     assert!(jobs.all(|job| job == 2));
 }
+
+/// A job of one task that runs until the job is cancelled.
+fn long_running() -> Step {
+    Step {
+        long_running: true,
+        ..step(1)
+    }
+}
+
+#[test]
+fn long_running_task_of_an_old_job_is_restarted_before_bulk_tasks() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(1, queue(), spec(vec![long_running()]));
+    cell.confirm();
+    cell.accept_starts();
+    cell.wait(Duration::from_secs(20));
+    for job in 2..12 {
+        cell.submit(job, queue(), spec(vec![step(4)]));
+    }
+    cell.confirm();
+    cell.accept_starts();
+    let worker = cell.restart_worker("w1");
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert_eq!(cell.starts[0].1.task, task(1, 0, 0));
+}
+
+#[test]
+fn long_running_task_gets_the_capacity_that_small_tasks_free() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    // Tasks of one core use the whole worker, and more of them wait.
+    let mut small = step(32);
+    small.need.cpu_millis = 1_000;
+    small.need.memory_mib = 100;
+    cell.submit(1, queue(), spec(vec![small]));
+    cell.confirm();
+    let mut active = cell.accept_starts();
+    cell.submit(2, queue(), spec(vec![long_running()]));
+    cell.confirm();
+    let mut ends = 0;
+    for _ in 0..4 {
+        assert!(
+            cell.starts.is_empty(),
+            "the capacity is reserved for the long-running task"
+        );
+        let (_, first) = active.remove(0);
+        let rest = active.iter().map(|(_, start)| running(start)).collect();
+        ends += 1;
+        cell.poll(worker, rest, vec![ended(ends, &first, RunEnd::Done)]);
+    }
+    let started: Vec<_> = cell.starts.iter().map(|(_, start)| start.task).collect();
+    assert_eq!(started, [task(2, 0, 0)]);
+}
+
+#[test]
+fn long_running_task_that_waits_long_precedes_lookups() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, queue(), spec(vec![long_running()]));
+    cell.confirm();
+    cell.wait(Duration::from_secs(2));
+    let mut lookups = queue();
+    lookups.name = "lookups".to_owned();
+    lookups.priority = 0;
+    cell.submit(2, lookups, spec(vec![step(8)]));
+    cell.confirm();
+    cell.add_worker("w1");
+    assert_eq!(cell.starts[0].1.task, task(1, 0, 0));
+}
