Extrapolate the end of a run from the time of its last report

Between two reports the expected end moved away as fast as time passed, by up to the run's whole length, so gangs reserved capacity on the wrong workers.

Test that failed before: expected_end_between_reports_stays.

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -29,7 +29,8 @@
 /// How many long-running steps may have capacity reserved that is not yet free. A worker that is
 /// taken away leaves a few of them without a run.
 const MAX_WAITING_LONG_RUNNING: usize = 8;
-/// A gang that would wait longer than this for capacity requests permits for further workers.
+/// A step that waits longer than this for the capacity of the permitted workers requests permits for
+/// further workers.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
 /// Permits are requested this long before they are needed, in addition to the time that the call
 /// takes. It covers the round trip to the advisor and the time until the next placement.
@@ -547,6 +548,7 @@
             stop_answered: None,
             is_confirmed: false,
             percent: 0,
+            reported_at: now,
         };
         worker.insert(task, run, attempt);
         let account = worker.account(now);
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -36,6 +36,7 @@
         };
         if let Some(attempt) = worker.attempts.get_mut(&(task, run)) {
             attempt.percent = percent;
+            attempt.reported_at = time.now;
             attempt.is_confirmed = true;
             if matches!(attempt.state, State::Starting | State::Doubtful) {
                 attempt.state = State::Running;
@@ -73,6 +74,7 @@
             stop_answered: None,
             is_confirmed: true,
             percent: 0,
+            reported_at: time.now,
         };
         if let Some(worker) = self.workers.get_mut(key) {
             worker.insert(task, run, attempt);
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -81,20 +81,25 @@
     pub stop_answered: Option<Instant>,
     /// Whether the worker has reported the run or confirmed its start.
     pub is_confirmed: bool,
-    /// The progress of the run, in percent.
+    /// The progress of the run at the last report, in percent.
     pub percent: u8,
+    /// When the last report of the run arrived; before the first one, when the run was started.
+    pub reported_at: Instant,
 }
 
 impl Attempt {
-    /// Returns when the run is expected to end, extrapolated from its progress, or from the estimate
-    /// while there is none.
+    /// Returns when the run is expected to end, extrapolated from the progress that was reported last,
+    /// or from the estimate while there is none.
     pub fn expected_end(&self, now: Instant) -> Instant {
-        let spent = now.since(self.started);
-        let left = match self.percent {
-            0 => self.estimate.saturating_sub(spent),
-            percent => spent.mul_f64(f64::from(100 - percent.min(100)) / f64::from(percent)),
+        let end = match self.percent {
+            0 => self.started + self.estimate,
+            percent => {
+                let spent = self.reported_at.since(self.started);
+                let left = f64::from(100 - percent.min(100)) / f64::from(percent);
+                self.reported_at + spent.mul_f64(left)
+            }
         };
-        now + left.max(MIN_REMAINING)
+        end.max(now + MIN_REMAINING)
     }
 }
 
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -4,7 +4,9 @@
 
 use laburnumplank::core::scheduler::id::Worker;
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
+use laburnumplank::core::scheduler::worker::{Attempt, State};
 use laburnumplank::core::scheduler::{Input, OVERCOMMITTED};
+use laburnumplank::core::time::Instant;
 
 use super::cell::{Cell, ended, queue, running, spec, step};
 
@@ -213,3 +215,24 @@
     second.poll(worker, runs, Vec::new());
     assert_eq!(of_event(&second), 2);
 }
+
+#[test]
+fn expected_end_between_reports_stays() {
+    let started = Instant(0);
+    let attempt = Attempt {
+        need: None,
+        state: State::Running,
+        since: started,
+        started,
+        estimate: Duration::from_secs(60),
+        stop_sent: None,
+        stop_answered: None,
+        is_confirmed: true,
+        percent: 50,
+        reported_at: started + Duration::from_secs(1),
+    };
+    for ms in [1_000, 1_500, 1_800] {
+        let now = started + Duration::from_millis(ms);
+        assert_eq!(attempt.expected_end(now), started + Duration::from_secs(2));
+    }
+}
