Let a gang whose workers are late request permits for others

Cause: a gang requested no further permits while the capacity of its permitted workers was expected within 1.5 s. Runs that last longer than expected (slow workers, tasks that stand still, wrong estimates) keep that true for good. The gang now also asks when it has waited for 1.5 s itself.

Ruled out: a reservation that outlives its placement (each placement computes all of them anew).

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -305,7 +305,10 @@
             let is_soon = awaited.is_sufficient
                 && wait <= self.permit_lead_time(demand.step, without_permit.len());
             let without_permit = if is_soon { without_permit } else { Vec::new() };
-            let missing = if awaited.is_sufficient && wait <= LONG_WAIT {
+            // Runs may last longer than they are expected to, so that the capacity always seems to be
+            // about to become free.
+            let is_wait_short = wait.max(self.waited(demand.step, time.now)) <= LONG_WAIT;
+            let missing = if awaited.is_sufficient && is_wait_short {
                 0
             } else {
                 tasks
@@ -344,6 +347,13 @@
         fitting(true) + likely as usize >= demand.waiting.len()
     }
 
+    /// Returns how long a step has had waiting tasks that could run.
+    fn waited(&self, id: Step, now: Instant) -> Duration {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        let since = step.and_then(|step| step.waiting_since);
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Whether a permit for a worker can be used at `at`.
     fn has_permit(&self, id: Step, worker: Worker, at: Instant) -> bool {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
--- a/tests/testsuite/scheduler/advice.rs
+++ b/tests/testsuite/scheduler/advice.rs
@@ -5,7 +5,7 @@
 use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::advice::{AdvisorProxies, AdvisorProxy};
 use laburnumplank::core::scheduler::id::{Step, Worker};
-use laburnumplank::core::scheduler::message::RunEnd;
+use laburnumplank::core::scheduler::message::{ActiveRun, RunEnd};
 use laburnumplank::core::scheduler::spec::{self, Advice, Queue};
 use laburnumplank::core::time::Instant;
 
@@ -230,3 +230,35 @@
             .all(|(_, start)| start.task.step.job.0 == 5)
     );
 }
+
+#[test]
+fn gang_whose_workers_are_late_asks_for_others() {
+    let (mut cell, _) = advised_cell(1);
+    cell.submit(1, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    let active = cell.accept_starts();
+    cell.submit(2, advised_queue(), spec(vec![gang(4)]));
+    cell.confirm();
+    let call = cell.calls.pop().unwrap();
+    permit_all(&mut cell, call);
+    cell.add_worker("w2");
+    assert!(
+        cell.calls.is_empty(),
+        "the runs on the permitted worker are expected to end soon"
+    );
+    // The runs last much longer than their estimate of 1 s.
+    for _ in 0..30 {
+        cell.wait(Duration::from_millis(100));
+        let running = active.iter().map(|(_, start)| ActiveRun {
+            percent: 90,
+            ..running(start)
+        });
+        cell.poll(active[0].0, running.collect(), Vec::new());
+    }
+    let asked = cell.calls.iter().flat_map(|(_, _, workers)| workers);
+    let w2 = cell.scheduler.worker_named("w2").unwrap();
+    assert!(asked.into_iter().any(|worker| *worker == w2));
+    let call = cell.calls.pop().unwrap();
+    permit_all(&mut cell, call);
+    assert_eq!(cell.starts.len(), 4);
+}
