--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -37,6 +37,11 @@
 /// takes. It covers the round trip to the advisor and the time until the next placement.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(150);
 
+/// A spare permit that ends within this span is renewed with the others.
+const SPARE_SPAN: Duration = Duration::from_millis(1_000);
+/// A renewal for a gang names at least this many spare workers, if there are that many.
+const MIN_SPARES: usize = 10;
+
 /// How many steps wait for capacity that was reserved for them at this placement.
 #[derive(Default)]
 struct Waiting {
@@ -381,7 +386,8 @@
                 self.start_planned(demand, &candidates, &plan, time, out);
                 return None;
             }
-            self.request_permits(demand, &without_permit, Vec::new(), 0, time, out);
+            let renewed = self.with_spares(demand, without_permit, &candidates, time.now);
+            self.request_permits(demand, &renewed, Vec::new(), 0, time, out);
             return Some(Reservation::Planned(plan::planned_capacity(
                 &candidates,
                 &plan,
@@ -425,7 +431,11 @@
                 .collect();
             let is_soon = awaited.is_sufficient
                 && wait <= self.permit_lead_time(demand.step, without_permit.len());
-            let without_permit = if is_soon { without_permit } else { Vec::new() };
+            let without_permit = if is_soon {
+                self.with_spares(demand, without_permit, &candidates, time.now)
+            } else {
+                Vec::new()
+            };
             // Runs may last longer than they are expected to, so that the capacity always seems to be
             // about to become free.
             let is_wait_short = wait.max(self.waited(demand.step, time.now)) <= LONG_WAIT;
@@ -444,6 +454,31 @@
         Reservation::Wanted(awaited.amounts)
     }
 
+    /// Adds to the workers for which a gang renews its permits others whose permits end soon too.
+    /// While a gang waits, the workers on which it fits change; without spare permits each change
+    /// would cost a further call.
+    fn with_spares(
+        &self,
+        demand: &Demand,
+        mut renewed: Vec<Worker>,
+        candidates: &[Candidate],
+        now: Instant,
+    ) -> Vec<Worker> {
+        if renewed.is_empty() {
+            return renewed;
+        }
+        let mut spares: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|candidate| !renewed.contains(&candidate.worker))
+            .filter(|candidate| !self.has_permit(demand.step, candidate.worker, now + SPARE_SPAN))
+            .collect();
+        spares.sort_by_cached_key(|candidate| Reverse(candidate.fits(demand.need)));
+        let max_spares = renewed.len().max(MIN_SPARES);
+        let spares = spares.into_iter().take(max_spares);
+        renewed.extend(spares.map(|candidate| candidate.worker));
+        renewed
+    }
+
     /// Starts the planned tasks whose workers have a usable permit or need none.
     fn start_planned(
         &mut self,
--- a/tests/testsuite/scheduler/advice.rs
+++ b/tests/testsuite/scheduler/advice.rs
@@ -262,3 +262,23 @@
     permit_all(&mut cell, call);
     assert_eq!(cell.starts.len(), 4);
 }
+
+#[test]
+fn renewal_for_a_gang_names_spare_workers() {
+    let (mut cell, _) = advised_cell(4);
+    cell.submit(1, advised_queue(), spec(vec![gang(8)]));
+    cell.submit(2, advised_queue(), spec(vec![gang(16)]));
+    // The answers come after the log: the permits end before the gangs can start.
+    for call in std::mem::take(&mut cell.calls) {
+        permit_all(&mut cell, call);
+    }
+    cell.wait(Duration::from_secs(5));
+    cell.confirm();
+    let (_, step, named) = cell.calls.remove(0);
+    assert_eq!(step.job.0, 1);
+    assert_eq!(
+        named.len(),
+        4,
+        "the two workers that it needs and two others"
+    );
+}
