Place all steps every 25 ms under load, urgent ones every 5 ms

Cause: 200 placements a second visit a hundred ready steps with some 100 permitted workers each, and compute for three gangs when each of those workers will be free.

Ruled out by a trial: the search for workers without an answer (a pause of 60 ms between searches in vain changed nothing, and let newcomers overtake; dropped).

While more than 32 steps are ready, all of them are placed every 25 ms, which bulk tasks of seconds do not notice; urgent steps are placed every 5 ms outside the capacity reserved by the last placement of all. Leases are checked every 5 ms.

--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -54,6 +54,11 @@
 /// The shortest time between two placements, so that inputs that arrive in between are placed
 /// together: a placement visits every ready step, and a start takes longer than this to arrive.
 const PLACE_PAUSE: Duration = Duration::from_millis(5);
+/// The shortest time between two placements of all steps while more than [`FEW_STEPS`] are ready.
+/// Urgent steps are placed in between, in the capacity that the others have not reserved.
+const BULK_PAUSE: Duration = Duration::from_millis(25);
+/// Up to this many ready steps are cheap to visit at each placement.
+const FEW_STEPS: usize = 32;
 
 /// Time limits and factors of the scheduler.
 #[message]
@@ -138,8 +143,16 @@
     recovered_progress: HashMap<id::Job, record::Progress>,
     /// Whether anything that placement depends on has changed since the last placement.
     is_dirty: bool,
+    /// The same since the last placement of all steps.
+    is_bulk_dirty: bool,
     /// When tasks were placed last.
     placed_at: Instant,
+    /// When all steps were placed last.
+    bulk_placed_at: Instant,
+    /// When leases and calls were last checked for their ends.
+    checked_at: Instant,
+    /// The capacity that was reserved at the last placement of all steps.
+    reserved: plan::Reserved,
     /// Free processors that were reserved for gangs at the last placement, in thousandths of a
     /// core.
     held_cpu_millis: u64,
@@ -169,7 +182,11 @@
             is_log_reachable: true,
             recovered_progress: HashMap::new(),
             is_dirty: true,
+            is_bulk_dirty: true,
             placed_at: now,
+            bulk_placed_at: now,
+            checked_at: now,
+            reserved: plan::Reserved::new(),
             held_cpu_millis: 0,
         }
     }
@@ -242,24 +259,51 @@
     /// Makes the decisions that are due at `time` and places waiting tasks.
     pub fn tick(&mut self, time: Time, out: &mut Vec<Output>) {
         self.begin_occurrences(time);
-        self.release_lapsed(time, out);
-        self.expire_calls(time.now);
-        self.drop_expired_jobs(time.now, out);
+        if time.now.since(self.checked_at) >= PLACE_PAUSE {
+            self.checked_at = time.now;
+            self.release_lapsed(time, out);
+            self.expire_calls(time.now);
+            self.drop_expired_jobs(time.now, out);
+        }
         self.record_workers(out);
+        self.is_bulk_dirty |= self.is_dirty;
+        let is_first = self.placed_at == self.began;
         let since = time.now.since(self.placed_at);
-        let is_stale = since >= PLACE_INTERVAL && !self.ready.is_empty();
-        let is_due = self.is_dirty && (since >= PLACE_PAUSE || self.placed_at == self.began);
-        if is_due || is_stale {
+        let bulk_since = time.now.since(self.bulk_placed_at);
+        let is_stale = bulk_since >= PLACE_INTERVAL && !self.ready.is_empty();
+        let is_bulk_due = self.is_bulk_dirty && bulk_since >= self.bulk_pause();
+        if is_stale || is_bulk_due || (self.is_dirty && is_first) {
+            self.is_dirty = false;
+            self.is_bulk_dirty = false;
+            self.placed_at = time.now;
+            self.bulk_placed_at = time.now;
+            self.place(time, place::Steps::All, out);
+        } else if self.is_dirty && since >= PLACE_PAUSE {
             self.is_dirty = false;
             self.placed_at = time.now;
-            self.place(time, out);
+            self.place(time, place::Steps::Urgent, out);
+        }
+    }
+
+    /// Returns the shortest time between two placements of all steps.
+    fn bulk_pause(&self) -> Duration {
+        if self.ready.len() > FEW_STEPS {
+            BULK_PAUSE
+        } else {
+            PLACE_PAUSE
         }
     }
 
     /// Returns the time until the next [`tick`](Scheduler::tick) is due if there is no input.
     pub fn time_to_tick(&self, now: Instant) -> Duration {
+        let until_bulk = self
+            .bulk_pause()
+            .saturating_sub(now.since(self.bulk_placed_at));
         if self.is_dirty {
-            PLACE_PAUSE.saturating_sub(now.since(self.placed_at))
+            let until_urgent = PLACE_PAUSE.saturating_sub(now.since(self.placed_at));
+            until_urgent.min(until_bulk)
+        } else if self.is_bulk_dirty {
+            until_bulk
         } else {
             TICK
         }
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -78,6 +78,15 @@
     is_durable: bool,
 }
 
+/// Which ready steps a placement visits.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Steps {
+    /// All steps.
+    All,
+    /// The urgent ones, which cannot wait for the next placement of all steps.
+    Urgent,
+}
+
 /// A worker on which new tasks may be placed.
 struct PoolWorker {
     key: Worker,
@@ -175,17 +184,24 @@
 }
 
 impl Scheduler {
-    /// Starts the tasks that can be started, in the order of rank.
-    pub(super) fn place(&mut self, time: Time, out: &mut Vec<Output>) {
+    /// Starts the tasks of `steps` that can be started, in the order of rank.
+    pub(super) fn place(&mut self, time: Time, steps: Steps, out: &mut Vec<Output>) {
         let are_inherited_runs_known = self.are_inherited_runs_known(time.now);
         let mut ranks: Vec<Rank> = self
             .ready
             .iter()
             .filter_map(|&step| self.rank(step, time))
+            .filter(|rank| steps == Steps::All || !rank.is_non_urgent)
             .collect();
+        if ranks.is_empty() && steps == Steps::Urgent {
+            return;
+        }
         ranks.sort_unstable();
         let pools = self.pools(time.now);
-        let mut reserved = Reserved::new();
+        let mut reserved = match steps {
+            Steps::All => Reserved::new(),
+            Steps::Urgent => self.reserved.clone(),
+        };
         let mut waiting = Waiting::default();
         for rank in ranks {
             let Some(job) = self.jobs.get(&rank.step.job) else {
@@ -227,11 +243,15 @@
                 *reserved.entry(worker).or_default() += amount;
             }
         }
+        if steps == Steps::Urgent {
+            return;
+        }
         self.held_cpu_millis = reserved
             .iter()
             .filter_map(|(&worker, amount)| Some((self.workers.get(worker)?.free(), amount)))
             .map(|(free, amount)| free.cpu_millis.min(amount.cpu_millis))
             .sum();
+        self.reserved = reserved;
     }
 
     /// Returns the workers on which new tasks may be placed, by service; those with the most free
--- a/tests/testsuite/scheduler/order.rs
+++ b/tests/testsuite/scheduler/order.rs
@@ -136,3 +136,31 @@
     cell.add_worker("w1");
     assert_eq!(cell.starts[0].1.task, task(1, 0, 0));
 }
+
+#[test]
+fn lookup_is_placed_between_two_placements_of_a_long_queue() {
+    let mut cell = Cell::new(1);
+    // More steps are ready than are visited at each placement, and none of them fits.
+    let mut wide = step(1);
+    wide.need.cpu_millis = 32_000;
+    for job in 0..40 {
+        cell.submit(job, queue(), spec(vec![wide.clone()]));
+    }
+    cell.confirm();
+    cell.add_worker("w1");
+    cell.wait(Duration::from_millis(100));
+    let placed_at = cell.now;
+    let mut lookups = queue();
+    lookups.name = "lookups".to_owned();
+    lookups.priority = 0;
+    cell.submit(98, queue(), spec(vec![step(1)]));
+    cell.submit(99, lookups, spec(vec![step(1)]));
+    cell.confirm();
+    let started: Vec<_> = cell.starts.iter().map(|(_, start)| start.task).collect();
+    assert_eq!(started, [task(99, 0, 0)]);
+    assert!(cell.now.since(placed_at) < Duration::from_millis(25));
+    for _ in 0..5 {
+        cell.tick();
+    }
+    assert_eq!(cell.starts[1].1.task, task(98, 0, 0));
+}
