--- a/src/core/scheduler/advisor_calls.rs
+++ b/src/core/scheduler/advisor_calls.rs
@@ -74,6 +74,17 @@
         }));
     }
 
+    /// Whether the advisor can be called for a step now.
+    pub(super) fn may_call_advisor(&self, id: Step, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let (Some(advice), Some(step)) = (job.queue.advice, job.step(id)) else {
+            return false;
+        };
+        step.permits.may_call(now) && self.advisor_proxies.has_idle(now, cost(&advice, 1))
+    }
+
     /// Returns the average share of workers that the advisor permits for the queue of a step.
     pub(super) fn permitted_share(&self, step: Step) -> f64 {
         let job = self.jobs.get(&step.job);
--- /dev/null
+++ b/src/core/scheduler/candidates.rs
@@ -0,0 +1,216 @@
+//! Finds the workers on which the tasks of a step may be placed.
+//!
+//! The load that this is made for is a long queue on a large cell: a hundred steps wait, and each may
+//! run on a small part of a thousand workers only. A step visits the workers that the advisor has
+//! permitted; the others matter only while the advisor can be called, and those with too few free
+//! processors are not visited.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use super::id::{Step, Worker};
+use super::job::Step as StepState;
+use super::plan::{Candidate, Reserved};
+use super::worker::Worker as WorkerState;
+use super::{Scheduler, spec};
+use crate::core::resource::Amount;
+use crate::core::time::Instant;
+
+/// The waiting tasks of a step and what they need.
+pub(super) struct Demand {
+    pub(super) step: Step,
+    pub(super) waiting: Vec<u16>,
+    /// The capacity that one task needs.
+    pub(super) need: Amount,
+    pub(super) needs_permit: bool,
+    /// Whether the job's acceptance is in the log.
+    pub(super) is_durable: bool,
+}
+
+/// A worker on which new tasks may be placed.
+pub(super) struct PoolWorker {
+    key: Worker,
+    /// Its free processors when the placement began, in thousandths of a core. Tasks that the
+    /// placement starts only make them fewer.
+    free_cpu_millis: u64,
+}
+
+/// Where the tasks of a step may be placed.
+#[derive(Clone, Copy)]
+pub(super) struct Scope<'a> {
+    pub(super) pool: &'a [PoolWorker],
+    /// The capacity that steps earlier in the order have reserved.
+    pub(super) reserved: &'a Reserved,
+}
+
+/// Which workers are candidates.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Room {
+    /// Those on which a task fits now.
+    Free,
+    /// Also those that are full.
+    Any,
+}
+
+/// What makes a worker a candidate for a step.
+struct CandidateRequest<'a> {
+    demand: &'a Demand,
+    spec: &'a spec::Step,
+    step: &'a StepState,
+    reserved: &'a Reserved,
+    room: Room,
+    now: Instant,
+    /// The workers on which the last run of a task of the step failed.
+    failed_on: Vec<Worker>,
+}
+
+impl<'a> CandidateRequest<'a> {
+    fn new(
+        demand: &'a Demand,
+        spec: &'a spec::Step,
+        step: &'a StepState,
+        reserved: &'a Reserved,
+        room: Room,
+        now: Instant,
+    ) -> CandidateRequest<'a> {
+        let tasks = step.tasks.iter();
+        CandidateRequest {
+            demand,
+            spec,
+            step,
+            reserved,
+            room,
+            now,
+            failed_on: tasks.filter_map(|task| task.failed_on).collect(),
+        }
+    }
+
+    /// Returns the worker as a candidate; `None` if it may not run the step or lacks the room.
+    fn candidate(&self, key: Worker, worker: &WorkerState) -> Option<Candidate> {
+        let reserved = self.reserved.get(&key).copied().unwrap_or_default();
+        let free = worker.free() - reserved;
+        if self.room == Room::Free && !self.demand.need.fits(free) {
+            return None;
+        }
+        let label = self.spec.label.as_ref();
+        if label.is_some_and(|label| !worker.entry.labels.contains(label)) {
+            return None;
+        }
+        // A suspect worker gets one run at a time, and an earlier step of this placement may have
+        // taken it.
+        let is_suspect = worker.history.is_suspect(self.now);
+        if is_suspect && !worker.attempts.is_empty() {
+            return None;
+        }
+        let max_tasks = match self.spec.max_per_worker {
+            _ if is_suspect => 1,
+            Some(max) => usize::from(max).saturating_sub(worker.tasks_of(self.demand.step)),
+            None => usize::MAX,
+        };
+        let permits = &self.step.permits;
+        let data_rack = &self.spec.data_rack;
+        Some(Candidate {
+            worker: key,
+            free,
+            capacity: worker.entry.capacity,
+            max_tasks,
+            has_permit: !self.demand.needs_permit || permits.usable(key, self.now).is_some(),
+            is_permitted: permits.verdict(key) == Some(true),
+            is_remote: data_rack.is_some() && *data_rack != worker.entry.rack,
+            has_failed: self.failed_on.contains(&key),
+            rack: worker.rack.clone(),
+        })
+    }
+}
+
+impl Scheduler {
+    /// Returns the workers on which new tasks may be placed, by service; those with the most free
+    /// processors come first.
+    pub(super) fn pools(&self, now: Instant) -> HashMap<String, Vec<PoolWorker>> {
+        let mut pools: HashMap<String, Vec<PoolWorker>> = HashMap::new();
+        for (key, worker) in &self.workers {
+            if !is_placeable(worker, now) {
+                continue;
+            }
+            let free_cpu_millis = worker.free().cpu_millis;
+            let member = PoolWorker {
+                key,
+                free_cpu_millis,
+            };
+            match pools.get_mut(&worker.entry.service) {
+                Some(pool) => pool.push(member),
+                None => {
+                    pools.insert(worker.entry.service.clone(), vec![member]);
+                }
+            }
+        }
+        for pool in pools.values_mut() {
+            pool.sort_unstable_by_key(|member| (Reverse(member.free_cpu_millis), member.key));
+        }
+        pools
+    }
+
+    /// Returns the workers that may run a step without a further answer of the advisor; their permits
+    /// may have to be renewed.
+    pub(super) fn candidates(
+        &self,
+        demand: &Demand,
+        spec: &spec::Step,
+        scope: Scope<'_>,
+        room: Room,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let job = self.jobs.get(&demand.step.job);
+        let Some((job, step)) = job.and_then(|job| Some((job, job.step(demand.step)?))) else {
+            return Vec::new();
+        };
+        let request = CandidateRequest::new(demand, spec, step, scope.reserved, room, now);
+        if !demand.needs_permit {
+            let pool = scope.pool.iter();
+            return pool
+                .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
+                .collect();
+        }
+        let permitted = step.permits.permitted();
+        let permitted = permitted.filter_map(|key| {
+            let worker = self.workers.get(key)?;
+            let is_in_pool = is_placeable(worker, now) && worker.entry.service == job.queue.service;
+            is_in_pool.then(|| request.candidate(key, worker)).flatten()
+        });
+        permitted.collect()
+    }
+
+    /// Returns the workers of the pool on which the advisor has given no answer for a step; none while
+    /// the advisor cannot be called.
+    pub(super) fn unknown_candidates(
+        &self,
+        demand: &Demand,
+        spec: &spec::Step,
+        scope: Scope<'_>,
+        room: Room,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let job = self.jobs.get(&demand.step.job);
+        let Some(step) = job.and_then(|job| job.step(demand.step)) else {
+            return Vec::new();
+        };
+        if !self.may_call_advisor(demand.step, now) {
+            return Vec::new();
+        }
+        let request = CandidateRequest::new(demand, spec, step, scope.reserved, room, now);
+        let min_cpu_millis = match room {
+            Room::Free => demand.need.cpu_millis,
+            Room::Any => 0,
+        };
+        let pool = scope.pool.iter();
+        pool.take_while(|member| member.free_cpu_millis >= min_cpu_millis)
+            .filter(|member| step.permits.verdict(member.key).is_none())
+            .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
+            .collect()
+    }
+}
+
+/// Whether new tasks may be placed on a worker if it has the capacity.
+fn is_placeable(worker: &WorkerState, now: Instant) -> bool {
+    worker.is_usable() && worker.history.allows_run(now, worker.attempts.len())
+}
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod advice;
 mod advisor_calls;
+mod candidates;
 pub mod id;
 pub mod job;
 mod jobs;
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -8,18 +8,18 @@
 //! arrive.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::advice::cost;
+use super::candidates::{Demand, Room, Scope};
 use super::id::{Run, Step, Task, Worker};
 use super::job::{Job, Step as StepState, TaskState};
 use super::message::{Output, Start};
 use super::order::{self, Rank};
 use super::plan::{self, Candidate, Reservation, Reserved, Slot};
-use super::worker::{Attempt, State, Worker as WorkerState};
+use super::worker::{Attempt, State};
 use super::{Scheduler, Time, spec};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
@@ -67,17 +67,6 @@
     }
 }
 
-/// The waiting tasks of a step and what they need.
-struct Demand {
-    step: Step,
-    waiting: Vec<u16>,
-    /// The capacity that one task needs.
-    need: Amount,
-    needs_permit: bool,
-    /// Whether the job's acceptance is in the log.
-    is_durable: bool,
-}
-
 /// Which ready steps a placement visits.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Steps {
@@ -87,102 +76,6 @@
     Urgent,
 }
 
-/// A worker on which new tasks may be placed.
-struct PoolWorker {
-    key: Worker,
-    /// Its free processors when the placement began, in thousandths of a core. Tasks that the
-    /// placement starts only make them fewer.
-    free_cpu_millis: u64,
-}
-
-/// Where the tasks of a step may be placed.
-#[derive(Clone, Copy)]
-struct Scope<'a> {
-    pool: &'a [PoolWorker],
-    /// The capacity that steps earlier in the order have reserved.
-    reserved: &'a Reserved,
-}
-
-/// Which workers are candidates.
-#[derive(Clone, Copy, PartialEq)]
-enum Room {
-    /// Those on which a task fits now.
-    Free,
-    /// Also those that are full.
-    Any,
-}
-
-/// What makes a worker a candidate for a step.
-struct CandidateRequest<'a> {
-    demand: &'a Demand,
-    spec: &'a spec::Step,
-    step: &'a StepState,
-    reserved: &'a Reserved,
-    room: Room,
-    now: Instant,
-    /// The workers on which the last run of a task of the step failed.
-    failed_on: Vec<Worker>,
-}
-
-impl<'a> CandidateRequest<'a> {
-    fn new(
-        demand: &'a Demand,
-        spec: &'a spec::Step,
-        step: &'a StepState,
-        reserved: &'a Reserved,
-        room: Room,
-        now: Instant,
-    ) -> CandidateRequest<'a> {
-        let tasks = step.tasks.iter();
-        CandidateRequest {
-            demand,
-            spec,
-            step,
-            reserved,
-            room,
-            now,
-            failed_on: tasks.filter_map(|task| task.failed_on).collect(),
-        }
-    }
-
-    /// Returns the worker as a candidate; `None` if it may not run the step or lacks the room.
-    fn candidate(&self, key: Worker, worker: &WorkerState) -> Option<Candidate> {
-        let reserved = self.reserved.get(&key).copied().unwrap_or_default();
-        let free = worker.free() - reserved;
-        if self.room == Room::Free && !self.demand.need.fits(free) {
-            return None;
-        }
-        let label = self.spec.label.as_ref();
-        if label.is_some_and(|label| !worker.entry.labels.contains(label)) {
-            return None;
-        }
-        // A suspect worker gets one run at a time, and an earlier step of this placement may have
-        // taken it.
-        let is_suspect = worker.history.is_suspect(self.now);
-        if is_suspect && !worker.attempts.is_empty() {
-            return None;
-        }
-        let max_tasks = match self.spec.max_per_worker {
-            _ if is_suspect => 1,
-            Some(max) => usize::from(max).saturating_sub(worker.tasks_of(self.demand.step)),
-            None => usize::MAX,
-        };
-        let permits = &self.step.permits;
-        let data_rack = &self.spec.data_rack;
-        Some(Candidate {
-            worker: key,
-            free,
-            capacity: worker.entry.capacity,
-            max_tasks,
-            has_permit: !self.demand.needs_permit || permits.usable(key, self.now).is_some(),
-            is_permitted: permits.verdict(key) == Some(true),
-            is_remote: data_rack.is_some() && *data_rack != worker.entry.rack,
-            has_failed: self.failed_on.contains(&key),
-            rack: worker.rack.clone(),
-        })
-    }
-}
-
 impl Scheduler {
     /// Starts the tasks of `steps` that can be started, in the order of rank.
     pub(super) fn place(&mut self, time: Time, steps: Steps, out: &mut Vec<Output>) {
@@ -254,32 +147,6 @@
         self.reserved = reserved;
     }
 
-    /// Returns the workers on which new tasks may be placed, by service; those with the most free
-    /// processors come first.
-    fn pools(&self, now: Instant) -> HashMap<String, Vec<PoolWorker>> {
-        let mut pools: HashMap<String, Vec<PoolWorker>> = HashMap::new();
-        for (key, worker) in &self.workers {
-            if !is_placeable(worker, now) {
-                continue;
-            }
-            let free_cpu_millis = worker.free().cpu_millis;
-            let member = PoolWorker {
-                key,
-                free_cpu_millis,
-            };
-            match pools.get_mut(&worker.entry.service) {
-                Some(pool) => pool.push(member),
-                None => {
-                    pools.insert(worker.entry.service.clone(), vec![member]);
-                }
-            }
-        }
-        for pool in pools.values_mut() {
-            pool.sort_unstable_by_key(|member| (Reverse(member.free_cpu_millis), member.key));
-        }
-        pools
-    }
-
     /// Whether a step has to wait for something other than capacity: for an answer of the advisor,
     /// for an entry that can call the advisor, or for the job's acceptance to be in the log.
     fn is_blocked(&self, id: Step, now: Instant) -> bool {
@@ -568,17 +435,6 @@
         slots
     }
 
-    /// Whether the advisor can be called for a step now.
-    fn may_call_advisor(&self, id: Step, now: Instant) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        let (Some(advice), Some(step)) = (job.queue.advice, job.step(id)) else {
-            return false;
-        };
-        step.permits.may_call(now) && self.advisor_proxies.has_idle(now, cost(&advice, 1))
-    }
-
     /// Calls the advisor for the workers of a plan without a usable permit and, to place `missing`
     /// further tasks, for workers without an answer.
     fn request_permits(
@@ -612,65 +468,6 @@
         self.call_advisor(demand.step, without_permit, &unknown, wanted, time, out);
     }
 
-    /// Returns the workers that may run a step without a further answer of the advisor; their permits
-    /// may have to be renewed.
-    fn candidates(
-        &self,
-        demand: &Demand,
-        spec: &spec::Step,
-        scope: Scope<'_>,
-        room: Room,
-        now: Instant,
-    ) -> Vec<Candidate> {
-        let job = self.jobs.get(&demand.step.job);
-        let Some((job, step)) = job.and_then(|job| Some((job, job.step(demand.step)?))) else {
-            return Vec::new();
-        };
-        let request = CandidateRequest::new(demand, spec, step, scope.reserved, room, now);
-        if !demand.needs_permit {
-            let pool = scope.pool.iter();
-            return pool
-                .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
-                .collect();
-        }
-        let permitted = step.permits.permitted();
-        let permitted = permitted.filter_map(|key| {
-            let worker = self.workers.get(key)?;
-            let is_in_pool = is_placeable(worker, now) && worker.entry.service == job.queue.service;
-            is_in_pool.then(|| request.candidate(key, worker)).flatten()
-        });
-        permitted.collect()
-    }
-
-    /// Returns the workers of the pool on which the advisor has given no answer for a step; none while
-    /// the advisor cannot be called.
-    fn unknown_candidates(
-        &self,
-        demand: &Demand,
-        spec: &spec::Step,
-        scope: Scope<'_>,
-        room: Room,
-        now: Instant,
-    ) -> Vec<Candidate> {
-        let job = self.jobs.get(&demand.step.job);
-        let Some(step) = job.and_then(|job| job.step(demand.step)) else {
-            return Vec::new();
-        };
-        if !self.may_call_advisor(demand.step, now) {
-            return Vec::new();
-        }
-        let request = CandidateRequest::new(demand, spec, step, scope.reserved, room, now);
-        let min_cpu_millis = match room {
-            Room::Free => demand.need.cpu_millis,
-            Room::Any => 0,
-        };
-        let pool = scope.pool.iter();
-        pool.take_while(|member| member.free_cpu_millis >= min_cpu_millis)
-            .filter(|member| step.permits.verdict(member.key).is_none())
-            .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
-            .collect()
-    }
-
     fn start_all(
         &mut self,
         id: Step,
@@ -755,11 +552,6 @@
     }
 }
 
-/// Whether new tasks may be placed on a worker if it has the capacity.
-fn is_placeable(worker: &WorkerState, now: Instant) -> bool {
-    worker.is_usable() && worker.history.allows_run(now, worker.attempts.len())
-}
-
 fn is_long_running(job: &Job, id: Step) -> bool {
     let spec = job.spec.steps.get(usize::from(id.index));
     spec.is_some_and(|spec| spec.long_running)
