Drop what the search for permitted workers has made dead

Read again as a newcomer; no decision changes.

- Candidates of a step with permits are permitted ones, so the plan needs neither the mark nor the filter, and no flag whether permits are needed.
- One place looks up the job and step of a request for candidates.
- Whether a step is long-running is found once in a placement.
- Tests: one queue of lookups, one way to deliver the outcome of a start; no assertion changed.

--- a/src/core/scheduler/advice.rs
+++ b/src/core/scheduler/advice.rs
@@ -159,8 +159,8 @@
 
     /// Whether at least one entry could take a call of this cost now.
     pub fn has_idle(&self, now: Instant, cost: Duration) -> bool {
-        let loads = self.loads[self.first_for(cost)..].iter();
-        loads.into_iter().any(|load| load.until <= now + LOOKAHEAD)
+        let mut loads = self.loads[self.first_for(cost)..].iter();
+        loads.any(|load| load.until <= now + LOOKAHEAD)
     }
 
     /// Records that a call ended. An entry without calls in progress is idle.
--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -60,31 +60,13 @@
     reserved: &'a Reserved,
     room: Room,
     now: Instant,
+    /// The service whose workers run the step.
+    service: &'a str,
     /// The workers on which the last run of a task of the step failed.
     failed_on: Vec<Worker>,
 }
 
-impl<'a> CandidateRequest<'a> {
-    fn new(
-        demand: &'a Demand,
-        spec: &'a spec::Step,
-        step: &'a StepState,
-        reserved: &'a Reserved,
-        room: Room,
-        now: Instant,
-    ) -> CandidateRequest<'a> {
-        let tasks = step.tasks.iter();
-        CandidateRequest {
-            demand,
-            spec,
-            step,
-            reserved,
-            room,
-            now,
-            failed_on: tasks.filter_map(|task| task.failed_on).collect(),
-        }
-    }
-
+impl CandidateRequest<'_> {
     /// Returns the worker as a candidate; `None` if it may not run the step or lacks the room.
     fn candidate(&self, key: Worker, worker: &WorkerState) -> Option<Candidate> {
         let reserved = self.reserved.get(&key).copied().unwrap_or_default();
@@ -115,7 +97,6 @@
             capacity: worker.entry.capacity,
             max_tasks,
             has_permit: !self.demand.needs_permit || permits.usable(key, self.now).is_some(),
-            is_permitted: permits.verdict(key) == Some(true),
             is_remote: data_rack.is_some() && *data_rack != worker.entry.rack,
             has_failed: self.failed_on.contains(&key),
             rack: worker.rack.clone(),
@@ -160,21 +141,19 @@
         room: Room,
         now: Instant,
     ) -> Vec<Candidate> {
-        let job = self.jobs.get(&demand.step.job);
-        let Some((job, step)) = job.and_then(|job| Some((job, job.step(demand.step)?))) else {
+        let Some(request) = self.candidate_request(demand, spec, scope, room, now) else {
             return Vec::new();
         };
-        let request = CandidateRequest::new(demand, spec, step, scope.reserved, room, now);
         if !demand.needs_permit {
             let pool = scope.pool.iter();
             return pool
                 .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
                 .collect();
         }
-        let permitted = step.permits.permitted();
+        let permitted = request.step.permits.permitted();
         let permitted = permitted.filter_map(|key| {
             let worker = self.workers.get(key)?;
-            let is_in_pool = is_placeable(worker, now) && worker.entry.service == job.queue.service;
+            let is_in_pool = is_placeable(worker, now) && worker.entry.service == request.service;
             is_in_pool.then(|| request.candidate(key, worker)).flatten()
         });
         permitted.collect()
@@ -190,24 +169,46 @@
         room: Room,
         now: Instant,
     ) -> Vec<Candidate> {
-        let job = self.jobs.get(&demand.step.job);
-        let Some(step) = job.and_then(|job| job.step(demand.step)) else {
-            return Vec::new();
-        };
         if !self.may_call_advisor(demand.step, now) {
             return Vec::new();
         }
-        let request = CandidateRequest::new(demand, spec, step, scope.reserved, room, now);
+        let Some(request) = self.candidate_request(demand, spec, scope, room, now) else {
+            return Vec::new();
+        };
         let min_cpu_millis = match room {
             Room::Free => demand.need.cpu_millis,
             Room::Any => 0,
         };
+        let permits = &request.step.permits;
         let pool = scope.pool.iter();
         pool.take_while(|member| member.free_cpu_millis >= min_cpu_millis)
-            .filter(|member| step.permits.verdict(member.key).is_none())
+            .filter(|member| permits.verdict(member.key).is_none())
             .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
             .collect()
     }
+
+    fn candidate_request<'a>(
+        &'a self,
+        demand: &'a Demand,
+        spec: &'a spec::Step,
+        scope: Scope<'a>,
+        room: Room,
+        now: Instant,
+    ) -> Option<CandidateRequest<'a>> {
+        let job = self.jobs.get(&demand.step.job)?;
+        let step = job.step(demand.step)?;
+        let tasks = step.tasks.iter();
+        Some(CandidateRequest {
+            demand,
+            spec,
+            step,
+            reserved: scope.reserved,
+            room,
+            now,
+            service: &job.queue.service,
+            failed_on: tasks.filter_map(|task| task.failed_on).collect(),
+        })
+    }
 }
 
 /// Whether new tasks may be placed on a worker if it has the capacity.
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -113,7 +113,8 @@
                 pool,
                 reserved: &reserved,
             };
-            let may_reserve = waiting.may_reserve(is_long_running(job, rank.step));
+            let is_long_running = is_long_running(job, rank.step);
+            let may_reserve = waiting.may_reserve(is_long_running);
             let mut reservation = self.place_step(rank.step, scope, may_reserve, time, out);
             if !rank.is_non_urgent && !reserved.is_empty() && self.ready.contains(&rank.step) {
                 // An urgent step may use reserved capacity when there is no other.
@@ -126,8 +127,7 @@
             let amounts = match reservation {
                 Some(Reservation::Planned(amounts)) => amounts,
                 Some(Reservation::Wanted(amounts)) => {
-                    let job = self.jobs.get(&rank.step.job);
-                    waiting.add(job.is_some_and(|job| is_long_running(job, rank.step)));
+                    waiting.add(is_long_running);
                     amounts
                 }
                 None => continue,
@@ -228,12 +228,7 @@
         out: &mut Vec<Output>,
     ) {
         let candidates = self.candidates(demand, spec, scope, Room::Free, time.now);
-        let plan = plan::single(
-            &candidates,
-            &demand.waiting,
-            demand.need,
-            demand.needs_permit,
-        );
+        let plan = plan::single(&candidates, &demand.waiting, demand.need);
         if demand.is_durable {
             self.start_planned(demand, &candidates, &plan, time, out);
         }
@@ -258,17 +253,11 @@
         time: Time,
         out: &mut Vec<Output>,
     ) -> Option<Reservation> {
-        let Demand {
-            need, needs_permit, ..
-        } = *demand;
+        let need = demand.need;
         let candidates = self.candidates(demand, spec, scope, Room::Free, time.now);
-        let plan = plan::gang(&candidates, &demand.waiting, need, spec, needs_permit);
+        let plan = plan::gang(&candidates, &demand.waiting, need, spec);
         if !plan.is_empty() {
-            let without_permit = if needs_permit {
-                workers_without_permit(&candidates, &plan)
-            } else {
-                Vec::new()
-            };
+            let without_permit = workers_without_permit(&candidates, &plan);
             if demand.is_durable && without_permit.is_empty() {
                 self.start_planned(demand, &candidates, &plan, time, out);
                 return None;
@@ -377,7 +366,7 @@
     ) {
         let ready: Vec<(u16, Worker)> = plan
             .iter()
-            .filter(|(_, index)| !demand.needs_permit || candidates[*index].has_permit)
+            .filter(|(_, index)| candidates[*index].has_permit)
             .map(|&(task, index)| (task, candidates[index].worker))
             .collect();
         self.start_all(demand.step, &ready, demand.need, time, out);
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -33,9 +33,6 @@
     pub(super) max_tasks: usize,
     /// Whether a start needs no call to the advisor first.
     pub(super) has_permit: bool,
-    /// Whether the advisor permitted the worker for this step in its last answer, even if that permit
-    /// has ended since.
-    pub(super) is_permitted: bool,
     /// Whether it is not on the rack of the step's data.
     pub(super) is_remote: bool,
     /// Whether the last failed run of one of the step's tasks was there. Other workers are preferred:
@@ -73,12 +70,7 @@
 
 /// Places tasks one by one, each on its best fit, until one has no candidate. Returns the placed
 /// tasks with the indices of their candidates.
-pub(super) fn single(
-    candidates: &[Candidate],
-    waiting: &[u16],
-    need: Amount,
-    needs_permit: bool,
-) -> Vec<(u16, usize)> {
+pub(super) fn single(candidates: &[Candidate], waiting: &[u16], need: Amount) -> Vec<(u16, usize)> {
     let mut remaining: Vec<(Amount, usize)> =
         candidates.iter().map(|c| (c.free, c.max_tasks)).collect();
     let mut plan = Vec::new();
@@ -86,9 +78,9 @@
         let best = candidates
             .iter()
             .enumerate()
-            .filter(|(index, candidate)| {
+            .filter(|(index, _)| {
                 let (free, max_tasks) = remaining[*index];
-                max_tasks > 0 && need.fits(free) && (!needs_permit || candidate.is_permitted)
+                max_tasks > 0 && need.fits(free)
             })
             .min_by_key(|(index, candidate)| {
                 let left = leftover(remaining[*index].0, need, candidate.capacity);
@@ -115,20 +107,17 @@
     waiting: &[u16],
     need: Amount,
     spec: &spec::Step,
-    needs_permit: bool,
 ) -> Vec<(u16, usize)> {
-    let usable: Vec<usize> = (0..candidates.len())
-        .filter(|&index| !needs_permit || candidates[index].is_permitted)
-        .collect();
+    let all: Vec<usize> = (0..candidates.len()).collect();
     if spec.same_rack {
-        let mut racks: Vec<&Arc<str>> = usable
+        let mut racks: Vec<&Arc<str>> = candidates
             .iter()
-            .filter_map(|&index| candidates[index].rack.as_ref())
+            .filter_map(|candidate| candidate.rack.as_ref())
             .collect();
         racks.sort_unstable();
         racks.dedup();
         for rack in racks {
-            let there: Vec<usize> = usable
+            let there: Vec<usize> = all
                 .iter()
                 .copied()
                 .filter(|&index| candidates[index].rack.as_ref() == Some(rack))
@@ -139,7 +128,7 @@
             }
         }
     }
-    fill(candidates, &usable, waiting, need)
+    fill(candidates, &all, waiting, need)
 }
 
 /// Fills one candidate after the other with the tasks of a gang, in the order of best fit. Returns an
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -92,12 +92,7 @@
         .map(|(_, start)| start)
         .collect();
     cell.poll(worker, starts.iter().map(running).collect(), Vec::new());
-    cell.input(Input::Started {
-        worker,
-        task: starts[0].task,
-        run: starts[0].run,
-        outcome: Outcome::Refused(Refusal::OldRun),
-    });
+    cell.finish_start(worker, &starts[0], Outcome::Refused(Refusal::OldRun));
     cell.tick();
     assert!(cell.starts.is_empty(), "the worker reported all four runs");
 }
@@ -152,12 +147,7 @@
         worker: former,
         outcome: Outcome::Refused(Refusal::OtherIncarnation),
     });
-    cell.input(Input::Started {
-        worker: former,
-        task: starts[0].1.task,
-        run: starts[0].1.run,
-        outcome: Outcome::Done(None),
-    });
+    cell.finish_start(former, &starts[0].1, Outcome::Done(None));
     cell.wait(Duration::from_millis(100));
     assert!(cell.starts.is_empty() && cell.stops.is_empty());
 
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -286,16 +286,21 @@
         self.tick();
     }
 
+    /// Delivers the outcome of a start command.
+    pub(super) fn finish_start(&mut self, worker: Worker, start: &Start, outcome: Outcome) {
+        self.input(Input::Started {
+            worker,
+            task: start.task,
+            run: start.run,
+            outcome,
+        });
+    }
+
     /// Confirms all start commands so far and returns them.
     pub(super) fn accept_starts(&mut self) -> Vec<(Worker, Start)> {
         let starts = std::mem::take(&mut self.starts);
         for (worker, start) in &starts {
-            self.input(Input::Started {
-                worker: *worker,
-                task: start.task,
-                run: start.run,
-                outcome: Outcome::Done(None),
-            });
+            self.finish_start(*worker, start, Outcome::Done(None));
         }
         self.now = self.now + Duration::from_millis(1);
         self.tick();
--- a/tests/testsuite/scheduler/order.rs
+++ b/tests/testsuite/scheduler/order.rs
@@ -3,20 +3,26 @@
 use std::time::Duration;
 
 use laburnumplank::core::scheduler::message::RunEnd;
-use laburnumplank::core::scheduler::spec::Step;
+use laburnumplank::core::scheduler::spec::{Queue, Step};
 
 use super::cell::{Cell, ended, queue, running, spec, step, task};
 
+/// The queue of urgent jobs.
+fn lookups() -> Queue {
+    Queue {
+        name: "lookups".to_owned(),
+        priority: 0,
+        ..queue()
+    }
+}
+
 #[test]
 fn lookup_is_placed_before_waiting_bulk_step() {
     let mut cell = Cell::new(1);
     for job in 0..10 {
         cell.submit(job, queue(), spec(vec![step(4)]));
     }
-    let mut lookups = queue();
-    lookups.name = "lookups".to_owned();
-    lookups.priority = 0;
-    cell.submit(99, lookups, spec(vec![step(1)]));
+    cell.submit(99, lookups(), spec(vec![step(1)]));
     cell.confirm();
     cell.add_worker("w1");
     assert_eq!(cell.starts[0].1.task, task(99, 0, 0));
@@ -128,10 +134,7 @@
     cell.submit(1, queue(), spec(vec![long_running()]));
     cell.confirm();
     cell.wait(Duration::from_secs(2));
-    let mut lookups = queue();
-    lookups.name = "lookups".to_owned();
-    lookups.priority = 0;
-    cell.submit(2, lookups, spec(vec![step(8)]));
+    cell.submit(2, lookups(), spec(vec![step(8)]));
     cell.confirm();
     cell.add_worker("w1");
     assert_eq!(cell.starts[0].1.task, task(1, 0, 0));
@@ -150,11 +153,8 @@
     cell.add_worker("w1");
     cell.wait(Duration::from_millis(100));
     let placed_at = cell.now;
-    let mut lookups = queue();
-    lookups.name = "lookups".to_owned();
-    lookups.priority = 0;
     cell.submit(98, queue(), spec(vec![step(1)]));
-    cell.submit(99, lookups, spec(vec![step(1)]));
+    cell.submit(99, lookups(), spec(vec![step(1)]));
     cell.confirm();
     let started: Vec<_> = cell.starts.iter().map(|(_, start)| start.task).collect();
     assert_eq!(started, [task(99, 0, 0)]);
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -86,12 +86,7 @@
     cell.submit(7, queue(), spec(vec![step(1)]));
     cell.confirm();
     let (_, start) = cell.starts.pop().unwrap();
-    cell.input(Input::Started {
-        worker,
-        task: start.task,
-        run: start.run,
-        outcome: Outcome::Unknown,
-    });
+    cell.finish_start(worker, &start, Outcome::Unknown);
     cell.wait(Duration::from_millis(10));
     cell.poll(worker, Vec::new(), Vec::new());
     assert_eq!(cell.stops, [(worker, start.task, start.run)]);
@@ -162,12 +157,7 @@
     cell.submit(7, queue(), spec(vec![gang]));
     cell.confirm();
     let starts = std::mem::take(&mut cell.starts);
-    cell.input(Input::Started {
-        worker,
-        task: starts[0].1.task,
-        run: starts[0].1.run,
-        outcome: Outcome::Refused(Refusal::Late),
-    });
+    cell.finish_start(worker, &starts[0].1, Outcome::Refused(Refusal::Late));
     assert_eq!(cell.stops, [(worker, starts[1].1.task, starts[1].1.run)]);
 }
 
@@ -202,12 +192,7 @@
     cell.submit(7, queue(), spec(vec![step(1)]));
     cell.confirm();
     let (_, start) = cell.starts.pop().unwrap();
-    cell.input(Input::Started {
-        worker,
-        task: start.task,
-        run: start.run,
-        outcome: Outcome::Refused(Refusal::Fenced),
-    });
+    cell.finish_start(worker, &start, Outcome::Refused(Refusal::Fenced));
     assert!(cell.is_superseded);
 }
 
@@ -280,12 +265,7 @@
     cell.submit(7, queue(), spec(vec![step(1)]));
     cell.confirm();
     let (_, start) = cell.starts.pop().unwrap();
-    cell.input(Input::Started {
-        worker,
-        task: start.task,
-        run: start.run,
-        outcome: Outcome::Unknown,
-    });
+    cell.finish_start(worker, &start, Outcome::Unknown);
     assert_eq!(
         cell.scheduler.pending("filings"),
         1,
