Log on what evidence a run leaves a worker's table

The logs named the way for five of the nine ways in which a run leaves the table; a refused start and one that is passed on to the next incarnation left no line, no line had the state of the run, the worker's incarnation, the age of its last report or what was left of its lease, and the end of the wait for a worker of an earlier owner was silent.

`run released without an end` now has all of this, for refusals too; `start passed on to the next incarnation` and `runs of earlier owners` are new; starts say how long ago the owner's claim was confirmed by a read of the log. docs/OPERATIONS.md leads from a task to the line. No decision changes. The lines are bounded by the number of runs and workers.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -6,10 +6,12 @@
 //! anew for a worker that is gone for good. Therefore an owner asks the one before it, which has ended
 //! by then and knows when the leases end.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use laburnum_derive::message;
 
+use super::message::Output;
 use super::worker::{Worker as WorkerState, longest_lease};
 use super::workers::START_TIMEOUT;
 use super::{Rules, Scheduler};
@@ -21,8 +23,17 @@
     pub(super) incarnation: u64,
     /// When its lease has ended for certain.
     pub(super) until: Instant,
+    /// What `until` is based on.
+    source: &'static str,
+    /// Whether the runs there were known or had ended at the last check.
+    is_known: bool,
 }
 
+/// The end of a lease is that of the longest lease that a worker grants.
+const LONGEST_LEASE: &str = "the longest lease has ended";
+/// The end of a lease is the one that the former owner reported.
+const REPORTED_LEASE: &str = "the lease that the former owner reported has ended";
+
 /// The longest time that a worker may go on after the end of an ownership, without a further lease.
 #[message]
 pub struct RemainingLease {
@@ -47,6 +58,8 @@
                 name,
                 incarnation,
                 until,
+                source: LONGEST_LEASE,
+                is_known: false,
             })
             .collect();
     }
@@ -69,7 +82,10 @@
             let Some(until) = until else {
                 continue;
             };
-            inherited.until = inherited.until.min(until);
+            if until < inherited.until {
+                inherited.until = until;
+                inherited.source = REPORTED_LEASE;
+            }
             let key = self.by_name.get(&inherited.name);
             let worker = key.and_then(|&key| self.workers.get_mut(key));
             let worker = worker.filter(|worker| worker.entry.incarnation == inherited.incarnation);
@@ -147,6 +163,34 @@
         })
     }
 
+    /// Reports the workers of earlier owners whose runs have become known or unknown.
+    pub(super) fn report_inheritance(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let unknown = self.unknown_inherited_workers(now);
+        let unknown: HashSet<String> = unknown.map(|(name, _)| name.to_owned()).collect();
+        let recovered_at = self.inheritance_ends_at - longest_lease(self.rules.max_lease);
+        for inherited in &mut self.inherited_workers {
+            let is_known = !unknown.contains(&inherited.name);
+            if is_known == inherited.is_known {
+                continue;
+            }
+            inherited.is_known = is_known;
+            let key = self.by_name.get(&inherited.name);
+            let worker = key.and_then(|&key| self.workers.get(key));
+            let source = match worker {
+                _ if !is_known => "its next incarnation has not reported",
+                Some(worker) if worker.has_reported => "it has reported",
+                _ => inherited.source,
+            };
+            out.push(Output::Inherited {
+                worker: inherited.name.clone(),
+                incarnation: inherited.incarnation,
+                is_known,
+                source,
+                waited: now.since(recovered_at),
+            });
+        }
+    }
+
     /// Forgets the workers of earlier owners once these owners' leases have ended. A worker that is not
     /// listed any more is then dropped from the record, so that no later owner waits for it.
     pub(super) fn end_inheritance(&mut self, now: Instant) {
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -10,7 +10,7 @@
 use super::id::{Job, Mark, Request, Run, Task, Worker};
 use super::record::Phase;
 use super::spec::{Queue, Spec};
-use super::worker::{Account, Entry};
+use super::worker::{Account, Entry, Evidence};
 use crate::core::error::Error;
 use crate::core::resource::Amount;
 use crate::core::time::Stamp;
@@ -235,6 +235,8 @@
         /// The least time for which the permits are valid, from when the advisor issued them.
         validity: Duration,
     },
+    /// A read of the log has shown that no later owner had claimed the cell when it was sent.
+    ClaimConfirmed(crate::core::time::Instant),
     /// The owner before this one has ended its ownership and reported the leases that are left.
     FormerLeases {
         /// The time from which the remaining leases count: when the report arrived.
@@ -345,6 +347,36 @@
         run: Run,
         /// Why the run cannot be on the worker.
         reason: &'static str,
+        /// What was known of the run and the worker.
+        evidence: Evidence,
+    },
+    /// Write a log line: a start under way when its worker restarted may be carried out by the next
+    /// incarnation.
+    PassedOn {
+        /// The worker's name.
+        worker: String,
+        /// The incarnation that the start was sent to.
+        from: u64,
+        /// The incarnation that may carry it out.
+        to: u64,
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+    },
+    /// Write a log line: whether runs of earlier owners may be on a worker unknown to this one has
+    /// changed.
+    Inherited {
+        /// The worker's name.
+        worker: String,
+        /// The incarnation that earlier owners used.
+        incarnation: u64,
+        /// Whether all of these runs are known or have ended.
+        is_known: bool,
+        /// What that is based on.
+        source: &'static str,
+        /// The time since this owner recovered.
+        waited: Duration,
     },
     /// Write a log line: a job has entered a phase.
     Phase {
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -131,6 +131,8 @@
     ended: VecDeque<(Instant, id::Job)>,
     workers: SlotMap<id::Worker, worker::Worker>,
     by_name: HashMap<String, id::Worker>,
+    /// When the last read of the log was sent that showed no claim of a later owner.
+    claim_confirmed_at: Instant,
     /// The workers on which earlier owners may have started tasks.
     inherited_workers: Vec<inheritance::InheritedWorker>,
     /// When every lease that an earlier owner granted has ended, if none of them is known.
@@ -182,6 +184,7 @@
             ended: VecDeque::new(),
             workers: SlotMap::with_key(),
             by_name: HashMap::new(),
+            claim_confirmed_at: now,
             inherited_workers: Vec::new(),
             inheritance_ends_at: now,
             inherited_known_at: now,
@@ -254,6 +257,7 @@
                 validity,
             } => self.advised(time.now, &call, allowed, validity),
             Input::AdvisorProxies(proxies) => self.advisor_proxies.set(&proxies),
+            Input::ClaimConfirmed(at) => self.claim_confirmed_at = self.claim_confirmed_at.max(at),
             Input::FormerLeases { answered, leases } => {
                 self.limit_inheritance(answered, &leases);
             }
@@ -280,6 +284,7 @@
             self.release_lapsed(time, out);
             self.expire_calls(time.now);
             self.drop_expired_jobs(time.now, out);
+            self.report_inheritance(time.now, out);
             self.end_inheritance(time.now);
             self.stop_partial_gangs(time.now, out);
         }
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -591,7 +591,7 @@
             reported_at: now,
         };
         worker.insert(task, run, attempt);
-        let account = worker.account(now);
+        let account = worker.account(now, self.claim_confirmed_at);
         out.push(Output::Start {
             worker: key,
             account,
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -295,12 +295,29 @@
         }
     }
 
-    /// Frees the capacity of a run and returns its task to the waiting state.
-    pub(super) fn release(&mut self, worker: Worker, task: Task, run: Run, now: Instant) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.remove(task, run);
+    /// Frees the capacity of a run that cannot be on its worker for `reason`, and returns its task to
+    /// the waiting state.
+    pub(super) fn release(
+        &mut self,
+        key: Worker,
+        task: Task,
+        run: Run,
+        reason: &'static str,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(worker) = self.workers.get_mut(key)
+            && let Some(attempt) = worker.remove(task, run)
+        {
+            out.push(Output::Released {
+                worker: worker.entry.name.clone(),
+                task,
+                run,
+                reason,
+                evidence: worker.evidence(&attempt, now),
+            });
         }
-        self.requeue(worker, task, run, now);
+        self.requeue(key, task, run, now);
         self.is_dirty = true;
     }
 
@@ -359,7 +376,7 @@
             let attempt = worker.attempts.get(&(task, run))?;
             Some(attempt.started)
         });
-        self.release(key, task, run, time.now);
+        self.release(key, task, run, refusal.name(), time.now, out);
         // The other refusals concern the command rather than the worker.
         let is_of_worker = matches!(refusal, Refusal::Unhealthy | Refusal::Room | Refusal::Late);
         if let (Some(sent), Some(worker)) = (sent, self.workers.get_mut(key))
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -152,6 +152,25 @@
     pub capacity: Amount,
     /// The time since the worker last reported its runs.
     pub report_age: Duration,
+    /// The time since the owner's claim on the cell was last confirmed.
+    pub claim_age: Duration,
+}
+
+/// What is known of a run and its worker when the run is removed without a reported end.
+#[value]
+pub struct Evidence {
+    /// The incarnation of the worker.
+    pub incarnation: u64,
+    /// The state of the run.
+    pub state: State,
+    /// Whether the worker had reported the run or confirmed its start.
+    pub is_confirmed: bool,
+    /// The time since the run was started or, for a run of an earlier owner, first reported.
+    pub age: Duration,
+    /// The time since the worker last responded.
+    pub report_age: Duration,
+    /// The time that is left until the worker's lease has certainly ended.
+    pub lease_left: Duration,
 }
 
 /// A reading of a worker's clock.
@@ -257,11 +276,24 @@
     }
 
     /// Returns the figures on which placements are based.
-    pub fn account(&self, now: Instant) -> Account {
+    pub fn account(&self, now: Instant, claim_confirmed_at: Instant) -> Account {
         Account {
             used: self.used,
             capacity: self.entry.capacity,
             report_age: now.since(self.answered),
+            claim_age: now.since(claim_confirmed_at),
+        }
+    }
+
+    /// Returns what is known of a run on this worker.
+    pub fn evidence(&self, attempt: &Attempt, now: Instant) -> Evidence {
+        Evidence {
+            incarnation: self.entry.incarnation,
+            state: attempt.state,
+            is_confirmed: attempt.is_confirmed,
+            age: now.since(attempt.started),
+            report_age: now.since(self.answered),
+            lease_left: self.lease_end().since(now),
         }
     }
 
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -44,7 +44,17 @@
             if worker.entry.incarnation > entry.incarnation {
                 return;
             }
+            let former = worker.entry.incarnation;
             let undecided = self.take_undecided(key);
+            for &(task, run, _) in &undecided {
+                out.push(Output::PassedOn {
+                    worker: entry.name.clone(),
+                    from: former,
+                    to: entry.incarnation,
+                    task,
+                    run,
+                });
+            }
             self.remove_worker(key, now, "restarted", out);
             let next = self.add_worker(entry, now, out);
             if let Some(worker) = self.workers.get_mut(next) {
@@ -162,11 +172,9 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        let name = worker.entry.name.clone();
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
         for (task, run) in runs {
-            self.release(key, task, run, now);
-            out.push(released(&name, task, run, reason));
+            self.release(key, task, run, reason, now, out);
         }
     }
 
@@ -179,7 +187,6 @@
         worker.is_replaced = true;
         worker.expect_lease(now, self.rules.max_lease);
         worker.is_responding = false;
-        let name = worker.entry.name.clone();
         if undecided.is_empty() {
             self.remove_worker(key, now, "restarted", out);
             return;
@@ -188,8 +195,7 @@
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
         for (task, run) in runs {
             if !undecided.contains(&(task, run)) {
-                self.release(key, task, run, now);
-                out.push(released(&name, task, run, "restarted"));
+                self.release(key, task, run, "restarted", now, out);
             }
         }
     }
@@ -367,10 +373,8 @@
                 gone.push((task, run, "not reported"));
             }
         }
-        let name = worker.entry.name.clone();
         for (task, run, reason) in gone {
-            self.release(key, task, run, time.now);
-            out.push(released(&name, task, run, reason));
+            self.release(key, task, run, reason, time.now, out);
         }
     }
 
@@ -427,12 +431,3 @@
         event,
     }
 }
-
-fn released(worker: &str, task: Task, run: Run, reason: &'static str) -> Output {
-    Output::Released {
-        worker: worker.to_owned(),
-        task,
-        run,
-        reason,
-    }
-}
--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -8,6 +8,7 @@
 
 use super::{Control, READ_RETRY_PAUSE};
 use crate::core::error::Result;
+use crate::core::scheduler::Input;
 use crate::core::scheduler::id::Token;
 use crate::core::tenure::{self, Action, Claim};
 use crate::core::time::Instant;
@@ -77,6 +78,7 @@
                     let is_empty = page.records.is_empty();
                     self.note_round_trip(sent, wait, is_empty);
                     self.decode_claims(sent, page.records, page.next);
+                    self.confirm_claim(sent);
                     if is_empty && wait.is_zero() {
                         tokio::time::sleep(ELECTION_INTERVAL).await;
                     }
@@ -102,6 +104,15 @@
         }
     }
 
+    /// Notifies the owner, if this entry still is it, that a read sent at `sent` has shown no later
+    /// claim.
+    fn confirm_claim(&self, sent: Instant) {
+        let owner = self.owner.borrow().clone();
+        if let Some(owner) = owner.filter(|owner| !owner.is_over()) {
+            owner.apply(Input::ClaimConfirmed(sent));
+        }
+    }
+
     /// Decodes records that were read from the log and applies them.
     fn decode_claims(
         self: &Rc<Control<P>>,
--- a/src/entry/owner/calls.rs
+++ b/src/entry/owner/calls.rs
@@ -80,7 +80,8 @@
         match &outcome {
             Outcome::Done(_) => info!(self.log, "run started"; "task" => %task, "run" => run.0,
                 "worker" => &address.name, "used" => %account.used, "capacity" => %account.capacity,
-                "report_age_ms" => account.report_age.as_millis() as u64, "token" => self.token.0),
+                "report_age_ms" => account.report_age.as_millis() as u64,
+                "claim_age_ms" => account.claim_age.as_millis() as u64, "token" => self.token.0),
             Outcome::Refused(refusal) => warn!(self.log, "start refused"; "task" => %task,
                 "run" => run.0, "worker" => &address.name, "incarnation" => address.incarnation,
                 "reason" => refusal.name()),
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -346,7 +346,7 @@
                 end,
             } => {
                 info!(self.log, "run ended"; "task" => %task, "run" => run.0, "how" => end.name(),
-                    "worker" => self.worker_name(worker));
+                    "worker" => self.worker_name(worker), "token" => self.token.0);
             }
             Output::Phase { job, phase, reason } => {
                 info!(self.log, "job changed"; "job" => %job, "phase" => phase.name(), "reason" => reason);
@@ -368,9 +368,36 @@
                 task,
                 run,
                 reason,
+                evidence,
             } => {
                 info!(self.log, "run released without an end"; "task" => %task, "run" => run.0,
-                    "worker" => worker, "reason" => reason);
+                    "worker" => worker, "incarnation" => evidence.incarnation, "reason" => reason,
+                    "state" => evidence.state.name(), "confirmed" => evidence.is_confirmed,
+                    "age_ms" => evidence.age.as_millis() as u64,
+                    "report_age_ms" => evidence.report_age.as_millis() as u64,
+                    "lease_left_ms" => evidence.lease_left.as_millis() as u64, "token" => self.token.0);
+            }
+            Output::PassedOn {
+                worker,
+                from,
+                to,
+                task,
+                run,
+            } => {
+                info!(self.log, "start passed on to the next incarnation"; "task" => %task,
+                    "run" => run.0, "worker" => worker, "from" => from, "to" => to,
+                    "token" => self.token.0);
+            }
+            Output::Inherited {
+                worker,
+                incarnation,
+                is_known,
+                source,
+                waited,
+            } => {
+                info!(self.log, "runs of earlier owners"; "worker" => worker,
+                    "incarnation" => incarnation, "known" => is_known, "source" => source,
+                    "waited_ms" => waited.as_millis() as u64, "token" => self.token.0);
             }
             Output::Worker {
                 worker,
@@ -394,10 +421,9 @@
         self.metrics.overcommitted_workers.add(1, &[]);
         let scheduler = self.scheduler.borrow();
         if let Some(worker) = scheduler.worker(worker) {
-            let account = worker.account(self.clock.now());
             warn!(self.log, "worker has more runs than capacity"; "worker" => &worker.entry.name,
-                "reported" => %worker.reported, "used" => %account.used,
-                "capacity" => %account.capacity, "runs" => worker.attempts.len(), "token" => self.token.0);
+                "reported" => %worker.reported, "used" => %worker.used,
+                "capacity" => %worker.entry.capacity, "runs" => worker.attempts.len(), "token" => self.token.0);
         }
     }
 
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -110,6 +110,8 @@
     pub(super) answers: Vec<(Request, Result<Answer, Error>)>,
     /// Changes of workers, in order.
     pub(super) events: Vec<(Worker, &'static str)>,
+    /// Log lines on runs that left a worker without an end, and on runs of earlier owners.
+    pub(super) beliefs: Vec<Output>,
     pub(super) is_superseded: bool,
 }
 
@@ -134,6 +136,7 @@
             calls: Vec::new(),
             answers: Vec::new(),
             events: Vec::new(),
+            beliefs: Vec::new(),
             is_superseded: false,
         }
     }
@@ -221,10 +224,10 @@
                 Output::Superseded => self.is_superseded = true,
                 Output::Withdraw { key } => self.unconfirmed.retain(|(_, other, _)| *other != key),
                 Output::Worker { worker, event, .. } => self.events.push((worker, event)),
-                Output::Adopted { .. }
-                | Output::Ended { .. }
-                | Output::Phase { .. }
-                | Output::Released { .. } => {}
+                Output::Released { .. } | Output::PassedOn { .. } | Output::Inherited { .. } => {
+                    self.beliefs.push(output);
+                }
+                Output::Adopted { .. } | Output::Ended { .. } | Output::Phase { .. } => {}
             }
         }
     }
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -6,10 +6,11 @@
 use laburnumplank::core::error::Kind;
 use laburnumplank::core::scheduler::advice::AdvisorProxy;
 use laburnumplank::core::scheduler::id::{Job, Mark, Request};
-use laburnumplank::core::scheduler::message::{Outcome, RunEnd};
+use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd};
 use laburnumplank::core::scheduler::record::Phase;
 use laburnumplank::core::scheduler::spec::{Advice, Queue};
-use laburnumplank::core::scheduler::{Input, Rules};
+use laburnumplank::core::scheduler::worker::State;
+use laburnumplank::core::scheduler::{Input, Output, Rules};
 use laburnumplank::core::time::Instant;
 
 use super::cell::{Cell, ended, entry, queue, rules, running, spec, step};
@@ -456,3 +457,75 @@
     second.poll(two, Vec::new(), Vec::new());
     assert_eq!(second.starts.len(), 1);
 }
+
+// A log line has to tell on what evidence a run left the table of its worker.
+#[test]
+fn release_of_a_run_says_what_it_is_based_on() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.pop().unwrap();
+    cell.wait(Duration::from_millis(20));
+    cell.finish_start(worker, &start, Outcome::Refused(Refusal::OldRun));
+    let [
+        Output::Released {
+            reason, evidence, ..
+        },
+    ] = &cell.beliefs[..]
+    else {
+        panic!("{:?}", cell.beliefs);
+    };
+    assert_eq!(*reason, "old_run");
+    assert_eq!(evidence.incarnation, 1);
+    assert_eq!(evidence.state, State::Starting);
+    assert!(!evidence.is_confirmed);
+    assert!(evidence.age >= Duration::from_millis(20));
+    assert!(evidence.lease_left > Duration::from_secs(4));
+}
+
+// A log line has to tell why an owner stopped waiting for a worker of an earlier one.
+#[test]
+fn end_of_the_wait_for_a_worker_says_what_it_is_based_on() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.add_worker("w2");
+    let mut second = first.successor(9);
+    second.add_worker("w1");
+    second.wait(Duration::from_millis(6_500));
+    let sources: Vec<(&str, &str)> = second
+        .beliefs
+        .iter()
+        .filter_map(|belief| match belief {
+            Output::Inherited {
+                worker,
+                is_known: true,
+                source,
+                ..
+            } => Some((worker.as_str(), *source)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(
+        sources,
+        [
+            ("w1", "it has reported"),
+            ("w2", "the longest lease has ended")
+        ]
+    );
+}
+
+// A start under way when its worker restarts leaves a line as well.
+#[test]
+fn start_passed_on_to_the_next_incarnation_is_logged() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    cell.restart_worker("w1");
+    let passed_on = cell
+        .beliefs
+        .iter()
+        .any(|belief| matches!(belief, Output::PassedOn { from: 1, to: 2, .. }));
+    assert!(passed_on, "{:?}", cell.beliefs);
+}
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -633,6 +633,7 @@
                     task,
                     run,
                     reason,
+                    ..
                 } => {
                     let run = run.0;
                     let text =
