Bound how long an owner acts on a claim that the log has not confirmed

What callers would see: a task runs twice, once under an owner that does not know of its successor and once under that one.

Cause: a new owner waits for a worker that it cannot reach for the longest lease, counted from its own recovery, unless the former owner reports its leases. Nothing bounded how long an earlier owner goes on: cut from the log and from its successor, or after it stood still, it extended leases on and started tasks on a worker that had never seen the next token, for as long as that lasted.

Ruled out: a worker that the successor has polled (it refuses the former owner), one that the former owner used without recording it (it is recorded first), and a former owner that can be asked (it ends).

An owner now starts tasks and extends leases only for 5 s after the log last confirmed its claim, by a read of the claims or by an append of its own. The fence of a successor comes after that, and its recovery after the fence, so the successor's wait of the longest lease, or of these 5 s and a lease if that is longer, covers all of it. Running tasks survive an outage of the log of up to some 9 s. On deployments with a longest lease of 10 s no wait changes; with 6 s, inherited tasks wait up to 9.8 s instead of 6.3 s for a worker of a former owner that is silent and cannot be asked. Five tests have that figure, and were moved by the difference of 3.47 s without widening their windows; their old figure assumed what the new test disproves.

A step that waits for this says `claim_unconfirmed`.

Tests: run_of_an_isolated_owner_ends_before_its_successor_starts_the_task_again and owner_whose_claim_was_last_confirmed_long_ago_starts_nothing, both failed before.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -5,6 +5,10 @@
 //! counted from the end of the recovery. When owners follow each other quickly, each would wait
 //! anew for a worker that is gone for good. Therefore an owner asks the one before it, which has ended
 //! by then and knows when the leases end.
+//!
+//! An earlier owner that cannot be asked may go on without knowing of its successors, on workers that
+//! these cannot reach. It extends leases and starts tasks only for [`MAX_CLAIM_AGE`] after the log
+//! has last confirmed its claim, which was before any successor fenced the log.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -29,6 +33,11 @@
     is_known: bool,
 }
 
+/// An owner extends leases and starts tasks for this long after the log last confirmed its claim. It has
+/// to outlast short outages of the log, and every takeover whose former owner cannot be asked may have to
+/// wait for it.
+const MAX_CLAIM_AGE: Duration = Duration::from_secs(5);
+
 /// The end of a lease is that of the longest lease that a worker grants.
 const LONGEST_LEASE: &str = "the longest lease has ended";
 /// The end of a lease is the one that the former owner reported.
@@ -49,7 +58,9 @@
     /// Restores the workers on which earlier owners may have started tasks, at the end of the recovery:
     /// until then an earlier owner may have gone on writing.
     pub(super) fn inherit_workers(&mut self, now: Instant, workers: Vec<(String, u64)>) {
-        let until = now + longest_lease(self.rules.max_lease);
+        let of_isolated_owner = MAX_CLAIM_AGE + longest_lease(self.rules.lease);
+        let until = now + longest_lease(self.rules.max_lease).max(of_isolated_owner);
+        self.recovered_at = now;
         self.inheritance_ends_at = until;
         self.inherited_known_at = until;
         let inherited = workers.into_iter();
@@ -95,6 +106,11 @@
         }
     }
 
+    /// Whether the log has confirmed recently enough that no later owner has claimed the cell.
+    pub(super) fn is_claim_confirmed(&self, now: Instant) -> bool {
+        now.since(self.claim_confirmed_at) < MAX_CLAIM_AGE
+    }
+
     /// Returns the leases that workers may still have, for the next owner. Must be called after the
     /// ownership has ended, so that no lease is extended any more.
     pub fn remaining_leases(&self, now: Instant) -> Vec<RemainingLease> {
@@ -167,7 +183,6 @@
     pub(super) fn report_inheritance(&mut self, now: Instant, out: &mut Vec<Output>) {
         let unknown = self.unknown_inherited_workers(now);
         let unknown: HashSet<String> = unknown.map(|(name, _)| name.to_owned()).collect();
-        let recovered_at = self.inheritance_ends_at - longest_lease(self.rules.max_lease);
         for inherited in &mut self.inherited_workers {
             let is_known = !unknown.contains(&inherited.name);
             if is_known == inherited.is_known {
@@ -186,7 +201,7 @@
                 incarnation: inherited.incarnation,
                 is_known,
                 source,
-                waited: now.since(recovered_at),
+                waited: now.since(self.recovered_at),
             });
         }
     }
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -235,7 +235,8 @@
         /// The least time for which the permits are valid, from when the advisor issued them.
         validity: Duration,
     },
-    /// A read of the log has shown that no later owner had claimed the cell when it was sent.
+    /// The log has confirmed that no later owner had fenced it at this time: by a read of the claims, or by
+    /// an append of this owner, that was sent then.
     ClaimConfirmed(crate::core::time::Instant),
     /// The owner before this one has ended its ownership and reported the leases that are left.
     FormerLeases {
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -131,10 +131,13 @@
     ended: VecDeque<(Instant, id::Job)>,
     workers: SlotMap<id::Worker, worker::Worker>,
     by_name: HashMap<String, id::Worker>,
-    /// When the last read of the log was sent that showed no claim of a later owner.
+    /// When the last request to the log was sent whose response showed that no later owner had fenced
+    /// the log.
     claim_confirmed_at: Instant,
     /// The workers on which earlier owners may have started tasks.
     inherited_workers: Vec<inheritance::InheritedWorker>,
+    /// When the recovery ended.
+    recovered_at: Instant,
     /// When every lease that an earlier owner granted has ended, if none of them is known.
     inheritance_ends_at: Instant,
     /// When every run of an earlier owner is known or has ended, as of the last placement.
@@ -186,6 +189,7 @@
             by_name: HashMap::new(),
             claim_confirmed_at: now,
             inherited_workers: Vec::new(),
+            recovered_at: now,
             inheritance_ends_at: now,
             inherited_known_at: now,
             is_worker_list_recorded: true,
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -180,10 +180,12 @@
         !self.may_call_advisor(id, now)
     }
 
-    /// Whether tasks of a job may be started: its acceptance is in the log, and every run that an
-    /// earlier owner may have started is known or has ended.
+    /// Whether tasks of a job may be started: its acceptance is in the log, no later owner may have
+    /// started them, and every run that an earlier owner may have started is known or has ended.
     fn may_start(&self, job: &Job, now: Instant) -> bool {
-        job.is_durable && (!job.is_inherited || now >= self.inherited_known_at)
+        job.is_durable
+            && self.is_claim_confirmed(now)
+            && (!job.is_inherited || now >= self.inherited_known_at)
     }
 
     fn rank(&self, step: Step, time: Time) -> Option<Rank> {
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -36,6 +36,11 @@
         /// The last mark that is in the log.
         durable: Mark,
     },
+    /// The log has long not confirmed this owner's claim.
+    ClaimUnconfirmed {
+        /// The time since it did.
+        age: Duration,
+    },
     /// Workers that an earlier owner used have not reported their runs.
     InheritedRunsUnknown {
         /// The number of these workers.
@@ -168,6 +173,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Reason::RecordNotInLog { .. } => "record_not_in_log",
+            Reason::ClaimUnconfirmed { .. } => "claim_unconfirmed",
             Reason::InheritedRunsUnknown { .. } => "inherited_runs_unknown",
             Reason::PartialGang { .. } => "partial_gang",
             Reason::CommandUnconfirmed { .. } => "command_unconfirmed",
@@ -191,6 +197,7 @@
             Reason::RecordNotInLog { mark, durable } => {
                 write!(out, "mark={} durable={}", mark.0, durable.0)
             }
+            Reason::ClaimUnconfirmed { age } => write!(out, "age_ms={}", age.as_millis()),
             Reason::InheritedRunsUnknown {
                 workers,
                 last,
@@ -374,6 +381,11 @@
                 durable: self.durable,
             };
         }
+        if !self.is_claim_confirmed(now) {
+            return Reason::ClaimUnconfirmed {
+                age: now.since(self.claim_confirmed_at),
+            };
+        }
         if job.is_inherited {
             let unknown = self.unknown_inherited_workers(now);
             if let Some((last, until)) = unknown.max_by_key(|&(_, until)| until) {
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -229,13 +229,14 @@
     /// that has ended.
     pub fn poll(&mut self, now: Instant, key: Worker) -> Option<WorkerPoll> {
         let lease = self.rules.lease;
+        let is_claim_confirmed = self.is_claim_confirmed(now);
         let worker = self
             .workers
             .get_mut(key)
             .filter(|worker| !worker.is_replaced)?;
         // A worker that was about to leave and is silent has most likely left.
         let is_in_reach = !worker.is_leaving() && now.since(worker.answered) < MAX_RESPONSE_AGE;
-        let may_extend = worker.is_responding || is_in_reach;
+        let may_extend = is_claim_confirmed && (worker.is_responding || is_in_reach);
         Some(WorkerPoll {
             acknowledged: worker.acknowledged,
             deadline_ms: if may_extend {
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -519,9 +519,10 @@
 
     async fn write(self: Rc<Owner<P>>) {
         let on_event = |event| match event {
-            writer::Event::Durable(mark) => {
+            writer::Event::Durable { mark, sent } => {
                 self.metrics.appends.add(1, &label("outcome", "done"));
                 self.is_refused.set(false);
+                self.apply(Input::ClaimConfirmed(sent));
                 self.apply(Input::Durable(mark));
                 self.durable.notify_waiters();
             }
--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -53,8 +53,14 @@
 
 /// A notification to the owner.
 pub enum Event {
-    /// All records up to a mark are in the log.
-    Durable(Mark),
+    /// All records up to a mark are in the log. No later owner had fenced the log when the last of the
+    /// appends was first sent.
+    Durable {
+        /// The mark.
+        mark: Mark,
+        /// When the last append was first sent.
+        sent: Instant,
+    },
     /// The log is unavailable; the records after this mark have not been sent.
     Unavailable(Mark),
     /// The log keeps refusing an append.
@@ -132,6 +138,8 @@
     records: Rc<[Record]>,
     /// The sequence number of the append.
     sequence: u64,
+    /// When it was sent first.
+    sent_at: Instant,
     /// When it was sent first, or when the log became available again.
     started_at: Instant,
     /// When the last try was or will be sent.
@@ -330,6 +338,7 @@
             mark,
             records: records.into(),
             sequence,
+            sent_at: now,
             started_at: now,
             tried_at: now,
             tries: 1,
@@ -444,20 +453,23 @@
 
     /// Notifies the owner of the batches that are in the log together with all batches before them.
     fn report_durable(&mut self) {
-        let mut has_progress = false;
+        let mut sent = None;
         while self.batches.front().is_some_and(|batch| batch.is_done) {
             if let Some(batch) = self.batches.pop_front() {
                 self.written = batch.mark;
-                has_progress = true;
+                sent = Some(batch.sent_at);
             }
         }
-        if !has_progress {
+        let Some(sent) = sent else {
             return;
-        }
+        };
         if self.is_unavailable {
             self.mark_available();
         }
-        (self.on_event)(Event::Durable(self.written));
+        (self.on_event)(Event::Durable {
+            mark: self.written,
+            sent,
+        });
     }
 
     /// Puts the latest batches that are certainly not in the log back into the queue, and notifies the
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -19,6 +19,9 @@
 /// The time of day at `Instant(0)`, in milliseconds since the Unix epoch.
 const START_STAMP_MS: u64 = 1_700_000_000_000;
 
+/// What the clocks of workers show at `Instant(0)`, in milliseconds.
+pub(super) const CLOCK_OFFSET_MS: u64 = 1_000_000;
+
 /// The longest time that the scheduler waits between two placements while inputs arrive.
 const PLACE_PAUSE: Duration = Duration::from_millis(5);
 
@@ -113,6 +116,8 @@
     /// Log lines on runs that left a worker without an end, and on runs of earlier owners.
     pub(super) beliefs: Vec<Output>,
     pub(super) is_superseded: bool,
+    /// Whether reads of the log confirm the claim of this owner.
+    pub(super) is_claim_confirmed: bool,
 }
 
 impl Cell {
@@ -138,6 +143,7 @@
             events: Vec::new(),
             beliefs: Vec::new(),
             is_superseded: false,
+            is_claim_confirmed: true,
         }
     }
 
@@ -186,6 +192,9 @@
     pub(super) fn tick(&mut self) {
         // The scheduler pauses between two placements.
         self.now = self.now + self.scheduler.time_to_tick(self.now).min(PLACE_PAUSE);
+        if self.is_claim_confirmed {
+            self.input(Input::ClaimConfirmed(self.now));
+        }
         let mut out = Vec::new();
         self.scheduler.tick(self.time(), &mut out);
         self.take(out);
@@ -284,7 +293,7 @@
     ) {
         let sent = self.now;
         self.scheduler.poll(sent, worker);
-        let clock_ms = 1_000_000 + self.now.0 / 1_000;
+        let clock_ms = CLOCK_OFFSET_MS + self.now.0 / 1_000;
         self.input(Input::Polled {
             worker,
             sent,
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -13,7 +13,7 @@
 use laburnumplank::core::scheduler::{Input, Output, Rules};
 use laburnumplank::core::time::Instant;
 
-use super::cell::{Cell, ended, entry, queue, rules, running, spec, step};
+use super::cell::{CLOCK_OFFSET_MS, Cell, ended, entry, queue, rules, running, spec, step};
 
 #[test]
 fn end_listed_again_counts_once() {
@@ -75,7 +75,7 @@
 
     let mut second = first.successor(9);
     let one = second.add_worker("w1");
-    second.wait(Duration::from_millis(6_200));
+    second.wait(Duration::from_millis(9_670));
     assert!(
         second.starts.is_empty(),
         "w2 may run the task until its lease ends"
@@ -250,7 +250,7 @@
 
     let mut second = first.successor(9);
     let one = second.add_worker("w1");
-    second.wait(Duration::from_secs(7));
+    second.wait(Duration::from_millis(10_470));
     second.poll(one, Vec::new(), Vec::new());
     second.confirm();
 
@@ -275,7 +275,7 @@
         worker: two,
         outcome: Outcome::Unknown,
     });
-    second.wait(Duration::from_secs(7));
+    second.wait(Duration::from_millis(10_470));
     assert!(second.events.contains(&(two, "gone")));
     second.tick();
     second.confirm();
@@ -407,7 +407,7 @@
     let mut second = first.successor(9);
     second.input(Input::AdvisorProxies(vec![AdvisorProxy(0)]));
     let one = second.add_worker("w1");
-    second.wait(Duration::from_millis(5_000));
+    second.wait(Duration::from_millis(8_470));
     assert!(second.calls.is_empty(), "permits would end before the wait");
     second.wait(Duration::from_millis(700));
     assert_eq!(second.calls.len(), 1);
@@ -435,7 +435,7 @@
 
     let mut second = first.successor_after(9, Duration::from_secs(3));
     second.add_worker("w1");
-    second.wait(Duration::from_secs(6));
+    second.wait(Duration::from_millis(9_470));
     assert!(second.starts.is_empty(), "w2 may run the task");
     second.wait(Duration::from_millis(500));
     assert_eq!(second.starts.len(), 1);
@@ -492,7 +492,7 @@
     first.add_worker("w2");
     let mut second = first.successor(9);
     second.add_worker("w1");
-    second.wait(Duration::from_millis(6_500));
+    second.wait(Duration::from_millis(9_970));
     let sources: Vec<(&str, &str)> = second
         .beliefs
         .iter()
@@ -529,3 +529,53 @@
         .any(|belief| matches!(belief, Output::PassedOn { from: 1, to: 2, .. }));
     assert!(passed_on, "{:?}", cell.beliefs);
 }
+
+// The former owner is cut from the log and from its successor, which cannot reach the worker either.
+#[test]
+fn run_of_an_isolated_owner_ends_before_its_successor_starts_the_task_again() {
+    for rules in [rules(), long_lease_rules()] {
+        let mut first = Cell::with_rules(1, Instant(0), rules);
+        let worker = first.add_worker("w1");
+        first.submit(7, queue(), spec(vec![step(1)]));
+        first.confirm();
+        let start = first.accept_starts().pop().unwrap().1;
+        first.is_claim_confirmed = false;
+        let mut second = first.successor(9);
+        let other = second.add_worker("w2");
+        let mut lease_end_ms = 0;
+        while second.starts.is_empty() {
+            first.wait(Duration::from_millis(500));
+            first.poll(worker, vec![running(&start)], Vec::new());
+            let granted = first.scheduler.poll(first.now, worker).unwrap();
+            lease_end_ms = lease_end_ms.max(granted.deadline_ms.unwrap_or_default());
+            second.now = first.now;
+            second.poll(other, Vec::new(), Vec::new());
+            assert!(first.now < Instant(60_000_000), "the task never starts");
+        }
+        let clock_ms = CLOCK_OFFSET_MS + second.now.0 / 1_000;
+        assert!(
+            clock_ms > lease_end_ms,
+            "started at {clock_ms} ms, and w1 may run it until {lease_end_ms} ms"
+        );
+    }
+}
+
+// An owner that stood still must not start tasks before it knows that it has no successor.
+#[test]
+fn owner_whose_claim_was_last_confirmed_long_ago_starts_nothing() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.is_claim_confirmed = false;
+    cell.wait(Duration::from_secs(8));
+    cell.poll(worker, Vec::new(), Vec::new());
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    assert!(cell.starts.is_empty(), "{:?}", cell.starts);
+    cell.wait(Duration::from_secs(2));
+    let waits = cell.scheduler.waits(cell.now);
+    assert_eq!(waits[0].reason.name(), "claim_unconfirmed");
+    cell.is_claim_confirmed = true;
+    cell.poll(worker, Vec::new(), Vec::new());
+    cell.wait(Duration::from_millis(10));
+    assert_eq!(cell.starts.len(), 1);
+}
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -471,6 +471,7 @@
         let now = self.now;
         self.owners
             .retain(|owner| owner.ends_at.is_none_or(|end| now < end));
+        self.confirm_claim();
         for index in 0..self.owners.len() {
             let time = self.time();
             let owner = &mut self.owners[index];
@@ -484,6 +485,13 @@
         self.check_waits();
     }
 
+    /// Lets the latest owner read the claims, which shows the former one nothing any more.
+    fn confirm_claim(&mut self) {
+        if self.outage.is_none() {
+            self.input(Input::ClaimConfirmed(self.now));
+        }
+    }
+
     /// Checks that what an owner counts as used is the sum over the runs that it knows.
     fn check_accounts(&mut self, index: usize) {
         let Some(owner) = self.owners.get(index) else {
