Void all commands to a worker whose address another one has taken

So an address that rejects a name rejects every command for it, also one under way, and the named worker has ended: its runs are released, inherited ones are known, and its remaining lease is none. A report with another start time under the same name is still taken as a restart under that name.

Ruled out: an old entry of the directory with a former address of the same name; only the incarnation of that entry is affected, and nothing for it is carried out anywhere.

Tests: worker_whose_address_another_one_has_taken_blocks_no_inherited_task and start_under_way_to_a_worker_that_lost_its_address_is_void. With the answer decoded as before, both fail: no task is started.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -17,7 +17,7 @@
 
 use super::message::Output;
 use super::worker::{Worker as WorkerState, longest_lease};
-use super::workers::START_TIMEOUT;
+use super::workers::{LOST_ADDRESS, START_TIMEOUT};
 use super::{Rules, Scheduler};
 use crate::core::time::Instant;
 
@@ -134,6 +134,17 @@
         inherited.filter(|inherited| !self.by_name.contains_key(&inherited.name))
     }
 
+    /// Records that a worker of earlier owners has ended.
+    pub(super) fn end_inherited_lease(&mut self, name: &str, incarnation: u64, now: Instant) {
+        let inherited = self.inherited_workers.iter_mut();
+        for inherited in inherited.filter(|other| other.name == name) {
+            if inherited.incarnation == incarnation && now < inherited.until {
+                inherited.until = now;
+                inherited.source = LOST_ADDRESS;
+            }
+        }
+    }
+
     /// Returns when the lease of a worker from earlier owners has ended for certain.
     pub(super) fn inherited_lease_end(&self, name: &str, incarnation: u64) -> Option<Instant> {
         let mut inherited = self.inherited_workers.iter();
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -108,6 +108,9 @@
     Malformed,
     /// The command is for another incarnation of the worker.
     OtherIncarnation,
+    /// Another worker has the address. The one that the command is for has ended, and commands for it
+    /// that are still under way are rejected as well.
+    OtherWorker,
 }
 
 impl Refusal {
@@ -122,6 +125,7 @@
             Refusal::Unhealthy => "unhealthy",
             Refusal::Malformed => "malformed",
             Refusal::OtherIncarnation => "other_incarnation",
+            Refusal::OtherWorker => "other_worker",
         }
     }
 }
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -21,6 +21,8 @@
 pub const OVERCOMMITTED: &str = "over its capacity";
 /// The event of a silent worker whose lease has ended.
 const LEASE_ENDED: &str = "lease ended without an answer";
+/// The event of a worker whose address another worker has.
+pub(super) const LOST_ADDRESS: &str = "another worker has its address";
 /// A start command without an outcome for this long is in doubt: the caller reports one much earlier.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a stop command may go unanswered before it is sent again.
@@ -200,6 +202,16 @@
         }
     }
 
+    /// Processes that another worker has taken the address of a worker. Nothing of the former one is left,
+    /// and no command that is under way to it will be carried out.
+    fn lost_address(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        if let Some(worker) = self.workers.get(key) {
+            let name = worker.entry.name.clone();
+            self.end_inherited_lease(&name, worker.entry.incarnation, now);
+            self.remove_worker(key, now, LOST_ADDRESS, out);
+        }
+    }
+
     /// Releases the runs of workers that don't respond and whose leases have ended for certain, and
     /// removes those that are gone.
     pub(super) fn release_lapsed(&mut self, time: Time, out: &mut Vec<Output>) {
@@ -257,6 +269,7 @@
         match outcome {
             Outcome::Refused(Refusal::Fenced) => out.push(Output::Superseded),
             Outcome::Refused(Refusal::OtherIncarnation) => self.replaced(key, time.now, out),
+            Outcome::Refused(Refusal::OtherWorker) => self.lost_address(key, time.now, out),
             _ => {
                 if let Some(worker) = self
                     .workers
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -579,3 +579,49 @@
     cell.wait(Duration::from_millis(10));
     assert_eq!(cell.starts.len(), 1);
 }
+
+/// Returns an owner that inherited a job and learns, after `w2` has reported, that another worker has
+/// taken the address of `w2`.
+fn owner_whose_worker_lost_its_address() -> Cell {
+    let mut first = Cell::with_rules(1, Instant(0), long_lease_rules());
+    first.add_worker("w1");
+    first.add_worker("w2");
+    first.submit(7, queue(), spec(vec![step(2)]));
+    first.confirm();
+    let mut second = first.successor(9);
+    let two = second.add_worker("w2");
+    second.input(Input::PollFailed {
+        worker: two,
+        outcome: Outcome::Refused(Refusal::OtherWorker),
+    });
+    second
+}
+
+// A name that has lost its address can neither run anything nor carry out a command.
+#[test]
+fn worker_whose_address_another_one_has_taken_blocks_no_inherited_task() {
+    let mut second = owner_whose_worker_lost_its_address();
+    second.add_worker("w1");
+    assert_eq!(second.starts.len(), 2);
+}
+
+// The same for a start under way to it.
+#[test]
+fn start_under_way_to_a_worker_that_lost_its_address_is_void() {
+    let mut second = owner_whose_worker_lost_its_address();
+    let one = second.add_worker("w1");
+    second.starts.clear();
+    second.input(Input::PollFailed {
+        worker: one,
+        outcome: Outcome::Refused(Refusal::OtherWorker),
+    });
+    let three = second.add_worker("w3");
+    let workers: Vec<_> = second.starts.iter().map(|(worker, _)| *worker).collect();
+    assert_eq!(workers, [three; 2]);
+    second.confirm();
+    let mut third = second.successor(20);
+    third.inherit_leases(&second);
+    let three = third.add_worker("w3");
+    let workers: Vec<_> = third.starts.iter().map(|(worker, _)| *worker).collect();
+    assert_eq!(workers, [three; 2], "nobody waits for w1 and w2");
+}
