Begin the occurrences of which a worker reports a run

Not seen by the callers in this form; found by reading and shown by tests.

An owner whose time of day is a little behind takes over after the one before has begun occurrence K of a job with a schedule and started a task of it. Only done tasks and failed runs are recorded, so the new owner does not know that K has begun. When a worker then reports the run, no task waits for it: it is stopped as unwanted. Milliseconds later K begins by the new clock, its task waits and is started elsewhere while the first run is still being stopped. When the worker reports an end `done` instead, task_done finds no step, drops the end and acknowledges it, and K runs once more.

A report of a run or an end of an occurrence that has not begun now begins the occurrences up to it, as a progress record that names a later occurrence does already. The earlier owner began them in that order, and the tasks that were not started wait as before.

Ruled out: a completed occurrence takes the same early return in task_done, but its number is below next_occurrence, so it is not begun again.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -210,6 +210,13 @@
         self.last_run
     }
 
+    /// Begins the next occurrence.
+    pub fn begin_next_occurrence(&mut self) {
+        let occurrence = Occurrence::new(&self.spec);
+        self.occurrences.insert(self.next_occurrence, occurrence);
+        self.next_occurrence += 1;
+    }
+
     /// Returns the contents of the job's progress record.
     pub fn progress(&self) -> Progress {
         let occurrences = self.occurrences.iter();
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -204,8 +204,7 @@
                 self.scheduled.insert((due, id));
             }
         } else if job.next_occurrence == 0 {
-            job.occurrences.insert(0, Occurrence::new(&job.spec));
-            job.next_occurrence = 1;
+            job.begin_next_occurrence();
         }
         self.refresh_ready(id, time.now);
         self.begin_occurrences(time);
@@ -221,9 +220,7 @@
             let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
                 continue;
             };
-            let index = job.next_occurrence;
-            job.occurrences.insert(index, Occurrence::new(&job.spec));
-            job.next_occurrence += 1;
+            job.begin_next_occurrence();
             if let Some(due) = next_due(job) {
                 self.scheduled.insert((due, id));
             }
@@ -232,6 +229,29 @@
         }
     }
 
+    /// Begins the occurrences of a job up to that of `step`, of which a worker reports a run: an earlier
+    /// owner, whose time of day was ahead, has begun them.
+    pub(super) fn begin_reported_occurrence(&mut self, step: id::Step, now: Instant) {
+        let id = step.job;
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
+            return;
+        };
+        let unbegun = job.next_occurrence..job.spec.occurrences();
+        if !unbegun.contains(&step.occurrence) {
+            return;
+        }
+        if let Some(due) = next_due(job) {
+            self.scheduled.remove(&(due, id));
+        }
+        while job.next_occurrence <= step.occurrence {
+            job.begin_next_occurrence();
+        }
+        if let Some(due) = next_due(job) {
+            self.scheduled.insert((due, id));
+        }
+        self.refresh_ready(id, now);
+    }
+
     /// Updates the set of ready steps for the steps of a job.
     pub(super) fn refresh_ready(&mut self, id: id::Job, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -33,6 +33,7 @@
             checkpoint,
             percent,
         } = running;
+        self.begin_reported_occurrence(task.step, time.now);
         self.store_checkpoint(task, run, checkpoint, percent);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -176,6 +177,7 @@
             run,
             end,
         });
+        self.begin_reported_occurrence(task.step, time.now);
         self.begun(task.step.job, out);
         // A checkpoint that is reported with the end of a run is the newest of that run.
         self.store_checkpoint(task, run, checkpoint, ALL_PERCENT);
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -98,6 +98,8 @@
     rules: Rules,
     pub(super) scheduler: Scheduler,
     pub(super) now: Instant,
+    /// How far the time of day is behind.
+    behind: Duration,
     /// Appends that the log has not confirmed, in order.
     pub(super) unconfirmed: VecDeque<(Mark, Vec<u8>, Option<Vec<u8>>)>,
     /// The records in the log, by key.
@@ -127,6 +129,7 @@
             rules,
             scheduler: Scheduler::new(rules, Token(token), now),
             now,
+            behind: Duration::ZERO,
             unconfirmed: VecDeque::new(),
             log: BTreeMap::new(),
             starts: Vec::new(),
@@ -145,7 +148,17 @@
 
     /// Creates the next owner, whose recovery takes `span`.
     pub(super) fn successor_after(&self, token: u64, span: Duration) -> Cell {
+        self.recover(Cell::with_rules(token, self.now, self.rules), span)
+    }
+
+    /// Creates the next owner, whose time of day is behind that of this one.
+    pub(super) fn successor_behind(&self, token: u64, behind: Duration) -> Cell {
         let mut cell = Cell::with_rules(token, self.now, self.rules);
+        cell.behind = behind;
+        self.recover(cell, Duration::ZERO)
+    }
+
+    fn recover(&self, mut cell: Cell, span: Duration) -> Cell {
         for (key, value) in &self.log {
             assert!(cell.scheduler.restore_record(cell.time(), key, value));
         }
@@ -170,7 +183,7 @@
     pub(super) fn time(&self) -> Time {
         Time {
             now: self.now,
-            stamp: Stamp(START_STAMP_MS + self.now.0 / 1_000),
+            stamp: Stamp(START_STAMP_MS + self.now.0 / 1_000 - self.behind.as_millis() as u64),
         }
     }
 
@@ -196,16 +209,21 @@
     /// Confirms all appends, which puts their records in the log.
     pub(super) fn confirm(&mut self) {
         let last = self.unconfirmed.back().map(|(mark, ..)| *mark);
-        for (_, key, value) in self.unconfirmed.drain(..) {
+        let records = std::mem::take(&mut self.unconfirmed);
+        self.store(records);
+        if let Some(mark) = last {
+            self.input(Input::Durable(mark));
+        }
+        self.tick();
+    }
+
+    fn store(&mut self, records: impl IntoIterator<Item = (Mark, Vec<u8>, Option<Vec<u8>>)>) {
+        for (_, key, value) in records {
             match value {
                 Some(value) => self.log.insert(key, value),
                 None => self.log.remove(&key),
             };
         }
-        if let Some(mark) = last {
-            self.input(Input::Durable(mark));
-        }
-        self.tick();
     }
 
     fn take(&mut self, out: Vec<Output>) {
--- a/tests/testsuite/scheduler/occurrence.rs
+++ b/tests/testsuite/scheduler/occurrence.rs
@@ -111,9 +111,9 @@
         self.accept();
     }
 
-    fn take_over(&mut self) {
+    fn take_over(&mut self, behind: Duration) {
         self.token += 1;
-        self.cell = self.cell.successor(self.token);
+        self.cell = self.cell.successor_behind(self.token, behind);
         self.worker = self.cell.list_worker("w1");
         self.accept();
         self.report();
@@ -144,10 +144,52 @@
     world.confirm();
     world.report();
     assert!(world.ends.is_empty(), "both ends are acknowledged");
-    world.take_over();
+    world.take_over(Duration::ZERO);
     world.finish();
 }
 
+/// How far the time of day of an owner may be behind that of the one before.
+const BEHIND: Duration = Duration::from_millis(300);
+
+/// Returns an owner that has begun the first occurrence of a job, and the start of its task.
+fn owner_that_began_an_occurrence() -> (Cell, Start) {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    let mut spec = Spec::clone(&spec(vec![step(1)]));
+    spec.schedule = Some(Schedule {
+        occurrences: OCCURRENCES,
+        first: first.time().stamp,
+        interval: 20 * INTERVAL,
+    });
+    first.submit(7, queue(), Arc::new(spec));
+    first.confirm();
+    let (_, start) = first.accept_starts().remove(0);
+    (first, start)
+}
+
+#[test]
+fn run_of_an_occurrence_goes_on_under_an_owner_whose_clock_is_behind() {
+    let (first, start) = owner_that_began_an_occurrence();
+    let mut second = first.successor_behind(9, BEHIND);
+    let worker = second.list_worker("w1");
+    second.add_worker("w2");
+    second.poll(worker, vec![running(&start)], Vec::new());
+    second.wait(BEHIND);
+    assert!(second.starts.is_empty(), "{} runs on w1", start.task);
+    assert!(second.stops.is_empty());
+}
+
+#[test]
+fn end_of_an_occurrence_counts_under_an_owner_whose_clock_is_behind() {
+    let (first, start) = owner_that_began_an_occurrence();
+    let mut second = first.successor_behind(9, BEHIND);
+    let worker = second.list_worker("w1");
+    second.poll(worker, Vec::new(), vec![ended(1, &start, RunEnd::Done)]);
+    second.confirm();
+    second.wait(BEHIND);
+    assert!(second.starts.is_empty(), "{} is done", start.task);
+}
+
 /// The progress record of versions that did not list complete occurrences.
 #[derive(Serialize)]
 struct OlderProgress {
@@ -193,7 +235,7 @@
     Wait(u64),
     End(usize),
     Confirm,
-    TakeOver,
+    TakeOver(u64),
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -201,7 +243,7 @@
         4 => (1u64..900).prop_map(Event::Wait),
         5 => (0usize..8).prop_map(Event::End),
         4 => Just(Event::Confirm),
-        2 => Just(Event::TakeOver),
+        2 => (0u64..400).prop_map(Event::TakeOver),
     ]
 }
 
@@ -210,7 +252,7 @@
         Event::Wait(ms) => world.wait(Duration::from_millis(ms)),
         Event::End(index) => world.end(index),
         Event::Confirm => world.confirm(),
-        Event::TakeOver => world.take_over(),
+        Event::TakeOver(behind_ms) => world.take_over(Duration::from_millis(behind_ms)),
     }
 }
 
