Wait for the ends that do not fit into the first report of a worker

Not seen by the callers in this form; found by reading and shown by tests.

A worker reports at most 500 ends that are not acknowledged. check_unreported demands fewer before it concludes anything from a report; has_reported did not. So a new owner took all runs of earlier owners as known after the first report of a worker with more ends, and started tasks again whose ends `done` it had not read. It read and acknowledged them later.

The wait for leases did not help either: while the log takes no records, nothing is acknowledged, the worker reports the same 500 ends, and its lease is extended all the while. After the longest lease the inheritance ended although no lease had lapsed and the ends were as unread as before.

has_reported now means that a report with all runs and all ends was read. A worker whose reports are full counts as unknown for as long as its lease goes on, and the inheritance does not end before. A worker whose reports have rows that cannot be decoded is given up after the longest lease, as before.

Evidence, on the code before: first_report_without_all_ends_leaves_inherited_ runs_unknown and ends_that_stay_unread_while_the_log_is_away_outlast_the_wait_ for_leases failed with "the end of the run may be unread". Both pass now.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -137,6 +137,11 @@
             let worker = key.and_then(|&key| self.workers.get(key));
             let until = match worker {
                 Some(worker) if worker.has_reported => return None,
+                // Its lease goes on, so no run of it counts as lapsed. The rest of its ends follows
+                // once these are acknowledged.
+                Some(worker) if worker.may_have_unread_ends => {
+                    self.inheritance_ends_at.max(worker.lease_end())
+                }
                 // The end of a lease is a time on the clock of the former incarnation.
                 Some(worker) if worker.entry.incarnation != inherited.incarnation => {
                     self.inheritance_ends_at
@@ -150,7 +155,8 @@
     /// Forgets the workers of earlier owners once these owners' leases have ended. A worker that is not
     /// listed any more is then dropped from the record, so that no later owner waits for it.
     pub(super) fn end_inheritance(&mut self, now: Instant) {
-        if self.inherited_workers.is_empty() || now < self.inheritance_ends_at {
+        let is_over = now >= self.inheritance_ends_at && self.are_inherited_runs_known(now);
+        if self.inherited_workers.is_empty() || !is_over {
             return;
         }
         self.inherited_workers.clear();
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -174,8 +174,10 @@
     pub listed: bool,
     /// Whether the worker has responded to this owner and no poll has failed since.
     pub is_responding: bool,
-    /// Whether the worker has ever reported all of its runs to this owner.
+    /// Whether the worker has ever reported all of its runs and ends to this owner.
     pub has_reported: bool,
+    /// Whether the last report was full, so that the worker may have further ends.
+    pub may_have_unread_ends: bool,
     /// Whether this incarnation has ended and the directory does not list the next one yet. Only
     /// runs that the next incarnation may carry out are left.
     pub is_replaced: bool,
@@ -218,6 +220,7 @@
             listed: true,
             is_responding: false,
             has_reported: false,
+            may_have_unread_ends: false,
             is_replaced: false,
             is_report_complete: false,
             is_recorded: false,
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -280,8 +280,9 @@
             out.push(event(key, worker, "responding"));
         }
         worker.is_report_complete = inventory.is_complete;
-        worker.has_reported |= inventory.is_complete;
-        let is_complete = inventory.is_complete && inventory.ended.len() < MAX_REPORTED_ENDS;
+        worker.may_have_unread_ends = inventory.ended.len() >= MAX_REPORTED_ENDS;
+        let is_complete = inventory.is_complete && !worker.may_have_unread_ends;
+        worker.has_reported |= is_complete;
         let reported: Vec<(Task, Run)> = inventory
             .running
             .iter()
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -6,7 +6,7 @@
 use laburnumplank::core::error::Kind;
 use laburnumplank::core::scheduler::advice::AdvisorProxy;
 use laburnumplank::core::scheduler::id::{Job, Mark, Request};
-use laburnumplank::core::scheduler::message::{Outcome, RunEnd};
+use laburnumplank::core::scheduler::message::{EndedRun, Outcome, RunEnd, Start};
 use laburnumplank::core::scheduler::record::Phase;
 use laburnumplank::core::scheduler::spec::{Advice, Queue};
 use laburnumplank::core::scheduler::{Input, Rules};
@@ -14,6 +14,9 @@
 
 use super::cell::{Cell, ended, entry, queue, rules, running, spec, step};
 
+/// The most ended runs that a worker reports at a time.
+const MAX_REPORTED_ENDS: u64 = 500;
+
 #[test]
 fn end_listed_again_counts_once() {
     let mut first = Cell::new(1);
@@ -456,3 +459,51 @@
     second.poll(two, Vec::new(), Vec::new());
     assert_eq!(second.starts.len(), 1);
 }
+
+/// Returns as many ends of runs of other jobs as one report holds.
+fn full_report(start: &Start) -> Vec<EndedRun> {
+    let ends = (1..=MAX_REPORTED_ENDS).map(|number| {
+        let mut other = start.clone();
+        other.task.step.job = Job(1_000 + number);
+        ended(number, &other, RunEnd::Stopped)
+    });
+    ends.collect()
+}
+
+#[test]
+fn first_report_without_all_ends_leaves_inherited_runs_unknown() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let (_, start) = first.accept_starts().remove(0);
+
+    let mut second = first.successor(9);
+    let one = second.list_worker("w1");
+    second.poll(one, Vec::new(), full_report(&start));
+    assert!(second.starts.is_empty(), "the end of the run may be unread");
+    let done = ended(MAX_REPORTED_ENDS + 1, &start, RunEnd::Done);
+    second.poll(one, Vec::new(), vec![done]);
+    second.wait(Duration::from_secs(7));
+    assert!(second.starts.is_empty(), "the task is done");
+}
+
+#[test]
+fn ends_that_stay_unread_while_the_log_is_away_outlast_the_wait_for_leases() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let (_, start) = first.accept_starts().remove(0);
+
+    // Without an acknowledgement the worker reports the same ends, and its lease goes on.
+    let mut second = first.successor(9);
+    let one = second.list_worker("w1");
+    for _ in 0..8 {
+        second.poll(one, Vec::new(), full_report(&start));
+        second.wait(Duration::from_secs(1));
+    }
+    assert!(second.starts.is_empty(), "the end of the run may be unread");
+    second.poll(one, Vec::new(), Vec::new());
+    assert_eq!(second.starts.len(), 1);
+}
