Record the end of a job before the deletion of its progress

Not seen by the callers in this form; found by reading and shown by tests.

end() appended the deletion of the progress record before the record of the end. The writer splits its queue by bytes, so the two may be in different appends. When the owner is lost in between, the next one finds an accepted job without progress, and runs tasks again that are done and acknowledged.

The end is now recorded first. What is left when only that one is in the log is the progress of an ended job, which a later job with the same id would begin with: its tasks would count as done and never run. The next owner deletes it in its recovery. Progress of a job that is not known is left alone: the record of its job may be of a later version, and no order of records makes an orphan of that kind, since the record of a job is deleted long after its progress.

Evidence, on the code before: done_task_is_not_run_again_when_only_part_of_the_ end_of_its_job_is_in_the_log failed with "1 records". With the order turned and nothing else, job_with_the_id_of_an_ended_one_begins_without_its_progress failed with "left: 0, right: 1": the job was never started. Both pass now, the first for each prefix of the records.

Ruled out: records of one key that wait together are written as the newest one, at its own place in the queue, so the order of the two is kept.

--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -1,6 +1,6 @@
 //! Accepts, recovers, cancels and ends jobs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -155,6 +155,7 @@
         let workers = std::mem::take(&mut self.recovered_workers);
         self.inherit_workers(time.now, workers);
         let progress = std::mem::take(&mut self.recovered_progress);
+        self.drop_outdated_progress(&progress, out);
         let unfinished: Vec<id::Job> = self
             .jobs
             .iter()
@@ -172,6 +173,21 @@
         self.ended.make_contiguous().sort_unstable();
     }
 
+    /// Drops the progress of ended jobs from the log: the earlier owner recorded the end, but not the
+    /// deletion. A later job with the same id would begin with it.
+    fn drop_outdated_progress(
+        &mut self,
+        progress: &HashMap<id::Job, Progress>,
+        out: &mut Vec<Output>,
+    ) {
+        for &id in progress.keys() {
+            let job = self.jobs.get(&id);
+            if job.is_some_and(|job| job.phase.is_final()) {
+                self.append(Key::Progress(id), None, out);
+            }
+        }
+    }
+
     /// Ends a job that has used up its attempts: the earlier owner recorded the last failed run, but
     /// not the end of the job.
     fn fail_exhausted(&mut self, id: id::Job, time: Time, out: &mut Vec<Output>) {
@@ -346,11 +362,12 @@
         for occurrence in occurrences.values() {
             self.stop_active(id, occurrence, time.now, out);
         }
+        let mark = self.append(Key::Job(id), Some(encode(&record)), out);
+        self.defer(mark, Effect::Ended(id));
+        // The next owner may find only the first of these records.
         if has_progress {
             self.append(Key::Progress(id), None, out);
         }
-        let mark = self.append(Key::Job(id), Some(encode(&record)), out);
-        self.defer(mark, Effect::Ended(id));
         self.ended.push_back((time.now, id));
     }
 
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -1,8 +1,10 @@
 //! The records that an owner keeps in the log. The newest record of a key replaces the earlier ones.
 //!
 //! A job has two keys. [`Key::Job`] holds the accepted job and, once it has ended, only how it ended.
-//! [`Key::Progress`] holds the done tasks and failed runs, and is deleted when the job ends. The end
-//! of a run is acknowledged to the worker only after the record that contains it is in the log.
+//! [`Key::Progress`] holds the done tasks and failed runs, and is deleted after the record of the
+//! job's end: records are in the log in the order of their marks, and an owner may be lost after any
+//! of them. The end of a run is acknowledged to the worker only after the record that contains it is
+//! in the log.
 
 use laburnum_derive::{message, value};
 
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -158,6 +158,14 @@
         self.recover(cell, Duration::ZERO)
     }
 
+    /// Creates the next owner, which finds only the first `count` of the unconfirmed records.
+    pub(super) fn successor_with(&self, token: u64, count: usize) -> Cell {
+        let mut log = Cell::with_rules(token, self.now, self.rules);
+        log.log.clone_from(&self.log);
+        log.store(self.unconfirmed.iter().take(count).cloned());
+        log.successor(token)
+    }
+
     fn recover(&self, mut cell: Cell, span: Duration) -> Cell {
         for (key, value) in &self.log {
             assert!(cell.scheduler.restore_record(cell.time(), key, value));
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -12,7 +12,7 @@
 use laburnumplank::core::scheduler::{Input, Rules};
 use laburnumplank::core::time::Instant;
 
-use super::cell::{Cell, ended, entry, queue, rules, running, spec, step};
+use super::cell::{Cell, ended, entry, queue, rules, running, spec, step, task};
 
 /// The most ended runs that a worker reports at a time.
 const MAX_REPORTED_ENDS: u64 = 500;
@@ -507,3 +507,52 @@
     second.poll(one, Vec::new(), Vec::new());
     assert_eq!(second.starts.len(), 1);
 }
+
+/// Returns an owner that has ended a job of two steps, but of which the log has not confirmed the
+/// last records; the end of the first step is acknowledged.
+fn owner_that_ends_a_job() -> Cell {
+    let mut first = Cell::new(1);
+    let worker = first.add_worker("w1");
+    let mut last = step(1);
+    last.after = vec![0];
+    first.submit(7, queue(), spec(vec![step(1), last]));
+    first.confirm();
+    let (_, start) = first.accept_starts().remove(0);
+    first.poll(worker, Vec::new(), vec![ended(1, &start, RunEnd::Done)]);
+    first.confirm();
+    let poll = first.scheduler.poll(first.now, worker).unwrap();
+    assert_eq!(poll.acknowledged, 1);
+    let (_, start) = first.accept_starts().remove(0);
+    first.poll(worker, Vec::new(), vec![ended(2, &start, RunEnd::Done)]);
+    first
+}
+
+#[test]
+fn done_task_is_not_run_again_when_only_part_of_the_end_of_its_job_is_in_the_log() {
+    let first = owner_that_ends_a_job();
+    for count in 0..=first.unconfirmed.len() {
+        let mut second = first.successor_with(9, count);
+        let worker = second.list_worker("w1");
+        second.poll(worker, Vec::new(), Vec::new());
+        let mut started = second.starts.iter();
+        let is_again = started.any(|(_, start)| start.task == task(7, 0, 0));
+        assert!(!is_again, "{count} records");
+    }
+}
+
+#[test]
+fn job_with_the_id_of_an_ended_one_begins_without_its_progress() {
+    let first = owner_that_ends_a_job();
+    let mut second = first.successor_with(9, 1);
+    second.add_worker("w1");
+    second.confirm();
+    second.wait(rules().status_kept + Duration::from_secs(11));
+    second.confirm();
+    assert_eq!(second.scheduler.phase(Job(7), "filings"), None);
+    second.submit(7, queue(), spec(vec![step(1)]));
+    second.confirm();
+
+    let mut third = second.successor(20);
+    third.add_worker("w1");
+    assert_eq!(third.starts.len(), 1);
+}
