--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -1,6 +1,6 @@
 //! Accepts, recovers, cancels and ends jobs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -155,6 +155,7 @@
         let workers = std::mem::take(&mut self.recovered_workers);
         self.inherit_workers(time.now, workers);
         let progress = std::mem::take(&mut self.recovered_progress);
+        self.drop_outdated_progress(&progress, out);
         let unfinished: Vec<id::Job> = self
             .jobs
             .iter()
@@ -172,6 +173,21 @@
         self.ended.make_contiguous().sort_unstable();
     }
 
+    /// Drops the progress of ended jobs from the log: the earlier owner recorded the end, but not the
+    /// deletion. A later job with the same id would begin with it.
+    fn drop_outdated_progress(
+        &mut self,
+        progress: &HashMap<id::Job, Progress>,
+        out: &mut Vec<Output>,
+    ) {
+        for &id in progress.keys() {
+            let job = self.jobs.get(&id);
+            if job.is_some_and(|job| job.phase.is_final()) {
+                self.append(Key::Progress(id), None, out);
+            }
+        }
+    }
+
     /// Ends a job that has used up its attempts: the earlier owner recorded the last failed run, but
     /// not the end of the job.
     fn fail_exhausted(&mut self, id: id::Job, time: Time, out: &mut Vec<Output>) {
@@ -204,8 +220,7 @@
                 self.scheduled.insert((due, id));
             }
         } else if job.next_occurrence == 0 {
-            job.occurrences.insert(0, Occurrence::new(&job.spec));
-            job.next_occurrence = 1;
+            job.begin_next_occurrence();
         }
         self.refresh_ready(id, time.now);
         self.begin_occurrences(time);
@@ -221,9 +236,7 @@
             let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
                 continue;
             };
-            let index = job.next_occurrence;
-            job.occurrences.insert(index, Occurrence::new(&job.spec));
-            job.next_occurrence += 1;
+            job.begin_next_occurrence();
             if let Some(due) = next_due(job) {
                 self.scheduled.insert((due, id));
             }
@@ -232,6 +245,29 @@
         }
     }
 
+    /// Begins the occurrences of a job up to that of `step`, of which a worker reports a run: an earlier
+    /// owner, whose time of day was ahead, has begun them.
+    pub(super) fn begin_reported_occurrence(&mut self, step: id::Step, now: Instant) {
+        let id = step.job;
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
+            return;
+        };
+        let unbegun = job.next_occurrence..job.spec.occurrences();
+        if !unbegun.contains(&step.occurrence) {
+            return;
+        }
+        if let Some(due) = next_due(job) {
+            self.scheduled.remove(&(due, id));
+        }
+        while job.next_occurrence <= step.occurrence {
+            job.begin_next_occurrence();
+        }
+        if let Some(due) = next_due(job) {
+            self.scheduled.insert((due, id));
+        }
+        self.refresh_ready(id, now);
+    }
+
     /// Updates the set of ready steps for the steps of a job.
     pub(super) fn refresh_ready(&mut self, id: id::Job, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -326,11 +362,12 @@
         for occurrence in occurrences.values() {
             self.stop_active(id, occurrence, time.now, out);
         }
+        let mark = self.append(Key::Job(id), Some(encode(&record)), out);
+        self.defer(mark, Effect::Ended(id));
+        // The next owner may find only the first of these records.
         if has_progress {
             self.append(Key::Progress(id), None, out);
         }
-        let mark = self.append(Key::Job(id), Some(encode(&record)), out);
-        self.defer(mark, Effect::Ended(id));
         self.ended.push_back((time.now, id));
     }
 
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -33,6 +33,7 @@
             checkpoint,
             percent,
         } = running;
+        self.begin_reported_occurrence(task.step, time.now);
         self.store_checkpoint(task, run, checkpoint, percent);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -41,6 +42,7 @@
             attempt.percent = percent;
             attempt.reported_at = time.now;
             attempt.is_confirmed = true;
+            attempt.is_reported = true;
             if matches!(attempt.state, State::Starting | State::Doubtful) {
                 attempt.state = State::Running;
                 attempt.since = time.now;
@@ -79,6 +81,7 @@
             deadline_ms: None,
             absent_since: None,
             is_confirmed: true,
+            is_reported: true,
             percent: 0,
             reported_at: time.now,
         };
@@ -176,6 +179,7 @@
             run,
             end,
         });
+        self.begin_reported_occurrence(task.step, time.now);
         self.begun(task.step.job, out);
         // A checkpoint that is reported with the end of a run is the newest of that run.
         self.store_checkpoint(task, run, checkpoint, ALL_PERCENT);
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -100,6 +100,9 @@
     pub absent_since: Option<Instant>,
     /// Whether the worker has reported the run or confirmed its start.
     pub is_confirmed: bool,
+    /// Whether this incarnation has reported the run. The response to a start does not show which
+    /// incarnation carried it out.
+    pub is_reported: bool,
     /// The progress of the run at the last report, in percent.
     pub percent: u8,
     /// When the last report of the run arrived; before the first one, when the run was started.
@@ -193,8 +196,10 @@
     pub listed: bool,
     /// Whether the worker has responded to this owner and no poll has failed since.
     pub is_responding: bool,
-    /// Whether the worker has ever reported all of its runs to this owner.
+    /// Whether the worker has ever reported all of its runs and ends to this owner.
     pub has_reported: bool,
+    /// Whether the last report was full, so that the worker may have further ends.
+    pub may_have_unread_ends: bool,
     /// Whether this incarnation has ended and the directory does not list the next one yet. Only
     /// runs that the next incarnation may carry out are left.
     pub is_replaced: bool,
@@ -237,6 +242,7 @@
             listed: true,
             is_responding: false,
             has_reported: false,
+            may_have_unread_ends: false,
             is_replaced: false,
             is_report_complete: false,
             is_recorded: false,
@@ -403,11 +409,11 @@
         }
     }
 
-    /// Returns the runs that the worker's next incarnation may carry out: those that this one has
-    /// neither reported nor confirmed. What is confirmed after its end is the next one's response.
+    /// Returns the runs that the worker's next incarnation may carry out: those that this one has not
+    /// reported.
     pub fn undecided(&self) -> Vec<(Task, Run)> {
         let attempts = self.attempts.iter();
-        let undecided = attempts.filter(|(_, attempt)| self.is_replaced || !attempt.is_confirmed);
+        let undecided = attempts.filter(|(_, attempt)| !attempt.is_reported);
         undecided.map(|(&id, _)| id).collect()
     }
 
