Take a lease for ended only once the log has confirmed the claim after it

What callers would see: a task that is done runs again.

Cause: the end of a lease was a matter of the owner's clock alone, while a successor can extend it. The same for leases of earlier owners.

A lease has now ended when its end lies before the last moment at which the log showed no later owner: until then nobody else can have extended it. That an address belongs to another worker, or that a worker reports no such run, needs no such confirmation.

Tests: lease_that_a_successor_may_have_extended_has_not_ended and inherited_lease_that_a_successor_may_have_extended_has_not_ended, both failed before with "nothing shows that the lease ended".

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -8,7 +8,9 @@
 //!
 //! An earlier owner that cannot be asked may go on without knowing of its successors, on workers that
 //! these cannot reach. It extends leases and starts tasks only for [`MAX_CLAIM_AGE`] after the log
-//! has last confirmed its claim, which was before any successor fenced the log.
+//! has last confirmed its claim, which was before any successor fenced the log. Nor does it take a lease
+//! for ended before the log has confirmed its claim after that end: a successor may have extended the
+//! lease, and may know by now that the run is done.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -38,6 +40,9 @@
 /// wait for it.
 const MAX_CLAIM_AGE: Duration = Duration::from_secs(5);
 
+/// How long a lease that should have ended is expected to wait for the log to confirm the claim.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(5);
+
 /// The end of a lease is that of the longest lease that a worker grants.
 const LONGEST_LEASE: &str = "the longest lease has ended";
 /// The end of a lease is the one that the former owner reported.
@@ -135,11 +140,11 @@
     }
 
     /// Records that a worker of earlier owners has ended.
-    pub(super) fn end_inherited_lease(&mut self, name: &str, incarnation: u64, now: Instant) {
+    pub(super) fn end_inherited_lease(&mut self, name: &str, incarnation: u64) {
         let inherited = self.inherited_workers.iter_mut();
         for inherited in inherited.filter(|other| other.name == name) {
-            if inherited.incarnation == incarnation && now < inherited.until {
-                inherited.until = now;
+            if inherited.incarnation == incarnation {
+                inherited.until = Instant::default();
                 inherited.source = LOST_ADDRESS;
             }
         }
@@ -157,23 +162,26 @@
     /// one may have been started has responded or can no longer hold a lease. A worker that has
     /// restarted has to respond as well: it may have got a command that was meant for the incarnation
     /// before.
-    pub fn are_inherited_runs_known(&self, now: Instant) -> bool {
-        self.unknown_inherited_workers(now).next().is_none()
+    pub fn are_inherited_runs_known(&self) -> bool {
+        self.unknown_inherited_workers().next().is_none()
+    }
+
+    /// Whether a lease that ends at `end` has ended, and no later owner can have extended it before.
+    pub(super) fn has_lease_ended(&self, end: Instant) -> bool {
+        end <= self.claim_confirmed_at
     }
 
     /// Returns when every run that an earlier owner started is known or has ended, if no further worker
     /// responds.
     pub(super) fn inherited_runs_known_at(&self, now: Instant) -> Instant {
-        let unknown = self.unknown_inherited_workers(now);
-        unknown.map(|(_, until)| until).max().unwrap_or(now)
+        let unknown = self.unknown_inherited_workers();
+        let last = unknown.map(|(_, until)| until).max();
+        last.map_or(now, |last| last.max(now + CONFIRMATION_WAIT))
     }
 
     /// Returns the workers on which runs of an earlier owner may be that are not known, each with the
     /// time until which that lasts at most.
-    pub(super) fn unknown_inherited_workers(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (&str, Instant)> {
+    pub(super) fn unknown_inherited_workers(&self) -> impl Iterator<Item = (&str, Instant)> {
         let inherited = self.inherited_workers.iter();
         inherited.filter_map(move |inherited| {
             let key = self.by_name.get(&inherited.name);
@@ -191,13 +199,13 @@
                 }
                 _ => inherited.until,
             };
-            (now < until).then_some((inherited.name.as_str(), until))
+            (!self.has_lease_ended(until)).then_some((inherited.name.as_str(), until))
         })
     }
 
     /// Reports the workers of earlier owners whose runs have become known or unknown.
     pub(super) fn report_inheritance(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let unknown = self.unknown_inherited_workers(now);
+        let unknown = self.unknown_inherited_workers();
         let unknown: HashSet<String> = unknown.map(|(name, _)| name.to_owned()).collect();
         for inherited in &mut self.inherited_workers {
             let is_known = !unknown.contains(&inherited.name);
@@ -225,7 +233,7 @@
     /// Forgets the workers of earlier owners once these owners' leases have ended. A worker that is not
     /// listed any more is then dropped from the record, so that no later owner waits for it.
     pub(super) fn end_inheritance(&mut self, now: Instant) {
-        let is_over = now >= self.inheritance_ends_at && self.are_inherited_runs_known(now);
+        let is_over = now >= self.inheritance_ends_at && self.are_inherited_runs_known();
         if self.inherited_workers.is_empty() || !is_over {
             return;
         }
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -387,10 +387,10 @@
             };
         }
         if job.is_inherited {
-            let unknown = self.unknown_inherited_workers(now);
+            let unknown = self.unknown_inherited_workers();
             if let Some((last, until)) = unknown.max_by_key(|&(_, until)| until) {
                 return Reason::InheritedRunsUnknown {
-                    workers: self.unknown_inherited_workers(now).count(),
+                    workers: self.unknown_inherited_workers().count(),
                     last: last.to_owned(),
                     left: until.since(now),
                 };
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -207,7 +207,7 @@
     fn lost_address(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
         if let Some(worker) = self.workers.get(key) {
             let name = worker.entry.name.clone();
-            self.end_inherited_lease(&name, worker.entry.incarnation, now);
+            self.end_inherited_lease(&name, worker.entry.incarnation);
             self.remove_worker(key, now, LOST_ADDRESS, out);
         }
     }
@@ -218,7 +218,7 @@
         let lapsed: Vec<Worker> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.is_responding && time.now >= worker.lease_end())
+            .filter(|(_, worker)| !worker.is_responding && self.has_lease_ended(worker.lease_end()))
             .filter(|(_, worker)| {
                 !worker.attempts.is_empty() || !worker.listed || worker.is_replaced
             })
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -160,8 +160,7 @@
     /// Whether inherited jobs wait until workers of earlier owners have responded or can no longer hold
     /// a lease.
     pub fn awaits_inherited_workers(&self) -> bool {
-        let now = self.clock.now();
-        !self.scheduler.borrow().are_inherited_runs_known(now)
+        !self.scheduler.borrow().are_inherited_runs_known()
     }
 
     /// Whether the ownership has ended.
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -725,3 +725,47 @@
     third.add_worker("w1");
     assert_eq!(third.starts.len(), 1);
 }
+
+// A successor may have extended the lease of a silent worker, whose run may be done by now.
+#[test]
+fn lease_that_a_successor_may_have_extended_has_not_ended() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (silent, _) = cell.accept_starts().pop().unwrap();
+    cell.add_worker("w2");
+    cell.input(Input::PollFailed {
+        worker: silent,
+        outcome: Outcome::Unknown,
+    });
+    cell.wait(Duration::from_secs(2));
+    cell.is_claim_confirmed = false;
+    cell.wait(Duration::from_millis(4_500));
+    assert!(cell.starts.is_empty(), "nothing shows that the lease ended");
+    cell.is_claim_confirmed = true;
+    cell.wait(Duration::from_millis(10));
+    assert_eq!(cell.starts.len(), 1);
+}
+
+// The same for the leases of earlier owners.
+#[test]
+fn inherited_lease_that_a_successor_may_have_extended_has_not_ended() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.add_worker("w2");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let mut second = first.successor(9);
+    second.add_worker("w1");
+    second.wait(Duration::from_secs(8));
+    second.is_claim_confirmed = false;
+    second.wait(Duration::from_secs(3));
+    assert!(
+        second.starts.is_empty(),
+        "nothing shows that the lease ended"
+    );
+    second.is_claim_confirmed = true;
+    second.wait(Duration::from_millis(10));
+    assert_eq!(second.starts.len(), 1);
+}
