Report the lease that a restarted worker may still have to the next owner

A start of the first owner is under way to a worker that restarts under its name and may carry it out. The second owner waits for that incarnation for the longest lease, but reported none for it to the third: it had granted none itself, and the inherited lease is that of the former incarnation. The third owner then took the runs there for known and started the task elsewhere. An owner now reports, for a worker that has restarted since earlier owners used it and has never reported, the time for which it waits itself.

Test: start_under_way_to_a_restarted_worker_counts_over_two_changes_of_owner, failed before with "w1 may have a lease of 6 s".

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -122,7 +122,7 @@
         let known = self.workers.values().map(|worker| RemainingLease {
             worker: worker.entry.name.clone(),
             incarnation: worker.entry.incarnation,
-            left: remaining_lease(&self.rules, worker, now),
+            left: remaining_lease(&self.rules, worker, now).max(self.unreported_lease(worker, now)),
         });
         let unlisted = self.unlisted_inherited_workers();
         let unlisted = unlisted.map(|inherited| RemainingLease {
@@ -133,6 +133,20 @@
         known.chain(unlisted).collect()
     }
 
+    /// Returns the time that a worker may go on which has restarted since earlier owners used it and has
+    /// not reported: it may have carried out a command of theirs.
+    fn unreported_lease(&self, worker: &WorkerState, now: Instant) -> Duration {
+        let mut inherited = self.inherited_workers.iter();
+        let is_restarted = inherited.any(|inherited| {
+            inherited.name == worker.entry.name && inherited.incarnation != worker.entry.incarnation
+        });
+        if is_restarted && !worker.has_reported {
+            self.inheritance_ends_at.since(now)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Returns the workers of earlier owners that the directory has not listed again.
     pub(super) fn unlisted_inherited_workers(&self) -> impl Iterator<Item = &InheritedWorker> {
         let inherited = self.inherited_workers.iter();
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -769,3 +769,24 @@
     second.wait(Duration::from_millis(10));
     assert_eq!(second.starts.len(), 1);
 }
+
+// The next incarnation of a worker that no owner has reached may have carried a start of an earlier one out.
+#[test]
+fn start_under_way_to_a_restarted_worker_counts_over_two_changes_of_owner() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    assert_eq!(first.starts.len(), 1, "the start has no outcome yet");
+    let mut second = first.successor(9);
+    second.restart_worker("w1");
+    second.wait(Duration::from_millis(100));
+    let mut third = second.successor(17);
+    third.restart_worker("w1");
+    third.add_worker("w2");
+    third.inherit_leases(&second);
+    third.wait(Duration::from_millis(5_900));
+    assert!(third.starts.is_empty(), "w1 may have a lease of 6 s");
+    third.wait(Duration::from_millis(4_000));
+    assert_eq!(third.starts.len(), 1);
+}
