Report a batch that was put back as durable only as a whole

Not seen by the callers; found by reading and shown by a test.

While the log refuses appends, the writer puts the batches that are certainly not there back into its queue. All records of a batch come back with one mark, the last of the batch. When the log takes appends again, take() forms batches anew, by bytes: the first one may hold what was one batch and part of the next. It then reaches the mark of the next one, although the rest of its records leaves with a later append. Until then the owner takes all of them as durable: it confirms jobs and acknowledges ends whose records are not in the log. If it is lost at that moment, jobs are lost and done tasks run again.

take() no longer splits records that share a mark.

It takes more than 1 MiB of records within the 0.6 s before the log counts as unavailable, so it is an unlikely cause of what the callers saw.

--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -96,12 +96,16 @@
         let mut waiting = self.records.borrow_mut();
         let mut bytes = 0;
         let mut count = 0;
-        for (_, record) in waiting.iter() {
-            bytes += record.value.as_ref().map_or(0, Vec::len);
+        // A mark is reached only with all of its records: those of a batch that was put back share one.
+        for of_mark in waiting.chunk_by(|(mark, _), (next, _)| mark == next) {
+            let values = of_mark
+                .iter()
+                .filter_map(|(_, record)| record.value.as_ref());
+            bytes += values.map(Vec::len).sum::<usize>();
             if count > 0 && bytes > MAX_APPEND_BYTES {
                 break;
             }
-            count += 1;
+            count += of_mark.len();
         }
         let batch: Vec<(Mark, Record)> = waiting.drain(..count).collect();
         let mark = batch.last()?.0;
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -5,3 +5,4 @@
 mod owner;
 mod settling;
 mod tenure;
+mod writer;
