--- a/tests/testsuite/entry/writer.rs
+++ b/tests/testsuite/entry/writer.rs
@@ -40,7 +40,7 @@
         let on_event = {
             let (platform, unsent, durable) = (platform.clone(), unsent.clone(), durable.clone());
             move |event| match event {
-                Event::Durable(mark) => {
+                Event::Durable { mark, .. } => {
                     let keys = platform.0.jobs.borrow().keys().cloned().collect::<Vec<_>>();
                     durable.borrow_mut().push((mark, keys));
                 }
