Keep inherited runs unknown while a worker's first report is full

What callers would see: after a takeover a task that was done runs again (TWICE).

Cause: a worker lists at most 500 ends in one response. A new owner took the first response of each worker for all that its runs had become, also one with 500 ends. The end of a run that came after these was neither running nor ended for this owner, its task waited, and it was started again as soon as all workers had responded. The later end was then acknowledged as usual. The code that releases runs that are not reported already leaves such a report aside; the inheritance did not.

Evidence: the new test failed before with "the end may be one that is not reported yet, left: [Start { task: 7.0.0.0, run: 9437185 }], right: []", and passes now. The owner acknowledges the 500 ends once they are in the log, and the next response lists the others, so the wait is one round trip to the log and one poll.

Not covered: the wait ends at the latest when the inherited leases would have ended, although the worker responds and its leases are extended. If the log takes no records for that long, the ends after the first 500 still count as never happened. The same holds for reports with rows that cannot be decoded.

--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -280,8 +280,8 @@
             out.push(event(key, worker, "responding"));
         }
         worker.is_report_complete = inventory.is_complete;
-        worker.has_reported |= inventory.is_complete;
         let is_complete = inventory.is_complete && inventory.ended.len() < MAX_REPORTED_ENDS;
+        worker.has_reported |= is_complete;
         let reported: Vec<(Task, Run)> = inventory
             .running
             .iter()
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -5,14 +5,17 @@
 
 use laburnumplank::core::error::Kind;
 use laburnumplank::core::scheduler::advice::AdvisorProxy;
-use laburnumplank::core::scheduler::id::{Job, Mark, Request};
-use laburnumplank::core::scheduler::message::{Outcome, RunEnd};
+use laburnumplank::core::scheduler::id::{Job, Mark, Request, Run};
+use laburnumplank::core::scheduler::message::{EndedRun, Outcome, RunEnd};
 use laburnumplank::core::scheduler::record::Phase;
 use laburnumplank::core::scheduler::spec::{Advice, Queue};
 use laburnumplank::core::scheduler::{Input, Rules};
 use laburnumplank::core::time::Instant;
 
-use super::cell::{Cell, ended, entry, queue, rules, running, spec, step};
+use super::cell::{Cell, ended, entry, queue, rules, running, spec, step, task};
+
+/// The most ended runs in one report.
+const MAX_REPORTED_ENDS: u64 = 500;
 
 #[test]
 fn end_listed_again_counts_once() {
@@ -456,3 +459,38 @@
     second.poll(two, Vec::new(), Vec::new());
     assert_eq!(second.starts.len(), 1);
 }
+
+#[test]
+fn end_after_a_full_first_report_leaves_no_task_to_run_again() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let starts = first.accept_starts();
+    let done = ended(MAX_REPORTED_ENDS + 1, &starts[0].1, RunEnd::Done);
+
+    let mut second = first.successor(9);
+    let worker = second.list_worker("w1");
+    let earlier = (1..=MAX_REPORTED_ENDS).map(|number| EndedRun {
+        number,
+        task: task(99, 0, number as u16),
+        run: Run(1),
+        end: RunEnd::Done,
+        checkpoint: None,
+    });
+    second.poll(worker, Vec::new(), earlier.collect());
+    second.wait(Duration::from_millis(100));
+    assert_eq!(
+        second.starts,
+        [],
+        "the end may be one that is not reported yet"
+    );
+    second.confirm();
+    second.poll(worker, Vec::new(), vec![done]);
+    second.confirm();
+    assert_eq!(
+        second.scheduler.phase(Job(7), "filings"),
+        Some(Phase::Completed)
+    );
+    assert_eq!(second.starts, []);
+}
