Begin an occurrence that is not due yet when a worker reports a run of it

What callers would see: a task of a job with a schedule runs twice (TWICE) after a change of owner.

Cause: the next owner's time of day may be some 100 ms behind that of the former one, which has begun an occurrence that is not due for the next owner. Only occurrences with a done task or a failed run are in the record of progress. The next owner therefore took a run of such an occurrence for one of an unknown task and stopped it, and an end for one that concerns nobody and acknowledged it. Some 100 ms later it began the occurrence, with all tasks waiting: it started them beside the runs that were still being stopped, or again after their ends.

Evidence: both new tests failed before. After the end: "both occurrences that are due have runs or ends, left: [Task { step: Step { job: Job(7), occurrence: 1, .. }, index: 0 }, ..], right: []". Beside the runs: "all tasks that are due have runs, left: [Task { .. occurrence: 1 .. }, ..], right: []". They pass now, and so do the tests of the scheduler but for the known red one.

Why it works: a worker's report of a run proves that an earlier owner had begun its occurrence, and with it all before. The owner begins them too, adopts the run or counts the end, and starts the tasks that have no run when they are due by its own time of day.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -72,6 +72,8 @@
 pub struct Occurrence {
     /// The steps, by index.
     pub steps: Vec<Step>,
+    /// The earliest time to start a task: when the occurrence is due, if it was begun before.
+    pub not_before: Stamp,
 }
 
 /// A job.
@@ -119,6 +121,7 @@
         let steps = spec.steps.iter().map(|step| Step::new(step.tasks));
         Occurrence {
             steps: steps.collect(),
+            not_before: Stamp(0),
         }
     }
 
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -221,9 +221,7 @@
             let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
                 continue;
             };
-            let index = job.next_occurrence;
-            job.occurrences.insert(index, Occurrence::new(&job.spec));
-            job.next_occurrence += 1;
+            begin_next(job);
             if let Some(due) = next_due(job) {
                 self.scheduled.insert((due, id));
             }
@@ -232,6 +230,32 @@
         }
     }
 
+    /// Begins the occurrences up to one of which a worker reports a run: by the time of day of an
+    /// earlier owner it was due.
+    pub(super) fn begin_reported(&mut self, step: id::Step, now: Instant) {
+        let job = self.jobs.get_mut(&step.job);
+        let Some(job) = job.filter(|job| !job.phase.is_final()) else {
+            return;
+        };
+        let is_begun = step.occurrence < job.next_occurrence;
+        if is_begun || step.occurrence >= job.spec.occurrences() {
+            return;
+        }
+        let due = next_due(job);
+        while job.next_occurrence <= step.occurrence {
+            let due = next_due(job);
+            begin_next(job).not_before = due.unwrap_or(Stamp(0));
+        }
+        let next = next_due(job);
+        if let Some(due) = due {
+            self.scheduled.remove(&(due, step.job));
+        }
+        if let Some(next) = next {
+            self.scheduled.insert((next, step.job));
+        }
+        self.refresh_ready(step.job, now);
+    }
+
     /// Updates the set of ready steps for the steps of a job.
     pub(super) fn refresh_ready(&mut self, id: id::Job, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -453,6 +477,16 @@
     }
 }
 
+fn begin_next(job: &mut Job) -> &mut Occurrence {
+    let index = job.next_occurrence;
+    job.next_occurrence += 1;
+    let occurrence = Occurrence::new(&job.spec);
+    job.occurrences
+        .entry(index)
+        .insert_entry(occurrence)
+        .into_mut()
+}
+
 /// Returns when the next occurrence of a scheduled job is due, if any is left.
 fn next_due(job: &Job) -> Option<Stamp> {
     let is_left = job.next_occurrence < job.spec.occurrences();
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -188,6 +188,9 @@
 
     fn rank(&self, step: Step, time: Time) -> Option<Rank> {
         let job = self.jobs.get(&step.job)?;
+        if job.occurrences.get(&step.occurrence)?.not_before > time.stamp {
+            return None;
+        }
         let began = match job.spec.due(step.occurrence) {
             Some(due) => time.now - time.stamp.since(due),
             None => job.accepted_at,
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -55,6 +55,7 @@
     /// Adopts a run that this owner did not start, or stops it when its task does not wait for a
     /// run.
     fn adopt(&mut self, key: Worker, task: Task, run: Run, time: Time, out: &mut Vec<Output>) {
+        self.begin_reported(task.step, time.now);
         let (need, estimate, is_wanted) = self.inherited_need(task);
         out.push(Output::Adopted {
             worker: key,
@@ -177,6 +178,7 @@
             end,
         });
         self.begun(task.step.job, out);
+        self.begin_reported(task.step, time.now);
         // A checkpoint that is reported with the end of a run is the newest of that run.
         self.store_checkpoint(task, run, checkpoint, ALL_PERCENT);
         match end {
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -98,6 +98,8 @@
     rules: Rules,
     pub(super) scheduler: Scheduler,
     pub(super) now: Instant,
+    /// How far this owner's time of day is behind.
+    pub(super) clock_behind: Duration,
     /// Appends that the log has not confirmed, in order.
     pub(super) unconfirmed: VecDeque<(Mark, Vec<u8>, Option<Vec<u8>>)>,
     /// The records in the log, by key.
@@ -127,6 +129,7 @@
             rules,
             scheduler: Scheduler::new(rules, Token(token), now),
             now,
+            clock_behind: Duration::ZERO,
             unconfirmed: VecDeque::new(),
             log: BTreeMap::new(),
             starts: Vec::new(),
@@ -145,7 +148,17 @@
 
     /// Creates the next owner, whose recovery takes `span`.
     pub(super) fn successor_after(&self, token: u64, span: Duration) -> Cell {
+        self.recover(Cell::with_rules(token, self.now, self.rules), span)
+    }
+
+    /// Creates the next owner, whose time of day is behind.
+    pub(super) fn successor_behind(&self, token: u64, clock_behind: Duration) -> Cell {
         let mut cell = Cell::with_rules(token, self.now, self.rules);
+        cell.clock_behind = clock_behind;
+        self.recover(cell, Duration::ZERO)
+    }
+
+    fn recover(&self, mut cell: Cell, span: Duration) -> Cell {
         for (key, value) in &self.log {
             assert!(cell.scheduler.restore_record(cell.time(), key, value));
         }
@@ -170,7 +183,7 @@
     pub(super) fn time(&self) -> Time {
         Time {
             now: self.now,
-            stamp: Stamp(START_STAMP_MS + self.now.0 / 1_000),
+            stamp: Stamp(START_STAMP_MS + self.now.0 / 1_000) - self.clock_behind,
         }
     }
 
--- a/tests/testsuite/scheduler/occurrence.rs
+++ b/tests/testsuite/scheduler/occurrence.rs
@@ -148,6 +148,49 @@
     world.finish();
 }
 
+/// A cell with two occurrences under way, and its next owner by whose time of day the second one is
+/// not due yet.
+fn successor_with_slow_clock() -> (Vec<Start>, Cell) {
+    let mut world = World::new();
+    world.wait(INTERVAL);
+    let starts: Vec<Start> = world.running.values().cloned().collect();
+    assert_eq!(starts.len(), 4, "two occurrences of two tasks");
+    let clock_behind = Duration::from_millis(200);
+    (starts, world.cell.successor_behind(9, clock_behind))
+}
+
+#[test]
+fn occurrence_that_is_not_due_for_the_next_owner_is_not_started_again_after_its_end() {
+    let (starts, mut next) = successor_with_slow_clock();
+    let worker = next.list_worker("w1");
+    let active = starts[..2].iter().map(running).collect();
+    let ends = (1..).zip(&starts[2..]);
+    let ends = ends.map(|(number, start)| ended(number, start, RunEnd::Done));
+    next.poll(worker, active, ends.collect());
+    next.confirm();
+    let poll = next.scheduler.poll(next.now, worker).unwrap();
+    assert_eq!(poll.acknowledged, 2);
+    next.wait(INTERVAL - Duration::from_millis(100));
+    let started: Vec<Task> = next.starts.iter().map(|(_, start)| start.task).collect();
+    assert_eq!(
+        started,
+        [],
+        "both occurrences that are due have runs or ends"
+    );
+}
+
+#[test]
+fn occurrence_that_is_not_due_for_the_next_owner_is_not_started_beside_its_runs() {
+    let (starts, mut next) = successor_with_slow_clock();
+    let worker = next.list_worker("w1");
+    next.add_worker("w2");
+    next.poll(worker, starts.iter().map(running).collect(), Vec::new());
+    next.wait(Duration::from_millis(250));
+    let started: Vec<Task> = next.starts.iter().map(|(_, start)| start.task).collect();
+    assert_eq!(started, [], "all tasks that are due have runs");
+    assert_eq!(next.stops, []);
+}
+
 /// The progress record of versions that did not list complete occurrences.
 #[derive(Serialize)]
 struct OlderProgress {
