Tell by its clock which incarnation of a worker confirmed a start

What callers would see: a task runs on two workers at the same time (TWICE), without any change of owner.

Cause: a worker crashes and is back under its name before its owner learns of it, since a poll waits for up to 1 s and a machine that stops resets no connection. The start that the owner sends in between is carried out by the new incarnation. Its confirmation counted as one of the old incarnation: when the next poll was answered by another incarnation, the run was released with the other confirmed ones ("restarted"), and the task was started elsewhere, beside the run on the new incarnation. Starts without a response were already kept for the next incarnation.

PROTOCOL.md allows it: a runner may start again under the id that it had, with its counts and its clock anew, and one that crashes sends nothing. It says of lists of runs that they carry `born`, not of the response to a start.

Evidence: the new test failed before with "the task runs on w1, left: [(Worker(2v1), Start { .. run: Run(1048578) .. })], right: []".

Why it works: every response carries the worker's clock. One that began after the last poll was sent shows at most the time since then. A confirmation counts only if its clock is not before the last reading, and the last reading is further from the clock's beginning than that. Any other start stays undecided and goes over to the next incarnation, as one without a response does, until that one reports or its lease has ended. The harness of the tests now confirms starts with the clock, as workers do; a confirmation without one proves nothing.

--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -318,12 +318,17 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        // The response may be that of the next incarnation, which has the same name.
+        let is_own = match outcome {
+            Outcome::Done(Some(clock_ms)) => worker.is_own_clock(time.now, *clock_ms),
+            _ => false,
+        };
         let Some(attempt) = worker.attempts.get_mut(&(task, run)) else {
             return;
         };
         match outcome {
             Outcome::Done(_) => {
-                attempt.is_confirmed = true;
+                attempt.is_confirmed |= is_own;
                 if attempt.state == State::Starting {
                     attempt.state = State::Running;
                     attempt.since = time.now;
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -98,7 +98,7 @@
     /// When a report first left the run out, by a clock past `deadline_ms`, although the worker never
     /// confirmed it.
     pub absent_since: Option<Instant>,
-    /// Whether the worker has reported the run or confirmed its start.
+    /// Whether this incarnation of the worker has reported the run or confirmed its start.
     pub is_confirmed: bool,
     /// The progress of the run at the last report, in percent.
     pub percent: u8,
@@ -157,6 +157,8 @@
 /// A reading of a worker's clock.
 #[value]
 struct Reading {
+    /// When the poll was sent.
+    sent: Instant,
     /// When the reading arrived.
     at: Instant,
     /// The worker's clock, in milliseconds.
@@ -301,12 +303,26 @@
         Some(deadline)
     }
 
-    /// Stores a reading of the worker's clock that arrived at `now`.
-    pub fn read_clock(&mut self, now: Instant, clock_ms: u64) {
-        self.reading = Some(Reading { at: now, clock_ms });
+    /// Stores a reading of the worker's clock that arrived at `now`, in the response to a poll that was
+    /// sent at `sent`.
+    pub fn read_clock(&mut self, now: Instant, sent: Instant, clock_ms: u64) {
+        self.reading = Some(Reading {
+            sent,
+            at: now,
+            clock_ms,
+        });
         self.answered = now;
     }
 
+    /// Whether a response with this clock is certainly of this incarnation. One that began after the
+    /// last reading is too young to show a later time.
+    pub fn is_own_clock(&self, now: Instant, clock_ms: u64) -> bool {
+        self.reading.is_some_and(|reading| {
+            let age_ms = now.since(reading.sent).as_millis() as u64;
+            clock_ms >= reading.clock_ms && reading.clock_ms > age_ms
+        })
+    }
+
     /// Returns when every lease that the worker may hold, also one of an earlier owner, has ended on
     /// this process's clock.
     pub fn lease_end(&self) -> Instant {
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -274,7 +274,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.read_clock(time.now, inventory.clock_ms);
+        worker.read_clock(time.now, sent, inventory.clock_ms);
         if !worker.is_responding {
             worker.is_responding = true;
             out.push(event(key, worker, "responding"));
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -160,6 +160,28 @@
     assert_eq!(cell.starts.len(), 3);
 }
 
+#[test]
+fn task_whose_start_the_next_incarnation_confirmed_is_not_started_elsewhere() {
+    let mut cell = Cell::new(1);
+    let former = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let starts = std::mem::take(&mut cell.starts);
+    // The worker has restarted, and its new clock has just begun.
+    cell.finish_start(former, &starts[0].1, Outcome::Done(Some(3)));
+    cell.add_worker("w2");
+    cell.input(Input::PollFailed {
+        worker: former,
+        outcome: Outcome::Refused(Refusal::OtherIncarnation),
+    });
+    cell.wait(Duration::from_millis(100));
+    assert_eq!(cell.starts, [], "the task runs on w1");
+
+    let worker = cell.restart_worker("w1");
+    cell.poll(worker, vec![running(&starts[0].1)], Vec::new());
+    assert_eq!((&cell.starts[..], &cell.stops[..]), (&[][..], &[][..]));
+}
+
 #[test]
 fn start_under_way_is_not_given_up_while_the_next_incarnation_is_silent() {
     let mut cell = Cell::new(1);
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -294,12 +294,11 @@
     ) {
         let sent = self.now;
         self.scheduler.poll(sent, worker);
-        let clock_ms = 1_000_000 + self.now.0 / 1_000;
         self.input(Input::Polled {
             worker,
             sent,
             inventory: Inventory {
-                clock_ms,
+                clock_ms: self.worker_clock_ms(),
                 running,
                 ended,
                 is_complete,
@@ -308,6 +307,11 @@
         self.tick();
     }
 
+    /// Returns the clock of the workers that were there from the beginning.
+    fn worker_clock_ms(&self) -> u64 {
+        1_000_000 + self.now.0 / 1_000
+    }
+
     pub(super) fn submit(&mut self, job: u64, queue: Queue, spec: Arc<Spec>) {
         let at = self.time().stamp;
         self.input(Input::Submit {
@@ -334,7 +338,8 @@
     pub(super) fn accept_starts(&mut self) -> Vec<(Worker, Start)> {
         let starts = std::mem::take(&mut self.starts);
         for (worker, start) in &starts {
-            self.finish_start(*worker, start, Outcome::Done(None));
+            let clock_ms = self.worker_clock_ms();
+            self.finish_start(*worker, start, Outcome::Done(Some(clock_ms)));
         }
         self.now = self.now + Duration::from_millis(1);
         self.tick();
