Let the fuzz test of the scheduler play separate owners and late directories

The users saw a task run twice, and the test could not find it: its former owner lived for 1.5 s at most, there was only one, every owner reached every worker, the directory listed a restart after 5 ms, workers kept their names, nobody asked for the remaining leases, and no worker restarted beside a former owner.

- a former owner dies, is told, or goes on without the log for up to 12 s, and several may go on.
One that is reachable is asked for the leases, at once or later; one that is not is asked again and again;
- an owner's process may stand still for up to 9 s.
It then makes the decisions that are due before it reads anything;
- the path between one owner and one worker may be cut in one direction or both;
- a restart is listed up to 3 s late, maybe under a new name, whose predecessor stays listed for 2 s; the entry of the former incarnation may be shown again, and a worker may be missing from the directory while it lives;
- commands and polls are carried out 2 s to 12 s late without a response;
- reports are incomplete.

Responses to starts and stops carry the worker's clock. The oracle is unchanged.

--- a/tests/testsuite/scheduler/fault.rs
+++ b/tests/testsuite/scheduler/fault.rs
@@ -38,6 +38,7 @@
             host.requests_held_until = now;
             host.responses_lost_until = now;
             host.late_until = now;
+            host.late_polls_until = now;
             host.incomplete_until = now;
         }
         for path in &mut self.advisor.paths {
@@ -45,9 +46,7 @@
             path.late_until = now;
         }
         for host in 0..self.hosts.len() {
-            if self.hosts[host].is_up && !self.hosts[host].is_listed {
-                self.list(host);
-            }
+            self.list(host);
         }
         self.disturb(now);
     }
@@ -67,7 +66,9 @@
     /// Does what the writer of the latest owner does as time passes.
     pub(super) fn write(&mut self) {
         let now = self.now;
-        let Some(token) = self.owners.last().map(|owner| owner.token) else {
+        let awake = self.owners.last();
+        let awake = awake.filter(|owner| owner.frozen_until.is_none());
+        let Some(token) = awake.map(|owner| owner.token) else {
             return;
         };
         let Some(outage) = self.present_outage() else {
@@ -115,8 +116,8 @@
         self.send_records(token);
     }
 
-    fn tick(&mut self, token: u64) {
-        let time: Time = self.time();
+    pub(super) fn tick(&mut self, token: u64) {
+        let time: Time = self.time_of(token);
         let Some(owner) = self.owner(token) else {
             return;
         };
@@ -315,11 +316,7 @@
 
     fn take_off_list(&mut self, host: usize) {
         self.remember(&format!("w{host} is not listed any more"));
-        self.hosts[host].is_listed = false;
-        let tokens: Vec<u64> = self.owners.iter().map(|owner| owner.token).collect();
-        for token in tokens {
-            self.input_to(token, Input::Unlisted(format!("w{host}")));
-        }
+        self.unlist_now(host);
     }
 
     /// Lets a worker drain and leave for good after `span`.
--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use laburnumplank::core::resource::Amount;
-use laburnumplank::core::scheduler::spec::{Spec, Step};
+use laburnumplank::core::scheduler::spec::{Schedule, Spec, Step};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
 
-use super::world::World;
+use super::world::{Former, World};
 
 /// The number of workers.
 const WORKERS: usize = 3;
@@ -28,20 +28,45 @@
         steps: Vec<Shape>,
         span_ms: u64,
         fails: bool,
+        timed: Option<Timing>,
     },
     /// Cancels the latest jobs.
     Cancel(u64),
     Run(u64),
     TakeOver {
-        leaves_former: bool,
+        former: Former,
+        clock_ahead_ms: u64,
     },
+    /// Lets an owner stand still; 0 is the latest one.
+    Freeze(usize, u64),
+    /// Cuts the path from an owner to a worker, for requests and for responses.
+    Cut(usize, usize, u64, u64),
     Restart(usize, u64),
+    /// Lets a worker come back, listed late and maybe with another name.
+    RestartLate {
+        worker: usize,
+        down_ms: u64,
+        listing_ms: u64,
+        renames: bool,
+    },
+    ListStale(usize),
+    Unlist(usize, u64),
+    TruncateReports(usize, u64),
+    DelayPolls(usize, u64),
     HoldRequests(usize, u64),
     LoseResponses(usize, u64),
     DelayCommands(usize, u64),
     DelayAppends(u64),
 }
 
+/// The occurrences of a job.
+#[derive(Clone, Copy, Debug)]
+struct Timing {
+    occurrences: u32,
+    delay_ms: u64,
+    interval_ms: u64,
+}
+
 /// The part of a step that the test varies.
 #[derive(Clone, Copy, Debug)]
 struct Shape {
@@ -85,16 +110,82 @@
     )
 }
 
+fn timing() -> impl Strategy<Value = Timing> {
+    (2u32..4, 0u64..800, 100u64..1_500).prop_map(|(occurrences, delay_ms, interval_ms)| Timing {
+        occurrences,
+        delay_ms,
+        interval_ms,
+    })
+}
+
+fn former() -> impl Strategy<Value = Former> {
+    let millis = Duration::from_millis;
+    let goes_on = (100u64..3_000, prop::option::weighted(0.7, 0u64..2_000));
+    prop_oneof![
+        2 => Just(Former::Dies),
+        2 => Just(Former::Told),
+        4 => goes_on.prop_map(move |(life, silence)| Former::GoesOn {
+            life: millis(life),
+            silence: silence.map(millis),
+        }),
+        1 => (3_000u64..12_000).prop_map(move |life| Former::GoesOn {
+            life: millis(life),
+            silence: None,
+        }),
+    ]
+}
+
+/// Returns the faults between owners, workers and the directory.
+fn separation() -> impl Strategy<Value = Event> {
+    let worker = || 0..WORKERS;
+    let owner = || prop_oneof![3 => Just(0usize), 2 => Just(1), 1 => Just(2)];
+    // One direction or both.
+    let cut = prop_oneof![
+        (100u64..8_000).prop_map(|ms| (ms, 0)),
+        (100u64..8_000).prop_map(|ms| (0, ms)),
+        (100u64..8_000).prop_map(|ms| (ms, ms)),
+    ];
+    let restart = (worker(), 0u64..3_000, 0u64..3_000, any::<bool>());
+    prop_oneof![
+        3 => (owner(), 100u64..9_000).prop_map(|(owner, ms)| Event::Freeze(owner, ms)),
+        3 => (owner(), worker(), cut)
+            .prop_map(|(owner, worker, (requests, responses))| {
+                Event::Cut(owner, worker, requests, responses)
+            }),
+        3 => restart.prop_map(|(worker, down_ms, listing_ms, renames)| Event::RestartLate {
+            worker,
+            down_ms,
+            listing_ms,
+            renames,
+        }),
+        1 => worker().prop_map(Event::ListStale),
+        1 => (worker(), 0u64..4_000).prop_map(|(worker, ms)| Event::Unlist(worker, ms)),
+        1 => (worker(), 100u64..4_000).prop_map(|(worker, ms)| Event::TruncateReports(worker, ms)),
+        1 => (worker(), 100u64..4_000).prop_map(|(worker, ms)| Event::DelayPolls(worker, ms)),
+    ]
+}
+
 fn event() -> impl Strategy<Value = Event> {
     let worker = 0..WORKERS;
     let steps = prop::collection::vec(shape(), 1..3);
-    let submit = (steps, 50u64..2_500, prop::bool::weighted(0.1));
+    let timed = prop::option::weighted(0.2, timing());
+    let submit = (steps, 50u64..2_500, prop::bool::weighted(0.1), timed);
+    let takeover = (former(), prop_oneof![Just(0u64), 0u64..800]);
     prop_oneof![
-        8 => submit.prop_map(|(steps, span_ms, fails)| Event::Submit { steps, span_ms, fails }),
+        8 => submit.prop_map(|(steps, span_ms, fails, timed)| Event::Submit {
+            steps,
+            span_ms,
+            fails,
+            timed,
+        }),
         4 => (1u64..6).prop_map(Event::Cancel),
         6 => (10u64..120).prop_map(Event::Run),
         4 => (100u64..900).prop_map(Event::Run),
-        3 => any::<bool>().prop_map(|leaves_former| Event::TakeOver { leaves_former }),
+        3 => takeover.prop_map(|(former, clock_ahead_ms)| Event::TakeOver {
+            former,
+            clock_ahead_ms,
+        }),
+        6 => separation(),
         1 => (worker.clone(), 0u64..3_000).prop_map(|(worker, ms)| Event::Restart(worker, ms)),
         1 => (worker.clone(), 100u64..4_000)
             .prop_map(|(worker, ms)| Event::HoldRequests(worker, ms)),
@@ -112,13 +203,18 @@
             steps,
             span_ms,
             fails,
+            timed,
         } => {
             *jobs += 1;
             let steps = steps.iter().enumerate();
             let spec = Spec {
                 payload: format!("filing {jobs}"),
                 steps: steps.map(|(index, shape)| shape.step(index)).collect(),
-                schedule: None,
+                schedule: timed.map(|timing| Schedule {
+                    occurrences: timing.occurrences,
+                    first: world.time().stamp + millis(timing.delay_ms),
+                    interval: millis(timing.interval_ms),
+                }),
             };
             world.submit(*jobs, spec, millis(*span_ms), *fails);
         }
@@ -127,7 +223,24 @@
             latest.for_each(|job| world.cancel(job));
         }
         Event::Run(ms) => world.run(millis(*ms)),
-        Event::TakeOver { leaves_former } => world.take_over(*leaves_former),
+        Event::TakeOver {
+            former,
+            clock_ahead_ms,
+        } => world.take_over_from(*former, millis(*clock_ahead_ms)),
+        Event::Freeze(owner, ms) => world.freeze(*owner, millis(*ms)),
+        Event::Cut(owner, worker, requests_ms, responses_ms) => {
+            world.cut(*owner, *worker, millis(*requests_ms), millis(*responses_ms));
+        }
+        Event::RestartLate {
+            worker,
+            down_ms,
+            listing_ms,
+            renames,
+        } => world.restart_late(*worker, millis(*down_ms), millis(*listing_ms), *renames),
+        Event::ListStale(worker) => world.list_stale(*worker),
+        Event::Unlist(worker, ms) => world.unlist(*worker, millis(*ms)),
+        Event::TruncateReports(worker, ms) => world.truncate_reports(*worker, millis(*ms)),
+        Event::DelayPolls(worker, ms) => world.delay_polls(*worker, millis(*ms)),
         Event::Restart(worker, ms) => world.restart(*worker, millis(*ms)),
         Event::HoldRequests(worker, ms) => world.hold_requests(*worker, millis(*ms)),
         Event::LoseResponses(worker, ms) => world.lose_responses(*worker, millis(*ms)),
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -12,7 +12,9 @@
 use laburnumplank::core::scheduler::message::{Inventory, Outcome, Refusal, Start};
 use laburnumplank::core::scheduler::spec::{Queue, Spec, Step};
 use laburnumplank::core::scheduler::worker::Entry;
-use laburnumplank::core::scheduler::{Answer, Input, Output, Scheduler, Time, WorkerPoll};
+use laburnumplank::core::scheduler::{
+    Answer, Input, Output, RemainingLease, Scheduler, Time, WorkerPoll,
+};
 use laburnumplank::core::time::{Instant, Stamp};
 
 use super::advisor::{Advisor, Ticket};
@@ -24,6 +26,8 @@
 pub(super) const STEP: Duration = Duration::from_millis(10);
 /// The time that a message takes.
 pub(super) const TRANSIT: Duration = Duration::from_millis(5);
+/// The longest time that a command is carried out late.
+const MAX_LATENESS: Duration = Duration::from_millis(12_000);
 /// How long an owner tries to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long an owner waits for the response to a command.
@@ -34,6 +38,12 @@
 const POLL_RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// How long a former owner that was not told of its successor goes on.
 pub(super) const FORMER_LIFE: Duration = Duration::from_millis(1_500);
+/// The pause before a former owner that cannot be reached is asked again for the remaining leases.
+const LEASES_RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// How long the directory goes on to list a worker that came back with another name.
+const ENTRY_LIFE: Duration = Duration::from_millis(2_000);
+/// How long the directory shows the entry of a dead incarnation once more.
+const STALE_ENTRY_LIFE: Duration = Duration::from_millis(700);
 /// The speed of the workers' clocks.
 const CLOCK_RATE: f64 = 0.985;
 /// The number of the cancel request for job 0.
@@ -67,12 +77,20 @@
     pub(super) began: Instant,
     /// The first incarnation at the present address: a worker of another size is another VM.
     first_at_address: u64,
+    /// The first incarnation with the present name.
+    first_with_name: u64,
+    /// How many times it has come back with another name.
+    renames: u32,
+    /// How long the directory takes to list a new incarnation.
+    listing_delay: Duration,
     /// Requests are held back until then.
     pub(super) requests_held_until: Instant,
     /// Responses are lost until then.
     pub(super) responses_lost_until: Instant,
     /// Commands are carried out late, without a response, until then.
     pub(super) late_until: Instant,
+    /// Polls too.
+    pub(super) late_polls_until: Instant,
     /// Reports say that some runs are missing in them until then.
     pub(super) incomplete_until: Instant,
     /// Counts up with each command, for the lengths of delays and stops.
@@ -89,14 +107,26 @@
             is_draining: false,
             began: now,
             first_at_address: 1,
+            first_with_name: 1,
+            renames: 0,
+            listing_delay: TRANSIT,
             requests_held_until: now,
             responses_lost_until: now,
             late_until: now,
+            late_polls_until: now,
             incomplete_until: now,
             commands: 0,
         }
     }
 
+    /// Returns the name of the worker with index `host`.
+    fn name(&self, host: usize) -> String {
+        match self.renames {
+            0 => format!("w{host}"),
+            renames => format!("w{host}.{renames}"),
+        }
+    }
+
     /// Whether an owner should place tasks on it.
     pub(super) fn is_open(&self) -> bool {
         self.is_up && self.is_listed && !self.is_draining
@@ -111,6 +141,13 @@
     Poll(WorkerPoll, Duration),
 }
 
+/// What a worker responds to a command that it has carried out.
+pub(super) enum Response {
+    /// The worker's clock, in milliseconds.
+    Done(u64),
+    Inventory(Inventory),
+}
+
 /// Something that happens at a point in time.
 pub(super) enum Event {
     /// A command of an owner reaches a worker.
@@ -130,7 +167,7 @@
         key: Worker,
         command: Command,
         sent: Instant,
-        response: Result<Option<Inventory>, Option<Refusal>>,
+        response: Result<Response, Option<Refusal>>,
     },
     /// A poll that waited for an end is answered.
     Answers {
@@ -156,11 +193,51 @@
         call: u64,
         answer: Input,
     },
+    /// An owner receives an input.
+    Input {
+        token: u64,
+        input: Input,
+    },
+    /// An owner asks the former one for the remaining leases.
+    AsksForLeases {
+        token: u64,
+        former: u64,
+        reachable_at: Instant,
+    },
+    /// The former owner answers.
+    AnswersLeases {
+        token: u64,
+        leases: Vec<RemainingLease>,
+    },
     Restarts(usize),
     Lists(usize),
+    Unlists(String),
     Leaves(usize),
 }
 
+/// What becomes of an owner at a takeover.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Former {
+    /// Its process ends.
+    Dies,
+    /// It is told of its successor, and ends.
+    Told,
+    /// It goes on without the log for `life`. Its successor reaches it after `silence`, if at all.
+    GoesOn {
+        life: Duration,
+        silence: Option<Duration>,
+    },
+}
+
+/// A disruption of the path from an owner to a worker.
+#[derive(Clone, Copy)]
+struct Cut {
+    /// Requests are lost until then.
+    requests_until: Instant,
+    /// Responses are lost until then.
+    responses_until: Instant,
+}
+
 /// One ownership.
 pub(super) struct Owner {
     pub(super) token: u64,
@@ -171,6 +248,12 @@
     /// Polls without a response so far.
     polls: HashMap<Worker, Instant>,
     pub(super) ends_at: Option<Instant>,
+    /// The process stands still until then; its clock goes on.
+    pub(super) frozen_until: Option<Instant>,
+    /// How far its time of day is ahead.
+    clock_ahead: Duration,
+    /// Disrupted paths, by the index of the worker.
+    cuts: HashMap<usize, Cut>,
     /// The entry that owns the cell.
     pub(super) entry: usize,
     /// The entries that call the advisor.
@@ -211,8 +294,12 @@
 pub(super) struct World {
     pub(super) now: Instant,
     pub(super) hosts: Vec<Host>,
-    /// The owner, after a former one that has not ended yet.
+    /// The owner, after former ones that have not ended yet.
     pub(super) owners: Vec<Owner>,
+    /// When former owners ended, and the leases that were left, by token.
+    ended_owners: BTreeMap<u64, (Instant, Vec<RemainingLease>)>,
+    /// What the directory lists, by name.
+    directory: BTreeMap<String, Entry>,
     log: BTreeMap<Vec<u8>, Vec<u8>>,
     events: BTreeMap<(Instant, u64), Event>,
     event_count: u64,
@@ -244,6 +331,8 @@
             now,
             hosts: (0..workers).map(|_| Host::new(capacity(), now)).collect(),
             owners: Vec::new(),
+            ended_owners: BTreeMap::new(),
+            directory: BTreeMap::new(),
             log: BTreeMap::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -258,6 +347,7 @@
             promise: None,
             oracle: Oracle::default(),
         };
+        (0..workers).for_each(|host| world.list(host));
         world.take_over(false);
         world
     }
@@ -269,6 +359,17 @@
         }
     }
 
+    /// Returns the time by the clocks of an owner.
+    pub(super) fn time_of(&self, token: u64) -> Time {
+        let owner = self.owners.iter().find(|owner| owner.token == token);
+        let ahead = owner.map_or(Duration::ZERO, |owner| owner.clock_ahead);
+        let Time { now, stamp } = self.time();
+        Time {
+            now,
+            stamp: stamp + ahead,
+        }
+    }
+
     pub(super) fn remember(&mut self, event: &str) {
         self.oracle.remember(self.now, event);
     }
@@ -287,19 +388,26 @@
     /// Lets the next owner recover from the log. With `leaves_former`, the former one goes on for a
     /// while, since nobody told it.
     pub(super) fn take_over(&mut self, leaves_former: bool) {
-        let token = self.owners.last().map_or(1, |owner| owner.token + 10);
-        self.disturb(self.now + FORMER_LIFE);
-        self.remember(&format!("token {token} takes over"));
-        match self.owners.last_mut() {
-            Some(former) if leaves_former => former.ends_at = Some(self.now + FORMER_LIFE),
-            _ => self.owners.clear(),
-        }
-        let mut scheduler = Scheduler::new(rules(), Token(token), self.now);
-        for (key, value) in &self.log {
-            assert!(scheduler.restore_record(self.time(), key, value));
+        let former = if leaves_former {
+            Former::GoesOn {
+                life: FORMER_LIFE,
+                silence: None,
+            }
+        } else {
+            Former::Dies
+        };
+        self.take_over_from(former, Duration::ZERO);
+    }
+
+    /// Lets the next owner, whose time of day is ahead, recover from the log.
+    pub(super) fn take_over_from(&mut self, former: Former, clock_ahead: Duration) {
+        let last = self.owners.last().map(|owner| owner.token);
+        let token = last.map_or(1, |token| token + 10);
+        self.remember(&format!("token {token} takes over: {former:?}"));
+        if let Some(last) = last {
+            self.leave(last, former);
         }
-        let mut out = Vec::new();
-        scheduler.finish_recovery(self.time(), &mut out);
+        let scheduler = Scheduler::new(rules(), Token(token), self.now);
         self.owners.push(Owner {
             token,
             scheduler,
@@ -307,20 +415,143 @@
             waiting: HashMap::new(),
             polls: HashMap::new(),
             ends_at: None,
+            frozen_until: None,
+            clock_ahead,
+            cuts: HashMap::new(),
             entry: self.next_entry(),
             proxies: Vec::new(),
             next_proxy: 1,
             calls: BTreeSet::new(),
         });
+        let time = self.time_of(token);
+        let mut out = Vec::new();
+        if let Some(Owner { scheduler, .. }) = self.owners.last_mut() {
+            for (key, value) in &self.log {
+                assert!(scheduler.restore_record(time, key, value));
+            }
+            scheduler.finish_recovery(time, &mut out);
+        }
         self.carry_out(token, out);
         self.publish_proxies(token);
-        for host in 0..self.hosts.len() {
-            if self.hosts[host].is_up && self.hosts[host].is_listed {
-                self.schedule(self.now + TRANSIT, Event::Lists(host));
+        for entry in self.directory.values().cloned().collect::<Vec<Entry>>() {
+            let input = Input::Listed(entry);
+            self.schedule(self.now + TRANSIT, Event::Input { token, input });
+        }
+        let silence = match former {
+            Former::GoesOn { silence, .. } => silence,
+            Former::Dies | Former::Told => Some(Duration::ZERO),
+        };
+        if let (Some(former), Some(silence)) = (last, silence) {
+            let asks = Event::AsksForLeases {
+                token,
+                former,
+                reachable_at: self.now + silence,
+            };
+            self.schedule(self.now + TRANSIT, asks);
+        }
+    }
+
+    /// Ends an owner at a takeover, or lets it go on for a while.
+    fn leave(&mut self, token: u64, former: Former) {
+        let now = self.now;
+        let thaw = self.owner(token).and_then(|owner| owner.frozen_until);
+        let ends_at = match (former, thaw) {
+            (Former::Dies, _) => {
+                self.owners.retain(|owner| owner.token != token);
+                return;
             }
+            (Former::Told, None) => {
+                self.end_owner(token);
+                return;
+            }
+            // It makes the decisions that are due before it reads of its successor.
+            (Former::Told, Some(thaw)) => thaw + STEP,
+            (Former::GoesOn { life, .. }, thaw) => (now + life).max(thaw.unwrap_or(now) + STEP),
+        };
+        self.disturb(ends_at);
+        if let Some(owner) = self.owner(token) {
+            owner.ends_at = Some(ends_at);
         }
     }
 
+    /// Ends an ownership, and keeps the leases that are left.
+    fn end_owner(&mut self, token: u64) {
+        let index = self.owners.iter().position(|owner| owner.token == token);
+        if let Some(index) = index {
+            let owner = self.owners.remove(index);
+            let leases = owner.scheduler.remaining_leases(self.now);
+            self.ended_owners.insert(token, (self.now, leases));
+            self.remember(&format!("token {token} ends"));
+        }
+    }
+
+    /// Asks the former owner for the remaining leases, which ends its ownership.
+    fn ask_for_leases(&mut self, token: u64, former: u64, reachable_at: Instant) {
+        let now = self.now;
+        let scheduler = self.owner(token).map(|owner| &owner.scheduler);
+        if scheduler.is_none_or(|scheduler| scheduler.are_inherited_runs_known(now)) {
+            return;
+        }
+        let is_frozen = self
+            .owner(former)
+            .is_some_and(|former| former.frozen_until.is_some());
+        if now < reachable_at || is_frozen {
+            let asks = Event::AsksForLeases {
+                token,
+                former,
+                reachable_at,
+            };
+            self.schedule(now + LEASES_RETRY_PAUSE, asks);
+            return;
+        }
+        self.end_owner(former);
+        let Some((ended, leases)) = self.ended_owners.get(&former) else {
+            return;
+        };
+        let age = now.since(*ended);
+        let leases = leases.iter().cloned().map(|lease| RemainingLease {
+            left: lease.left.saturating_sub(age),
+            ..lease
+        });
+        let leases = leases.collect();
+        self.schedule(now + TRANSIT, Event::AnswersLeases { token, leases });
+    }
+
+    /// Lets the process of an owner stand still; 0 is the latest one.
+    pub(super) fn freeze(&mut self, owner: usize, span: Duration) {
+        let until = self.now + span;
+        let index = self.owners.len() - 1 - owner % self.owners.len();
+        let owner = &mut self.owners[index];
+        owner.frozen_until = owner.frozen_until.max(Some(until));
+        let token = owner.token;
+        self.remember(&format!("token {token} is frozen"));
+        self.disturb(until);
+    }
+
+    /// Cuts the path from an owner to a worker, in one direction or both; 0 is the latest owner.
+    pub(super) fn cut(
+        &mut self,
+        owner: usize,
+        host: usize,
+        requests: Duration,
+        responses: Duration,
+    ) {
+        let now = self.now;
+        let host = host % self.hosts.len();
+        let index = self.owners.len() - 1 - owner % self.owners.len();
+        let owner = &mut self.owners[index];
+        let cut = Cut {
+            requests_until: now + requests,
+            responses_until: now + responses,
+        };
+        owner.cuts.insert(host, cut);
+        let token = owner.token;
+        self.remember(&format!(
+            "token {token} is cut from w{host}: requests {requests:?}, responses {responses:?}"
+        ));
+        self.disturb(now + requests.max(responses));
+    }
+
     pub(super) fn submit(&mut self, job: u64, spec: Spec, span: Duration, fails: bool) {
         self.submit_to(queue(), job, spec, span, fails);
     }
@@ -341,7 +572,7 @@
             fails,
         };
         self.works.insert(Job(job), submitted);
-        let at = self.time().stamp;
+        let at = self.latest_time().stamp;
         let (job, request) = (Job(job), Request(job));
         self.input(Input::Submit {
             request,
@@ -352,8 +583,13 @@
         });
     }
 
+    /// Returns the time by the clocks of the latest owner.
+    fn latest_time(&self) -> Time {
+        self.time_of(self.owners[self.owners.len() - 1].token)
+    }
+
     pub(super) fn cancel(&mut self, job: u64) {
-        let at = self.time().stamp;
+        let at = self.latest_time().stamp;
         let (job, request) = (Job(job), Request(FIRST_CANCEL + job));
         self.cancelled.push(job);
         let queue = self.queue_name(job);
@@ -374,13 +610,56 @@
     /// Lets a worker crash and come back with another capacity.
     pub(super) fn restart_with(&mut self, host: usize, down: Duration, capacity: Amount) {
         let host = host % self.hosts.len();
-        if self.hosts[host].is_up && self.owners.len() == 1 {
+        if self.hosts[host].is_up {
             self.crash(host, capacity);
             self.schedule(self.now + down, Event::Restarts(host));
             self.disturb(self.now + down);
         }
     }
 
+    /// Lets a worker crash and come back, with another name if `renames`. The directory lists it
+    /// `listing_delay` after that.
+    pub(super) fn restart_late(
+        &mut self,
+        host: usize,
+        down: Duration,
+        listing_delay: Duration,
+        renames: bool,
+    ) {
+        let host = host % self.hosts.len();
+        if !self.hosts[host].is_up || self.hosts[host].is_gone {
+            return;
+        }
+        let name = self.hosts[host].name(host);
+        self.restart(host, down);
+        self.hosts[host].listing_delay = listing_delay;
+        self.disturb(self.now + down + listing_delay);
+        if renames {
+            self.hosts[host].renames += 1;
+            self.hosts[host].first_with_name = self.hosts[host].model.incarnation();
+            self.schedule(self.now + ENTRY_LIFE, Event::Unlists(name));
+        }
+    }
+
+    /// Lets the directory show the entry of the incarnation before the present one once more.
+    pub(super) fn list_stale(&mut self, host: usize) {
+        let host = host % self.hosts.len();
+        let model = &self.hosts[host].model;
+        let incarnation = model.incarnation() - 1;
+        if incarnation < self.hosts[host].first_with_name || self.hosts[host].is_gone {
+            return;
+        }
+        let stale = Entry {
+            incarnation,
+            capacity: model.capacity(),
+            ..entry(&self.hosts[host].name(host))
+        };
+        self.remember(&format!("w{host} is listed with incarnation {incarnation}"));
+        self.broadcast(&Input::Listed(stale));
+        self.schedule(self.now + STALE_ENTRY_LIFE, Event::Lists(host));
+        self.disturb(self.now);
+    }
+
     pub(super) fn crash(&mut self, host: usize, capacity: Amount) {
         self.hosts[host].is_up = false;
         let incarnation = self.hosts[host].model.incarnation();
@@ -410,6 +689,14 @@
         self.disturb(self.now + span);
     }
 
+    /// Lets commands and polls be carried out 2 s to 12 s late.
+    pub(super) fn delay_polls(&mut self, host: usize, span: Duration) {
+        self.delay_commands(host, span);
+        let host = host % self.hosts.len();
+        self.hosts[host].late_polls_until = self.now + span;
+        self.disturb(self.now + span + MAX_LATENESS);
+    }
+
     pub(super) fn delay_appends(&mut self, delay: Duration) {
         self.append_delay = delay;
     }
@@ -459,6 +746,7 @@
 
     fn step(&mut self) {
         self.now = self.now + STEP;
+        self.thaw();
         while let Some(entry) = self.events.first_entry() {
             if entry.key().0 > self.now {
                 break;
@@ -469,12 +757,19 @@
         self.pass_time();
         self.write();
         let now = self.now;
-        self.owners
-            .retain(|owner| owner.ends_at.is_none_or(|end| now < end));
+        let ended = self
+            .owners
+            .iter()
+            .filter(|owner| owner.ends_at.is_some_and(|end| end <= now));
+        let ended: Vec<u64> = ended.map(|owner| owner.token).collect();
+        ended.into_iter().for_each(|token| self.end_owner(token));
         for index in 0..self.owners.len() {
-            let time = self.time();
+            let token = self.owners[index].token;
+            let time = self.time_of(token);
             let owner = &mut self.owners[index];
-            let token = owner.token;
+            if owner.frozen_until.is_some() {
+                continue;
+            }
             let mut out = Vec::new();
             owner.scheduler.tick(time, &mut out);
             self.carry_out(token, out);
@@ -484,6 +779,23 @@
         self.check_waits();
     }
 
+    /// Lets owners go on that stood still: they make the decisions that are due before they read
+    /// anything.
+    fn thaw(&mut self) {
+        let now = self.now;
+        let mut thawed = Vec::new();
+        for owner in &mut self.owners {
+            if owner.frozen_until.is_some_and(|until| until <= now) {
+                owner.frozen_until = None;
+                thawed.push(owner.token);
+            }
+        }
+        for token in thawed {
+            self.remember(&format!("token {token} goes on"));
+            self.tick(token);
+        }
+    }
+
     /// Checks that what an owner counts as used is the sum over the runs that it knows.
     fn check_accounts(&mut self, index: usize) {
         let Some(owner) = self.owners.get(index) else {
@@ -561,10 +873,14 @@
     }
 
     pub(super) fn input_to(&mut self, token: u64, input: Input) {
-        let time = self.time();
+        let time = self.time_of(token);
         let Some(owner) = self.owner(token) else {
             return;
         };
+        if let Some(until) = owner.frozen_until {
+            self.schedule(until, Event::Input { token, input });
+            return;
+        }
         let mut out = Vec::new();
         owner.scheduler.step(time, input, &mut out);
         self.carry_out(token, out);
@@ -642,7 +958,7 @@
                 Output::Worker { name, event, .. } if event != "listed" => {
                     self.remember(&format!("token {token}: {name} is {event}"));
                 }
-                Output::Superseded => self.owners.retain(|owner| owner.token != token),
+                Output::Superseded => self.end_owner(token),
                 _ => {}
             }
         }
@@ -680,12 +996,23 @@
             sent: now,
             response: Err(None),
         };
+        let cut = self.owner(token).and_then(|owner| owner.cuts.get(&host));
+        let is_cut = cut.is_some_and(|cut| now < cut.requests_until);
         self.schedule(now + timeout, returns);
+        if is_cut {
+            return;
+        }
         let is_order = !matches!(command, Command::Poll(..));
         let path = &mut self.hosts[host];
         path.commands += 1;
-        let is_late = is_order && now < path.late_until && path.commands.is_multiple_of(2);
-        let delay = if is_late {
+        let is_very_late = now < path.late_polls_until;
+        let may_be_late = is_very_late || (is_order && now < path.late_until);
+        let is_late = may_be_late && path.commands.is_multiple_of(2);
+        let delay = if is_late && is_very_late {
+            let spread = MAX_LATENESS - Duration::from_millis(2_000);
+            let spread_ms = spread.as_millis() as u64;
+            Duration::from_millis(2_000 + path.commands * 977 % spread_ms)
+        } else if is_late {
             Duration::from_millis(1_000 + path.commands * 977 % 3_000)
         } else {
             TRANSIT
@@ -720,6 +1047,11 @@
                 if is_lost || !self.is_received(host, sent) {
                     return;
                 }
+                if incarnation < self.hosts[host].first_with_name {
+                    let response = Err(Some(Refusal::OtherIncarnation));
+                    self.respond(host, key, token, sent, command, response);
+                    return;
+                }
                 let answers = Event::Answers {
                     host,
                     key,
@@ -761,9 +1093,9 @@
                     Command::Poll(..) => {
                         let mut inventory = model.inventory(self.now);
                         inventory.is_complete = self.now >= self.hosts[host].incomplete_until;
-                        Ok(Some(inventory))
+                        Ok(Response::Inventory(inventory))
                     }
-                    _ => Ok(None),
+                    _ => Ok(Response::Done(model.clock_ms(self.now))),
                 };
                 self.respond(host, key, token, sent, command, response);
             }
@@ -774,7 +1106,19 @@
                 sent,
                 response,
             } => self.returned(token, key, &command, sent, response),
-            Event::Polls { token, key, wait } => self.poll(token, key, wait),
+            Event::Polls { token, key, wait } => {
+                match self.owner(token).and_then(|owner| owner.frozen_until) {
+                    Some(until) => self.schedule(until, Event::Polls { token, key, wait }),
+                    None => self.poll(token, key, wait),
+                }
+            }
+            Event::Input { token, input } => self.input_to(token, input),
+            Event::AsksForLeases {
+                token,
+                former,
+                reachable_at,
+            } => self.ask_for_leases(token, former, reachable_at),
+            Event::AnswersLeases { token, leases } => self.inherit_leases(token, leases),
             Event::Durable { token, mark } => match self.present_outage() {
                 Some(outage) => {
                     let at = outage.until + TRANSIT;
@@ -797,9 +1141,14 @@
                 self.hosts[host].is_up = true;
                 self.hosts[host].is_draining = false;
                 self.hosts[host].began = self.now;
-                self.schedule(self.now + TRANSIT, Event::Lists(host));
+                let delay = self.hosts[host].listing_delay;
+                self.schedule(self.now + delay, Event::Lists(host));
             }
             Event::Lists(host) => self.list(host),
+            Event::Unlists(name) => {
+                self.directory.remove(&name);
+                self.broadcast(&Input::Unlisted(name));
+            }
         }
     }
 
@@ -817,9 +1166,12 @@
         token: u64,
         sent: Instant,
         command: Command,
-        response: Result<Option<Inventory>, Option<Refusal>>,
+        response: Result<Response, Option<Refusal>>,
     ) {
-        if self.now < self.hosts[host].responses_lost_until {
+        let now = self.now;
+        let cut = self.owner(token).and_then(|owner| owner.cuts.get(&host));
+        let is_cut = cut.is_some_and(|cut| now < cut.responses_until);
+        if is_cut || now < self.hosts[host].responses_lost_until {
             return;
         }
         let returns = Event::Returns {
@@ -902,7 +1254,7 @@
         key: Worker,
         command: &Command,
         sent: Instant,
-        response: Result<Option<Inventory>, Option<Refusal>>,
+        response: Result<Response, Option<Refusal>>,
     ) {
         let Some(owner) = self.owner(token) else {
             return;
@@ -928,7 +1280,8 @@
             return;
         }
         let outcome = match &response {
-            Ok(_) => Outcome::Done(None),
+            Ok(Response::Done(clock_ms)) => Outcome::Done(Some(*clock_ms)),
+            Ok(Response::Inventory(_)) => Outcome::Done(None),
             Err(Some(refusal)) => Outcome::Refused(*refusal),
             Err(None) => Outcome::Unknown,
         };
@@ -952,7 +1305,7 @@
                 };
                 (input, None)
             }
-            (Command::Poll(..), Ok(Some(inventory))) => {
+            (Command::Poll(..), Ok(Response::Inventory(inventory))) => {
                 let input = Input::Polled {
                     worker: key,
                     sent,
@@ -1024,8 +1377,9 @@
         self.schedule(at, Event::Durable { token, mark });
     }
 
+    /// Lets the directory list the present incarnation of a worker.
     pub(super) fn list(&mut self, host: usize) {
-        if self.hosts[host].is_gone {
+        if self.hosts[host].is_gone || !self.hosts[host].is_up {
             return;
         }
         self.hosts[host].is_listed = true;
@@ -1034,16 +1388,39 @@
             incarnation: model.incarnation(),
             capacity: model.capacity(),
             draining: self.hosts[host].is_draining,
-            ..entry(&format!("w{host}"))
+            ..entry(&self.hosts[host].name(host))
         };
+        self.directory.insert(listed.name.clone(), listed.clone());
+        self.broadcast(&Input::Listed(listed));
+    }
+
+    /// Lets the directory list a worker no more.
+    pub(super) fn unlist_now(&mut self, host: usize) {
+        self.hosts[host].is_listed = false;
+        let name = self.hosts[host].name(host);
+        self.directory.remove(&name);
+        self.broadcast(&Input::Unlisted(name));
+    }
+
+    /// Passes an input to all owners.
+    fn broadcast(&mut self, input: &Input) {
         let tokens: Vec<u64> = self.owners.iter().map(|owner| owner.token).collect();
         for token in tokens {
-            self.input_to(token, Input::Listed(listed.clone()));
+            self.input_to(token, input.clone());
         }
     }
+
+    /// Passes the leases that are left after the former owner to its successor.
+    fn inherit_leases(&mut self, token: u64, leases: Vec<RemainingLease>) {
+        let count = leases.len();
+        self.remember(&format!("token {token} learns of {count} leases"));
+        let answered = self.now;
+        self.input_to(token, Input::FormerLeases { answered, leases });
+    }
 }
 
 /// Returns the index of the worker with a name.
 pub(super) fn host_of(name: &str) -> usize {
-    name[1..].parse().unwrap()
+    let (index, _) = name[1..].split_once('.').unwrap_or((&name[1..], ""));
+    index.parse().unwrap()
 }
