Acknowledge an end once, and only to a worker that responds

What callers would see: a task that was done runs again (TWICE), without any change of owner.

Cause: every poll repeated the highest acknowledgement of its incarnation. When a worker crashed and came back under its name before the owner knew, the poll meant for the old incarnation was carried out by the new one, whose ends are numbered from 1 again. It forgot its first ends before anybody had read them. The answer, that this is another incarnation, came too late: the owner stopped the run, found it gone, and started the task again.

PROTOCOL.md allows it: a runner that starts again under its id has its counts, among them the numbers of ends, start anew; ends up to `ackedSeq` are forgotten.

Evidence: the new test failed before with "the worker does not respond, left: 1, right: 0".

Why it works: a poll after one that failed acknowledges nothing, and neither does one after the acknowledgement was answered; the worker has forgotten these ends. An acknowledgement that got no answer is repeated once the worker responds: by then the response shows which incarnation it is. What is left is the one poll that follows a report of ends directly, if it is received only by the next incarnation and after a run has begun and ended there.

--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -110,7 +110,8 @@
 /// The contents of a poll of a worker.
 #[value]
 pub struct WorkerPoll {
-    /// The number of the last ended run that is in the log, with all before it.
+    /// The number of the last ended run that is in the log, with all before it; 0 if the worker has
+    /// forgotten these already.
     pub acknowledged: u64,
     /// The end of the lease on the worker's clock, in milliseconds; `None` when the lease is not
     /// extended.
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -201,6 +201,10 @@
     pub reported: Amount,
     /// The results of the latest runs, which show whether the worker is faulty.
     pub history: super::suspicion::RunHistory,
+    /// The acknowledgement that the latest poll carries.
+    sent_acknowledgement: u64,
+    /// The last acknowledgement in a poll that was answered.
+    confirmed_acknowledgement: u64,
     /// The latest lease end that was sent to the worker, on its clock in milliseconds.
     deadline_ms: u64,
     reading: Option<Reading>,
@@ -231,6 +235,8 @@
             answered: now,
             reported: Amount::default(),
             history: super::suspicion::RunHistory::default(),
+            sent_acknowledgement: 0,
+            confirmed_acknowledgement: 0,
             deadline_ms: 0,
             reading: None,
             inherited_until,
@@ -323,6 +329,21 @@
         })
     }
 
+    /// Returns the acknowledgement for the next poll; 0 if there is nothing to acknowledge. A poll may
+    /// reach the next incarnation, whose ends have the same numbers. Therefore only a worker that
+    /// responds gets acknowledgements, and each of them once.
+    pub fn next_acknowledgement(&mut self) -> u64 {
+        let is_due = self.is_responding && self.acknowledged > self.confirmed_acknowledgement;
+        self.sent_acknowledgement = if is_due { self.acknowledged } else { 0 };
+        self.sent_acknowledgement
+    }
+
+    /// Stores that the latest poll was answered.
+    pub fn confirm_acknowledgement(&mut self) {
+        let sent = self.sent_acknowledgement;
+        self.confirmed_acknowledgement = self.confirmed_acknowledgement.max(sent);
+    }
+
     /// Returns when every lease that the worker may hold, also one of an earlier owner, has ended on
     /// this process's clock.
     pub fn lease_end(&self) -> Instant {
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -231,7 +231,7 @@
         let is_in_reach = !worker.is_leaving() && now.since(worker.answered) < MAX_RESPONSE_AGE;
         let may_extend = worker.is_responding || is_in_reach;
         Some(WorkerPoll {
-            acknowledged: worker.acknowledged,
+            acknowledged: worker.next_acknowledgement(),
             deadline_ms: if may_extend {
                 worker.extend(now, lease)
             } else {
@@ -275,6 +275,7 @@
             return;
         };
         worker.read_clock(time.now, sent, inventory.clock_ms);
+        worker.confirm_acknowledgement();
         if !worker.is_responding {
             worker.is_responding = true;
             out.push(event(key, worker, "responding"));
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -47,6 +47,42 @@
     );
 }
 
+/// Returns what the next poll of a worker acknowledges.
+fn next_acknowledgement(cell: &mut Cell, worker: Worker) -> u64 {
+    let poll = cell.scheduler.poll(cell.now, worker);
+    poll.unwrap().acknowledged
+}
+
+#[test]
+fn end_on_the_next_incarnation_is_not_acknowledged_unread() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let starts = cell.accept_starts();
+    let done = ended(1, &starts[0].1, RunEnd::Done);
+    cell.poll(worker, Vec::new(), vec![done.clone()]);
+    cell.confirm();
+    assert_eq!(next_acknowledgement(&mut cell, worker), 1);
+    cell.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Unknown,
+    });
+    // The worker may have restarted, and its first end has the number 1.
+    assert_eq!(
+        next_acknowledgement(&mut cell, worker),
+        0,
+        "the worker does not respond"
+    );
+    cell.poll(worker, Vec::new(), vec![done]);
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert_eq!(
+        next_acknowledgement(&mut cell, worker),
+        0,
+        "the worker has forgotten the end"
+    );
+}
+
 #[test]
 fn step_waits_for_all_tasks_before() {
     let mut cell = Cell::new(1);
