Show two ways in which a former owner doubles a task

- The former owner is cut from the log and from all workers but the one with the run; the next owner is cut from that one.
The former owner extends the lease. 6.3 s after its recovery the next owner takes the lease for ended: "TWICE 1.0.0.0: on w0 and, run, on w1".
Nothing ties the leases that an owner grants to the time for which its ownership is certain.
- An owner stands still from before it has read the answer of the worker with the run.
Its successor sees the run done and acknowledges it.
It decides by the passing of time before it reads what has arrived meanwhile.

--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -332,3 +332,74 @@
 fn random_faults_of_separate_owners_double_no_task() {
     fuzz(Mix::All);
 }
+
+/// Submits a job of one task.
+fn submit_task(world: &mut World, job: u64, span: Duration) {
+    let shape = Shape {
+        tasks: 1,
+        cores: 4,
+        gang: false,
+        checkpoints: false,
+    };
+    let spec = Spec {
+        payload: format!("filing {job}"),
+        steps: vec![shape.step(0)],
+        schedule: None,
+    };
+    world.submit(job, spec, span, false);
+}
+
+/// Returns the index of the worker that has a run.
+fn busy_host(world: &World) -> usize {
+    let mut hosts = world.hosts.iter();
+    let host = hosts.position(|host| host.model.runs().next().is_some());
+    host.unwrap()
+}
+
+fn check(world: &World) {
+    let history = world.oracle.history();
+    assert_eq!(world.oracle.violations, [""; 0], "{history}");
+}
+
+#[test]
+fn task_whose_lease_a_separate_former_owner_extends_is_not_started_elsewhere() {
+    let mut world = World::new(WORKERS);
+    world.run(Duration::from_millis(200));
+    submit_task(&mut world, 1, Duration::from_secs(15));
+    world.run(Duration::from_millis(300));
+    let host = busy_host(&world);
+    let span = Duration::from_secs(10);
+    let former = Former::GoesOn {
+        life: span,
+        silence: None,
+    };
+    world.take_over_from(former, Duration::ZERO);
+    // The former owner and the worker reach each other, and nobody else.
+    for index in 0..WORKERS {
+        let owner = usize::from(index != host);
+        world.cut(owner, index, span, span);
+    }
+    world.run(Duration::from_secs(20));
+    check(&world);
+}
+
+#[test]
+fn owner_that_stood_still_starts_no_task_that_its_successor_has_ended() {
+    let mut world = World::new(WORKERS);
+    world.run(Duration::from_millis(200));
+    submit_task(&mut world, 1, Duration::from_millis(50));
+    world.run(Duration::from_millis(20));
+    let host = busy_host(&world);
+    world.take_over(false);
+    // The answer of the worker with the run arrives while the owner stands still.
+    world.hold_requests(host, Duration::from_millis(100));
+    world.run(Duration::from_millis(60));
+    world.freeze(0, Duration::from_millis(6_400));
+    world.take_over_from(Former::Told, Duration::ZERO);
+    let span = Duration::from_secs(8);
+    for index in (0..WORKERS).filter(|&index| index != host) {
+        world.cut(0, index, span, span);
+    }
+    world.run(Duration::from_secs(10));
+    check(&world);
+}
