Show that the lease of a restarted worker is lost over two changes of owner

A start of the first owner is under way to a worker, which restarts under its name and may carry it out. The second owner knows that it has to wait for the new incarnation, for as long as any lease of an earlier owner may last. Asked for the remaining leases, it gives the new incarnation none: it has granted none, and the inherited lease is that of the former incarnation. The third owner takes the worker's runs for known and starts the task elsewhere.

--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -460,6 +460,18 @@
     assert_eq!(second.starts.len(), 1);
 }
 
+/// Returns as many ends of an unknown job as a report lists.
+fn full_report() -> Vec<EndedRun> {
+    let ends = (1..=MAX_REPORTED_ENDS).map(|number| EndedRun {
+        number,
+        task: task(99, 0, number as u16),
+        run: Run(1),
+        end: RunEnd::Done,
+        checkpoint: None,
+    });
+    ends.collect()
+}
+
 #[test]
 fn end_after_a_full_first_report_leaves_no_task_to_run_again() {
     let mut first = Cell::new(1);
@@ -471,14 +483,7 @@
 
     let mut second = first.successor(9);
     let worker = second.list_worker("w1");
-    let earlier = (1..=MAX_REPORTED_ENDS).map(|number| EndedRun {
-        number,
-        task: task(99, 0, number as u16),
-        run: Run(1),
-        end: RunEnd::Done,
-        checkpoint: None,
-    });
-    second.poll(worker, Vec::new(), earlier.collect());
+    second.poll(worker, Vec::new(), full_report());
     second.wait(Duration::from_millis(100));
     assert_eq!(
         second.starts,
@@ -494,3 +499,24 @@
     );
     assert_eq!(second.starts, []);
 }
+
+#[test]
+fn start_under_way_to_a_restarted_worker_counts_over_two_changes_of_owner() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    assert_eq!(first.starts.len(), 1, "the start has no outcome yet");
+
+    // The next incarnation of the worker may carry it out. No owner after the first one has reached it.
+    let mut second = first.successor(9);
+    second.restart_worker("w1");
+    second.wait(Duration::from_millis(100));
+    let mut third = second.successor(17);
+    third.restart_worker("w1");
+    third.add_worker("w2");
+    third.inherit_leases(&second);
+    assert_eq!(third.starts, [], "the worker may have a lease of 6 s");
+    third.wait(Duration::from_millis(6_400));
+    assert_eq!(third.starts.len(), 1);
+}
