Show that ends after 500 are given up while the log takes no records

While the log takes no records, nothing is acknowledged, and a worker with more than 500 ends lists the same ones in each report. The owner waits for the others until the inherited lease would have ended, also if the worker responds and this owner extends its lease. It then starts the tasks whose ends it has not seen. A report with rows that cannot be decoded is treated in the same way.

--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -520,3 +520,25 @@
     third.wait(Duration::from_millis(6_400));
     assert_eq!(third.starts.len(), 1);
 }
+
+#[test]
+fn end_after_full_reports_while_the_log_is_away_leaves_no_task_to_run_again() {
+    let mut first = Cell::new(1);
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    assert_eq!(first.accept_starts().len(), 1);
+
+    let mut second = first.successor(9);
+    let worker = second.list_worker("w1");
+    // Nothing is acknowledged, and each report lists the same ends; the lease is extended.
+    for _ in 0..8 {
+        second.poll(worker, Vec::new(), full_report());
+        second.wait(Duration::from_secs(1));
+    }
+    assert_eq!(
+        second.starts,
+        [],
+        "the end may be one that is not reported yet"
+    );
+}
