--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -1412,6 +1412,10 @@
 
     /// Passes the leases that are left after the former owner to its successor.
     fn inherit_leases(&mut self, token: u64, leases: Vec<RemainingLease>) {
+        if let Some(until) = self.owner(token).and_then(|owner| owner.frozen_until) {
+            self.schedule(until, Event::AnswersLeases { token, leases });
+            return;
+        }
         let count = leases.len();
         self.remember(&format!("token {token} learns of {count} leases"));
         let answered = self.now;
