Give up tasks that crash their workers

Cause: nothing counts a crash. The runs of a worker that has restarted, is gone or has lost its lease return to the waiting tasks, and no record says how many workers a task has taken down. Failed runs are counted, but a run that ends with its worker reports no end.

Ruled out: a limit of starts (leases lapse, gangs break and racks fail without a fault of the task), and giving up at two crashes (up to eight tasks share a worker, so the neighbours of a deadly task would fail with it).

Now each task keeps the runs under which a worker crashed within 3 s of the start, in the job's progress record. From the second crash on its starts are trials: alone on a worker if one is or becomes empty within 2 s, joined by no other run, and in the log before they start. A run that ends done or failed, or survives, clears the task. Two trials convict, or three if no crash in them is certain; then the job fails. Trials are counted when they are granted, so a crash that no owner sees does not reset the count. A log line and a counter for each crash and each verdict, and the reason `trial` for a step that waits for one.

The tests replay: a deadly task beside seven others, two deadly tasks, three crashes of all workers at once, rolling restarts, takeovers, crashes that nobody or two owners saw, starts without an answer, a full cell, a gang, a task that lasts.

--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -16,7 +16,19 @@
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
+/// Which other runs may be on the workers on which tasks are placed.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+pub(super) enum Isolation {
+    /// Any, but workers that are kept for trials are left out.
+    None,
+    /// None.
+    Empty,
+    /// As few as possible, and none of a gang.
+    Shared,
+}
+
 /// The waiting tasks of a step and what they need.
+#[derive(Clone)]
 pub(super) struct Demand {
     pub(super) step: Step,
     pub(super) waiting: Vec<u16>,
@@ -25,6 +37,7 @@
     pub(super) needs_permit: bool,
     /// Whether the job's acceptance is in the log and no earlier owner may run its tasks.
     pub(super) may_start: bool,
+    pub(super) isolation: Isolation,
 }
 
 /// A worker on which new tasks may be placed.
@@ -64,6 +77,8 @@
     service: &'a str,
     /// The workers on which the last run of a task of the step failed.
     failed_on: Vec<Worker>,
+    /// The workers that others keep for themselves, or that have runs which the tasks must not join.
+    excluded: Vec<Worker>,
 }
 
 impl CandidateRequest<'_> {
@@ -74,6 +89,9 @@
         if self.room == Room::Free && !self.demand.need.fits(free) {
             return None;
         }
+        if worker.has_trial() || self.excluded.contains(&key) {
+            return None;
+        }
         let label = self.spec.label.as_ref();
         if label.is_some_and(|label| !worker.entry.labels.contains(label)) {
             return None;
@@ -99,6 +117,10 @@
             has_permit: !self.demand.needs_permit || permits.usable(key, self.now).is_some(),
             is_remote: data_rack.is_some() && *data_rack != worker.entry.rack,
             has_failed: self.failed_on.contains(&key) || worker.history.has_missed_start(),
+            neighbours: match self.demand.isolation {
+                Isolation::Shared => worker.attempts.len(),
+                _ => 0,
+            },
             rack: worker.rack.clone(),
         })
     }
@@ -219,6 +241,7 @@
             now,
             service: &job.queue.service,
             failed_on: tasks.filter_map(|task| task.failed_on).collect(),
+            excluded: self.excluded_workers(demand.isolation),
         })
     }
 }
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -8,6 +8,7 @@
 
 use super::advice::Permits;
 use super::id::{Mark, Request, Run, Worker};
+use super::poison::CrashHistory;
 use super::record::{self, Phase, Progress, Span};
 use super::spec::{Queue, Spec};
 use crate::core::time::{Instant, Stamp};
@@ -39,6 +40,8 @@
     pub checkpoint: Option<Checkpoint>,
     /// The worker on which the last failed run was.
     pub failed_on: Option<Worker>,
+    /// The crashes of workers under its runs. The first task of a gang has those of the whole gang.
+    pub crashes: CrashHistory,
 }
 
 /// A checkpoint and the progress that it contains.
@@ -143,6 +146,7 @@
             failed: Vec::new(),
             checkpoint: None,
             failed_on: None,
+            crashes: CrashHistory::default(),
         };
         Step {
             tasks: vec![task; usize::from(tasks)],
@@ -204,6 +208,26 @@
         self.step(id.step)?.tasks.get(usize::from(id.index))
     }
 
+    /// Whether the tasks of a step work only together.
+    pub fn is_gang(&self, id: super::id::Step) -> bool {
+        let spec = self.spec.steps.get(usize::from(id.index));
+        spec.is_some_and(|spec| spec.gang)
+    }
+
+    /// Returns the crashes of workers under the runs of a task or of its gang.
+    pub fn crashes(&self, id: super::id::Task) -> Option<&CrashHistory> {
+        let index = if self.is_gang(id.step) { 0 } else { id.index };
+        let task = self.step(id.step)?.tasks.get(usize::from(index))?;
+        Some(&task.crashes)
+    }
+
+    /// Returns the crashes of workers under the runs of a task or of its gang.
+    pub fn crashes_mut(&mut self, id: super::id::Task) -> Option<&mut CrashHistory> {
+        let index = if self.is_gang(id.step) { 0 } else { id.index };
+        let task = self.step_mut(id.step)?.tasks.get_mut(usize::from(index))?;
+        Some(&mut task.crashes)
+    }
+
     /// Allocates the next run number.
     pub fn next_run(&mut self) -> Run {
         self.last_run = Run(self.last_run.0 + 1);
@@ -278,6 +302,12 @@
                 runs: task.failed.clone(),
             });
         }
+        if !task.crashes.is_empty() && task.state != TaskState::Done {
+            recorded.crashes.push(record::Crashes {
+                task: index as u16,
+                history: task.crashes.record().clone(),
+            });
+        }
     }
     recorded
 }
@@ -293,4 +323,9 @@
             task.failed.clone_from(&failures.runs);
         }
     }
+    for crashes in &recorded.crashes {
+        if let Some(task) = step.tasks.get_mut(usize::from(crashes.task)) {
+            task.crashes = CrashHistory::restore(crashes.history.clone());
+        }
+    }
 }
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -167,6 +167,7 @@
             }
             self.activate(id, time);
             self.fail_exhausted(id, time, out);
+            self.fail_convicted(id, time, out);
             self.complete_if_done(id, time, out);
         }
         self.ended.make_contiguous().sort_unstable();
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -8,6 +8,7 @@
 use super::RemainingLease;
 use super::advice::{AdvisorCall, AdvisorProxy};
 use super::id::{Job, Mark, Request, Run, Task, Worker};
+use super::poison;
 use super::record::Phase;
 use super::spec::{Queue, Spec};
 use super::worker::{Account, Entry};
@@ -346,6 +347,30 @@
         /// Why the run cannot be on the worker.
         reason: &'static str,
     },
+    /// Write a log line: a worker has crashed, or may have crashed, soon after the start of a run.
+    Crashed {
+        /// The worker's name.
+        worker: String,
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// Whether the worker is known to have ended unasked, with the run there.
+        is_certain: bool,
+        /// Whether no other run was there.
+        is_alone: bool,
+        /// The number of such crashes under the task.
+        crashes: usize,
+        /// What they say of the task.
+        verdict: poison::Verdict,
+    },
+    /// Write a log line: a task crashes its workers and is given up.
+    GivenUp {
+        /// The task.
+        task: Task,
+        /// The crashes and trials.
+        history: poison::Record,
+    },
     /// Write a log line: a job has entered a phase.
     Phase {
         /// The job.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -22,10 +22,12 @@
 mod order;
 mod place;
 mod plan;
+pub mod poison;
 pub mod record;
 mod runs;
 pub mod spec;
 pub mod suspicion;
+mod trial;
 pub mod wait;
 pub mod worker;
 mod workers;
@@ -139,6 +141,10 @@
     inherited_known_at: Instant,
     /// Whether a record of the present list of workers has been appended.
     is_worker_list_recorded: bool,
+    /// Crashes of workers that were seen since the last tick.
+    seen_crashes: Vec<trial::SeenCrash>,
+    /// The workers that are kept for the trials of tasks.
+    trial_holds: Vec<(id::Task, id::Worker)>,
     queues: HashMap<String, Queue>,
     advisor_proxies: advice::AdvisorProxies,
     pending_calls: advice::PendingCalls,
@@ -186,6 +192,8 @@
             inheritance_ends_at: now,
             inherited_known_at: now,
             is_worker_list_recorded: true,
+            seen_crashes: Vec::new(),
+            trial_holds: Vec::new(),
             queues: HashMap::new(),
             advisor_proxies: advice::AdvisorProxies::default(),
             pending_calls: advice::PendingCalls::default(),
@@ -283,6 +291,7 @@
             self.end_inheritance(time.now);
             self.stop_partial_gangs(time.now, out);
         }
+        self.judge_crashes(time, out);
         self.record_workers(out);
         self.is_bulk_dirty |= self.is_dirty;
         let is_first = self.placed_at == self.began;
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use super::advice::cost;
-use super::candidates::{Demand, Room, Scope};
+use super::candidates::{Demand, Isolation, Room, Scope};
 use super::id::{Run, Step, Task, Worker};
 use super::job::{Job, Step as StepState, TaskState};
 use super::message::{Output, Start};
@@ -97,6 +97,7 @@
             return;
         }
         ranks.sort_unstable();
+        self.release_holds();
         let pools = self.pools(time.now);
         let mut reserved = match steps {
             Steps::All => Reserved::new(),
@@ -215,26 +216,38 @@
         if waiting.is_empty() || is_partial_gang {
             return None;
         }
+        let is_suspect =
+            |index: &u16| !spec.gang && step.tasks[usize::from(*index)].crashes.is_suspect();
+        let (suspects, waiting): (Vec<u16>, Vec<u16>) = waiting.into_iter().partition(is_suspect);
         let demand = Demand {
             step: id,
             waiting,
             need: spec.capacity_need(),
             needs_permit: job.queue.advice.is_some(),
             may_start: self.may_start(job, time.now),
+            isolation: Isolation::None,
         };
         if spec.gang {
+            let task = Task { step: id, index: 0 };
+            let demand = Demand {
+                isolation: self.isolation(task, demand.may_start, time.now),
+                ..demand
+            };
             let planned = self.place_gang(&demand, spec, scope, may_reserve, time, out);
-            if planned.is_some() || !may_reserve || !self.ready.contains(&id) {
+            let is_isolated = demand.isolation == Isolation::Empty;
+            if planned.is_some() || is_isolated || !may_reserve || !self.ready.contains(&id) {
                 return planned;
             }
             return self.reserve_awaited_capacity(&demand, spec, scope, time, out);
         }
         self.place_singles(&demand, spec, scope, time, out);
+        self.place_suspects(&demand, &suspects, spec, scope, time, out);
         if !spec.long_running || !may_reserve {
             return None;
         }
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        let waiting = step.map(StepState::waiting_tasks).unwrap_or_default();
+        let mut waiting = step.map(StepState::waiting_tasks).unwrap_or_default();
+        waiting.retain(|index| !suspects.contains(index));
         if waiting.is_empty() {
             return None;
         }
@@ -242,7 +255,7 @@
         self.reserve_awaited_capacity(&demand, spec, scope, time, out)
     }
 
-    fn place_singles(
+    pub(super) fn place_singles(
         &mut self,
         demand: &Demand,
         spec: &spec::Step,
@@ -252,7 +265,7 @@
     ) {
         let candidates = self.candidates(demand, spec, scope, Room::Free, time.now);
         let plan = plan::single(&candidates, &demand.waiting, demand.need);
-        if demand.may_start {
+        if demand.may_start && self.are_starts_granted(demand, &plan, time, out) {
             self.start_planned(demand, &candidates, &plan, time, out);
         }
         if demand.needs_permit {
@@ -296,7 +309,8 @@
         let plan = plan::gang(&candidates, &demand.waiting, need, spec);
         if !plan.is_empty() {
             let without_permit = workers_without_permit(&candidates, &plan);
-            if demand.may_start && without_permit.is_empty() {
+            let may_start = demand.may_start && without_permit.is_empty();
+            if may_start && self.are_starts_granted(demand, &plan, time, out) {
                 self.start_planned(demand, &candidates, &plan, time, out);
                 return None;
             }
@@ -419,6 +433,22 @@
         renewed
     }
 
+    /// Whether the planned tasks may be started as far as crashes of workers go. A plan has one suspect
+    /// task, one suspect gang or none.
+    fn are_starts_granted(
+        &mut self,
+        demand: &Demand,
+        plan: &[(u16, usize)],
+        time: Time,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(&(index, _)) = plan.first() else {
+            return true;
+        };
+        let step = demand.step;
+        self.is_start_granted(Task { step, index }, time, out)
+    }
+
     /// Starts the planned tasks whose workers have a usable permit or need none.
     fn start_planned(
         &mut self,
@@ -552,6 +582,7 @@
         out: &mut Vec<Output>,
     ) {
         let lease = self.rules.lease;
+        let is_trial = self.is_suspect(task);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -576,6 +607,9 @@
         let checkpoint = step.tasks[checkpoint_task].checkpoint.as_ref();
         let checkpoint = checkpoint.map(|checkpoint| Arc::clone(&checkpoint.value));
         step.set(task.index, TaskState::Active { worker: key, run });
+        if let Some(history) = job.crashes_mut(task).filter(|_| is_trial) {
+            history.begin_trial(run);
+        }
         let attempt = Attempt {
             need: Some(need),
             state: State::Starting,
@@ -587,6 +621,7 @@
             deadline_ms: Some(deadline_ms),
             absent_since: None,
             is_confirmed: false,
+            is_trial,
             percent: 0,
             reported_at: now,
         };
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -47,6 +47,8 @@
     /// carry its last start command out. Other workers are preferred: a run on another worker shows whether the task or
     /// the worker is at fault.
     pub(super) has_failed: bool,
+    /// The number of runs there, if the tasks should have few beside them.
+    pub(super) neighbours: usize,
     pub(super) rack: Option<Arc<str>>,
 }
 
@@ -94,6 +96,7 @@
             .min_by_key(|(index, candidate)| {
                 let left = leftover(remaining[*index].0, need, candidate.capacity);
                 (
+                    candidate.neighbours,
                     candidate.has_failed,
                     !candidate.has_permit,
                     candidate.is_remote,
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -7,6 +7,7 @@
 use laburnum_derive::{message, value};
 
 use super::id::{Job, Run};
+use super::poison;
 use super::spec::{Queue, Spec};
 use crate::core::time::Stamp;
 
@@ -107,6 +108,19 @@
     pub done: Vec<u8>,
     /// Tasks with failed runs.
     pub failures: Vec<Failures>,
+    /// Tasks under whose runs workers have crashed. Records of versions that did not count crashes
+    /// have none.
+    #[serde(default)]
+    pub crashes: Vec<Crashes>,
+}
+
+/// The crashes of workers under the runs of a task.
+#[message]
+pub struct Crashes {
+    /// The index of the task in its step.
+    pub task: u16,
+    /// What is known of them.
+    pub history: poison::Record,
 }
 
 /// The failed runs of a task.
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -47,6 +47,7 @@
                 worker.history.record_start();
             }
             self.begun(task.step.job, out);
+            self.note_survival(key, task, run, time.now, out);
             return;
         }
         self.adopt(key, task, run, time, out);
@@ -68,6 +69,7 @@
         } else {
             State::Stopping
         };
+        let is_trial = is_wanted && self.is_suspect(task);
         let attempt = Attempt {
             need,
             state,
@@ -79,6 +81,7 @@
             deadline_ms: None,
             absent_since: None,
             is_confirmed: true,
+            is_trial,
             percent: 0,
             reported_at: time.now,
         };
@@ -94,6 +97,9 @@
             if let Some(step) = job.step_mut(task.step) {
                 step.set(task.index, TaskState::Active { worker: key, run });
             }
+            if let Some(history) = job.crashes_mut(task).filter(|_| is_trial) {
+                history.begin_trial(run);
+            }
         }
         self.begun(task.step.job, out);
         self.refresh_ready(task.step.job, time.now);
@@ -179,6 +185,7 @@
         self.begun(task.step.job, out);
         // A checkpoint that is reported with the end of a run is the newest of that run.
         self.store_checkpoint(task, run, checkpoint, ALL_PERCENT);
+        self.note_end(key, task, run, end, out);
         match end {
             RunEnd::Done => self.task_done(key, task, run, time, out),
             RunEnd::Failed => self.task_failed(key, task, run, time, out),
@@ -291,6 +298,9 @@
             .map(|task| task.state);
         if state == Some(TaskState::Active { worker, run }) {
             step.set(task.index, TaskState::Waiting);
+            if let Some(history) = job.crashes_mut(task) {
+                history.return_trial(run);
+            }
             self.refresh_ready(task.step.job, now);
         }
     }
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -61,6 +61,14 @@
     },
     /// No worker of the service is usable.
     NoUsableWorker(Unusable),
+    /// Workers have crashed under all of the waiting tasks, and each of them waits for an empty worker or
+    /// for the record of its trial.
+    Trial {
+        /// The number of these tasks.
+        tasks: usize,
+        /// The number of workers that are held for trials.
+        held: usize,
+    },
     /// A call to the advisor is in progress.
     AdvisorCall {
         /// The entry that makes the call.
@@ -172,6 +180,7 @@
             Reason::PartialGang { .. } => "partial_gang",
             Reason::CommandUnconfirmed { .. } => "command_unconfirmed",
             Reason::NoUsableWorker(_) => "no_usable_worker",
+            Reason::Trial { .. } => "trial",
             Reason::AdvisorCall { .. } => "advisor_call",
             Reason::AdvisorPause { .. } => "advisor_pause",
             Reason::NoIdleEntry => "no_idle_entry",
@@ -211,6 +220,7 @@
                 unusable.unrecorded,
                 unusable.suspect
             ),
+            Reason::Trial { tasks, held } => write!(out, "tasks={tasks} held={held}"),
             Reason::AdvisorCall { proxy, age, named } => write!(
                 out,
                 "asker={} age_ms={} named={named}",
@@ -390,6 +400,14 @@
         if usable.workers.is_empty() {
             return Reason::NoUsableWorker(self.count_unusable(job, spec));
         }
+        let waiting = step.waiting_tasks().into_iter();
+        let mut waiting = waiting.map(|index| Task { step: id, index });
+        if waiting.all(|task| self.is_suspect(task)) {
+            return Reason::Trial {
+                tasks: step.waiting,
+                held: self.trial_holds.len(),
+            };
+        }
         let needed = if spec.gang { step.waiting } else { 1 };
         if job.queue.advice.is_none() {
             return if usable.fits_beside(&self.reserved, |_| true) >= needed {
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -100,6 +100,8 @@
     pub absent_since: Option<Instant>,
     /// Whether the worker has reported the run or confirmed its start.
     pub is_confirmed: bool,
+    /// Whether no other run may join it on its worker, since its task may crash workers.
+    pub is_trial: bool,
     /// The progress of the run at the last report, in percent.
     pub percent: u8,
     /// When the last report of the run arrived; before the first one, when the run was started.
@@ -189,6 +191,8 @@
     pub used: Amount,
     /// The number of attempts whose need is not known.
     unknown_needs: usize,
+    /// The number of attempts that no other run may join.
+    trials: usize,
     /// The number of the last ended run that was processed.
     pub last_end: u64,
     /// The number of the last ended run that is in the log.
@@ -224,6 +228,7 @@
             attempts: HashMap::new(),
             used: Amount::default(),
             unknown_needs: 0,
+            trials: 0,
             last_end: 0,
             acknowledged: 0,
             answered: now,
@@ -248,9 +253,23 @@
         self.inherited_until = self.inherited_until.min(until);
     }
 
-    /// Returns the capacity that is certainly not used: none while the need of a run is not known.
+    /// Whether a run that no other may join is there.
+    pub fn has_trial(&self) -> bool {
+        self.trials > 0
+    }
+
+    /// Lets other runs join a run.
+    pub fn end_trial(&mut self, task: Task, run: Run) {
+        let attempt = self.attempts.get_mut(&(task, run));
+        if attempt.is_some_and(|attempt| std::mem::take(&mut attempt.is_trial)) {
+            self.trials -= 1;
+        }
+    }
+
+    /// Returns the capacity that is certainly not used and that further runs may use: none while the
+    /// need of a run is not known, or while a run has to be alone.
     pub fn free(&self) -> Amount {
-        if self.unknown_needs > 0 {
+        if self.unknown_needs > 0 || self.has_trial() {
             return Amount::default();
         }
         self.entry.capacity - self.used
@@ -326,6 +345,7 @@
             Some(need) => self.used += need,
             None => self.unknown_needs += 1,
         }
+        self.trials += usize::from(attempt.is_trial);
         self.attempts.insert((task, run), attempt);
     }
 
@@ -336,6 +356,7 @@
             Some(need) => self.used -= need,
             None => self.unknown_needs -= 1,
         }
+        self.trials -= usize::from(attempt.is_trial);
         Some(attempt)
     }
 
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -44,6 +44,7 @@
             if worker.entry.incarnation > entry.incarnation {
                 return;
             }
+            self.note_crash(key, true);
             let undecided = self.take_undecided(key);
             self.remove_worker(key, now, "restarted", out);
             let next = self.add_worker(entry, now, out);
@@ -164,6 +165,7 @@
         };
         let name = worker.entry.name.clone();
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
+        self.note_crash(key, false);
         for (task, run) in runs {
             self.release(key, task, run, now);
             out.push(released(&name, task, run, reason));
@@ -172,6 +174,7 @@
 
     /// Processes that an incarnation of a worker has ended. The directory will list the next one.
     fn replaced(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        self.note_crash(key, true);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -15,7 +15,8 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::queue::QueueTable;
 use crate::core::scheduler::advice::AdvisorProxy;
-use crate::core::scheduler::id::{Request, Token, Worker};
+use crate::core::scheduler::id::{Request, Task, Token, Worker};
+use crate::core::scheduler::poison;
 use crate::core::scheduler::{
     Answer, Input, OVERCOMMITTED, Output, RemainingLease, Rules, Scheduler, Time,
 };
@@ -348,6 +349,23 @@
                 info!(self.log, "run ended"; "task" => %task, "run" => run.0, "how" => end.name(),
                     "worker" => self.worker_name(worker));
             }
+            Output::Crashed {
+                worker,
+                task,
+                run,
+                is_certain,
+                is_alone,
+                crashes,
+                verdict,
+            } => {
+                self.metrics
+                    .task_crashes
+                    .add(1, &label("verdict", verdict.name()));
+                info!(self.log, "worker crashed soon after the start of a run"; "task" => %task,
+                    "run" => run.0, "worker" => worker, "certain" => is_certain, "alone" => is_alone,
+                    "crashes" => crashes, "verdict" => verdict.name(), "token" => self.token.0);
+            }
+            Output::GivenUp { task, history } => self.report_given_up(task, &history),
             Output::Phase { job, phase, reason } => {
                 info!(self.log, "job changed"; "job" => %job, "phase" => phase.name(), "reason" => reason);
             }
@@ -390,6 +408,16 @@
         }
     }
 
+    fn report_given_up(&self, task: Task, history: &poison::Record) {
+        self.metrics.given_up_tasks.add(1, &[]);
+        let crashes = history.crashes.iter();
+        let crashes = crashes.map(|crash| format!("{} at {}", crash.worker, crash.at.0));
+        let crashes: Vec<String> = crashes.collect();
+        warn!(self.log, "task crashes its workers and is given up"; "task" => %task,
+            "workers" => history.crashes.len(), "crashes" => crashes.join(", "),
+            "trials" => history.trials, "token" => self.token.0);
+    }
+
     fn report_overcommitted(&self, worker: Worker) {
         self.metrics.overcommitted_workers.add(1, &[]);
         let scheduler = self.scheduler.borrow();
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -37,6 +37,10 @@
     pub advisor_calls: Counter<u64>,
     /// Workers whose runs were found to use more than their capacity.
     pub overcommitted_workers: Counter<u64>,
+    /// Crashes of workers soon after the start of a run, by the `verdict` on its task.
+    pub task_crashes: Counter<u64>,
+    /// Tasks that were given up because workers crash under them.
+    pub given_up_tasks: Counter<u64>,
     /// Steps found waiting although they could run, once a second, by `reason`.
     pub waits: Counter<u64>,
     /// Restarts of the daemon's supervised parts, by `part`.
@@ -93,6 +97,16 @@
                 "laburnum_overcommitted_workers",
                 "workers found with more runs than capacity",
             ),
+            task_crashes: counter(
+                &meter,
+                "laburnum_task_crashes",
+                "crashes of workers soon after the start of a run",
+            ),
+            given_up_tasks: counter(
+                &meter,
+                "laburnum_given_up_tasks",
+                "tasks given up because workers crash under them",
+            ),
             waits: counter(
                 &meter,
                 "laburnum_waits",
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -220,6 +220,7 @@
         deadline_ms: None,
         absent_since: None,
         is_confirmed: true,
+        is_trial: false,
         percent: 50,
         reported_at: started + Duration::from_secs(1),
     };
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -222,6 +222,8 @@
                 Output::Withdraw { key } => self.unconfirmed.retain(|(_, other, _)| *other != key),
                 Output::Worker { worker, event, .. } => self.events.push((worker, event)),
                 Output::Adopted { .. }
+                | Output::Crashed { .. }
+                | Output::GivenUp { .. }
                 | Output::Ended { .. }
                 | Output::Phase { .. }
                 | Output::Released { .. } => {}
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod occurrence;
 mod oracle;
 mod order;
+mod poison;
 mod promise;
 mod recovery;
 mod run;
--- /dev/null
+++ b/tests/testsuite/scheduler/poison.rs
@@ -0,0 +1,492 @@
+//! Tests of tasks that crash the workers on which they run.
+
+use std::time::Duration;
+
+use laburnumplank::core::resource::Amount;
+use laburnumplank::core::scheduler::Input;
+use laburnumplank::core::scheduler::id::{Job, Worker};
+use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
+use laburnumplank::core::scheduler::record::{Phase, Progress};
+use laburnumplank::core::scheduler::spec::Step;
+
+use super::cell::{Cell, ended, entry, queue, running, spec, step};
+
+/// A pause in which placements and appends settle.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How long a suspect waits for an empty worker.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// A run that lives this long has survived.
+const SURVIVAL: Duration = Duration::from_secs(3);
+
+/// A lease of any worker has ended after this time.
+const MAX_LEASE: Duration = Duration::from_secs(7);
+
+/// A step of tasks of which eight fit on a worker.
+fn small_step(tasks: u16) -> Step {
+    Step {
+        need: Amount {
+            cpu_millis: 2_000,
+            memory_mib: 1_000,
+            accelerators: 0,
+        },
+        ..step(tasks)
+    }
+}
+
+fn cell_of(workers: usize) -> Cell {
+    let mut cell = Cell::new(1);
+    for index in 0..workers {
+        cell.add_worker(&format!("w{index}"));
+    }
+    cell
+}
+
+fn settle(cell: &mut Cell) {
+    for _ in 0..4 {
+        cell.confirm();
+        cell.wait(PAUSE);
+    }
+}
+
+/// Lets the incarnation of a worker end: the next one rejects its poll.
+fn end_incarnation(cell: &mut Cell, worker: Worker) {
+    let outcome = Outcome::Refused(Refusal::OtherIncarnation);
+    cell.input(Input::PollFailed { worker, outcome });
+    cell.tick();
+}
+
+/// Lets a worker crash and come back under another name.
+fn crash(cell: &mut Cell, worker: Worker) {
+    let Some(state) = cell.scheduler.worker(worker) else {
+        return;
+    };
+    let name = format!("{}'", state.entry.name);
+    end_incarnation(cell, worker);
+    cell.add_worker(&name);
+}
+
+/// Returns the start commands for the tasks of a job, which workers carried out.
+fn starts_of(cell: &mut Cell, job: u64) -> Vec<(Worker, Start)> {
+    settle(cell);
+    let mut starts = cell.accept_starts();
+    starts.retain(|(_, start)| start.task.step.job == Job(job));
+    starts
+}
+
+/// Lets each worker crash on which a task of a job is started, until nothing is started any more.
+/// Returns the number of starts.
+fn play_deadly(cell: &mut Cell, job: u64) -> usize {
+    let mut count = 0;
+    for _ in 0..20 {
+        for (worker, _) in starts_of(cell, job) {
+            count += 1;
+            crash(cell, worker);
+        }
+    }
+    count
+}
+
+fn phase(cell: &Cell, job: u64) -> Option<Phase> {
+    cell.scheduler.phase(Job(job), "filings")
+}
+
+/// Returns the names of the workers with runs of other jobs beside a run.
+fn neighbours(cell: &Cell, worker: Worker, start: &Start) -> usize {
+    let worker = cell.scheduler.worker(worker).unwrap();
+    let tasks = worker.attempts.keys();
+    tasks
+        .filter(|(task, _)| task.step != start.task.step)
+        .count()
+}
+
+fn finish(cell: &mut Cell, worker: Worker, start: &Start) {
+    let number = cell.scheduler.worker(worker).unwrap().last_end + 1;
+    let done = ended(number, start, RunEnd::Done);
+    cell.poll(worker, Vec::new(), vec![done]);
+}
+
+/// A task that crashes every worker would take down one after the other.
+#[test]
+fn deadly_task_is_given_up_after_four_crashes() {
+    let mut cell = cell_of(3);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    assert_eq!(play_deadly(&mut cell, 7), 4);
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+}
+
+/// Seven innocent tasks that share each worker with a deadly one would fail with it.
+#[test]
+fn neighbours_of_deadly_task_complete() {
+    let mut cell = cell_of(3);
+    for job in 0..8 {
+        cell.submit(job, queue(), spec(vec![small_step(1)]));
+    }
+    let mut deadly_starts = 0;
+    for round in 0..40 {
+        settle(&mut cell);
+        let starts = cell.accept_starts();
+        for (worker, start) in &starts {
+            if round >= 2 {
+                assert_eq!(neighbours(&cell, *worker, start), 0, "a suspect is alone");
+            }
+        }
+        for (worker, start) in &starts {
+            if start.task.step.job == Job(0) {
+                deadly_starts += 1;
+                crash(&mut cell, *worker);
+            }
+        }
+        for (worker, start) in &starts {
+            if cell.scheduler.worker(*worker).is_some() {
+                finish(&mut cell, *worker, start);
+            }
+        }
+    }
+    assert_eq!(deadly_starts, 4);
+    assert_eq!(phase(&cell, 0), Some(Phase::Failed));
+    for job in 1..8 {
+        assert_eq!(phase(&cell, job), Some(Phase::Completed));
+    }
+}
+
+/// Plays three crashes of all workers at the same time, under jobs that have just begun, and lets what
+/// starts after that complete.
+fn play_mass_crashes(mut cell: Cell, step: &Step, jobs: u64) {
+    for job in 0..jobs {
+        cell.submit(job, queue(), spec(vec![step.clone()]));
+    }
+    for _ in 0..3 {
+        settle(&mut cell);
+        cell.accept_starts();
+        let workers: Vec<Worker> = cell.scheduler.workers().collect();
+        for worker in &workers {
+            end_incarnation(&mut cell, *worker);
+        }
+        for worker in workers {
+            cell.add_worker(&format!("{worker:?}"));
+        }
+    }
+    for _ in 0..40 {
+        settle(&mut cell);
+        for (worker, start) in cell.accept_starts() {
+            finish(&mut cell, worker, &start);
+        }
+    }
+    for job in 0..jobs {
+        assert_eq!(phase(&cell, job), Some(Phase::Completed), "job {job}");
+    }
+}
+
+/// Three crashes of all workers at the same time would fail the tasks that had just started.
+#[test]
+fn tasks_under_mass_crashes_are_not_failed() {
+    play_mass_crashes(cell_of(8), &step(2), 6);
+}
+
+/// The same for tasks that had a worker to themselves each time.
+#[test]
+fn tasks_alone_under_mass_crashes_are_not_failed() {
+    let whole = Step {
+        need: entry("w0").capacity,
+        ..step(1)
+    };
+    play_mass_crashes(cell_of(8), &whole, 6);
+}
+
+/// A task on workers that are replaced one after the other would become suspect.
+#[test]
+fn task_under_rolling_restarts_stays_unsuspected() {
+    let mut cell = cell_of(2);
+    let lasting = Step {
+        long_running: true,
+        ..step(1)
+    };
+    cell.submit(7, queue(), spec(vec![lasting]));
+    cell.submit(8, queue(), spec(vec![small_step(1)]));
+    for round in 0..6 {
+        let starts = starts_of(&mut cell, 7);
+        assert_eq!(starts.len(), 1, "round {round}");
+        let (worker, _) = starts[0];
+        let name = cell.scheduler.worker(worker).unwrap().entry.name.clone();
+        let mut draining = entry(&name);
+        draining.draining = true;
+        cell.input(Input::Listed(draining));
+        crash(&mut cell, worker);
+    }
+    assert_eq!(phase(&cell, 7), Some(Phase::Running));
+}
+
+/// The next owner would start a deadly task three times more.
+#[test]
+fn deadly_task_is_given_up_over_takeovers() {
+    let mut cell = cell_of(3);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    let mut starts = 0;
+    for token in 2..12 {
+        for (worker, _) in starts_of(&mut cell, 7) {
+            starts += 1;
+            crash(&mut cell, worker);
+        }
+        settle(&mut cell);
+        // Nobody sees how these end.
+        starts += cell.starts.len();
+        let former = cell;
+        cell = former.successor(token);
+        cell.inherit_leases(&former);
+        for worker in ["x", "y", "z"] {
+            cell.add_worker(&format!("{worker}{token}"));
+        }
+        cell.wait(MAX_LEASE);
+    }
+    assert!(starts <= 5, "{starts} starts");
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+}
+
+/// Owners that see nothing of the trials that they start would start one after the other.
+#[test]
+fn trials_that_no_owner_sees_end_are_counted() {
+    let mut cell = cell_of(3);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    for _ in 0..2 {
+        for (worker, _) in starts_of(&mut cell, 7) {
+            crash(&mut cell, worker);
+        }
+    }
+    let mut trials = 0;
+    for token in 2..12 {
+        trials += starts_of(&mut cell, 7).len();
+        let former = cell;
+        cell = former.successor(token);
+        cell.inherit_leases(&former);
+        for worker in ["x", "y", "z"] {
+            cell.add_worker(&format!("{worker}{token}"));
+        }
+        cell.wait(MAX_LEASE);
+    }
+    assert_eq!(trials, 3);
+    settle(&mut cell);
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+}
+
+/// The same crash, seen by two owners, would count twice.
+#[test]
+fn crash_seen_by_two_owners_counts_once() {
+    let mut first = cell_of(2);
+    first.submit(7, queue(), spec(vec![step(1)]));
+    let (worker, start) = starts_of(&mut first, 7).remove(0);
+    let name = first.scheduler.worker(worker).unwrap().entry.name.clone();
+    let mut second = first.successor(9);
+    end_incarnation(&mut first, worker);
+    settle(&mut first);
+    let mut third = first.successor(19);
+    for cell in [&mut second, &mut third] {
+        let worker = cell.list_worker(&name);
+        cell.poll(worker, vec![running(&start)], Vec::new());
+        end_incarnation(cell, worker);
+    }
+    let history = |cell: &Cell| {
+        let job = cell.scheduler.job(Job(7)).unwrap();
+        job.crashes(start.task).unwrap().record().crashes.len()
+    };
+    assert_eq!(history(&second), 1);
+    assert_eq!(history(&third), 1);
+}
+
+/// Two deadly tasks on one worker would clear or convict each other.
+#[test]
+fn two_deadly_tasks_on_one_worker_are_both_given_up() {
+    let mut cell = cell_of(4);
+    cell.submit(7, queue(), spec(vec![small_step(1)]));
+    cell.submit(8, queue(), spec(vec![small_step(1)]));
+    let mut starts = [0, 0];
+    for _ in 0..20 {
+        settle(&mut cell);
+        for (worker, start) in cell.accept_starts() {
+            starts[(start.task.step.job.0 - 7) as usize] += 1;
+            crash(&mut cell, worker);
+        }
+    }
+    assert_eq!(starts, [4, 4]);
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+    assert_eq!(phase(&cell, 8), Some(Phase::Failed));
+}
+
+/// Makes the only task of job 7 suspect by two crashes.
+fn make_suspect(cell: &mut Cell) {
+    cell.submit(7, queue(), spec(vec![small_step(1)]));
+    for _ in 0..2 {
+        let starts = starts_of(cell, 7);
+        assert_eq!(starts.len(), 1);
+        crash(cell, starts[0].0);
+    }
+}
+
+/// A suspect would wait for ever in a cell in which no worker becomes empty.
+#[test]
+fn suspect_in_full_cell_starts_beside_others_after_its_patience() {
+    let mut cell = cell_of(1);
+    cell.submit(8, queue(), spec(vec![small_step(8)]));
+    let others = starts_of(&mut cell, 8);
+    assert_eq!(others.len(), 8);
+    let full = others[0].0;
+    cell.submit(7, queue(), spec(vec![small_step(1)]));
+    for name in ["w1", "w2"] {
+        cell.add_worker(name);
+        let starts = starts_of(&mut cell, 7);
+        assert_eq!(starts.len(), 1);
+        end_incarnation(&mut cell, starts[0].0);
+    }
+    settle(&mut cell);
+    cell.submit(9, queue(), spec(vec![small_step(1)]));
+    let left = others[1..].iter().map(|(_, start)| running(start));
+    let done = ended(1, &others[0].1, RunEnd::Done);
+    cell.poll(full, left.collect(), vec![done]);
+    settle(&mut cell);
+    assert!(
+        cell.starts.is_empty(),
+        "the worker is held until it is empty"
+    );
+    cell.wait(PATIENCE);
+    let trial = starts_of(&mut cell, 7);
+    assert_eq!(trial.len(), 1);
+    assert_eq!(neighbours(&cell, full, &trial[0].1), 7);
+}
+
+/// A trial that starts before its record is in the log is not counted by the next owner.
+#[test]
+fn trial_waits_for_its_record() {
+    let mut cell = cell_of(3);
+    cell.submit(7, queue(), spec(vec![small_step(1)]));
+    for _ in 0..2 {
+        let starts = starts_of(&mut cell, 7);
+        end_incarnation(&mut cell, starts[0].0);
+    }
+    cell.wait(PAUSE);
+    cell.wait(PAUSE);
+    assert!(cell.starts.is_empty(), "the trial is not in the log");
+    assert_eq!(starts_of(&mut cell, 7).len(), 1);
+}
+
+/// Other tasks that join a trial would be lost with it.
+#[test]
+fn trial_is_joined_only_after_it_has_survived() {
+    let mut cell = cell_of(1);
+    make_suspect(&mut cell);
+    let (worker, start) = starts_of(&mut cell, 7).remove(0);
+    cell.submit(8, queue(), spec(vec![small_step(1)]));
+    assert!(starts_of(&mut cell, 8).is_empty(), "the worker has a trial");
+    cell.wait(SURVIVAL);
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    assert_eq!(starts_of(&mut cell, 8).len(), 1);
+}
+
+/// Runs that lived for long would convict a task that lasts on workers that crash now and then.
+#[test]
+fn crashes_of_runs_that_survived_do_not_count() {
+    let mut cell = cell_of(2);
+    let lasting = Step {
+        long_running: true,
+        ..step(1)
+    };
+    cell.submit(7, queue(), spec(vec![lasting]));
+    for round in 0..8 {
+        let starts = starts_of(&mut cell, 7);
+        assert_eq!(starts.len(), 1, "round {round}");
+        let (worker, start) = &starts[0];
+        cell.wait(SURVIVAL);
+        cell.poll(*worker, vec![running(start)], Vec::new());
+        crash(&mut cell, *worker);
+    }
+    assert_eq!(phase(&cell, 7), Some(Phase::Running));
+}
+
+/// A deadly task that lasts has no limit of failed runs, and would be started for ever.
+#[test]
+fn deadly_long_running_task_is_given_up() {
+    let mut cell = cell_of(3);
+    let lasting = Step {
+        long_running: true,
+        ..step(1)
+    };
+    cell.submit(7, queue(), spec(vec![lasting]));
+    assert_eq!(play_deadly(&mut cell, 7), 4);
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+}
+
+/// The gang of a deadly task would crash the workers of all its members again and again.
+#[test]
+fn gang_with_deadly_member_is_given_up() {
+    let mut cell = cell_of(4);
+    let gang = Step {
+        gang: true,
+        max_per_worker: Some(1),
+        ..step(2)
+    };
+    cell.submit(7, queue(), spec(vec![gang]));
+    let mut runs = 0;
+    for _ in 0..20 {
+        let starts = starts_of(&mut cell, 7);
+        let Some((worker, deadly)) = starts.first() else {
+            continue;
+        };
+        runs += 1;
+        assert_eq!(starts.len(), 2);
+        crash(&mut cell, *worker);
+        for (other, start) in &starts[1..] {
+            assert_eq!(start.run, deadly.run);
+            let number = cell.scheduler.worker(*other).unwrap().last_end + 1;
+            let broken = ended(number, start, RunEnd::Broken);
+            cell.poll(*other, Vec::new(), vec![broken]);
+        }
+    }
+    assert_eq!(runs, 4);
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+}
+
+/// A start that may not have arrived would convict a task, or leave it without a limit.
+#[test]
+fn unconfirmed_starts_on_crashed_workers_end_with_the_trials() {
+    let mut cell = cell_of(3);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    let mut starts = 0;
+    for _ in 0..20 {
+        settle(&mut cell);
+        for (worker, start) in std::mem::take(&mut cell.starts) {
+            starts += 1;
+            cell.finish_start(worker, &start, Outcome::Unknown);
+            crash(&mut cell, worker);
+            cell.wait(MAX_LEASE);
+        }
+    }
+    assert_eq!(starts, 5);
+    assert_eq!(phase(&cell, 7), Some(Phase::Failed));
+}
+
+/// A cut link to a worker would count as a crash for all that runs there.
+#[test]
+fn crash_of_worker_that_reports_the_end_is_withdrawn() {
+    let mut cell = cell_of(1);
+    cell.submit(7, queue(), spec(vec![small_step(1)]));
+    let (worker, start) = starts_of(&mut cell, 7).remove(0);
+    let outcome = Outcome::Unknown;
+    cell.input(Input::PollFailed { worker, outcome });
+    cell.wait(MAX_LEASE);
+    settle(&mut cell);
+    let crashes = |cell: &Cell| {
+        let job = cell.scheduler.job(Job(7)).unwrap();
+        job.crashes(start.task).unwrap().record().crashes.len()
+    };
+    assert_eq!(crashes(&cell), 1);
+    let lapsed = ended(1, &start, RunEnd::Lapsed);
+    cell.poll(worker, Vec::new(), vec![lapsed]);
+    assert_eq!(crashes(&cell), 0);
+}
+
+/// An owner would not read the progress that a version without crashes has recorded.
+#[test]
+fn progress_without_crashes_is_read() {
+    let json = r#"{"occurrences":[{"index":0,"steps":[{"done":[],"failures":[]}]}],
+        "complete_before":0}"#;
+    let progress: Progress = serde_json::from_str(json).unwrap();
+    assert!(progress.occurrences[0].steps[0].crashes.is_empty());
+}
