Play deadly tasks among others in the scheduler's virtual cell

Checked at the workers: at most two starts after the third crash under a task. The deadly jobs fail, and all others complete.

--- a/tests/testsuite/scheduler/poison.rs
+++ b/tests/testsuite/scheduler/poison.rs
@@ -7,9 +7,10 @@
 use laburnumplank::core::scheduler::id::{Job, Worker};
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 use laburnumplank::core::scheduler::record::{Phase, Progress};
-use laburnumplank::core::scheduler::spec::Step;
+use laburnumplank::core::scheduler::spec::{Spec, Step};
 
 use super::cell::{Cell, ended, entry, queue, running, spec, step};
+use super::world::{STEP, World};
 
 /// A pause in which placements and appends settle.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -482,6 +483,82 @@
     assert_eq!(crashes(&cell), 0);
 }
 
+/// A sequence of numbers that depends on its seed only.
+struct Numbers(u64);
+
+impl Numbers {
+    fn below(&mut self, bound: u64) -> u64 {
+        let product = self.0.wrapping_mul(6_364_136_223_846_793_005);
+        self.0 = product.wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// Under crashes of other workers and changes of the owner, deadly tasks would be started again and
+/// again, or innocent ones given up.
+#[test]
+fn deadly_jobs_fail_and_others_complete_under_faults() {
+    for seed in 1..=30 {
+        let mut numbers = Numbers(seed);
+        let mut world = World::new(6);
+        let deadly = 1 + numbers.below(3);
+        for job in 0..deadly {
+            world.deadly_jobs.insert(Job(job));
+        }
+        let takeover = 400 + numbers.below(1_500);
+        let mass_crashes = [numbers.below(1_500), numbers.below(1_500)];
+        for tick in 0..9_000 {
+            if tick % 25 == 0 && tick / 25 < 24 {
+                let span = Duration::from_millis(100 + numbers.below(5_000));
+                let tasks = 1 + numbers.below(3) as u16;
+                world.submit(
+                    tick / 25,
+                    Spec::clone(&spec(vec![small_step(tasks)])),
+                    span,
+                    false,
+                );
+            }
+            if tick == takeover {
+                world.take_over(numbers.below(2) == 0);
+            }
+            if mass_crashes.contains(&tick) {
+                for host in 0..3 {
+                    world.restart(host, Duration::from_millis(1_000 + 500 * host as u64));
+                }
+            }
+            world.run(STEP);
+        }
+        assert!(
+            world.oracle.violations.is_empty(),
+            "seed {seed}: {:?}",
+            world.oracle.violations
+        );
+        let scheduler = &world.owners[world.owners.len() - 1].scheduler;
+        // A job whose record the former owner did not put into the log was not accepted.
+        for &Job(job) in &world.accepted {
+            let expected = if job < deadly {
+                Phase::Failed
+            } else {
+                Phase::Completed
+            };
+            let phase = scheduler.phase(Job(job), "filings");
+            assert_eq!(phase, Some(expected), "seed {seed} job {job}");
+        }
+        assert!(
+            world.accepted.len() >= 22,
+            "seed {seed}: {:?}",
+            world.accepted
+        );
+        for (task, deadly) in &world.deadly {
+            let (crashes, late) = (deadly.crashes, deadly.late_starts);
+            assert!(
+                late <= 2,
+                "seed {seed}: {task}, {crashes} crashes, {late} late starts"
+            );
+        }
+    }
+}
+
 /// An owner would not read the progress that a version without crashes has recorded.
 #[test]
 fn progress_without_crashes_is_read() {
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -36,6 +36,8 @@
 pub(super) const FORMER_LIFE: Duration = Duration::from_millis(1_500);
 /// The speed of the workers' clocks.
 const CLOCK_RATE: f64 = 0.985;
+/// How long a worker that a task has crashed is away.
+const CRASH_PAUSE: Duration = Duration::from_secs(3);
 /// The number of the cancel request for job 0.
 const FIRST_CANCEL: u64 = 1_000;
 /// The time of day at `Instant(0)`, in milliseconds since the Unix epoch.
@@ -157,6 +159,8 @@
         answer: Input,
     },
     Restarts(usize),
+    /// A task crashes the incarnation of a worker on which it was started.
+    Crashes(usize, u64, Task),
     Lists(usize),
     Leaves(usize),
 }
@@ -207,6 +211,15 @@
     fails: bool,
 }
 
+/// A task that crashes each worker that starts it.
+#[derive(Default)]
+pub(super) struct Deadly {
+    /// How many workers have crashed under it.
+    pub(super) crashes: usize,
+    /// How often it was started after the third crash.
+    pub(super) late_starts: usize,
+}
+
 /// The whole cell.
 pub(super) struct World {
     pub(super) now: Instant,
@@ -230,6 +243,9 @@
     /// Which waits are checked.
     pub(super) promise: Option<Promise>,
     pub(super) oracle: Oracle,
+    /// The jobs whose tasks crash their workers.
+    pub(super) deadly_jobs: BTreeSet<Job>,
+    pub(super) deadly: BTreeMap<Task, Deadly>,
 }
 
 impl World {
@@ -257,6 +273,8 @@
             waits: BTreeMap::new(),
             promise: None,
             oracle: Oracle::default(),
+            deadly_jobs: BTreeSet::new(),
+            deadly: BTreeMap::new(),
         };
         world.take_over(false);
         world
@@ -799,6 +817,16 @@
                 self.hosts[host].began = self.now;
                 self.schedule(self.now + TRANSIT, Event::Lists(host));
             }
+            Event::Crashes(host, incarnation, task) => {
+                let host_state = &self.hosts[host];
+                if host_state.is_up && host_state.model.incarnation() == incarnation {
+                    self.deadly.entry(task).or_default().crashes += 1;
+                    let capacity = host_state.model.capacity();
+                    self.crash(host, capacity);
+                    self.schedule(self.now + CRASH_PAUSE, Event::Restarts(host));
+                    self.disturb(self.now + CRASH_PAUSE);
+                }
+            }
             Event::Lists(host) => self.list(host),
         }
     }
@@ -843,6 +871,8 @@
                 if model.start(now, Token(token), start, work)? {
                     let is_gang = work.gang.is_some();
                     self.oracle.start(now, host, token, start, is_gang, model);
+                    let incarnation = model.incarnation();
+                    self.poison(host, incarnation, start.task);
                 }
             }
             Command::Stop(task, run) => {
@@ -866,6 +896,16 @@
         Ok(())
     }
 
+    /// Lets a task that has just been started crash its worker soon, if it does that.
+    fn poison(&mut self, host: usize, incarnation: u64, task: Task) {
+        if !self.deadly_jobs.contains(&task.step.job) {
+            return;
+        }
+        let deadly = self.deadly.entry(task).or_default();
+        deadly.late_starts += usize::from(deadly.crashes >= 3);
+        self.schedule(self.now + STEP, Event::Crashes(host, incarnation, task));
+    }
+
     fn check_ticket(&self, host: usize, start: &Start) -> Result<(), Refusal> {
         let submitted = self.works.get(&start.task.step.job);
         if submitted.is_none_or(|submitted| submitted.queue.advice.is_none()) {
