Leave half of the workers to others while many tasks are suspect

Cause: a suspect that has waited for 2 s starts beside others, and nothing is placed beside a trial. Of a thousand suspects each worker had one, so no worker took anything else until these runs had crashed or survived.

Trials now have at most half of the workers.

many_suspects_leave_workers_for_others, before the change: assertion `left == right` failed: half of the workers left: 4 right: 2

--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -16,9 +16,12 @@
 use super::{Scheduler, Time, spec};
 use crate::core::time::Instant;
 
-/// Trials use at most one in this many workers: after crashes of many workers, many innocent tasks are
-/// suspect at the same time.
-const WORKERS_PER_TRIAL: usize = 4;
+/// Trials have at most one in this many workers for themselves: after crashes of many workers, many
+/// innocent tasks are suspect at the same time.
+const WORKERS_PER_LONE_TRIAL: usize = 4;
+/// The same for all trials. No other task is placed beside a trial, and those must not wait for all
+/// suspects.
+const WORKERS_PER_TRIAL: usize = 2;
 
 /// A crash of a worker under a run, as it was seen.
 pub(super) struct SeenCrash {
@@ -267,7 +270,12 @@
             };
             let last = self.isolation(task, demand.may_start, time.now);
             for isolation in [Isolation::Empty, Isolation::Shared] {
-                let is_due = isolation == Isolation::Shared || self.may_isolate(task);
+                let is_due = match isolation {
+                    Isolation::Shared => {
+                        self.trials() < self.workers.len().div_ceil(WORKERS_PER_TRIAL)
+                    }
+                    _ => self.may_isolate(task),
+                };
                 if isolation > last || !is_due || !self.is_waiting(task) {
                     continue;
                 }
@@ -290,13 +298,17 @@
         state == Some(TaskState::Waiting)
     }
 
+    /// Returns the number of workers with a trial.
+    fn trials(&self) -> usize {
+        let workers = self.workers.values();
+        workers.filter(|worker| worker.has_trial()).count()
+    }
+
     /// Whether a suspect may have a worker for itself now.
     fn may_isolate(&self, task: Task) -> bool {
-        let workers = self.workers.values();
-        let trials = workers.clone().filter(|worker| worker.has_trial()).count();
         let holds = &self.trial_holds;
-        let used = trials + holds.len();
-        let max = self.workers.len() / WORKERS_PER_TRIAL;
+        let used = self.trials() + holds.len();
+        let max = self.workers.len() / WORKERS_PER_LONE_TRIAL;
         used < max.max(1) || holds.iter().any(|(holder, _)| *holder == task)
     }
 
--- a/tests/testsuite/scheduler/poison.rs
+++ b/tests/testsuite/scheduler/poison.rs
@@ -353,6 +353,27 @@
     assert_eq!(neighbours(&cell, full, &trial[0].1), 7);
 }
 
+/// Many suspects, each of which keeps others off its worker, would stop a whole cell.
+#[test]
+fn many_suspects_leave_workers_for_others() {
+    let mut cell = cell_of(4);
+    for job in 0..8 {
+        cell.submit(job, queue(), spec(vec![small_step(1)]));
+    }
+    for _ in 0..2 {
+        settle(&mut cell);
+        let starts = cell.accept_starts();
+        assert_eq!(starts.len(), 8);
+        crash(&mut cell, starts[0].0);
+    }
+    settle(&mut cell);
+    cell.wait(PATIENCE);
+    settle(&mut cell);
+    assert_eq!(cell.accept_starts().len(), 2, "half of the workers");
+    cell.submit(9, queue(), spec(vec![small_step(1)]));
+    assert_eq!(starts_of(&mut cell, 9).len(), 1);
+}
+
 /// A trial that starts before its record is in the log is not counted by the next owner.
 #[test]
 fn trial_waits_for_its_record() {
