Take a start that another worker rejects as the end of the named one

A start is rejected for its name as soon as another worker has the address, up to a poll earlier than the poll of the former worker shows it. Its other runs and starts were kept until then; inherited jobs waited too.

Test: start_rejected_by_another_worker_shows_that_the_address_is_lost, failed before: one of two tasks was started elsewhere.

--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -400,6 +400,7 @@
         }
         match refusal {
             Refusal::Fenced => out.push(Output::Superseded),
+            Refusal::OtherWorker => self.lost_address(key, time.now, out),
             Refusal::Permit => {
                 if let Some(step) = self
                     .jobs
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -790,3 +790,18 @@
     third.wait(Duration::from_millis(4_000));
     assert_eq!(third.starts.len(), 1);
 }
+
+// The rejection of a start shows it before the next poll does.
+#[test]
+fn start_rejected_by_another_worker_shows_that_the_address_is_lost() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(2)]));
+    cell.confirm();
+    let (worker, start) = cell.starts.remove(0);
+    cell.finish_start(worker, &start, Outcome::Refused(Refusal::OtherWorker));
+    cell.starts.clear();
+    let other = cell.add_worker("w2");
+    let workers: Vec<_> = cell.starts.iter().map(|(worker, _)| *worker).collect();
+    assert_eq!(workers, [other; 2]);
+}
