Release a run only after two reports leave it out

What callers would see: a task that was done runs again (TWICE) after a change of owner, without any process that stands still.

Cause: a former owner that has not heard of its successor has a poll waiting at a worker. The successor reads the end of a run there, records it and acknowledges it; the worker forgets it. The waiting poll was let in before, so it is answered, and it lists the run neither as running nor as ended. The former owner took such a run for lost and started its task on a worker that the successor had not reached yet.

A worker does nothing for a lower token (PROTOCOL.md), but a poll that waits for an end was accepted before it saw the higher one.

Why it works: only an acknowledgement makes a worker forget an end, and this owner has sent none for that run. Whoever did has a higher token, so the worker refuses the next poll, and the ownership ends. If the next poll is answered as well, the run is gone, as before, one poll later.

--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -43,6 +43,7 @@
             attempt.reported_at = time.now;
             attempt.is_confirmed = true;
             attempt.is_reported = true;
+            attempt.absent_since = None;
             if matches!(attempt.state, State::Starting | State::Doubtful) {
                 attempt.state = State::Running;
                 attempt.since = time.now;
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -95,8 +95,8 @@
     /// worker rejects the command after that. `None` for a start of another owner, or one that was
     /// sent to another incarnation.
     pub deadline_ms: Option<u64>,
-    /// When a report first left the run out, by a clock past `deadline_ms`, although the worker never
-    /// confirmed it.
+    /// When a report first left the run out: one that was running, or one that the worker never
+    /// confirmed, by a clock past `deadline_ms`.
     pub absent_since: Option<Instant>,
     /// Whether the worker has reported the run or confirmed its start.
     pub is_confirmed: bool,
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -407,7 +407,11 @@
                 && attempt.since < sent
                 && !reported.contains(&(task, run))
             {
-                gone.push((task, run, "not reported"));
+                // A later owner may have acknowledged the end. The worker refuses the next poll then.
+                let since = *attempt.absent_since.get_or_insert(time.now);
+                if sent >= since {
+                    gone.push((task, run, "not reported"));
+                }
             }
         }
         for (task, run, reason) in gone {
--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -423,3 +423,23 @@
     world.run(Duration::from_secs(10));
     check(&world);
 }
+
+#[test]
+fn end_that_the_successor_acknowledged_is_not_started_again_by_the_former_owner() {
+    let mut world = World::new(WORKERS);
+    world.run(Duration::from_millis(200));
+    // The run ends just after a poll, and the former owner's next one waits for 1 s.
+    submit_task(&mut world, 1, Duration::from_millis(821));
+    world.run(Duration::from_millis(1_380));
+    let former = Former::GoesOn {
+        life: Duration::from_secs(2),
+        silence: None,
+    };
+    world.take_over_from(former, Duration::ZERO);
+    let span = Duration::from_secs(2);
+    (1..WORKERS).for_each(|host| world.cut(0, host, span, span));
+    // The former owner does not know the job, and takes the worker for full.
+    submit_task(&mut world, 2, Duration::from_millis(900));
+    world.run(Duration::from_secs(3));
+    check(&world);
+}
