--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -58,6 +58,8 @@
     Unlist(usize, u64),
     TruncateReports(usize, u64),
     DelayPolls(usize, u64),
+    /// Lets the log take no records; silent or refused.
+    StopLog(u64, bool),
     HoldRequests(usize, u64),
     LoseResponses(usize, u64),
     DelayCommands(usize, u64),
@@ -179,6 +181,7 @@
         1 => (worker(), 0u64..4_000).prop_map(|(worker, ms)| Event::Unlist(worker, ms)),
         1 => (worker(), 100u64..4_000).prop_map(|(worker, ms)| Event::TruncateReports(worker, ms)),
         1 => (worker(), 100u64..4_000).prop_map(|(worker, ms)| Event::DelayPolls(worker, ms)),
+        1 => (100u64..9_000, any::<bool>()).prop_map(|(ms, silent)| Event::StopLog(ms, silent)),
     ]
 }
 
@@ -252,6 +255,8 @@
             latest.for_each(|job| world.cancel(job));
         }
         Event::Run(ms) => world.run(millis(*ms)),
+        // An entry can claim the cell only while the log takes its claim.
+        Event::TakeOver { .. } if world.outage.is_some() => {}
         Event::TakeOver {
             former,
             clock_ahead_ms,
@@ -269,6 +274,7 @@
         Event::ListStale(worker) => world.list_stale(*worker),
         Event::Unlist(worker, ms) => world.unlist(*worker, millis(*ms)),
         Event::TruncateReports(worker, ms) => world.truncate_reports(*worker, millis(*ms)),
+        Event::StopLog(ms, is_silent) => world.stop_log(millis(*ms), *is_silent),
         Event::DelayPolls(worker, ms) => world.delay_polls(*worker, millis(*ms)),
         Event::Restart(worker, ms) => world.restart(*worker, millis(*ms)),
         Event::HoldRequests(worker, ms) => world.hold_requests(*worker, millis(*ms)),
