--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use laburnumplank::core::scheduler::advice::AdvisorProxy;
 use laburnumplank::core::scheduler::id::Worker;
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
+use laburnumplank::core::scheduler::spec::{self, Advice};
 use laburnumplank::core::scheduler::worker::{Attempt, State};
 use laburnumplank::core::scheduler::{Input, OVERCOMMITTED};
 use laburnumplank::core::time::Instant;
 
-use super::cell::{Cell, ended, queue, running, spec, step};
+use super::cell::{Cell, ended, entry, queue, running, spec, step};
 
 /// The longest time that a worker takes to stop a run.
 const STOP_TIME: Duration = Duration::from_millis(400);
@@ -265,3 +267,176 @@
         assert_eq!(attempt.expected_end(now), started + Duration::from_secs(2));
     }
 }
+
+/// Lists a worker with another capacity.
+fn resize(cell: &mut Cell, name: &str, cpu_millis: u64) {
+    let mut resized = entry(name);
+    resized.capacity.cpu_millis = cpu_millis;
+    cell.input(Input::Listed(resized));
+    cell.tick();
+}
+
+/// Reports the ends of runs, from `number` on, and the other runs as running.
+fn end_runs(cell: &mut Cell, worker: Worker, number: u64, ends: &[Start], others: &[Start]) {
+    let ends = ends.iter().zip(number..);
+    let ends = ends.map(|(start, number)| ended(number, start, RunEnd::Done));
+    cell.poll(worker, others.iter().map(running).collect(), ends.collect());
+}
+
+#[test]
+fn shrunk_worker_gets_no_run_until_its_runs_fit_again() {
+    let (mut cell, worker, starts) = full_cell();
+    cell.submit(8, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    resize(&mut cell, "w1", 8_000);
+    assert!(cell.stops.is_empty(), "nothing asks to stop running tasks");
+    end_runs(&mut cell, worker, 1, &starts[..2], &starts[2..]);
+    assert!(cell.starts.is_empty(), "two runs fill the worker");
+    end_runs(&mut cell, worker, 3, &starts[2..3], &starts[3..]);
+    assert_eq!(cell.starts.len(), 1);
+    resize(&mut cell, "w1", 16_000);
+    assert_eq!(cell.starts.len(), 3, "it has grown by two tasks");
+}
+
+#[test]
+fn starts_under_way_use_the_capacity_of_a_shrunk_worker() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    cell.submit(8, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    let starts = std::mem::take(&mut cell.starts);
+    assert_eq!(starts.len(), 4);
+    resize(&mut cell, "w1", 8_000);
+    for (worker, start) in &starts[..2] {
+        cell.finish_start(*worker, start, Outcome::Unknown);
+    }
+    for (worker, start) in &starts[2..] {
+        cell.finish_start(*worker, start, Outcome::Refused(Refusal::Room));
+    }
+    cell.wait(Duration::from_millis(100));
+    assert!(cell.starts.is_empty(), "two runs may be there");
+    cell.stops.clear();
+    cell.poll(worker, vec![running(&starts[0].1)], Vec::new());
+    cell.wait(Duration::from_millis(100));
+    assert!(cell.starts.is_empty(), "the second run may still start");
+}
+
+#[test]
+fn runs_being_stopped_use_the_capacity_of_a_shrunk_worker() {
+    let (mut cell, worker, starts) = full_cell();
+    cell.submit(8, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    resize(&mut cell, "w1", 8_000);
+    cell.cancel(7);
+    cell.confirm();
+    answer_stops(&mut cell);
+    let stopped = |number: usize| ended(number as u64 + 1, &starts[number], RunEnd::Stopped);
+    let others = starts[2..].iter().map(running).collect();
+    cell.poll(worker, others, vec![stopped(0), stopped(1)]);
+    assert!(cell.starts.is_empty(), "two runs are still being stopped");
+    cell.poll(worker, vec![running(&starts[3])], vec![stopped(2)]);
+    assert_eq!(cell.starts.len(), 1);
+}
+
+#[test]
+fn gang_that_waits_for_a_worker_that_shrinks_starts_elsewhere() {
+    let mut cell = Cell::new(1);
+    let one = cell.add_worker("w1");
+    let two = cell.add_worker("w2");
+    cell.submit(7, queue(), spec(vec![step(8)]));
+    cell.confirm();
+    let starts = cell.accept_starts();
+    let of = |worker: Worker| -> Vec<Start> {
+        let of_worker = starts.iter().filter(|(other, _)| *other == worker);
+        of_worker.map(|(_, start)| start.clone()).collect()
+    };
+    let gang = spec::Step {
+        gang: true,
+        ..step(6)
+    };
+    cell.submit(8, queue(), spec(vec![gang]));
+    cell.confirm();
+    end_runs(&mut cell, one, 1, &of(one), &[]);
+    assert!(
+        cell.starts.is_empty(),
+        "the gang waits for the second worker"
+    );
+    resize(&mut cell, "w1", 8_000);
+    end_runs(&mut cell, two, 1, &of(two)[..2], &of(two)[2..]);
+    assert!(cell.starts.is_empty(), "there is capacity for four tasks");
+    end_runs(&mut cell, two, 3, &of(two)[2..], &[]);
+    let on_one = cell.starts.iter().filter(|(worker, _)| *worker == one);
+    assert_eq!((cell.starts.len(), on_one.count()), (6, 2));
+}
+
+#[test]
+fn answer_of_the_advisor_fills_a_shrunk_worker_to_its_present_capacity() {
+    for is_gang in [false, true] {
+        let mut cell = Cell::new(1);
+        cell.add_worker("w1");
+        cell.input(Input::AdvisorProxies(vec![AdvisorProxy(0)]));
+        let mut queue = queue();
+        queue.advice = Some(Advice {
+            base: Duration::from_millis(400),
+            per_worker: Duration::from_millis(5),
+            validity: Duration::from_millis(2_500),
+        });
+        let step = spec::Step {
+            gang: is_gang,
+            ..step(4)
+        };
+        cell.submit(7, queue, spec(vec![step]));
+        cell.confirm();
+        let call = cell.calls[0].clone();
+        resize(&mut cell, "w1", 8_000);
+        cell.input(Input::Advised {
+            call,
+            allowed: Some(vec![("w1".to_owned(), "ticket".into())]),
+            validity: Duration::from_millis(2_500),
+        });
+        cell.tick();
+        assert_eq!(cell.starts.len(), if is_gang { 0 } else { 2 });
+        resize(&mut cell, "w1", 16_000);
+        assert_eq!(cell.starts.len(), 4);
+    }
+}
+
+#[test]
+fn next_owner_counts_the_runs_on_a_shrunk_worker() {
+    let (mut first, _, starts) = full_cell();
+    first.submit(8, queue(), spec(vec![step(4)]));
+    first.confirm();
+
+    let mut second = first.successor(9);
+    let worker = second.list_worker("w1");
+    resize(&mut second, "w1", 8_000);
+    second.poll(worker, starts.iter().map(running).collect(), Vec::new());
+    second.confirm();
+    assert!(second.starts.is_empty());
+    end_runs(&mut second, worker, 1, &starts[..2], &starts[2..]);
+    second.confirm();
+    assert!(second.starts.is_empty(), "two runs fill the worker");
+    end_runs(&mut second, worker, 3, &starts[2..], &[]);
+    second.confirm();
+    assert_eq!(second.starts.len(), 2);
+}
+
+#[test]
+fn worker_that_shrinks_while_unlisted_gets_no_run_by_its_former_capacity() {
+    let (mut cell, worker, starts) = full_cell();
+    cell.submit(8, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    cell.input(Input::Unlisted("w1".to_owned()));
+    end_runs(&mut cell, worker, 1, &starts[..2], &starts[2..]);
+    assert!(
+        cell.starts.is_empty(),
+        "the directory does not list the worker"
+    );
+    resize(&mut cell, "w1", 8_000);
+    end_runs(&mut cell, worker, 3, &[], &starts[2..]);
+    assert!(cell.starts.is_empty(), "two runs fill the worker");
+    resize(&mut cell, "w1", 12_000);
+    assert_eq!(cell.starts.len(), 1);
+}
