Start nothing after a pause of the process until the log confirms the claim

What callers would see: a task runs on two workers at the same time. An owner stands still for 1.4 s and has a successor meanwhile. When it goes on, it places by what it knew, before it reads anything.

The bound on unconfirmed claims does not help: the last confirmation is younger than 5 s. After a pause of more than 0.7 s, which is less than a claim has to be silent before it is replaced, an owner now starts nothing until a request that was sent after the pause shows that it has no successor; it appends the record of workers at once for that. Leases are extended as before, since the successor's wait covers them.

Test: owner_that_stood_still_starts_nothing_before_its_claim_is_confirmed, failed before with the start.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -116,6 +116,11 @@
         now.since(self.claim_confirmed_at) < MAX_CLAIM_AGE
     }
 
+    /// Whether no later owner can have acted on the cell while this process stood still.
+    pub(super) fn is_pause_confirmed(&self) -> bool {
+        self.resumed_at <= self.claim_confirmed_at
+    }
+
     /// Returns the leases that workers may still have, for the next owner. Must be called after the
     /// ownership has ended, so that no lease is extended any more.
     pub fn remaining_leases(&self, now: Instant) -> Vec<RemainingLease> {
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -152,6 +152,7 @@
 
     /// Activates the recovered jobs. Must be called once all records have been restored.
     pub fn finish_recovery(&mut self, time: Time, out: &mut Vec<Output>) {
+        self.active_at = time.now;
         let workers = std::mem::take(&mut self.recovered_workers);
         self.inherit_workers(time.now, workers);
         let progress = std::mem::take(&mut self.recovered_progress);
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -57,6 +57,9 @@
 
 /// The time between two checks of time-driven decisions when there is no input.
 const TICK: Duration = Duration::from_millis(50);
+/// A process that makes no decision for this long stood still, and another entry may have taken the
+/// cell over meanwhile.
+const MAX_PAUSE: Duration = Duration::from_millis(700);
 /// The shortest time between two placements, so that inputs that arrive in between are placed
 /// together: a placement visits every ready step, and a start takes longer than this to arrive.
 const PLACE_PAUSE: Duration = Duration::from_millis(5);
@@ -137,6 +140,10 @@
     /// When the last request to the log was sent whose response showed that no later owner had fenced
     /// the log.
     claim_confirmed_at: Instant,
+    /// When the scheduler last processed an input or a tick.
+    active_at: Instant,
+    /// When the last pause of the process ended.
+    resumed_at: Instant,
     /// The workers on which earlier owners may have started tasks.
     inherited_workers: Vec<inheritance::InheritedWorker>,
     /// When the recovery ended.
@@ -195,6 +202,8 @@
             workers: SlotMap::with_key(),
             by_name: HashMap::new(),
             claim_confirmed_at: now,
+            active_at: now,
+            resumed_at: now,
             inherited_workers: Vec::new(),
             recovered_at: now,
             inheritance_ends_at: now,
@@ -229,6 +238,7 @@
 
     /// Processes one input.
     pub fn step(&mut self, time: Time, input: Input, out: &mut Vec<Output>) {
+        self.note_pause(time.now);
         match input {
             Input::Submit {
                 request,
@@ -291,6 +301,7 @@
 
     /// Makes the decisions that are due at `time` and places waiting tasks.
     pub fn tick(&mut self, time: Time, out: &mut Vec<Output>) {
+        self.note_pause(time.now);
         self.begin_occurrences(time);
         if time.now.since(self.checked_at) >= PLACE_PAUSE {
             self.checked_at = time.now;
@@ -322,6 +333,16 @@
         }
     }
 
+    /// Notices that the process stood still.
+    fn note_pause(&mut self, now: Instant) {
+        let pause = now.since(std::mem::replace(&mut self.active_at, now));
+        if pause > MAX_PAUSE {
+            self.resumed_at = now;
+            // The append of a record confirms the claim sooner than the next read.
+            self.is_worker_list_recorded = false;
+        }
+    }
+
     /// Returns the shortest time between two placements of all steps.
     fn bulk_pause(&self) -> Duration {
         if self.ready.len() > FEW_STEPS {
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -186,6 +186,7 @@
     fn may_start(&self, job: &Job, now: Instant) -> bool {
         job.is_durable
             && self.is_claim_confirmed(now)
+            && self.is_pause_confirmed()
             && (!job.is_inherited || now >= self.inherited_known_at)
     }
 
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -391,7 +391,7 @@
                 durable: self.durable,
             };
         }
-        if !self.is_claim_confirmed(now) {
+        if !self.is_claim_confirmed(now) || !self.is_pause_confirmed() {
             return Reason::ClaimUnconfirmed {
                 age: now.since(self.claim_confirmed_at),
             };
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -805,3 +805,18 @@
     let workers: Vec<_> = cell.starts.iter().map(|(worker, _)| *worker).collect();
     assert_eq!(workers, [other; 2]);
 }
+
+// A worker that has restarted meanwhile does not refuse the start of an owner that has a successor.
+#[test]
+fn owner_that_stood_still_starts_nothing_before_its_claim_is_confirmed() {
+    let mut cell = Cell::new(1);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    cell.is_claim_confirmed = false;
+    cell.wait(Duration::from_millis(1_400));
+    cell.add_worker("w1");
+    assert!(cell.starts.is_empty(), "{:?}", cell.starts);
+    cell.is_claim_confirmed = true;
+    cell.wait(Duration::from_millis(10));
+    assert_eq!(cell.starts.len(), 1);
+}
