Log when the capacity of a worker changes, and compare its runs with it at once

After a shrink both sides of the comparison had the new capacity, so that `over its capacity` was never logged, and `within its capacity` could come alone. The last outcome is now kept, and a changed capacity is an event of the worker.

Test: worker_that_shrinks_below_its_runs_is_reported.

--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -225,6 +225,8 @@
     pub answered: Instant,
     /// The capacity that the runs of the last report use, as far as it is known.
     pub reported: Amount,
+    /// Whether these were more than its capacity at the last comparison.
+    pub was_overcommitted: bool,
     /// The results of the latest runs, which show whether the worker is faulty.
     pub history: super::suspicion::RunHistory,
     /// The acknowledgement that the latest poll carries.
@@ -262,6 +264,7 @@
             acknowledged: 0,
             answered: now,
             reported: Amount::default(),
+            was_overcommitted: false,
             history: super::suspicion::RunHistory::default(),
             sent_acknowledgement: 0,
             confirmed_acknowledgement: 0,
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -36,11 +36,16 @@
             };
             if worker.entry.incarnation == entry.incarnation {
                 let was_usable = worker.listed && !worker.entry.draining;
+                let has_capacity_changed = worker.entry.capacity != entry.capacity;
                 worker.entry = entry;
                 worker.listed = true;
                 if was_usable && worker.entry.draining {
                     out.push(event(key, worker, "draining"));
                 }
+                if has_capacity_changed {
+                    out.push(event(key, worker, "capacity changed"));
+                    report_commitment(key, worker, out);
+                }
                 return;
             }
             if worker.entry.incarnation > entry.incarnation {
@@ -342,23 +347,17 @@
         self.check_commitment(key, &reported, out);
     }
 
-    /// Compares the runs that a worker reports with its capacity, and reports when they begin to exceed
-    /// it and when they no longer do.
+    /// Compares the runs that a worker reports with its capacity.
     fn check_commitment(&mut self, key: Worker, reported: &[(Task, Run)], out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let was_overcommitted = worker.is_overcommitted();
         worker.reported = Amount::default();
         for id in reported {
             let attempt = worker.attempts.get(id);
             worker.reported += attempt.and_then(|attempt| attempt.need).unwrap_or_default();
         }
-        match (was_overcommitted, worker.is_overcommitted()) {
-            (false, true) => out.push(event(key, worker, OVERCOMMITTED)),
-            (true, false) => out.push(event(key, worker, "within its capacity")),
-            _ => {}
-        }
+        report_commitment(key, worker, out);
     }
 
     /// Releases runs that the worker should have but does not report, and repeats stop commands.
@@ -465,6 +464,17 @@
     }
 }
 
+/// Reports when the runs of a worker begin to exceed its capacity, and when they no longer do.
+fn report_commitment(key: Worker, worker: &mut worker::Worker, out: &mut Vec<Output>) {
+    let is_overcommitted = worker.is_overcommitted();
+    let was_overcommitted = std::mem::replace(&mut worker.was_overcommitted, is_overcommitted);
+    match (was_overcommitted, is_overcommitted) {
+        (false, true) => out.push(event(key, worker, OVERCOMMITTED)),
+        (true, false) => out.push(event(key, worker, "within its capacity")),
+        _ => {}
+    }
+}
+
 fn event(key: Worker, worker: &worker::Worker, event: &'static str) -> Output {
     Output::Worker {
         worker: key,
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -440,3 +440,30 @@
     resize(&mut cell, "w1", 12_000);
     assert_eq!(cell.starts.len(), 1);
 }
+
+// Operators see that the runs on a worker exceed a capacity that has shrunk.
+#[test]
+fn worker_that_shrinks_below_its_runs_is_reported() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    let starts = cell.accept_starts();
+    let runs = || starts.iter().map(|(_, start)| running(start)).collect();
+    cell.poll(worker, runs(), Vec::new());
+    cell.events.clear();
+    let mut shrunk = entry("w1");
+    shrunk.capacity.cpu_millis = 8_000;
+    cell.input(Input::Listed(shrunk));
+    cell.input(Input::Listed(entry("w1")));
+    let events: Vec<&str> = cell.events.iter().map(|(_, event)| *event).collect();
+    assert_eq!(
+        events,
+        [
+            "capacity changed",
+            "over its capacity",
+            "capacity changed",
+            "within its capacity"
+        ]
+    );
+}
