Start the tasks of a reported occurrence no earlier than they are due

The tasks that had no run were started at once, in the test 7.7 s before their time (ORDER). Placement now checks the time at which an occurrence is due.

Test: rest_of_a_reported_occurrence_waits_for_its_time, failed before. progress_record_of_an_older_version_is_restored restored two occurrences 1 s and 1.5 s before they were due; its owner now recovers when they are, and the tasks that it expects are the same.

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -112,6 +112,10 @@
             if job.is_inherited && time.now + INHERITED_LEAD < self.inherited_known_at {
                 continue;
             }
+            let due = job.spec.due(rank.step.occurrence);
+            if due.is_some_and(|due| due > time.stamp) {
+                continue;
+            }
             if self.is_blocked(rank.step, time.now) {
                 continue;
             }
