Grant no lease to a worker whose reports have never been readable

The wait for a worker of an earlier owner ended at its lease although this owner had extended that lease with each poll, when no report could be decoded in full: in the test the task was started at 1,010,870 ms with a lease until 1,014,860 ms. Such a worker gets no lease, so that its runs lapse and become known, and what this owner granted counts for the wait.

Test: worker_whose_reports_stay_unreadable_gets_no_lease_beyond_the_wait_for_it, failed before.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -216,7 +216,9 @@
                 Some(worker) if worker.entry.incarnation != inherited.incarnation => {
                     self.inheritance_ends_at
                 }
-                _ => inherited.until,
+                // This owner may have extended the lease itself.
+                Some(worker) => inherited.until.max(worker.lease_end()),
+                None => inherited.until,
             };
             (!self.has_lease_ended(until)).then_some((inherited.name.as_str(), until))
         })
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -274,7 +274,9 @@
             .filter(|worker| !worker.is_replaced)?;
         // A worker that was about to leave and is silent has most likely left.
         let is_in_reach = !worker.is_leaving() && now.since(worker.answered) < MAX_RESPONSE_AGE;
-        let may_extend = is_claim_confirmed && (worker.is_responding || is_in_reach);
+        // The runs of a worker whose reports have never been readable are only known once they lapse.
+        let is_readable = worker.has_reported || worker.is_report_complete;
+        let may_extend = is_claim_confirmed && is_readable && (worker.is_responding || is_in_reach);
         Some(WorkerPoll {
             acknowledged: worker.next_acknowledgement(),
             deadline_ms: if may_extend {
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -820,3 +820,30 @@
     cell.wait(Duration::from_millis(10));
     assert_eq!(cell.starts.len(), 1);
 }
+
+// A lease that this owner extends itself would outlast its wait for the worker.
+#[test]
+fn worker_whose_reports_stay_unreadable_gets_no_lease_beyond_the_wait_for_it() {
+    let mut first = Cell::with_rules(1, Instant(0), long_lease_rules());
+    first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let mut second = first.successor(9);
+    second.inherit_leases(&first);
+    second.add_worker("w2");
+    let worker = second.list_worker("w1");
+    let mut lease_end_ms = 0;
+    while second.starts.is_empty() {
+        second.poll_with(worker, Vec::new(), Vec::new(), false);
+        let granted = second.scheduler.poll(second.now, worker).unwrap();
+        lease_end_ms = lease_end_ms.max(granted.deadline_ms.unwrap_or_default());
+        second.confirm();
+        second.wait(Duration::from_millis(500));
+        assert!(second.now < Instant(30_000_000), "the task never starts");
+    }
+    let clock_ms = CLOCK_OFFSET_MS + second.now.0 / 1_000;
+    assert!(
+        clock_ms > lease_end_ms,
+        "{clock_ms} ms, lease until {lease_end_ms} ms"
+    );
+}
