Let a suspect task run beside gangs if all workers have one

Found in the review: a trial beside other runs left out each worker with a member of a gang. With one on each worker a suspect waited for ever (LOST), and no worker was held for it either, since holds look at the same workers. Such workers now come last instead.

Test: suspect_beside_gangs_on_all_workers_starts, failed before with "waited for 10 s with 7/8 of both workers free".

--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -23,7 +23,7 @@
     None,
     /// None.
     Empty,
-    /// As few as possible, and none of a gang.
+    /// As few as possible, and members of a gang only if all workers have some.
     Shared,
 }
 
@@ -79,6 +79,8 @@
     failed_on: Vec<Worker>,
     /// The workers that others keep for themselves, or that have runs which the tasks must not join.
     excluded: Vec<Worker>,
+    /// The workers with members of gangs, on which a trial runs only if there is no other.
+    gang_workers: Vec<Worker>,
 }
 
 impl CandidateRequest<'_> {
@@ -118,6 +120,7 @@
             is_remote: data_rack.is_some() && *data_rack != worker.entry.rack,
             has_failed: self.failed_on.contains(&key) || worker.history.has_missed_start(),
             neighbours: match self.demand.isolation {
+                Isolation::Shared if self.gang_workers.contains(&key) => usize::MAX,
                 Isolation::Shared => worker.attempts.len(),
                 _ => 0,
             },
@@ -242,6 +245,7 @@
             service: &job.queue.service,
             failed_on: tasks.filter_map(|task| task.failed_on).collect(),
             excluded: self.excluded_workers(demand.isolation),
+            gang_workers: self.gang_workers(demand.isolation),
         })
     }
 }
--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -367,22 +367,29 @@
 
     /// Returns the workers on which a task with this isolation may not be placed.
     pub(super) fn excluded_workers(&self, isolation: Isolation) -> Vec<Worker> {
+        match isolation {
+            Isolation::None => self.trial_holds.iter().map(|&(_, worker)| worker).collect(),
+            Isolation::Empty => {
+                let workers = self.workers.iter();
+                let busy = workers.filter(|(_, worker)| !worker.attempts.is_empty());
+                busy.map(|(key, _)| key).collect()
+            }
+            Isolation::Shared => Vec::new(),
+        }
+    }
+
+    /// Returns the workers that a trial beside other runs avoids: a crash there would end a whole gang.
+    pub(super) fn gang_workers(&self, isolation: Isolation) -> Vec<Worker> {
+        if isolation != Isolation::Shared {
+            return Vec::new();
+        }
         let has_gang = |worker: &WorkerState| {
             let mut tasks = worker.attempts.keys();
             tasks.any(|(task, _)| self.is_gang(*task))
         };
         let workers = self.workers.iter();
-        match isolation {
-            Isolation::None => self.trial_holds.iter().map(|&(_, worker)| worker).collect(),
-            Isolation::Empty => workers
-                .filter(|(_, worker)| !worker.attempts.is_empty())
-                .map(|(key, _)| key)
-                .collect(),
-            Isolation::Shared => workers
-                .filter(|(_, worker)| has_gang(worker))
-                .map(|(key, _)| key)
-                .collect(),
-        }
+        let workers = workers.filter(|(_, worker)| has_gang(worker));
+        workers.map(|(key, _)| key).collect()
     }
 
     /// Ends a job of which a task was convicted: the earlier owner recorded the last crash, but not the
--- a/tests/testsuite/scheduler/poison.rs
+++ b/tests/testsuite/scheduler/poison.rs
@@ -7,7 +7,7 @@
 use laburnumplank::core::scheduler::id::{Job, Worker};
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 use laburnumplank::core::scheduler::record::{Phase, Progress};
-use laburnumplank::core::scheduler::spec::{Spec, Step};
+use laburnumplank::core::scheduler::spec::{Queue, Spec, Step};
 
 use super::cell::{Cell, ended, entry, queue, running, spec, step};
 use super::world::{STEP, World};
@@ -596,3 +596,109 @@
     let progress: Progress = serde_json::from_str(json).unwrap();
     assert!(progress.occurrences[0].steps[0].crashes.is_empty());
 }
+
+/// Gangs on all workers would keep a suspect waiting for ever.
+#[test]
+fn suspect_beside_gangs_on_all_workers_starts() {
+    let mut cell = cell_of(1);
+    make_suspect(&mut cell);
+    settle(&mut cell);
+    for (worker, start) in &cell.accept_starts() {
+        cell.finish_start(*worker, start, Outcome::Refused(Refusal::Unhealthy));
+    }
+    let workers: Vec<Worker> = cell.scheduler.workers().collect();
+    for worker in workers {
+        end_incarnation(&mut cell, worker);
+    }
+    settle(&mut cell);
+    // The gang begins on workers of another service, which join the cell after that.
+    let gangs = Queue {
+        service: "press".to_owned(),
+        name: "gangs".to_owned(),
+        ..queue()
+    };
+    let gang = Step {
+        gang: true,
+        max_per_worker: Some(1),
+        ..small_step(2)
+    };
+    cell.submit(8, gangs, spec(vec![gang]));
+    for name in ["g1", "g2"] {
+        let mut listed = entry(name);
+        listed.service = "press".to_owned();
+        cell.input(Input::Listed(listed));
+        cell.tick();
+        cell.confirm();
+        let worker = cell.scheduler.worker_named(name).unwrap();
+        cell.poll(worker, Vec::new(), Vec::new());
+    }
+    settle(&mut cell);
+    let members = cell.accept_starts();
+    assert_eq!(members.len(), 2);
+    for name in ["g1", "g2"] {
+        cell.input(Input::Listed(entry(name)));
+    }
+    let mut trials = 0;
+    for _ in 0..20 {
+        for (worker, start) in &members {
+            cell.poll(*worker, vec![running(start)], Vec::new());
+        }
+        cell.wait(Duration::from_millis(500));
+        cell.confirm();
+        trials += cell.accept_starts().len();
+    }
+    assert!(trials > 0, "waited for 10 s with 7/8 of both workers free");
+}
+
+/// A crash that no owner saw, and starts without an answer, leave a deadly task one start too many.
+#[test]
+fn deadly_task_with_an_unseen_crash_and_unanswered_starts_is_given_up_in_time() {
+    let mut cell = cell_of(3);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    settle(&mut cell);
+    assert_eq!(cell.starts.len(), 1);
+    let mut starts = 1;
+    let former = cell;
+    let mut cell = former.successor(9);
+    for worker in ["x", "y", "z"] {
+        cell.add_worker(worker);
+    }
+    cell.wait(Duration::from_secs(11));
+    for _ in 0..20 {
+        settle(&mut cell);
+        for (worker, start) in std::mem::take(&mut cell.starts) {
+            starts += 1;
+            cell.finish_start(worker, &start, Outcome::Unknown);
+            crash(&mut cell, worker);
+            cell.wait(MAX_LEASE);
+        }
+    }
+    assert!(
+        starts <= 5,
+        "{starts} starts, {} after the third crash",
+        starts - 3
+    );
+}
+
+/// A trial that was granted and never began would count as one that crashed its worker.
+#[test]
+fn trial_that_never_began_fails_no_task_after_a_takeover() {
+    let mut cell = cell_of(8);
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    for _ in 0..3 {
+        let (worker, _) = starts_of(&mut cell, 7).remove(0);
+        end_incarnation(&mut cell, worker);
+    }
+    assert!(
+        cell.starts.is_empty(),
+        "the record of the trial is not in the log"
+    );
+    let mut next = cell.successor_with(9, cell.unconfirmed.len());
+    for worker in ["x", "y", "z"] {
+        next.add_worker(worker);
+    }
+    next.wait(Duration::from_secs(11));
+    settle(&mut next);
+    assert_ne!(phase(&next, 7), Some(Phase::Failed));
+    assert_eq!(next.starts.len(), 1);
+}
