--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -12,7 +12,6 @@
 //! for ended before the log has confirmed its claim after that end: a successor may have extended the
 //! lease, and may know by now that the run is done.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use laburnum_derive::message;
@@ -160,12 +159,12 @@
 
     /// Records that a worker of earlier owners has ended.
     pub(super) fn end_inherited_lease(&mut self, name: &str, incarnation: u64) {
-        let inherited = self.inherited_workers.iter_mut();
-        for inherited in inherited.filter(|other| other.name == name) {
-            if inherited.incarnation == incarnation {
-                inherited.until = Instant::default();
-                inherited.source = LOST_ADDRESS;
-            }
+        let mut inherited = self.inherited_workers.iter_mut();
+        let inherited =
+            inherited.find(|other| other.name == name && other.incarnation == incarnation);
+        if let Some(inherited) = inherited {
+            inherited.until = Instant::default();
+            inherited.source = LOST_ADDRESS;
         }
     }
 
@@ -202,34 +201,42 @@
     /// time until which that lasts at most.
     pub(super) fn unknown_inherited_workers(&self) -> impl Iterator<Item = (&str, Instant)> {
         let inherited = self.inherited_workers.iter();
-        inherited.filter_map(move |inherited| {
-            let key = self.by_name.get(&inherited.name);
-            let worker = key.and_then(|&key| self.workers.get(key));
-            let until = match worker {
-                Some(worker) if worker.has_reported => return None,
-                // Its lease goes on, so no run of it counts as lapsed. The rest of its ends follows
-                // once these are acknowledged.
-                Some(worker) if worker.may_have_unread_ends => {
-                    self.inheritance_ends_at.max(worker.lease_end())
-                }
-                // The end of a lease is a time on the clock of the former incarnation.
-                Some(worker) if worker.entry.incarnation != inherited.incarnation => {
-                    self.inheritance_ends_at
-                }
-                // This owner may have extended the lease itself.
-                Some(worker) => inherited.until.max(worker.lease_end()),
-                None => inherited.until,
-            };
-            (!self.has_lease_ended(until)).then_some((inherited.name.as_str(), until))
+        inherited.filter_map(|inherited| {
+            let until = self.unknown_until(inherited)?;
+            Some((inherited.name.as_str(), until))
         })
     }
 
+    /// Returns the time until which the runs of earlier owners on a worker are not known at most; `None` if
+    /// they are known or have ended.
+    fn unknown_until(&self, inherited: &InheritedWorker) -> Option<Instant> {
+        let key = self.by_name.get(&inherited.name);
+        let worker = key.and_then(|&key| self.workers.get(key));
+        let until = match worker {
+            Some(worker) if worker.has_reported => return None,
+            // Its lease goes on, so no run of it counts as lapsed. The rest of its ends follows once
+            // these are acknowledged.
+            Some(worker) if worker.may_have_unread_ends => {
+                self.inheritance_ends_at.max(worker.lease_end())
+            }
+            // The end of a lease is a time on the clock of the former incarnation.
+            Some(worker) if worker.entry.incarnation != inherited.incarnation => {
+                self.inheritance_ends_at
+            }
+            // This owner may have extended the lease itself.
+            Some(worker) => inherited.until.max(worker.lease_end()),
+            None => inherited.until,
+        };
+        (!self.has_lease_ended(until)).then_some(until)
+    }
+
     /// Reports the workers of earlier owners whose runs have become known or unknown.
     pub(super) fn report_inheritance(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let unknown = self.unknown_inherited_workers();
-        let unknown: HashSet<String> = unknown.map(|(name, _)| name.to_owned()).collect();
-        for inherited in &mut self.inherited_workers {
-            let is_known = !unknown.contains(&inherited.name);
+        let inherited = self.inherited_workers.iter();
+        let known: Vec<bool> = inherited
+            .map(|inherited| self.unknown_until(inherited).is_none())
+            .collect();
+        for (inherited, is_known) in self.inherited_workers.iter_mut().zip(known) {
             if is_known == inherited.is_known {
                 continue;
             }
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -214,17 +214,26 @@
         spec.is_some_and(|spec| spec.gang)
     }
 
+    /// Returns the index of the task that holds what a task shares with its gang: the first one. A task
+    /// that is not of a gang holds its own.
+    pub fn holder(&self, id: super::id::Task) -> usize {
+        if self.is_gang(id.step) {
+            0
+        } else {
+            usize::from(id.index)
+        }
+    }
+
     /// Returns the crashes of workers under the runs of a task or of its gang.
     pub fn crashes(&self, id: super::id::Task) -> Option<&CrashHistory> {
-        let index = if self.is_gang(id.step) { 0 } else { id.index };
-        let task = self.step(id.step)?.tasks.get(usize::from(index))?;
+        let task = self.step(id.step)?.tasks.get(self.holder(id))?;
         Some(&task.crashes)
     }
 
     /// Returns the crashes of workers under the runs of a task or of its gang.
     pub fn crashes_mut(&mut self, id: super::id::Task) -> Option<&mut CrashHistory> {
-        let index = if self.is_gang(id.step) { 0 } else { id.index };
-        let task = self.step_mut(id.step)?.tasks.get_mut(usize::from(index))?;
+        let holder = self.holder(id);
+        let task = self.step_mut(id.step)?.tasks.get_mut(holder)?;
         Some(&mut task.crashes)
     }
 
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -673,7 +673,7 @@
     Some(left)
 }
 
-fn is_long_running(job: &Job, id: Step) -> bool {
+pub(super) fn is_long_running(job: &Job, id: Step) -> bool {
     let spec = job.spec.steps.get(usize::from(id.index));
     spec.is_some_and(|spec| spec.long_running)
 }
--- a/src/core/scheduler/poison.rs
+++ b/src/core/scheduler/poison.rs
@@ -211,6 +211,7 @@
     pub fn return_trial(&mut self, run: Run) {
         if self.trial == Some(run) {
             self.trial = None;
+            // The record of the trial is in the log already.
             self.granted = Some(Mark(0));
         }
     }
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -130,9 +130,7 @@
         let (Some(value), Some(job)) = (value, self.jobs.get_mut(&task.step.job)) else {
             return;
         };
-        let spec = job.spec.steps.get(usize::from(task.step.index));
-        let is_gang = spec.is_some_and(|spec| spec.gang);
-        let index = if is_gang { 0 } else { usize::from(task.index) };
+        let index = job.holder(task);
         let holder = job
             .step_mut(task.step)
             .and_then(|step| step.tasks.get_mut(index));
@@ -265,12 +263,12 @@
         let Some(spec) = job.spec.steps.get(usize::from(task.step.index)) else {
             return;
         };
-        let (is_gang, is_long_running) = (spec.gang, spec.long_running);
+        let is_long_running = spec.long_running;
+        // A gang fails as a whole.
+        let index = job.holder(task);
         let Some(step) = job.step_mut(task.step) else {
             return;
         };
-        // A gang fails as a whole: its first task holds the failed runs.
-        let index = if is_gang { 0 } else { usize::from(task.index) };
         let Some(holder) = step.tasks.get_mut(index) else {
             return;
         };
@@ -427,12 +425,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let is_gang = job
-            .spec
-            .steps
-            .get(usize::from(task.step.index))
-            .is_some_and(|step| step.gang);
-        if !is_gang {
+        if !job.is_gang(task.step) {
             return;
         }
         let Some(step) = job.step(task.step) else {
--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -10,6 +10,7 @@
 use super::id::{self, Run, Task, Worker};
 use super::job::TaskState;
 use super::message::{Output, RunEnd};
+use super::place::is_long_running;
 use super::poison::{self, Crash, SURVIVAL, Verdict};
 use super::record::Phase;
 use super::worker::{Attempt, Worker as WorkerState};
@@ -349,8 +350,7 @@
     fn has_long_running(&self, worker: &WorkerState) -> bool {
         worker.attempts.keys().any(|(task, _)| {
             let job = self.jobs.get(&task.step.job);
-            let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step.index)));
-            spec.is_some_and(|spec| spec.long_running)
+            job.is_some_and(|job| is_long_running(job, task.step))
         })
     }
 
--- a/tests/testsuite/scheduler/occurrence.rs
+++ b/tests/testsuite/scheduler/occurrence.rs
@@ -151,11 +151,12 @@
 /// How far the time of day of an owner may be behind that of the one before.
 const BEHIND: Duration = Duration::from_millis(300);
 
-/// Returns an owner that has begun the first occurrence of a job, and the start of its task.
-fn owner_that_began_an_occurrence() -> (Cell, Start) {
+/// Returns an owner that has begun the first occurrence of a job, and the starts of its tasks that fit
+/// on one worker.
+fn owner_that_began_an_occurrence(tasks: u16) -> (Cell, Vec<Start>) {
     let mut first = Cell::new(1);
     first.add_worker("w1");
-    let mut spec = Spec::clone(&spec(vec![step(1)]));
+    let mut spec = Spec::clone(&spec(vec![step(tasks)]));
     spec.schedule = Some(Schedule {
         occurrences: OCCURRENCES,
         first: first.time().stamp,
@@ -163,17 +164,19 @@
     });
     first.submit(7, queue(), Arc::new(spec));
     first.confirm();
-    let (_, start) = first.accept_starts().remove(0);
-    (first, start)
+    let starts = first.accept_starts().into_iter();
+    let starts = starts.map(|(_, start)| start).collect();
+    (first, starts)
 }
 
 #[test]
 fn run_of_an_occurrence_goes_on_under_an_owner_whose_clock_is_behind() {
-    let (first, start) = owner_that_began_an_occurrence();
+    let (first, starts) = owner_that_began_an_occurrence(1);
+    let start = &starts[0];
     let mut second = first.successor_behind(9, BEHIND);
     let worker = second.list_worker("w1");
     second.add_worker("w2");
-    second.poll(worker, vec![running(&start)], Vec::new());
+    second.poll(worker, vec![running(start)], Vec::new());
     second.wait(BEHIND);
     assert!(second.starts.is_empty(), "{} runs on w1", start.task);
     assert!(second.stops.is_empty());
@@ -181,10 +184,11 @@
 
 #[test]
 fn end_of_an_occurrence_counts_under_an_owner_whose_clock_is_behind() {
-    let (first, start) = owner_that_began_an_occurrence();
+    let (first, starts) = owner_that_began_an_occurrence(1);
+    let start = &starts[0];
     let mut second = first.successor_behind(9, BEHIND);
     let worker = second.list_worker("w1");
-    second.poll(worker, Vec::new(), vec![ended(1, &start, RunEnd::Done)]);
+    second.poll(worker, Vec::new(), vec![ended(1, start, RunEnd::Done)]);
     second.confirm();
     second.wait(BEHIND);
     assert!(second.starts.is_empty(), "{} is done", start.task);
@@ -278,22 +282,12 @@
 // A run that an owner with a clock ahead has started brings the others of its occurrence no earlier.
 #[test]
 fn rest_of_a_reported_occurrence_waits_for_its_time() {
-    let mut first = Cell::new(1);
-    first.add_worker("w1");
-    let mut spec = Spec::clone(&spec(vec![step(6)]));
-    spec.schedule = Some(Schedule {
-        occurrences: OCCURRENCES,
-        first: first.time().stamp,
-        interval: 20 * INTERVAL,
-    });
-    first.submit(7, queue(), Arc::new(spec));
-    first.confirm();
-    let starts = first.accept_starts();
+    let (first, starts) = owner_that_began_an_occurrence(6);
     assert_eq!(starts.len(), 4);
     let mut second = first.successor_behind(9, Duration::from_secs(8));
     let worker = second.list_worker("w1");
     second.add_worker("w2");
-    let runs = starts.iter().map(|(_, start)| running(start)).collect();
+    let runs = starts.iter().map(running).collect();
     second.poll(worker, runs, Vec::new());
     second.wait(Duration::from_millis(300));
     second.confirm();
--- a/tests/testsuite/scheduler/poison.rs
+++ b/tests/testsuite/scheduler/poison.rs
@@ -94,6 +94,22 @@
     count
 }
 
+/// Lets each worker crash that gets a start, before it answers, until nothing is started any more.
+/// Returns the number of starts.
+fn play_unanswered(cell: &mut Cell) -> usize {
+    let mut count = 0;
+    for _ in 0..20 {
+        settle(cell);
+        for (worker, start) in std::mem::take(&mut cell.starts) {
+            count += 1;
+            cell.finish_start(worker, &start, Outcome::Unknown);
+            crash(cell, worker);
+            cell.wait(MAX_LEASE);
+        }
+    }
+    count
+}
+
 fn phase(cell: &Cell, job: u64) -> Option<Phase> {
     cell.scheduler.phase(Job(job), "filings")
 }
@@ -478,16 +494,7 @@
 fn unconfirmed_starts_on_crashed_workers_end_with_the_trials() {
     let mut cell = cell_of(3);
     cell.submit(7, queue(), spec(vec![step(1)]));
-    let mut starts = 0;
-    for _ in 0..20 {
-        settle(&mut cell);
-        for (worker, start) in std::mem::take(&mut cell.starts) {
-            starts += 1;
-            cell.finish_start(worker, &start, Outcome::Unknown);
-            crash(&mut cell, worker);
-            cell.wait(MAX_LEASE);
-        }
-    }
+    let starts = play_unanswered(&mut cell);
     assert_eq!(starts, 5);
     assert_eq!(phase(&cell, 7), Some(Phase::Failed));
 }
@@ -657,22 +664,13 @@
     cell.submit(7, queue(), spec(vec![step(1)]));
     settle(&mut cell);
     assert_eq!(cell.starts.len(), 1);
-    let mut starts = 1;
     let former = cell;
     let mut cell = former.successor(9);
     for worker in ["x", "y", "z"] {
         cell.add_worker(worker);
     }
     cell.wait(Duration::from_secs(11));
-    for _ in 0..20 {
-        settle(&mut cell);
-        for (worker, start) in std::mem::take(&mut cell.starts) {
-            starts += 1;
-            cell.finish_start(worker, &start, Outcome::Unknown);
-            crash(&mut cell, worker);
-            cell.wait(MAX_LEASE);
-        }
-    }
+    let starts = 1 + play_unanswered(&mut cell);
     assert!(
         starts <= 5,
         "{starts} starts, {} after the third crash",
