Add client accounts: keys, the account of a job, and the configuration of entries that cannot read it

A deployment whose configuration lists client accounts needs a key for each call of a queue that is not public. The entry that takes the call looks the key up by its digest before anything is forwarded; a missing, unknown or withdrawn key is answered 401. The table of accounts travels with the table of queues; an entry that the log turns away asks the owner, or else other entries, for a newer version, so that a withdrawn key admits nobody there either. The name of the account is part of a job's records, and jobs of other accounts are answered as unknown.

Without accounts in the configuration nothing changes on the wire.

--- a/src/core/error.rs
+++ b/src/core/error.rs
@@ -25,6 +25,7 @@
 #[allow(missing_docs, reason = "the names are those of the Connect protocol")]
 pub enum Code {
     InvalidArgument,
+    Unauthenticated,
     NotFound,
     Aborted,
     FailedPrecondition,
@@ -45,6 +46,8 @@
     Malformed,
     /// The request is larger than the limit.
     TooLarge,
+    /// The call has no key of a client account, or one that admits nobody.
+    Unauthenticated,
     /// The service, job, VM or version does not exist.
     NotFound,
     /// A non-idempotent call has no key, or its key is not a UUID version 7.
@@ -106,6 +109,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Code::InvalidArgument => "invalid_argument",
+            Code::Unauthenticated => "unauthenticated",
             Code::NotFound => "not_found",
             Code::Aborted => "aborted",
             Code::FailedPrecondition => "failed_precondition",
@@ -123,6 +127,7 @@
     pub fn http_status(self) -> u16 {
         match self {
             Code::InvalidArgument | Code::FailedPrecondition => 400,
+            Code::Unauthenticated => 401,
             Code::NotFound => 404,
             Code::Aborted => 409,
             Code::ResourceExhausted => 429,
@@ -144,9 +149,10 @@
     }
 
     /// All kinds, in the order of the table.
-    pub const ALL: [Kind; 20] = [
+    pub const ALL: [Kind; 21] = [
         Kind::Malformed,
         Kind::TooLarge,
+        Kind::Unauthenticated,
         Kind::NotFound,
         Kind::KeyRequired,
         Kind::KeyExpired,
@@ -191,6 +197,14 @@
                 NEVER,
                 "the request is too large",
             ),
+            Kind::Unauthenticated => (
+                "unauthenticated",
+                C::Unauthenticated,
+                false,
+                NotRun,
+                NEVER,
+                "no valid key of a client account",
+            ),
             Kind::NotFound => (
                 "not_found",
                 C::NotFound,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! are accepted, [`config`] which configuration is in force, [`membership`] which nodes are alive,
 //! [`request`] how calls reach targets and [`placement`] where tasks run.
 
+pub mod account;
 pub mod config;
 pub mod error;
 pub mod id;
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -3,12 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use laburnum_derive::state;
+use laburnum_derive::message;
 
+use super::account;
 use super::scheduler::spec::Queue;
 
 /// A host and a path prefix whose requests go to a queue.
-#[state]
+#[message]
 pub struct QueueBinding {
     /// The host that the request names.
     pub host: String,
@@ -16,10 +17,12 @@
     pub prefix: String,
     /// The queue.
     pub queue: Queue,
+    /// Whether requests need no key of a client account.
+    pub is_public: bool,
 }
 
 /// Limits for the HTTP requests of clients.
-#[state]
+#[message]
 pub struct Limits {
     /// The largest body of a request, in bytes.
     pub body_bytes: usize,
@@ -32,19 +35,26 @@
 }
 
 /// The queues and limits of one version of the configuration.
-#[state]
+#[message]
 pub struct QueueTable {
     /// The version of the configuration.
     pub version: u64,
     /// Limits for the HTTP requests of clients.
     pub limits: Limits,
+    /// The client accounts; `None` in a deployment without accounts, where callers need no key.
+    pub accounts: Option<account::Table>,
     /// By host, the longest prefix first.
     by_host: HashMap<String, Vec<QueueBinding>>,
 }
 
 impl QueueTable {
     /// Creates the table of a version.
-    pub fn new(version: u64, limits: Limits, bindings: Vec<QueueBinding>) -> QueueTable {
+    pub fn new(
+        version: u64,
+        limits: Limits,
+        bindings: Vec<QueueBinding>,
+        accounts: Option<account::Table>,
+    ) -> QueueTable {
         let mut by_host: HashMap<String, Vec<QueueBinding>> = HashMap::new();
         for binding in bindings {
             by_host
@@ -58,17 +68,18 @@
         QueueTable {
             version,
             limits,
+            accounts,
             by_host,
         }
     }
 
-    /// Returns the queue of a request and the path after the prefix; `None` if no prefix matches.
-    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+    /// Returns the binding of a request and the path after the prefix; `None` if no prefix matches.
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&QueueBinding, &'a str)> {
         let bindings = self.by_host.get(host)?;
         let binding = bindings
             .iter()
             .find(|binding| path.starts_with(&binding.prefix))?;
-        Some((&binding.queue, &path[binding.prefix.len()..]))
+        Some((binding, &path[binding.prefix.len()..]))
     }
 
     /// Returns the queue of every host and prefix; a queue may occur more than once.
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -11,6 +11,7 @@
 use super::poison::CrashHistory;
 use super::record::{self, Phase, Progress, Span};
 use super::spec::{Queue, Spec};
+use crate::core::account;
 use crate::core::time::{Instant, Stamp};
 
 /// The state of a task.
@@ -82,6 +83,8 @@
 pub struct Job {
     /// The queue as configured now, or as last configured if it was removed.
     pub queue: Queue,
+    /// The client account that the job belongs to, if any.
+    pub account: Option<account::Name>,
     /// The job as its client described it.
     pub spec: Arc<Spec>,
     /// By step, the estimated run time of the longest chain of steps from it to the end.
@@ -189,6 +192,14 @@
 }
 
 impl Job {
+    /// Whether a caller of a client account may see and cancel the job.
+    pub fn is_visible_to(&self, account: Option<&account::Name>) -> bool {
+        match (&self.account, account) {
+            (Some(own), Some(caller)) => own == caller,
+            _ => true,
+        }
+    }
+
     /// Returns a step of an occurrence that has begun and is not complete.
     pub fn step(&self, id: super::id::Step) -> Option<&Step> {
         self.occurrences
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -10,6 +10,7 @@
 use super::record::{Key, Phase, Progress, Record, Workers, encode};
 use super::spec::{Queue, Spec};
 use super::{Effect, Scheduler, Time, answer};
+use crate::core::account;
 use crate::core::error::{Error, Kind};
 use crate::core::time::{Instant, Stamp};
 
@@ -34,11 +35,14 @@
         id: id::Job,
         queue: Queue,
         spec: Arc<Spec>,
+        account: Option<account::Name>,
         at: Stamp,
         out: &mut Vec<Output>,
     ) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            if job.is_durable {
+            if !job.is_visible_to(account.as_ref()) {
+                out.push(id_in_use(request));
+            } else if job.is_durable {
                 out.push(answer(request, Answer::Accepted));
             } else {
                 job.submitters.push(request);
@@ -53,8 +57,10 @@
             at,
             queue: queue.clone(),
             spec: Spec::clone(&spec),
+            account: account.clone(),
         };
         let mut job = new_job(queue, spec, at, time.now);
+        job.account = account;
         job.last_run = self.first_run();
         job.submitters.push(request);
         self.jobs.insert(id, job);
@@ -129,17 +135,29 @@
 
     fn recover_job(&mut self, time: Time, id: id::Job, record: Record) {
         match record {
-            Record::Accepted { at, queue, spec } => {
+            Record::Accepted {
+                at,
+                queue,
+                spec,
+                account,
+            } => {
                 let age = time.stamp.since(at);
                 let mut job = new_job(queue, Arc::new(spec), at, time.now - age);
+                job.account = account;
                 job.last_run = self.first_run();
                 job.is_durable = true;
                 job.is_inherited = true;
                 self.jobs.insert(id, job);
             }
-            Record::Ended { at, queue, phase } => {
+            Record::Ended {
+                at,
+                queue,
+                phase,
+                account,
+            } => {
                 let queue = Queue::named(queue);
                 let mut job = new_job(queue, Arc::new(Spec::empty()), at, time.now);
+                job.account = account;
                 job.is_durable = true;
                 job.is_end_durable = true;
                 job.phase = phase;
@@ -299,16 +317,20 @@
         }
     }
 
+    #[allow(clippy::too_many_arguments, reason = "the fields of one input")]
     pub(super) fn cancel(
         &mut self,
         time: Time,
         request: Request,
         id: id::Job,
         queue: &str,
+        account: Option<&account::Name>,
         _at: Stamp,
         out: &mut Vec<Output>,
     ) {
-        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.queue.name == queue) else {
+        let job = self.jobs.get_mut(&id);
+        let job = job.filter(|job| job.queue.name == queue && job.is_visible_to(account));
+        let Some(job) = job else {
             out.push(answer(request, Answer::Gone));
             return;
         };
@@ -352,6 +374,7 @@
             at: time.stamp,
             queue: job.queue.name.clone(),
             phase,
+            account: job.account.clone(),
         };
         let occurrences = std::mem::take(&mut job.occurrences);
         let has_progress = job.progress_mark > Mark(0) || job.is_inherited;
@@ -454,6 +477,15 @@
     }
 }
 
+/// Refuses a request that names the job of another client account.
+fn id_in_use(request: Request) -> Output {
+    let error = Error::new(Kind::Conflict, "the id is in use; choose another one");
+    Output::Answer {
+        request,
+        answer: Err(error),
+    }
+}
+
 /// Refuses a request whose record the log does not take, with a delay after which to retry.
 fn log_unavailable(request: Request, id: id::Job, queue: &Queue) -> Output {
     let min_delay = if queue.priority == 0 {
@@ -473,6 +505,7 @@
     let payload = Arc::from(spec.payload.as_str());
     Job {
         queue,
+        account: None,
         payload,
         chains: spec.chains(),
         spec,
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -12,6 +12,7 @@
 use super::record::Phase;
 use super::spec::{Queue, Spec};
 use super::worker::{Account, Entry, Evidence};
+use crate::core::account;
 use crate::core::error::Error;
 use crate::core::resource::Amount;
 use crate::core::time::Stamp;
@@ -173,6 +174,8 @@
         queue: Queue,
         /// The job.
         spec: Arc<Spec>,
+        /// The client account of the caller, if the queue needs a key of one.
+        account: Option<account::Name>,
         /// The time of day.
         at: Stamp,
     },
@@ -184,6 +187,8 @@
         job: Job,
         /// The queue that the client named.
         queue: String,
+        /// The client account of the caller, if the queue needs a key of one.
+        account: Option<account::Name>,
         /// The time of day.
         at: Stamp,
     },
@@ -193,6 +198,8 @@
     Unlisted(String),
     /// The queues of the present configuration.
     Queues(Vec<Queue>),
+    /// The client accounts of the present configuration.
+    Accounts(Vec<account::Account>),
     /// A worker responded to a poll.
     Polled {
         /// The worker.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -42,6 +42,7 @@
 pub use message::{Answer, Input, Output};
 pub use workers::OVERCOMMITTED;
 
+use super::account;
 use super::time::{Instant, Stamp};
 use id::{Mark, Request, Run, Token};
 use record::Phase;
@@ -159,6 +160,8 @@
     /// The workers that are kept for the trials of tasks.
     trial_holds: Vec<(id::Task, id::Worker)>,
     queues: HashMap<String, Queue>,
+    /// The client accounts of the present configuration.
+    accounts: Vec<account::Account>,
     advisor_proxies: advice::AdvisorProxies,
     pending_calls: advice::PendingCalls,
     /// By queue, the moving average of the share of workers that the advisor permits.
@@ -212,6 +215,7 @@
             seen_crashes: Vec::new(),
             trial_holds: Vec::new(),
             queues: HashMap::new(),
+            accounts: Vec::new(),
             advisor_proxies: advice::AdvisorProxies::default(),
             pending_calls: advice::PendingCalls::default(),
             permitted_shares: HashMap::new(),
@@ -245,17 +249,20 @@
                 job,
                 queue,
                 spec,
+                account,
                 at,
-            } => self.submit(time, request, job, queue, spec, at, out),
+            } => self.submit(time, request, job, queue, spec, account, at, out),
             Input::Cancel {
                 request,
                 job,
                 queue,
+                account,
                 at,
-            } => self.cancel(time, request, job, &queue, at, out),
+            } => self.cancel(time, request, job, &queue, account.as_ref(), at, out),
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
             Input::Queues(queues) => self.set_queues(queues),
+            Input::Accounts(accounts) => self.accounts = accounts,
             Input::Polled {
                 worker,
                 sent,
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -11,6 +11,7 @@
 use super::id::{Job, Run};
 use super::poison;
 use super::spec::{Queue, Spec};
+use crate::core::account;
 use crate::core::time::Stamp;
 
 /// The phase of a job, as reported to its client.
@@ -57,6 +58,9 @@
         queue: Queue,
         /// The job.
         spec: Spec,
+        /// The client account of the job. Records of versions without accounts have none.
+        #[serde(default)]
+        account: Option<account::Name>,
     },
     /// The job has ended.
     Ended {
@@ -66,6 +70,9 @@
         queue: String,
         /// The final phase.
         phase: Phase,
+        /// The client account of the job. Records of versions without accounts have none.
+        #[serde(default)]
+        account: Option<account::Name>,
     },
 }
 
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry: it elects the owner of the cell, runs the links to other entries
 //! and forwards requests to the owner.
 
+mod configuration;
 mod election;
 mod inheritance;
 mod links;
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use inheritance::FormerOwnership;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, Notify, mpsc, oneshot, watch};
 
@@ -23,7 +24,7 @@
 use crate::entry::link::Link;
 use crate::entry::message::{EntryRequest, EntryResponse};
 use crate::entry::owner::{Owner, no_owner};
-use crate::entry::port::{AppendCondition, AppendOutcome, Configuration, Platform};
+use crate::entry::port::{AppendCondition, AppendOutcome, Platform};
 use crate::entry::settings::Settings;
 use crate::util::clock::Clock;
 use crate::util::metric::Metrics;
@@ -298,6 +299,9 @@
         if let EntryRequest::Claim = request {
             return Ok(EntryResponse::Claim(self.elector.borrow().claim().cloned()));
         }
+        if let EntryRequest::Configuration { known } = request {
+            return Ok(self.newer_configuration(known));
+        }
         if let EntryRequest::Leases { former, successor } = request {
             let leases = self.leases_of_former_ownership(former, successor);
             return leases.map(EntryResponse::Leases).ok_or_else(no_owner);
@@ -364,35 +368,6 @@
             info!(self.log, "readiness changed"; "ready" => is_ready, "has_owner" => has_owner);
         }
     }
-
-    /// Publishes each new version of the queues that operators configure.
-    async fn follow_configuration(self: Rc<Control<P>>) {
-        let mut configuration = self.platform.configuration();
-        let mut is_reachable = true;
-        loop {
-            match configuration.next().await {
-                Ok(Some(table)) => {
-                    is_reachable = true;
-                    let version = table.version;
-                    let former = self.tables.borrow().as_ref().map(|table| table.version);
-                    if former.is_some_and(|former| former >= version) {
-                        continue;
-                    }
-                    info!(self.log, "configuration in force"; "version" => version, "queues" => table.queues().count());
-                    self.tables.send_replace(Some(Arc::new(table)));
-                    self.update_readiness();
-                }
-                Ok(None) => is_reachable = true,
-                Err(failure) => {
-                    if is_reachable {
-                        warn!(self.log, "configuration cannot be read"; "failure" => ?failure);
-                        is_reachable = false;
-                    }
-                    tokio::time::sleep(READ_RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
 }
 
 fn in_doubt() -> Error {
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -4,15 +4,17 @@
 
 use laburnum_derive::message;
 
+use crate::core::account;
 use crate::core::error::Result;
+use crate::core::queue::QueueTable;
 use crate::core::scheduler::RemainingLease;
 use crate::core::scheduler::id::{Job, Step, Token};
 use crate::core::scheduler::record::Phase;
 use crate::core::scheduler::spec::{Queue, Spec};
 use crate::core::tenure::Claim;
 
-/// A request to an entry. Every entry serves [`Self::Advise`], [`Self::Claim`], [`Self::TakeOver`] and
-/// [`Self::Leases`]; only the owner serves the others.
+/// A request to an entry. Every entry serves [`Self::Advise`], [`Self::Claim`], [`Self::Configuration`],
+/// [`Self::TakeOver`] and [`Self::Leases`]; only the owner serves the others.
 #[message]
 pub enum EntryRequest {
     /// Accepts a job.
@@ -23,6 +25,9 @@
         queue: Queue,
         /// The job's steps and schedule.
         spec: Spec,
+        /// The client account of the caller, if the queue needs a key of one.
+        #[serde(default)]
+        account: Option<account::Name>,
     },
     /// Cancels a job.
     Cancel {
@@ -30,6 +35,9 @@
         job: Job,
         /// The queue's name.
         queue: String,
+        /// The client account of the caller, if the queue needs a key of one.
+        #[serde(default)]
+        account: Option<account::Name>,
     },
     /// Returns the phase of a job.
     Read {
@@ -37,6 +45,9 @@
         job: Job,
         /// The queue's name.
         queue: String,
+        /// The client account of the caller, if the queue needs a key of one.
+        #[serde(default)]
+        account: Option<account::Name>,
     },
     /// Counts the jobs of a queue of which no task has started yet.
     Pending {
@@ -45,6 +56,11 @@
     },
     /// Returns the latest claim that the receiving entry has read or received.
     Claim,
+    /// Returns the configuration in force at the receiving entry, if it is newer than a version.
+    Configuration {
+        /// The version that the sending entry has; `None` if it has none.
+        known: Option<u64>,
+    },
     /// Requests that the receiving entry take the cell over from the sending owner.
     #[serde(rename = "Succeed")]
     TakeOver {
@@ -87,6 +103,7 @@
             EntryRequest::Read { .. } => "read",
             EntryRequest::Pending { .. } => "pending",
             EntryRequest::Claim => "claim",
+            EntryRequest::Configuration { .. } => "configuration",
             EntryRequest::TakeOver { .. } => "succeed",
             EntryRequest::Leases { .. } => "leases",
             EntryRequest::Advise { .. } => "advise",
@@ -109,6 +126,8 @@
     Pending(u64),
     /// The latest claim that the responding entry has read or received; `None` if there is none.
     Claim(Option<Claim>),
+    /// The configuration in force at the responding entry; `None` if it has no newer one.
+    Configuration(Option<Box<QueueTable>>),
     /// The workers that may still have a lease, as of the response.
     Leases(Vec<RemainingLease>),
     /// The workers that may run the step.
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -12,6 +12,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot, watch};
 
+use crate::core::account;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::queue::QueueTable;
 use crate::core::scheduler::advice::AdvisorProxy;
@@ -486,14 +487,26 @@
             return Err(no_owner());
         }
         match request {
-            EntryRequest::Read { job, queue } => {
-                let phase = self.scheduler.borrow().phase(job, &queue);
+            EntryRequest::Read {
+                job,
+                queue,
+                account,
+            } => {
+                let scheduler = self.scheduler.borrow();
+                let state = scheduler.job(job);
+                let state = state.filter(|state| state.is_visible_to(account.as_ref()));
+                let phase = state.and_then(|_| scheduler.phase(job, &queue));
                 Ok(phase.map_or(EntryResponse::Gone, EntryResponse::Phase))
             }
             EntryRequest::Pending { queue } => Ok(EntryResponse::Pending(
                 self.scheduler.borrow().pending(&queue) as u64,
             )),
-            EntryRequest::Submit { job, queue, spec } => {
+            EntryRequest::Submit {
+                job,
+                queue,
+                spec,
+                account,
+            } => {
                 let at = self.clock.stamp();
                 let spec = std::sync::Arc::new(spec);
                 info!(self.log, "job handed in"; "job" => %job, "queue" => &queue.name, "steps" => spec.steps.len());
@@ -502,22 +515,29 @@
                     job,
                     queue,
                     spec,
+                    account,
                     at,
                 });
                 answer.await
             }
-            EntryRequest::Cancel { job, queue } => {
+            EntryRequest::Cancel {
+                job,
+                queue,
+                account,
+            } => {
                 let at = self.clock.stamp();
                 info!(self.log, "cancellation of a job requested"; "job" => %job);
                 let answer = self.request(|request| Input::Cancel {
                     request,
                     job,
                     queue,
+                    account,
                     at,
                 });
                 answer.await
             }
             EntryRequest::Claim
+            | EntryRequest::Configuration { .. }
             | EntryRequest::TakeOver { .. }
             | EntryRequest::Leases { .. }
             | EntryRequest::Advise { .. } => Err(Error::new(
@@ -617,6 +637,8 @@
             let table = tables.borrow_and_update().clone();
             if let Some(table) = table {
                 self.apply(Input::Queues(table.queues().cloned().collect()));
+                let accounts = table.accounts.iter().flat_map(account::Table::accounts);
+                self.apply(Input::Accounts(accounts.cloned().collect()));
             }
             if tables.changed().await.is_err() {
                 return;
--- a/tests/testsuite/entry/control.rs
+++ b/tests/testsuite/entry/control.rs
@@ -16,7 +16,7 @@
 
 use super::fake::Fake;
 
-fn settings() -> Settings {
+pub(super) fn settings() -> Settings {
     let any = "127.0.0.1:0".parse().unwrap();
     Settings {
         name: "front-1".to_owned(),
@@ -41,6 +41,7 @@
     EntryRequest::Read {
         job: Job(job),
         queue: "filings".to_owned(),
+        account: None,
     }
 }
 
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -38,6 +38,8 @@
     pub(super) claims: RefCell<Vec<Bytes>>,
     /// Whether reads of the claims wait until this is reset.
     pub(super) are_reads_held: Cell<bool>,
+    /// The configuration that the next feed has.
+    pub(super) configuration: RefCell<Feed>,
 }
 
 /// A handle of the platform.
@@ -182,31 +184,47 @@
     }
 }
 
-/// A directory without workers and a configuration without tables.
+/// A directory without workers.
 pub(super) struct Empty;
 
+/// What a feed of the configuration returns.
+#[derive(Clone, Default)]
+pub(super) enum Feed {
+    /// No table.
+    #[default]
+    Empty,
+    /// One table, again and again.
+    Table(QueueTable),
+    /// The platform refuses every read.
+    Refused,
+}
+
 impl Directory for Empty {
     async fn changes(&mut self) -> Result<Vec<DirectoryChange>, ReadError> {
         Ok(Vec::new())
     }
 }
 
-impl Configuration for Empty {
+impl Configuration for Feed {
     async fn next(&mut self) -> Result<Option<QueueTable>, ReadError> {
         tokio::time::sleep(Duration::from_millis(10)).await;
-        Ok(None)
+        match self {
+            Feed::Empty => Ok(None),
+            Feed::Table(table) => Ok(Some(table.clone())),
+            Feed::Refused => Err(ReadError::Refused),
+        }
     }
 }
 
 impl Platform for Fake {
     type Directory = Empty;
-    type Configuration = Empty;
+    type Configuration = Feed;
 
     fn directory(&self) -> Empty {
         Empty
     }
 
-    fn configuration(&self) -> Empty {
-        Empty
+    fn configuration(&self) -> Feed {
+        self.0.configuration.borrow().clone()
     }
 }
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry's election and ownership, on an in-memory platform.
 
+mod configuration;
 mod control;
 mod fake;
 mod owner;
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -63,6 +63,7 @@
             steps: vec![step],
             schedule: None,
         },
+        account: None,
     }
 }
 
@@ -198,6 +199,7 @@
         let read = EntryRequest::Read {
             job: Job(7),
             queue: "filings".to_owned(),
+            account: None,
         };
         assert!(matches!(
             later.serve(read).await,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration tests, one module per feature.
 #![allow(clippy::unwrap_used, missing_docs)]
+mod account;
 mod config;
 mod daemon;
 mod docs;
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -303,6 +303,7 @@
             request: Request(100 + job),
             job: Job(job),
             queue: queue().name,
+            account: None,
             at,
         });
         self.tick();
@@ -344,6 +345,7 @@
             job: Job(job),
             queue,
             spec,
+            account: None,
             at,
         });
         self.tick();
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -602,6 +602,7 @@
             job,
             queue,
             spec,
+            account: None,
             at,
         });
     }
@@ -620,6 +621,7 @@
             request,
             job,
             queue,
+            account: None,
             at,
         });
     }
