--- a/src/api/schema/laburnum.v1.rs
+++ b/src/api/schema/laburnum.v1.rs
@@ -317,6 +317,133 @@
     #[prost(string, tag = "1")]
     pub state: ::prost::alloc::string::String,
 }
+/// A number of identical tasks of a job.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementStep {
+    #[prost(uint32, tag = "1")]
+    pub tasks: u32,
+    /// What one task needs.
+    #[prost(message, optional, tag = "2")]
+    pub need: ::core::option::Option<Amount>,
+    /// How long a task is thought to run, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub estimate_ms: u64,
+    /// The earlier steps, counted from 0, that must be done first.
+    #[prost(uint32, repeated, tag = "4")]
+    pub after: ::prost::alloc::vec::Vec<u32>,
+    /// Whether the tasks work only together.
+    #[prost(bool, tag = "5")]
+    pub gang: bool,
+    /// Whether the tasks save checkpoints.
+    #[prost(bool, tag = "6")]
+    pub checkpoints: bool,
+    /// Whether the tasks are slower on several racks.
+    #[prost(bool, tag = "7")]
+    pub same_rack: bool,
+    /// A label that a worker must have.
+    #[prost(string, tag = "8")]
+    pub label: ::prost::alloc::string::String,
+    /// The rack that holds the data.
+    #[prost(string, tag = "9")]
+    pub data_rack: ::prost::alloc::string::String,
+    /// The most tasks on one worker; 0 for any number.
+    #[prost(uint32, tag = "10")]
+    pub max_per_worker: u32,
+    /// Whether the tasks run until the job is cancelled.
+    #[prost(bool, tag = "11")]
+    pub long_running: bool,
+    /// Whether the tasks use only processors that others leave unused.
+    #[prost(bool, tag = "12")]
+    pub fills: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ExplainPlacementRequest {
+    /// An accepted job, as 16 hexadecimal digits; empty to explain the steps below.
+    #[prost(string, tag = "1")]
+    pub job_id: ::prost::alloc::string::String,
+    /// The queue that the job would be submitted to.
+    #[prost(string, tag = "2")]
+    pub queue: ::prost::alloc::string::String,
+    /// The client account that would submit it; empty if the queue needs no key.
+    #[prost(string, tag = "3")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "4")]
+    pub steps: ::prost::alloc::vec::Vec<PlacementStep>,
+}
+/// How many workers of the service are in one state.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WorkerCount {
+    /// fitting, leaving, silent, suspect, other_label, denied, full or kept.
+    #[prost(string, tag = "1")]
+    pub state: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub workers: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TaskPlacement {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub tasks: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StepOutlook {
+    /// The index of the step, from 0.
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    #[prost(uint32, tag = "4")]
+    pub done: u32,
+    /// start, ask_advisor, wait_for_steps, wait_for_capacity, wait or nothing.
+    #[prost(string, tag = "5")]
+    pub decision: ::prost::alloc::string::String,
+    /// Why a step waits although workers have room, with what that is based on.
+    #[prost(string, tag = "6")]
+    pub reason: ::prost::alloc::string::String,
+    /// Where tasks would start; with `ask_advisor`, if the advisor permits all workers that it is asked about.
+    #[prost(message, repeated, tag = "7")]
+    pub placements: ::prost::alloc::vec::Vec<TaskPlacement>,
+    #[prost(message, repeated, tag = "8")]
+    pub workers: ::prost::alloc::vec::Vec<WorkerCount>,
+    /// The estimated time until the tasks start, in milliseconds; missing if none is possible.
+    #[prost(uint64, optional, tag = "9")]
+    pub starts_in_ms: ::core::option::Option<u64>,
+    /// The estimated time until the step ends, in milliseconds; missing if none is possible.
+    #[prost(uint64, optional, tag = "10")]
+    pub ends_in_ms: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ExplainPlacementResponse {
+    /// Whether the job would be accepted.
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
+    /// Why it would be refused.
+    #[prost(string, tag = "2")]
+    pub refusal: ::prost::alloc::string::String,
+    /// When a refused caller should come back, in milliseconds; 0 when not known.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub steps: ::prost::alloc::vec::Vec<StepOutlook>,
+    /// The ready steps of other jobs that come first.
+    #[prost(uint32, tag = "5")]
+    pub steps_ahead: u32,
+    /// The processors that these wait for, in thousandths of a core.
+    #[prost(uint64, tag = "6")]
+    pub cpu_millis_ahead: u64,
+    /// The age of what the answer is based on: the owner's claim on the cell, and the oldest report of a usable
+    /// worker, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub claim_age_ms: u64,
+    #[prost(uint64, tag = "8")]
+    pub oldest_report_ms: u64,
+    /// Whether the log takes records.
+    #[prost(bool, tag = "9")]
+    pub log_available: bool,
+}
 /// Travels in the `details` of every error.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ErrorDetail {
--- a/src/api/schema/laburnum.v1.serde.rs
+++ b/src/api/schema/laburnum.v1.serde.rs
@@ -1630,6 +1630,400 @@
         deserializer.deserialize_struct("laburnum.v1.ExplainJobResponse", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for ExplainPlacementRequest {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.job_id.is_empty() {
+            len += 1;
+        }
+        if !self.queue.is_empty() {
+            len += 1;
+        }
+        if !self.account.is_empty() {
+            len += 1;
+        }
+        if !self.steps.is_empty() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("laburnum.v1.ExplainPlacementRequest", len)?;
+        if !self.job_id.is_empty() {
+            struct_ser.serialize_field("jobId", &self.job_id)?;
+        }
+        if !self.queue.is_empty() {
+            struct_ser.serialize_field("queue", &self.queue)?;
+        }
+        if !self.account.is_empty() {
+            struct_ser.serialize_field("account", &self.account)?;
+        }
+        if !self.steps.is_empty() {
+            struct_ser.serialize_field("steps", &self.steps)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for ExplainPlacementRequest {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "job_id",
+            "jobId",
+            "queue",
+            "account",
+            "steps",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            JobId,
+            Queue,
+            Account,
+            Steps,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "jobId" | "job_id" => Ok(GeneratedField::JobId),
+                            "queue" => Ok(GeneratedField::Queue),
+                            "account" => Ok(GeneratedField::Account),
+                            "steps" => Ok(GeneratedField::Steps),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = ExplainPlacementRequest;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct laburnum.v1.ExplainPlacementRequest")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<ExplainPlacementRequest, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut job_id__ = None;
+                let mut queue__ = None;
+                let mut account__ = None;
+                let mut steps__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::JobId => {
+                            if job_id__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("jobId"));
+                            }
+                            job_id__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Queue => {
+                            if queue__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("queue"));
+                            }
+                            queue__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Account => {
+                            if account__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("account"));
+                            }
+                            account__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Steps => {
+                            if steps__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("steps"));
+                            }
+                            steps__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(ExplainPlacementRequest {
+                    job_id: job_id__.unwrap_or_default(),
+                    queue: queue__.unwrap_or_default(),
+                    account: account__.unwrap_or_default(),
+                    steps: steps__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("laburnum.v1.ExplainPlacementRequest", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for ExplainPlacementResponse {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if self.accepted {
+            len += 1;
+        }
+        if !self.refusal.is_empty() {
+            len += 1;
+        }
+        if self.retry_after_ms != 0 {
+            len += 1;
+        }
+        if !self.steps.is_empty() {
+            len += 1;
+        }
+        if self.steps_ahead != 0 {
+            len += 1;
+        }
+        if self.cpu_millis_ahead != 0 {
+            len += 1;
+        }
+        if self.claim_age_ms != 0 {
+            len += 1;
+        }
+        if self.oldest_report_ms != 0 {
+            len += 1;
+        }
+        if self.log_available {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("laburnum.v1.ExplainPlacementResponse", len)?;
+        if self.accepted {
+            struct_ser.serialize_field("accepted", &self.accepted)?;
+        }
+        if !self.refusal.is_empty() {
+            struct_ser.serialize_field("refusal", &self.refusal)?;
+        }
+        if self.retry_after_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("retryAfterMs", ToString::to_string(&self.retry_after_ms).as_str())?;
+        }
+        if !self.steps.is_empty() {
+            struct_ser.serialize_field("steps", &self.steps)?;
+        }
+        if self.steps_ahead != 0 {
+            struct_ser.serialize_field("stepsAhead", &self.steps_ahead)?;
+        }
+        if self.cpu_millis_ahead != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("cpuMillisAhead", ToString::to_string(&self.cpu_millis_ahead).as_str())?;
+        }
+        if self.claim_age_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("claimAgeMs", ToString::to_string(&self.claim_age_ms).as_str())?;
+        }
+        if self.oldest_report_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("oldestReportMs", ToString::to_string(&self.oldest_report_ms).as_str())?;
+        }
+        if self.log_available {
+            struct_ser.serialize_field("logAvailable", &self.log_available)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for ExplainPlacementResponse {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "accepted",
+            "refusal",
+            "retry_after_ms",
+            "retryAfterMs",
+            "steps",
+            "steps_ahead",
+            "stepsAhead",
+            "cpu_millis_ahead",
+            "cpuMillisAhead",
+            "claim_age_ms",
+            "claimAgeMs",
+            "oldest_report_ms",
+            "oldestReportMs",
+            "log_available",
+            "logAvailable",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Accepted,
+            Refusal,
+            RetryAfterMs,
+            Steps,
+            StepsAhead,
+            CpuMillisAhead,
+            ClaimAgeMs,
+            OldestReportMs,
+            LogAvailable,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "accepted" => Ok(GeneratedField::Accepted),
+                            "refusal" => Ok(GeneratedField::Refusal),
+                            "retryAfterMs" | "retry_after_ms" => Ok(GeneratedField::RetryAfterMs),
+                            "steps" => Ok(GeneratedField::Steps),
+                            "stepsAhead" | "steps_ahead" => Ok(GeneratedField::StepsAhead),
+                            "cpuMillisAhead" | "cpu_millis_ahead" => Ok(GeneratedField::CpuMillisAhead),
+                            "claimAgeMs" | "claim_age_ms" => Ok(GeneratedField::ClaimAgeMs),
+                            "oldestReportMs" | "oldest_report_ms" => Ok(GeneratedField::OldestReportMs),
+                            "logAvailable" | "log_available" => Ok(GeneratedField::LogAvailable),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = ExplainPlacementResponse;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct laburnum.v1.ExplainPlacementResponse")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<ExplainPlacementResponse, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut accepted__ = None;
+                let mut refusal__ = None;
+                let mut retry_after_ms__ = None;
+                let mut steps__ = None;
+                let mut steps_ahead__ = None;
+                let mut cpu_millis_ahead__ = None;
+                let mut claim_age_ms__ = None;
+                let mut oldest_report_ms__ = None;
+                let mut log_available__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Accepted => {
+                            if accepted__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("accepted"));
+                            }
+                            accepted__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Refusal => {
+                            if refusal__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("refusal"));
+                            }
+                            refusal__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::RetryAfterMs => {
+                            if retry_after_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("retryAfterMs"));
+                            }
+                            retry_after_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Steps => {
+                            if steps__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("steps"));
+                            }
+                            steps__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::StepsAhead => {
+                            if steps_ahead__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("stepsAhead"));
+                            }
+                            steps_ahead__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::CpuMillisAhead => {
+                            if cpu_millis_ahead__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("cpuMillisAhead"));
+                            }
+                            cpu_millis_ahead__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::ClaimAgeMs => {
+                            if claim_age_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("claimAgeMs"));
+                            }
+                            claim_age_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::OldestReportMs => {
+                            if oldest_report_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("oldestReportMs"));
+                            }
+                            oldest_report_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::LogAvailable => {
+                            if log_available__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("logAvailable"));
+                            }
+                            log_available__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(ExplainPlacementResponse {
+                    accepted: accepted__.unwrap_or_default(),
+                    refusal: refusal__.unwrap_or_default(),
+                    retry_after_ms: retry_after_ms__.unwrap_or_default(),
+                    steps: steps__.unwrap_or_default(),
+                    steps_ahead: steps_ahead__.unwrap_or_default(),
+                    cpu_millis_ahead: cpu_millis_ahead__.unwrap_or_default(),
+                    claim_age_ms: claim_age_ms__.unwrap_or_default(),
+                    oldest_report_ms: oldest_report_ms__.unwrap_or_default(),
+                    log_available: log_available__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("laburnum.v1.ExplainPlacementResponse", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for GetConfigRequest {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
@@ -3274,26 +3668,320 @@
         deserializer.deserialize_struct("laburnum.v1.ListVmsResponse", FIELDS, GeneratedVisitor)
     }
 }
-impl serde::Serialize for Priority {
+impl serde::Serialize for PlacementStep {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
     where
         S: serde::Serializer,
     {
-        let variant = match self {
-            Self::Unspecified => "PRIORITY_UNSPECIFIED",
-            Self::Lookup => "PRIORITY_LOOKUP",
-            Self::Normal => "PRIORITY_NORMAL",
-            Self::Bulk => "PRIORITY_BULK",
-        };
-        serializer.serialize_str(variant)
-    }
-}
-impl<'de> serde::Deserialize<'de> for Priority {
-    #[allow(deprecated)]
-    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
-    where
-        D: serde::Deserializer<'de>,
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if self.tasks != 0 {
+            len += 1;
+        }
+        if self.need.is_some() {
+            len += 1;
+        }
+        if self.estimate_ms != 0 {
+            len += 1;
+        }
+        if !self.after.is_empty() {
+            len += 1;
+        }
+        if self.gang {
+            len += 1;
+        }
+        if self.checkpoints {
+            len += 1;
+        }
+        if self.same_rack {
+            len += 1;
+        }
+        if !self.label.is_empty() {
+            len += 1;
+        }
+        if !self.data_rack.is_empty() {
+            len += 1;
+        }
+        if self.max_per_worker != 0 {
+            len += 1;
+        }
+        if self.long_running {
+            len += 1;
+        }
+        if self.fills {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("laburnum.v1.PlacementStep", len)?;
+        if self.tasks != 0 {
+            struct_ser.serialize_field("tasks", &self.tasks)?;
+        }
+        if let Some(v) = self.need.as_ref() {
+            struct_ser.serialize_field("need", v)?;
+        }
+        if self.estimate_ms != 0 {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("estimateMs", ToString::to_string(&self.estimate_ms).as_str())?;
+        }
+        if !self.after.is_empty() {
+            struct_ser.serialize_field("after", &self.after)?;
+        }
+        if self.gang {
+            struct_ser.serialize_field("gang", &self.gang)?;
+        }
+        if self.checkpoints {
+            struct_ser.serialize_field("checkpoints", &self.checkpoints)?;
+        }
+        if self.same_rack {
+            struct_ser.serialize_field("sameRack", &self.same_rack)?;
+        }
+        if !self.label.is_empty() {
+            struct_ser.serialize_field("label", &self.label)?;
+        }
+        if !self.data_rack.is_empty() {
+            struct_ser.serialize_field("dataRack", &self.data_rack)?;
+        }
+        if self.max_per_worker != 0 {
+            struct_ser.serialize_field("maxPerWorker", &self.max_per_worker)?;
+        }
+        if self.long_running {
+            struct_ser.serialize_field("longRunning", &self.long_running)?;
+        }
+        if self.fills {
+            struct_ser.serialize_field("fills", &self.fills)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for PlacementStep {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "tasks",
+            "need",
+            "estimate_ms",
+            "estimateMs",
+            "after",
+            "gang",
+            "checkpoints",
+            "same_rack",
+            "sameRack",
+            "label",
+            "data_rack",
+            "dataRack",
+            "max_per_worker",
+            "maxPerWorker",
+            "long_running",
+            "longRunning",
+            "fills",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Tasks,
+            Need,
+            EstimateMs,
+            After,
+            Gang,
+            Checkpoints,
+            SameRack,
+            Label,
+            DataRack,
+            MaxPerWorker,
+            LongRunning,
+            Fills,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "tasks" => Ok(GeneratedField::Tasks),
+                            "need" => Ok(GeneratedField::Need),
+                            "estimateMs" | "estimate_ms" => Ok(GeneratedField::EstimateMs),
+                            "after" => Ok(GeneratedField::After),
+                            "gang" => Ok(GeneratedField::Gang),
+                            "checkpoints" => Ok(GeneratedField::Checkpoints),
+                            "sameRack" | "same_rack" => Ok(GeneratedField::SameRack),
+                            "label" => Ok(GeneratedField::Label),
+                            "dataRack" | "data_rack" => Ok(GeneratedField::DataRack),
+                            "maxPerWorker" | "max_per_worker" => Ok(GeneratedField::MaxPerWorker),
+                            "longRunning" | "long_running" => Ok(GeneratedField::LongRunning),
+                            "fills" => Ok(GeneratedField::Fills),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = PlacementStep;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct laburnum.v1.PlacementStep")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<PlacementStep, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut tasks__ = None;
+                let mut need__ = None;
+                let mut estimate_ms__ = None;
+                let mut after__ = None;
+                let mut gang__ = None;
+                let mut checkpoints__ = None;
+                let mut same_rack__ = None;
+                let mut label__ = None;
+                let mut data_rack__ = None;
+                let mut max_per_worker__ = None;
+                let mut long_running__ = None;
+                let mut fills__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Tasks => {
+                            if tasks__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("tasks"));
+                            }
+                            tasks__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Need => {
+                            if need__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("need"));
+                            }
+                            need__ = map_.next_value()?;
+                        }
+                        GeneratedField::EstimateMs => {
+                            if estimate_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("estimateMs"));
+                            }
+                            estimate_ms__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::After => {
+                            if after__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("after"));
+                            }
+                            after__ = 
+                                Some(map_.next_value::<Vec<::pbjson::private::NumberDeserialize<_>>>()?
+                                    .into_iter().map(|x| x.0).collect())
+                            ;
+                        }
+                        GeneratedField::Gang => {
+                            if gang__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("gang"));
+                            }
+                            gang__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Checkpoints => {
+                            if checkpoints__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("checkpoints"));
+                            }
+                            checkpoints__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::SameRack => {
+                            if same_rack__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("sameRack"));
+                            }
+                            same_rack__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Label => {
+                            if label__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("label"));
+                            }
+                            label__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::DataRack => {
+                            if data_rack__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("dataRack"));
+                            }
+                            data_rack__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::MaxPerWorker => {
+                            if max_per_worker__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("maxPerWorker"));
+                            }
+                            max_per_worker__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::LongRunning => {
+                            if long_running__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("longRunning"));
+                            }
+                            long_running__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Fills => {
+                            if fills__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("fills"));
+                            }
+                            fills__ = Some(map_.next_value()?);
+                        }
+                    }
+                }
+                Ok(PlacementStep {
+                    tasks: tasks__.unwrap_or_default(),
+                    need: need__,
+                    estimate_ms: estimate_ms__.unwrap_or_default(),
+                    after: after__.unwrap_or_default(),
+                    gang: gang__.unwrap_or_default(),
+                    checkpoints: checkpoints__.unwrap_or_default(),
+                    same_rack: same_rack__.unwrap_or_default(),
+                    label: label__.unwrap_or_default(),
+                    data_rack: data_rack__.unwrap_or_default(),
+                    max_per_worker: max_per_worker__.unwrap_or_default(),
+                    long_running: long_running__.unwrap_or_default(),
+                    fills: fills__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("laburnum.v1.PlacementStep", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for Priority {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        let variant = match self {
+            Self::Unspecified => "PRIORITY_UNSPECIFIED",
+            Self::Lookup => "PRIORITY_LOOKUP",
+            Self::Normal => "PRIORITY_NORMAL",
+            Self::Bulk => "PRIORITY_BULK",
+        };
+        serializer.serialize_str(variant)
+    }
+}
+impl<'de> serde::Deserialize<'de> for Priority {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
     {
         const FIELDS: &[&str] = &[
             "PRIORITY_UNSPECIFIED",
@@ -3736,27 +4424,207 @@
         if !self.filter.is_empty() {
             struct_ser.serialize_field("filter", &self.filter)?;
         }
-        if self.workers != 0 {
-            struct_ser.serialize_field("workers", &self.workers)?;
+        if self.workers != 0 {
+            struct_ser.serialize_field("workers", &self.workers)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for Refusal {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "filter",
+            "workers",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Filter,
+            Workers,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "filter" => Ok(GeneratedField::Filter),
+                            "workers" => Ok(GeneratedField::Workers),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = Refusal;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct laburnum.v1.Refusal")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<Refusal, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut filter__ = None;
+                let mut workers__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Filter => {
+                            if filter__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("filter"));
+                            }
+                            filter__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Workers => {
+                            if workers__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("workers"));
+                            }
+                            workers__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                    }
+                }
+                Ok(Refusal {
+                    filter: filter__.unwrap_or_default(),
+                    workers: workers__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("laburnum.v1.Refusal", FIELDS, GeneratedVisitor)
+    }
+}
+impl serde::Serialize for StepOutlook {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if self.step != 0 {
+            len += 1;
+        }
+        if self.waiting != 0 {
+            len += 1;
+        }
+        if self.running != 0 {
+            len += 1;
+        }
+        if self.done != 0 {
+            len += 1;
+        }
+        if !self.decision.is_empty() {
+            len += 1;
+        }
+        if !self.reason.is_empty() {
+            len += 1;
+        }
+        if !self.placements.is_empty() {
+            len += 1;
+        }
+        if !self.workers.is_empty() {
+            len += 1;
+        }
+        if self.starts_in_ms.is_some() {
+            len += 1;
+        }
+        if self.ends_in_ms.is_some() {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("laburnum.v1.StepOutlook", len)?;
+        if self.step != 0 {
+            struct_ser.serialize_field("step", &self.step)?;
+        }
+        if self.waiting != 0 {
+            struct_ser.serialize_field("waiting", &self.waiting)?;
+        }
+        if self.running != 0 {
+            struct_ser.serialize_field("running", &self.running)?;
+        }
+        if self.done != 0 {
+            struct_ser.serialize_field("done", &self.done)?;
+        }
+        if !self.decision.is_empty() {
+            struct_ser.serialize_field("decision", &self.decision)?;
+        }
+        if !self.reason.is_empty() {
+            struct_ser.serialize_field("reason", &self.reason)?;
+        }
+        if !self.placements.is_empty() {
+            struct_ser.serialize_field("placements", &self.placements)?;
+        }
+        if !self.workers.is_empty() {
+            struct_ser.serialize_field("workers", &self.workers)?;
+        }
+        if let Some(v) = self.starts_in_ms.as_ref() {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("startsInMs", ToString::to_string(&v).as_str())?;
+        }
+        if let Some(v) = self.ends_in_ms.as_ref() {
+            #[allow(clippy::needless_borrow)]
+            #[allow(clippy::needless_borrows_for_generic_args)]
+            struct_ser.serialize_field("endsInMs", ToString::to_string(&v).as_str())?;
         }
         struct_ser.end()
     }
 }
-impl<'de> serde::Deserialize<'de> for Refusal {
+impl<'de> serde::Deserialize<'de> for StepOutlook {
     #[allow(deprecated)]
     fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
     where
         D: serde::Deserializer<'de>,
     {
         const FIELDS: &[&str] = &[
-            "filter",
+            "step",
+            "waiting",
+            "running",
+            "done",
+            "decision",
+            "reason",
+            "placements",
             "workers",
+            "starts_in_ms",
+            "startsInMs",
+            "ends_in_ms",
+            "endsInMs",
         ];
 
         #[allow(clippy::enum_variant_names)]
         enum GeneratedField {
-            Filter,
+            Step,
+            Waiting,
+            Running,
+            Done,
+            Decision,
+            Reason,
+            Placements,
             Workers,
+            StartsInMs,
+            EndsInMs,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -3778,8 +4646,16 @@
                         E: serde::de::Error,
                     {
                         match value {
-                            "filter" => Ok(GeneratedField::Filter),
+                            "step" => Ok(GeneratedField::Step),
+                            "waiting" => Ok(GeneratedField::Waiting),
+                            "running" => Ok(GeneratedField::Running),
+                            "done" => Ok(GeneratedField::Done),
+                            "decision" => Ok(GeneratedField::Decision),
+                            "reason" => Ok(GeneratedField::Reason),
+                            "placements" => Ok(GeneratedField::Placements),
                             "workers" => Ok(GeneratedField::Workers),
+                            "startsInMs" | "starts_in_ms" => Ok(GeneratedField::StartsInMs),
+                            "endsInMs" | "ends_in_ms" => Ok(GeneratedField::EndsInMs),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -3789,43 +4665,117 @@
         }
         struct GeneratedVisitor;
         impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
-            type Value = Refusal;
+            type Value = StepOutlook;
 
             fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                formatter.write_str("struct laburnum.v1.Refusal")
+                formatter.write_str("struct laburnum.v1.StepOutlook")
             }
 
-            fn visit_map<V>(self, mut map_: V) -> std::result::Result<Refusal, V::Error>
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<StepOutlook, V::Error>
                 where
                     V: serde::de::MapAccess<'de>,
             {
-                let mut filter__ = None;
+                let mut step__ = None;
+                let mut waiting__ = None;
+                let mut running__ = None;
+                let mut done__ = None;
+                let mut decision__ = None;
+                let mut reason__ = None;
+                let mut placements__ = None;
                 let mut workers__ = None;
+                let mut starts_in_ms__ = None;
+                let mut ends_in_ms__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
-                        GeneratedField::Filter => {
-                            if filter__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("filter"));
+                        GeneratedField::Step => {
+                            if step__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("step"));
                             }
-                            filter__ = Some(map_.next_value()?);
+                            step__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Waiting => {
+                            if waiting__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("waiting"));
+                            }
+                            waiting__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Running => {
+                            if running__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("running"));
+                            }
+                            running__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Done => {
+                            if done__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("done"));
+                            }
+                            done__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                        GeneratedField::Decision => {
+                            if decision__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("decision"));
+                            }
+                            decision__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Reason => {
+                            if reason__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("reason"));
+                            }
+                            reason__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Placements => {
+                            if placements__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("placements"));
+                            }
+                            placements__ = Some(map_.next_value()?);
                         }
                         GeneratedField::Workers => {
                             if workers__.is_some() {
                                 return Err(serde::de::Error::duplicate_field("workers"));
                             }
-                            workers__ = 
-                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            workers__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::StartsInMs => {
+                            if starts_in_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("startsInMs"));
+                            }
+                            starts_in_ms__ = 
+                                map_.next_value::<::std::option::Option<::pbjson::private::NumberDeserialize<_>>>()?.map(|x| x.0)
+                            ;
+                        }
+                        GeneratedField::EndsInMs => {
+                            if ends_in_ms__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("endsInMs"));
+                            }
+                            ends_in_ms__ = 
+                                map_.next_value::<::std::option::Option<::pbjson::private::NumberDeserialize<_>>>()?.map(|x| x.0)
                             ;
                         }
                     }
                 }
-                Ok(Refusal {
-                    filter: filter__.unwrap_or_default(),
+                Ok(StepOutlook {
+                    step: step__.unwrap_or_default(),
+                    waiting: waiting__.unwrap_or_default(),
+                    running: running__.unwrap_or_default(),
+                    done: done__.unwrap_or_default(),
+                    decision: decision__.unwrap_or_default(),
+                    reason: reason__.unwrap_or_default(),
+                    placements: placements__.unwrap_or_default(),
                     workers: workers__.unwrap_or_default(),
+                    starts_in_ms: starts_in_ms__,
+                    ends_in_ms: ends_in_ms__,
                 })
             }
         }
-        deserializer.deserialize_struct("laburnum.v1.Refusal", FIELDS, GeneratedVisitor)
+        deserializer.deserialize_struct("laburnum.v1.StepOutlook", FIELDS, GeneratedVisitor)
     }
 }
 impl serde::Serialize for SubmitJobRequest {
@@ -4028,6 +4978,116 @@
         deserializer.deserialize_struct("laburnum.v1.SubmitJobResponse", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for TaskPlacement {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.worker.is_empty() {
+            len += 1;
+        }
+        if self.tasks != 0 {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("laburnum.v1.TaskPlacement", len)?;
+        if !self.worker.is_empty() {
+            struct_ser.serialize_field("worker", &self.worker)?;
+        }
+        if self.tasks != 0 {
+            struct_ser.serialize_field("tasks", &self.tasks)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for TaskPlacement {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "worker",
+            "tasks",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            Worker,
+            Tasks,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "worker" => Ok(GeneratedField::Worker),
+                            "tasks" => Ok(GeneratedField::Tasks),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = TaskPlacement;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct laburnum.v1.TaskPlacement")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<TaskPlacement, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut worker__ = None;
+                let mut tasks__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::Worker => {
+                            if worker__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("worker"));
+                            }
+                            worker__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Tasks => {
+                            if tasks__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("tasks"));
+                            }
+                            tasks__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                    }
+                }
+                Ok(TaskPlacement {
+                    worker: worker__.unwrap_or_default(),
+                    tasks: tasks__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("laburnum.v1.TaskPlacement", FIELDS, GeneratedVisitor)
+    }
+}
 impl serde::Serialize for TaskStatus {
     #[allow(deprecated)]
     fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
@@ -4596,3 +5656,113 @@
         deserializer.deserialize_struct("laburnum.v1.WatchJobResponse", FIELDS, GeneratedVisitor)
     }
 }
+impl serde::Serialize for WorkerCount {
+    #[allow(deprecated)]
+    fn serialize<S>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeStruct;
+        let mut len = 0;
+        if !self.state.is_empty() {
+            len += 1;
+        }
+        if self.workers != 0 {
+            len += 1;
+        }
+        let mut struct_ser = serializer.serialize_struct("laburnum.v1.WorkerCount", len)?;
+        if !self.state.is_empty() {
+            struct_ser.serialize_field("state", &self.state)?;
+        }
+        if self.workers != 0 {
+            struct_ser.serialize_field("workers", &self.workers)?;
+        }
+        struct_ser.end()
+    }
+}
+impl<'de> serde::Deserialize<'de> for WorkerCount {
+    #[allow(deprecated)]
+    fn deserialize<D>(deserializer: D) -> std::result::Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        const FIELDS: &[&str] = &[
+            "state",
+            "workers",
+        ];
+
+        #[allow(clippy::enum_variant_names)]
+        enum GeneratedField {
+            State,
+            Workers,
+        }
+        impl<'de> serde::Deserialize<'de> for GeneratedField {
+            fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
+            where
+                D: serde::Deserializer<'de>,
+            {
+                struct GeneratedVisitor;
+
+                impl serde::de::Visitor<'_> for GeneratedVisitor {
+                    type Value = GeneratedField;
+
+                    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        write!(formatter, "expected one of: {:?}", &FIELDS)
+                    }
+
+                    #[allow(unused_variables)]
+                    fn visit_str<E>(self, value: &str) -> std::result::Result<GeneratedField, E>
+                    where
+                        E: serde::de::Error,
+                    {
+                        match value {
+                            "state" => Ok(GeneratedField::State),
+                            "workers" => Ok(GeneratedField::Workers),
+                            _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
+                        }
+                    }
+                }
+                deserializer.deserialize_identifier(GeneratedVisitor)
+            }
+        }
+        struct GeneratedVisitor;
+        impl<'de> serde::de::Visitor<'de> for GeneratedVisitor {
+            type Value = WorkerCount;
+
+            fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str("struct laburnum.v1.WorkerCount")
+            }
+
+            fn visit_map<V>(self, mut map_: V) -> std::result::Result<WorkerCount, V::Error>
+                where
+                    V: serde::de::MapAccess<'de>,
+            {
+                let mut state__ = None;
+                let mut workers__ = None;
+                while let Some(k) = map_.next_key()? {
+                    match k {
+                        GeneratedField::State => {
+                            if state__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("state"));
+                            }
+                            state__ = Some(map_.next_value()?);
+                        }
+                        GeneratedField::Workers => {
+                            if workers__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("workers"));
+                            }
+                            workers__ = 
+                                Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
+                            ;
+                        }
+                    }
+                }
+                Ok(WorkerCount {
+                    state: state__.unwrap_or_default(),
+                    workers: workers__.unwrap_or_default(),
+                })
+            }
+        }
+        deserializer.deserialize_struct("laburnum.v1.WorkerCount", FIELDS, GeneratedVisitor)
+    }
+}
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -22,7 +22,7 @@
 use crate::ops;
 
 /// Path prefix of every remote procedure call.
-const PREFIX: &str = "/laburnum.v1.";
+pub(crate) const PREFIX: &str = "/laburnum.v1.";
 
 /// Handles one HTTP request and returns its response.
 pub async fn handle(context: Context, mut request: Request) -> Response<BoxBody> {
@@ -93,6 +93,10 @@
         "Operator/ListQuotas" => call.run(ops::quota::list).await,
         "Operator/DrainVm" => call.run(ops::vm::drain).await,
         "Operator/Dump" => call.run(ops::dump::exec).await,
+        "Operator/ExplainPlacement" => Err(Error::new(
+            Kind::Unimplemented,
+            "laburnum-entry serves this procedure; use Caller/ExplainJob here",
+        )),
         _ => Err(unknown_procedure(name)),
     }
 }
@@ -120,7 +124,7 @@
 }
 
 /// Reads a request body of at most `limit` bytes.
-async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes> {
+pub(crate) async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -174,7 +178,7 @@
 }
 
 /// Builds the HTTP response for an error.
-fn error_response(error: &Error) -> Response<BoxBody> {
+pub(crate) fn error_response(error: &Error) -> Response<BoxBody> {
     let status = StatusCode::from_u16(error.kind.answer().code.http_status());
     let body = serde_json::to_vec(&fault::ErrorBody::new(error)).unwrap_or_default();
     let mut response = Response::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
--- a/src/bin/laburnum/commands/mod.rs
+++ b/src/bin/laburnum/commands/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod config;
 mod dump;
+mod explain;
 mod job;
 mod quota;
 mod settings;
@@ -18,6 +19,7 @@
     Call(call::Options),
     Config(config::Options),
     Dump(dump::Options),
+    Explain(explain::Options),
     Job(job::Options),
     Quota(quota::Options),
     Settings(settings::Options),
@@ -31,6 +33,7 @@
             Command::Call(options) => call::exec(context, options).await,
             Command::Config(options) => config::exec(context, options).await,
             Command::Dump(options) => dump::exec(context, options).await,
+            Command::Explain(options) => explain::exec(context, options).await,
             Command::Job(options) => job::exec(context, options).await,
             Command::Quota(options) => quota::exec(context, options).await,
             Command::Settings(options) => settings::exec(&options),
--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -23,6 +23,7 @@
 use crate::core::time::Instant;
 
 /// A worker on which earlier owners may have started tasks.
+#[derive(Clone)]
 pub(super) struct InheritedWorker {
     pub(super) name: String,
     pub(super) incarnation: u64,
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -14,6 +14,7 @@
 pub mod advice;
 mod advisor_calls;
 mod candidates;
+pub mod explain;
 pub mod id;
 mod inheritance;
 pub mod job;
@@ -125,6 +126,7 @@
 }
 
 /// Schedules the jobs of a cell; see the [module](self).
+#[derive(Clone)]
 pub struct Scheduler {
     rules: Rules,
     token: Token,
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -187,14 +187,14 @@
 
     /// Whether tasks of a job may be started: its acceptance is in the log, no later owner may have
     /// started them, and every run that an earlier owner may have started is known or has ended.
-    fn may_start(&self, job: &Job, now: Instant) -> bool {
+    pub(super) fn may_start(&self, job: &Job, now: Instant) -> bool {
         job.is_durable
             && self.is_claim_confirmed(now)
             && self.is_pause_confirmed()
             && (!job.is_inherited || now >= self.inherited_known_at)
     }
 
-    fn rank(&self, step: Step, time: Time) -> Option<Rank> {
+    pub(super) fn rank(&self, step: Step, time: Time) -> Option<Rank> {
         let job = self.jobs.get(&step.job)?;
         let began = match job.spec.due(step.occurrence) {
             Some(due) => time.now - time.stamp.since(due),
@@ -509,7 +509,12 @@
 
     /// Returns the capacity for tasks on the permitted workers with the times at which it becomes
     /// free, according to the expected ends of the runs there.
-    fn slots(&self, candidates: &[Candidate], demand: &Demand, now: Instant) -> Vec<Slot> {
+    pub(super) fn slots(
+        &self,
+        candidates: &[Candidate],
+        demand: &Demand,
+        now: Instant,
+    ) -> Vec<Slot> {
         let mut slots = Vec::new();
         for (index, candidate) in candidates.iter().enumerate() {
             let Some(worker) = self.workers.get(candidate.worker) else {
--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -25,6 +25,7 @@
 const WORKERS_PER_TRIAL: usize = 2;
 
 /// A crash of a worker under a run, as it was seen.
+#[derive(Clone)]
 pub(super) struct SeenCrash {
     task: Task,
     run: Run,
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -328,7 +328,7 @@
     }
 
     /// Explains the wait of a ready step; `None` when it waits for capacity only.
-    fn explain(&self, id: Step, since: Instant, now: Instant) -> Option<Wait> {
+    pub(super) fn explain(&self, id: Step, since: Instant, now: Instant) -> Option<Wait> {
         let job = self.jobs.get(&id.job)?;
         let spec = job.spec.steps.get(usize::from(id.index))?;
         let step = job.step(id)?;
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -8,6 +8,7 @@
 use crate::core::error::Result;
 use crate::core::queue::QueueTable;
 use crate::core::scheduler::RemainingLease;
+use crate::core::scheduler::explain::Explanation;
 use crate::core::scheduler::id::{Job, Step, Token};
 use crate::core::scheduler::record::Phase;
 use crate::core::scheduler::spec::{Queue, Spec};
@@ -77,6 +78,8 @@
         /// The token of the sending entry's ownership.
         successor: Token,
     },
+    /// Explains where a job would go now, or where the tasks of an accepted one wait. Changes nothing.
+    Explain(Explain),
     /// Requests that the receiving entry call the advisor on behalf of the owner.
     Advise {
         /// The step to place.
@@ -91,7 +94,10 @@
     pub fn is_read(&self) -> bool {
         matches!(
             self,
-            EntryRequest::Read { .. } | EntryRequest::Pending { .. } | EntryRequest::Advise { .. }
+            EntryRequest::Read { .. }
+                | EntryRequest::Pending { .. }
+                | EntryRequest::Explain(_)
+                | EntryRequest::Advise { .. }
         )
     }
 
@@ -106,11 +112,28 @@
             EntryRequest::Configuration { .. } => "configuration",
             EntryRequest::TakeOver { .. } => "succeed",
             EntryRequest::Leases { .. } => "leases",
+            EntryRequest::Explain(_) => "explain",
             EntryRequest::Advise { .. } => "advise",
         }
     }
 }
 
+/// What to explain.
+#[message]
+pub enum Explain {
+    /// A job that a caller could submit.
+    Submission {
+        /// The queue.
+        queue: Box<Queue>,
+        /// The job.
+        spec: Spec,
+        /// The client account, if the queue needs a key of one.
+        account: Option<account::Name>,
+    },
+    /// An accepted job.
+    Job(Job),
+}
+
 /// The response to an [`EntryRequest`].
 #[message]
 pub enum EntryResponse {
@@ -130,6 +153,8 @@
     Configuration(Option<Box<QueueTable>>),
     /// The workers that may still have a lease, as of the response.
     Leases(Vec<RemainingLease>),
+    /// Where the tasks of a job would go, or wait.
+    Explained(Box<Explanation>),
     /// The workers that may run the step.
     Advised {
         /// The workers' names, each with the advisor's ticket for it.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod owner;
 pub mod port;
+pub mod rpc;
 pub mod settings;
 pub mod writer;
 
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -16,13 +16,15 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::queue::QueueTable;
 use crate::core::scheduler::advice::AdvisorProxy;
+use crate::core::scheduler::explain::Submission;
 use crate::core::scheduler::id::{Request, Task, Token, Worker};
 use crate::core::scheduler::poison;
 use crate::core::scheduler::{
     Answer, Input, OVERCOMMITTED, Output, RemainingLease, Rules, Scheduler, Time,
 };
+use crate::core::time::Instant;
 use crate::entry::link::Link;
-use crate::entry::message::{EntryRequest, EntryResponse};
+use crate::entry::message::{EntryRequest, EntryResponse, Explain};
 use crate::entry::port::{Address, Directory, DirectoryChange, Platform, ReadError};
 use crate::entry::writer;
 use crate::util::clock::Clock;
@@ -30,6 +32,8 @@
 
 /// How often a waiting request checks whether the takeover is complete.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The shortest time between two explanations, each of which copies the scheduler.
+const EXPLAIN_INTERVAL: Duration = Duration::from_millis(200);
 /// How often to check for closed links.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause between two reads of the directory: a worker must get no new tasks from a few seconds
@@ -81,6 +85,8 @@
     /// The links to the other entries, each of which can call the advisor for the owner.
     advisor_proxies: RefCell<HashMap<AdvisorProxy, Link>>,
     next_proxy: Cell<u32>,
+    /// When a placement was explained last.
+    explained_at: Cell<Option<Instant>>,
 }
 
 impl<P: Platform> Owner<P> {
@@ -112,6 +118,7 @@
             is_refused: Cell::new(false),
             advisor_proxies: RefCell::default(),
             next_proxy: Cell::new(1),
+            explained_at: Cell::new(None),
         })
     }
 
@@ -536,6 +543,7 @@
                 });
                 answer.await
             }
+            EntryRequest::Explain(subject) => self.explain(subject),
             EntryRequest::Claim
             | EntryRequest::Configuration { .. }
             | EntryRequest::TakeOver { .. }
@@ -547,6 +555,41 @@
         }
     }
 
+    /// Explains a placement on a copy of the scheduler, at most once in [`EXPLAIN_INTERVAL`].
+    fn explain(&self, subject: Explain) -> Result<EntryResponse> {
+        let time = self.time();
+        let since = self.explained_at.get().map(|at| time.now.since(at));
+        if let Some(left) = since.and_then(|since| EXPLAIN_INTERVAL.checked_sub(since)) {
+            let error = Error::new(
+                Kind::Overloaded,
+                "the owner has just explained another placement; retry later",
+            );
+            return Err(error.with_retry_after(left));
+        }
+        self.explained_at.set(Some(time.now));
+        let scheduler = self.scheduler.borrow();
+        let explanation = match subject {
+            Explain::Submission {
+                queue,
+                spec,
+                account,
+            } => {
+                let spec = std::sync::Arc::new(spec);
+                let submission = Submission {
+                    queue: *queue,
+                    spec,
+                    account,
+                };
+                scheduler.explain_submission(time, &submission)
+            }
+            Explain::Job(job) => scheduler.explain_job(time, job).ok_or_else(|| {
+                let message = format!("job {job} is not known or has ended");
+                Error::new(Kind::NotFound, message)
+            })?,
+        };
+        Ok(EntryResponse::Explained(Box::new(explanation)))
+    }
+
     async fn request(&self, input: impl FnOnce(Request) -> Input) -> Result<EntryResponse> {
         let (reply, answer) = oneshot::channel();
         let request = Request(self.requests.borrow_mut().insert(reply) as u64);
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod cell;
 pub(crate) use cell::rules;
+mod explain;
 mod fault;
 mod fuzz;
 mod fuzz_wait;
