--- a/crates/laburnum-measure/src/lib.rs
+++ b/crates/laburnum-measure/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod plot;
 pub mod report;
 pub mod request;
+pub mod scheduler;
 pub mod stream;
