Keep the running tasks of a client account within its cap

A ledger now counts what the runs of each account use, from the decision to start a run until it certainly has left its worker: starts without an answer, runs that are being stopped and runs on silent workers included. Runs enter and leave workers through the ledger only, and debug builds check it against the table of runs at each placement. After a takeover, what inherited jobs may have running on workers that have not reported counts too, up to the capacity of these workers; for that, the record of an ended job says how many runs it may have left and how large they are.

A placement starts no more tasks of a step than the cap allows. A gang starts whole or holds the room that it waits for against later steps of its account; one that is wider than the cap is refused when it is submitted. An account at its cap reserves no workers. Ruled out: to spend the overage that the platform tolerates, and to let accounts that the configuration does not list run without a cap, since the owner may only be behind.

--- a/src/core/account/mod.rs
+++ b/src/core/account/mod.rs
@@ -5,6 +5,8 @@
 
 mod table;
 
+use std::fmt;
+
 use laburnum_derive::{message, name};
 
 pub use table::{Digest, Fault, MAX_KEY_BYTES, Table};
@@ -39,6 +41,19 @@
     pub accelerators: Option<u64>,
 }
 
+impl fmt::Display for Cap {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let limit = |limit: Option<u64>| limit.map_or("-".to_owned(), |limit| limit.to_string());
+        write!(
+            out,
+            "{}m/{}Mi/{}",
+            limit(self.cpu_millis),
+            limit(self.memory_mib),
+            limit(self.accelerators)
+        )
+    }
+}
+
 impl Cap {
     /// Whether an amount exceeds no limit.
     pub fn allows(&self, amount: Amount) -> bool {
@@ -47,4 +62,26 @@
             && is_within(amount.memory_mib, self.memory_mib)
             && is_within(amount.accelerators, self.accelerators)
     }
+
+    /// Returns the lower limit on each resource.
+    pub fn min(self, other: Cap) -> Cap {
+        let lower = |limit: Option<u64>, other: Option<u64>| limit.into_iter().chain(other).min();
+        Cap {
+            cpu_millis: lower(self.cpu_millis, other.cpu_millis),
+            memory_mib: lower(self.memory_mib, other.memory_mib),
+            accelerators: lower(self.accelerators, other.accelerators),
+        }
+    }
+
+    /// Returns what may be used in addition to `used`; [`u64::MAX`] of a resource without a limit.
+    pub fn left(self, used: Amount) -> Amount {
+        let left = |limit: Option<u64>, used: u64| {
+            limit.map_or(u64::MAX, |limit| limit.saturating_sub(used))
+        };
+        Amount {
+            cpu_millis: left(self.cpu_millis, used.cpu_millis),
+            memory_mib: left(self.memory_mib, used.memory_mib),
+            accelerators: left(self.accelerators, used.accelerators),
+        }
+    }
 }
--- a/src/core/resource.rs
+++ b/src/core/resource.rs
@@ -49,6 +49,24 @@
         }
     }
 
+    /// Returns the smaller value of each resource.
+    pub fn min(self, other: Amount) -> Amount {
+        Amount {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns `self` plus `other`, saturating.
+    pub fn saturating_add(self, other: Amount) -> Amount {
+        Amount {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
     /// Returns `self` multiplied by `count`, saturating.
     pub fn times(self, count: u64) -> Amount {
         Amount {
--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -54,6 +54,8 @@
     pub(super) pool: &'a [PoolWorker],
     /// The capacity that steps earlier in the order have reserved.
     pub(super) reserved: &'a Reserved,
+    /// How many tasks the cap of the job's client account allows to start.
+    pub(super) max_starts: usize,
 }
 
 /// Which workers are candidates.
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -8,6 +8,7 @@
 
 use super::advice::Permits;
 use super::id::{Mark, Request, Run, Worker};
+use super::ledger::Remainder;
 use super::poison::CrashHistory;
 use super::record::{self, Phase, Progress, Span};
 use super::spec::{Queue, Spec};
@@ -113,6 +114,8 @@
     pub cancellers: Vec<Request>,
     /// Whether the job was accepted by an earlier owner, which may have started tasks.
     pub is_inherited: bool,
+    /// The runs that the job may have left since it ended; `None` without a client account.
+    pub remainder: Option<Remainder>,
     /// The mark of the record of the job's acceptance.
     pub accepted_mark: Mark,
     /// The mark of the job's last progress record.
@@ -200,6 +203,11 @@
         }
     }
 
+    /// Whether the job has ended without a run left.
+    pub fn is_over(&self) -> bool {
+        self.phase.is_final() && self.remainder.is_none_or(|remainder| remainder.runs == 0)
+    }
+
     /// Returns a step of an occurrence that has begun and is not complete.
     pub fn step(&self, id: super::id::Step) -> Option<&Step> {
         self.occurrences
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -53,6 +53,13 @@
             out.push(log_unavailable(request, id, &queue));
             return;
         }
+        if let Err(error) = self.check_gangs(account.as_ref(), &spec) {
+            out.push(Output::Answer {
+                request,
+                answer: Err(error),
+            });
+            return;
+        }
         let record = Record::Accepted {
             at,
             queue: queue.clone(),
@@ -154,13 +161,16 @@
                 queue,
                 phase,
                 account,
+                remainder,
             } => {
                 let queue = Queue::named(queue);
                 let mut job = new_job(queue, Arc::new(Spec::empty()), at, time.now);
                 job.account = account;
                 job.is_durable = true;
                 job.is_end_durable = true;
+                job.is_inherited = true;
                 job.phase = phase;
+                job.remainder = remainder;
                 let ended = time.now - time.stamp.since(at);
                 self.ended.push_back((ended, id));
                 self.jobs.insert(id, job);
@@ -190,6 +200,7 @@
             self.fail_convicted(id, time, out);
             self.complete_if_done(id, time, out);
         }
+        self.inherit_accounts();
         self.ended.make_contiguous().sort_unstable();
     }
 
@@ -366,15 +377,18 @@
         time: Time,
         out: &mut Vec<Output>,
     ) {
+        let remainder = self.remainder(id, time);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         job.phase = phase;
+        job.remainder = remainder;
         let record = Record::Ended {
             at: time.stamp,
             queue: job.queue.name.clone(),
             phase,
             account: job.account.clone(),
+            remainder,
         };
         let occurrences = std::mem::take(&mut job.occurrences);
         let has_progress = job.progress_mark > Mark(0) || job.is_inherited;
@@ -520,6 +534,7 @@
         submitters: Vec::new(),
         cancellers: Vec::new(),
         is_inherited: false,
+        remainder: None,
         accepted_mark: Mark(0),
         progress_mark: Mark(0),
     }
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod inheritance;
 pub mod job;
 mod jobs;
+pub mod ledger;
 pub mod message;
 mod order;
 mod place;
@@ -42,7 +43,6 @@
 pub use message::{Answer, Input, Output};
 pub use workers::OVERCOMMITTED;
 
-use super::account;
 use super::time::{Instant, Stamp};
 use id::{Mark, Request, Run, Token};
 use record::Phase;
@@ -160,8 +160,8 @@
     /// The workers that are kept for the trials of tasks.
     trial_holds: Vec<(id::Task, id::Worker)>,
     queues: HashMap<String, Queue>,
-    /// The client accounts of the present configuration.
-    accounts: Vec<account::Account>,
+    /// What client accounts use, and their caps.
+    ledger: ledger::Ledger,
     advisor_proxies: advice::AdvisorProxies,
     pending_calls: advice::PendingCalls,
     /// By queue, the moving average of the share of workers that the advisor permits.
@@ -215,7 +215,7 @@
             seen_crashes: Vec::new(),
             trial_holds: Vec::new(),
             queues: HashMap::new(),
-            accounts: Vec::new(),
+            ledger: ledger::Ledger::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
             pending_calls: advice::PendingCalls::default(),
             permitted_shares: HashMap::new(),
@@ -262,7 +262,7 @@
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
             Input::Queues(queues) => self.set_queues(queues),
-            Input::Accounts(accounts) => self.accounts = accounts,
+            Input::Accounts(accounts) => self.ledger.configure(&accounts),
             Input::Polled {
                 worker,
                 sent,
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -98,6 +98,7 @@
         }
         ranks.sort_unstable();
         self.release_holds();
+        self.count_accounts(time);
         let pools = self.pools(time.now);
         let mut reserved = match steps {
             Steps::All => Reserved::new(),
@@ -122,6 +123,13 @@
             let Some(pool) = pools.get(&job.queue.service) else {
                 continue;
             };
+            let max_starts = self.startable_tasks(rank.step, !rank.is_non_urgent);
+            if max_starts == 0 {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&rank.step.job) else {
+                continue;
+            };
             let is_long_running = is_long_running(job, rank.step);
             let spare = if is_long_running {
                 None
@@ -131,6 +139,7 @@
             let scope = Scope {
                 pool,
                 reserved: spare.as_ref().unwrap_or(&reserved),
+                max_starts,
             };
             let may_reserve = waiting.may_reserve(is_long_running);
             let mut reservation = self.place_step(rank.step, scope, may_reserve, time, out);
@@ -139,6 +148,7 @@
                 let scope = Scope {
                     pool,
                     reserved: &Reserved::new(),
+                    max_starts: self.startable_tasks(rank.step, true),
                 };
                 reservation = self.place_step(rank.step, scope, may_reserve, time, out);
             }
@@ -154,6 +164,7 @@
                 }
                 None => continue,
             };
+            self.hold_account(rank.step);
             for (worker, amount) in amounts {
                 *reserved.entry(worker).or_default() += amount;
             }
@@ -225,7 +236,10 @@
         }
         let is_suspect =
             |index: &u16| !spec.gang && step.tasks[usize::from(*index)].crashes.is_suspect();
-        let (suspects, waiting): (Vec<u16>, Vec<u16>) = waiting.into_iter().partition(is_suspect);
+        let (mut suspects, mut waiting): (Vec<u16>, Vec<u16>) =
+            waiting.into_iter().partition(is_suspect);
+        waiting.truncate(scope.max_starts);
+        suspects.truncate(scope.max_starts - waiting.len());
         let demand = Demand {
             step: id,
             waiting,
@@ -254,7 +268,7 @@
         }
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         let mut waiting = step.map(StepState::waiting_tasks).unwrap_or_default();
-        waiting.retain(|index| !suspects.contains(index));
+        waiting.retain(|index| demand.waiting.contains(index));
         if waiting.is_empty() {
             return None;
         }
@@ -619,6 +633,7 @@
         }
         let attempt = Attempt {
             need: Some(need),
+            charge: None,
             state: State::Starting,
             since: now,
             started: now,
@@ -633,7 +648,10 @@
             percent: 0,
             reported_at: now,
         };
-        worker.insert(task, run, attempt);
+        self.insert_run(key, task, run, attempt);
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
         let account = worker.account(now, self.claim_confirmed_at);
         out.push(Output::Start {
             worker: key,
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -9,6 +9,7 @@
 use laburnum_derive::{message, value};
 
 use super::id::{Job, Run};
+use super::ledger::Remainder;
 use super::poison;
 use super::spec::{Queue, Spec};
 use crate::core::account;
@@ -73,6 +74,9 @@
         /// The client account of the job. Records of versions without accounts have none.
         #[serde(default)]
         account: Option<account::Name>,
+        /// The runs that the job may have left. Records of jobs without an account have none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        remainder: Option<Remainder>,
     },
 }
 
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -75,6 +75,7 @@
         let is_trial = is_wanted && self.is_suspect(task);
         let attempt = Attempt {
             need,
+            charge: None,
             state,
             since: time.now,
             started: time.now,
@@ -89,9 +90,7 @@
             percent: 0,
             reported_at: time.now,
         };
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.insert(task, run, attempt);
-        }
+        self.insert_run(key, task, run, attempt);
         if !is_wanted {
             self.send_stop(key, task, run, time.now, out);
             return;
@@ -172,12 +171,12 @@
             end,
             checkpoint,
         } = ended;
-        worker.remove(task, run);
         match end {
             RunEnd::Done => worker.history.record_success(),
             RunEnd::Failed => worker.history.record_failure(time.now, task.step.job),
             _ => {}
         }
+        self.remove_run(key, task, run);
         out.push(Output::Ended {
             worker: key,
             task,
@@ -319,8 +318,8 @@
         now: Instant,
         out: &mut Vec<Output>,
     ) {
-        if let Some(worker) = self.workers.get_mut(key)
-            && let Some(attempt) = worker.remove(task, run)
+        if let Some(attempt) = self.remove_run(key, task, run)
+            && let Some(worker) = self.workers.get(key)
         {
             out.push(Output::Released {
                 worker: worker.entry.name.clone(),
--- a/src/core/scheduler/spec.rs
+++ b/src/core/scheduler/spec.rs
@@ -112,6 +112,11 @@
 }
 
 impl Step {
+    /// Returns what all tasks of the step need together.
+    pub fn total_need(&self) -> Amount {
+        self.need.times(u64::from(self.tasks))
+    }
+
     /// Returns the capacity that one task takes from a worker: `need`, without its processors if the
     /// step `fills` unused ones.
     pub fn capacity_need(&self) -> Amount {
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -14,6 +14,7 @@
 use super::advice::AdvisorProxy;
 use super::id::{Mark, Step, Task, Worker};
 use super::job::{Job, Step as StepState, TaskState};
+use super::ledger::AccountUse;
 use super::plan::Reserved;
 use super::worker::{State, Worker as WorkerState};
 use super::{Scheduler, spec};
@@ -50,6 +51,8 @@
         /// For how long it is awaited.
         left: Duration,
     },
+    /// The client account of the job has as much running as its cap allows, or the cap is not known yet.
+    AccountCap(AccountUse),
     /// Some members of a gang wait and others don't.
     PartialGang {
         /// The number of members that don't wait.
@@ -183,6 +186,7 @@
             Reason::RecordNotInLog { .. } => "record_not_in_log",
             Reason::ClaimUnconfirmed { .. } => "claim_unconfirmed",
             Reason::InheritedRunsUnknown { .. } => "inherited_runs_unknown",
+            Reason::AccountCap(_) => "account_cap",
             Reason::PartialGang { .. } => "partial_gang",
             Reason::CommandUnconfirmed { .. } => "command_unconfirmed",
             Reason::NoUsableWorker(_) => "no_usable_worker",
@@ -216,6 +220,7 @@
                 "workers={workers} last={last} left_ms={}",
                 left.as_millis()
             ),
+            Reason::AccountCap(account) => write!(out, "{account}"),
             Reason::PartialGang { members, first } => write!(out, "members={members} {first}"),
             Reason::CommandUnconfirmed { tasks, first } => write!(out, "tasks={tasks} {first}"),
             Reason::NoUsableWorker(unusable) => write!(
@@ -409,6 +414,9 @@
         if let Some(reason) = self.partial_gang(id, spec, step) {
             return reason;
         }
+        if let Some(account) = self.account_at_cap(job, spec) {
+            return Reason::AccountCap(account);
+        }
         if usable.workers.is_empty() {
             return Reason::NoUsableWorker(self.count_unusable(job, spec));
         }
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -12,6 +12,7 @@
 use laburnum_derive::{message, state, value};
 
 use super::id::{Run, Task};
+use super::ledger::Charge;
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
@@ -78,6 +79,8 @@
     /// The capacity that the run uses; `None` when the steps of its job are not known, because an
     /// earlier owner recorded the end of the job.
     pub need: Option<Amount>,
+    /// What the run adds to the use of a client account, if its job has one.
+    pub charge: Option<Charge>,
     /// The current state.
     pub state: State,
     /// When the state was entered.
@@ -401,7 +404,7 @@
     }
 
     /// Adds a run, whose capacity is used from now on.
-    pub fn insert(&mut self, task: Task, run: Run, attempt: Attempt) {
+    pub(super) fn insert(&mut self, task: Task, run: Run, attempt: Attempt) {
         self.remove(task, run);
         match attempt.need {
             Some(need) => self.used += need,
@@ -412,7 +415,7 @@
     }
 
     /// Removes a run and frees its capacity; `None` if the run is not on the worker.
-    pub fn remove(&mut self, task: Task, run: Run) -> Option<Attempt> {
+    pub(super) fn remove(&mut self, task: Task, run: Run) -> Option<Attempt> {
         let attempt = self.attempts.remove(&(task, run))?;
         match attempt.need {
             Some(need) => self.used -= need,
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -90,12 +90,12 @@
 
     /// Removes and returns the runs of a worker that its next incarnation may carry out.
     fn take_undecided(&mut self, key: Worker) -> Vec<(Task, Run, Attempt)> {
-        let Some(worker) = self.workers.get_mut(key) else {
+        let Some(worker) = self.workers.get(key) else {
             return Vec::new();
         };
         let undecided = worker.undecided().into_iter();
         undecided
-            .filter_map(|(task, run)| Some((task, run, worker.remove(task, run)?)))
+            .filter_map(|(task, run)| Some((task, run, self.remove_run(key, task, run)?)))
             .collect()
     }
 
@@ -123,9 +123,7 @@
                 absent_since: None,
                 ..attempt
             };
-            if let Some(worker) = self.workers.get_mut(to) {
-                worker.insert(task, run, attempt);
-            }
+            self.insert_run(to, task, run, attempt);
             let job = self.jobs.get_mut(&task.step.job);
             let Some(step) = job.and_then(|job| job.step_mut(task.step)) else {
                 continue;
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -248,6 +248,7 @@
     let started = Instant(0);
     let attempt = Attempt {
         need: None,
+        charge: None,
         state: State::Running,
         since: started,
         started,
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod fuzz;
 mod fuzz_wait;
 mod gang_wait;
+mod ledger;
 mod occurrence;
 mod oracle;
 mod order;
