--- a/src/core/scheduler/explain.rs
+++ b/src/core/scheduler/explain.rs
@@ -340,6 +340,7 @@
         let scope = Scope {
             pool: pools.get(&job.queue.service)?,
             reserved: &Reserved::new(),
+            max_starts: usize::MAX,
         };
         let candidates = self.candidates(&demand, spec, scope, Room::Any, now);
         let slots = self.slots(&candidates, &demand, now);
@@ -361,6 +362,7 @@
         let scope = Scope {
             pool: pools.get(&job.queue.service).map_or(&[], Vec::as_slice),
             reserved: &self.reserved,
+            max_starts: usize::MAX,
         };
         let mut fitting = self.candidates(&demand, spec, scope, Room::Free, now);
         fitting.extend(self.unasked_candidates(&demand, spec, scope, Room::Free, now));
--- a/src/core/scheduler/ledger.rs
+++ b/src/core/scheduler/ledger.rs
@@ -96,6 +96,7 @@
 }
 
 /// What is known of a client account.
+#[derive(Clone)]
 struct Entry {
     name: account::Name,
     /// The last cap that the configuration listed, if any.
@@ -109,7 +110,7 @@
 }
 
 /// The use and the caps of client accounts.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Ledger {
     /// Whether the accounts of the configuration are known.
     is_configured: bool,
