Fail no task for trials that never began

What callers saw: a task under which three workers had crashed was shown as failed when the owner changed between the record of its second trial and the start (LOST).

Cause: a trial counted as used once it was granted, and two trials convict after a certain crash, also if nobody knows how the second ended. Two crashes in trials, one of them certain, still convict.

A recorded start that an earlier owner may never have sent is forgotten if no worker was gone at the next change of the owner. Ruled out: to tell a granted trial from a sent one by a second record, which costs an append and leaves the same doubt between that record and the start.

--- a/src/core/scheduler/loss.rs
+++ b/src/core/scheduler/loss.rs
@@ -42,6 +42,11 @@
 }
 
 impl Losses {
+    /// Whether a worker was gone when an owner after `owner` had taken over.
+    pub(super) fn is_after(&self, owner: Token) -> bool {
+        self.losses.iter().any(|loss| loss.owner > owner)
+    }
+
     fn add(&mut self, loss: Loss) {
         let now = loss.at;
         self.losses.push(loss);
--- a/src/core/scheduler/poison.rs
+++ b/src/core/scheduler/poison.rs
@@ -14,9 +14,10 @@
 //!
 //! Owners follow each other, and an end that one owner did not see is unknown to the next. Therefore each
 //! start after the first crash is recorded in the log, with all crashes so far. Such a start counts as a
-//! possible crash until its end is known. Starts before the first crash are not recorded. Instead each
-//! change of the owner at which a worker was gone counts as one possible crash of each task of the jobs
-//! accepted before.
+//! possible crash until its end is known. A recorded start may never have been sent: it is forgotten if all
+//! workers were still there when the next owner took over. Starts before the first crash are not recorded.
+//! Instead each change of the owner at which a worker was gone counts as one possible crash of each task of
+//! the jobs accepted before.
 //!
 //! A trial waits until its record is in the log. The start before, after a single crash, does not: most such
 //! tasks are innocent. If the owner ends before the record is there, the next one does not know of it.
@@ -35,11 +36,6 @@
 const SUSPECT_CRASHES: usize = 2;
 /// The number of crashes in trials that convict a task, if one of them is certain.
 const CONVICTING_CRASHES: usize = 2;
-/// The number of trials without a harmless end that convict a task, if one of them has certainly crashed
-/// its worker.
-const MAX_TRIALS: u32 = 2;
-/// The same if none of them has.
-const MAX_UNCERTAIN_TRIALS: u32 = 3;
 /// The number of starts that may have crashed a worker after which a task is not started again. The
 /// platform allows two starts after the third crash.
 const MAX_POSSIBLE_CRASHES: usize = 5;
@@ -233,17 +229,7 @@
     /// Whether all starts were used and none of them goes on.
     fn is_exhausted(&self) -> bool {
         let is_over = self.granted.is_none() && self.active.is_none();
-        let is_used_up = self.record.possible_crashes() >= MAX_POSSIBLE_CRASHES;
-        is_over && (is_used_up || self.record.trials >= self.max_trials())
-    }
-
-    fn max_trials(&self) -> u32 {
-        let mut in_trials = self.record.crashes.iter().skip(SUSPECT_CRASHES);
-        if in_trials.any(|crash| crash.is_certain) {
-            MAX_TRIALS
-        } else {
-            MAX_UNCERTAIN_TRIALS
-        }
+        is_over && self.record.possible_crashes() >= MAX_POSSIBLE_CRASHES
     }
 
     /// Returns the mark of the record with a start that was not sent.
@@ -284,6 +270,15 @@
         }
     }
 
+    /// Forgets the starts granted by the owners for which `is_harmless` holds.
+    pub fn forget_starts(&mut self, is_harmless: impl Fn(Token) -> bool) {
+        for granter in self.record.starts.clone() {
+            if is_harmless(granter) {
+                self.record.forget_start(granter);
+            }
+        }
+    }
+
     /// Returns how long the task could have begun a trial, from the first call on.
     pub fn waited(&mut self, now: Instant) -> Duration {
         now.since(*self.ready_since.get_or_insert(now))
--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -242,12 +242,14 @@
     /// whether the start has to be recorded.
     fn count_start(&mut self, task: Task, time: Time, out: &mut Vec<Output>) -> bool {
         let owner = self.token;
+        let losses = &self.losses;
         let job = self.jobs.get_mut(&task.step.job);
         let history = job.and_then(|job| job.crashes_mut(task));
         let history = history.filter(|history| !history.is_empty());
         let Some(history) = history.filter(|history| history.granted().is_none()) else {
             return false;
         };
+        history.forget_starts(|granter| granter < owner && !losses.is_after(granter));
         if history.verdict() == Verdict::Convicted {
             self.give_up(task, time, out);
             return false;
--- a/tests/testsuite/scheduler/poison.rs
+++ b/tests/testsuite/scheduler/poison.rs
@@ -457,6 +457,30 @@
     assert_eq!(records, 2, "one of the crashes, one of the starts");
 }
 
+/// Trials that were granted and never sent would count at each change of the owner.
+#[test]
+fn recorded_start_is_forgotten_if_no_worker_was_lost() {
+    let mut cell = cell_of(3);
+    make_suspect(&mut cell);
+    for token in 2..8 {
+        settle(&mut cell);
+        assert_eq!(cell.starts.len(), 1, "token {token}");
+        let names = cell.scheduler.workers().map(|worker| {
+            let worker = cell.scheduler.worker(worker).unwrap();
+            worker.entry.name.clone()
+        });
+        let names: Vec<String> = names.collect();
+        cell = cell.successor(token);
+        for name in names {
+            cell.add_worker(&name);
+        }
+    }
+    let (worker, start) = starts_of(&mut cell, 7).remove(0);
+    finish(&mut cell, worker, &start);
+    settle(&mut cell);
+    assert_eq!(phase(&cell, 7), Some(Phase::Completed));
+}
+
 /// Each owner would take the unseen starts of the one before for the only ones.
 #[test]
 fn first_starts_that_several_owners_do_not_see_end_are_counted() {
