Let gangs reserve a share of the cell, and choose among more workers

After a burst, 80 to 110 gangs with 12,000 cores of work waited on a cell of 11,200 cores while 1,500 to 4,500 cores were free. Only three gangs may have capacity reserved that is not yet free, and only these ask for permits on a full cell; the others get a turn when one of the three has started. That limit stems from cells of 48 workers. Now gangs may reserve until those that do need 15 % of the cell's processors, and three may in any case.

A waiting gang asks for permits for twice the workers that it needs: with as many as it has tasks, it waits for the longest of as many runs.

Ruled out: ordering the workers of such a call by when they will have room.

--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -156,6 +156,13 @@
         pools
     }
 
+    /// Returns the processors of all workers of the pools, in thousandths of a core.
+    pub(super) fn cpu_millis(&self, pools: &HashMap<String, Vec<PoolWorker>>) -> u64 {
+        let members = pools.values().flatten();
+        let workers = members.filter_map(|member| self.workers.get(member.key));
+        workers.map(|worker| worker.entry.capacity.cpu_millis).sum()
+    }
+
     /// Returns the workers that may run a step without a further answer of the advisor; their permits
     /// may have to be renewed.
     pub(super) fn candidates(
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -24,9 +24,12 @@
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
-/// How many gangs may have capacity reserved that is not yet free; more would leave too much of the
-/// cell idle.
-const MAX_WAITING_GANGS: usize = 3;
+/// This many gangs may have capacity reserved that is not yet free, however large they are.
+const MIN_WAITING_GANGS: usize = 3;
+/// Further gangs may reserve capacity until those that do need this share of the cell's processors. A
+/// fixed number of gangs would let a large cell start hardly any of them after a burst, and a larger
+/// share would leave too much of the cell idle.
+const MAX_AWAITED_PERCENT: u64 = 15;
 /// How many long-running steps may have capacity reserved that is not yet free. A worker that is
 /// taken away leaves a few of them without a run.
 const MAX_WAITING_LONG_RUNNING: usize = 8;
@@ -36,6 +39,9 @@
 /// A step that waits longer than this for the capacity of the permitted workers requests permits for
 /// further workers.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// A gang that waits for capacity requests permits for this many times the workers that it needs. With
+/// no choice it would wait for the slowest of as many runs as it has tasks.
+const GANG_CHOICE: usize = 2;
 /// Permits are requested this long before they are needed, in addition to the time that the call
 /// takes. It covers the round trip to the advisor and the time until the next placement.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(150);
@@ -49,27 +55,30 @@
 /// that many.
 const MIN_SPARES: usize = 10;
 
-/// How many steps wait for capacity that was reserved for them at this placement.
+/// The steps that wait for capacity that was reserved for them at this placement.
 #[derive(Default)]
 struct Waiting {
     gangs: usize,
+    /// The processors that the gangs need, in thousandths of a core.
+    gang_cpu_millis: u64,
     long_running: usize,
 }
 
 impl Waiting {
-    fn may_reserve(&self, is_long_running: bool) -> bool {
+    fn may_reserve(&self, is_long_running: bool, cell_cpu_millis: u64) -> bool {
         if is_long_running {
-            self.long_running < MAX_WAITING_LONG_RUNNING
-        } else {
-            self.gangs < MAX_WAITING_GANGS
+            return self.long_running < MAX_WAITING_LONG_RUNNING;
         }
+        self.gangs < MIN_WAITING_GANGS
+            || self.gang_cpu_millis * 100 < cell_cpu_millis * MAX_AWAITED_PERCENT
     }
 
-    fn add(&mut self, is_long_running: bool) {
+    fn add(&mut self, is_long_running: bool, cpu_millis: u64) {
         if is_long_running {
             self.long_running += 1;
         } else {
             self.gangs += 1;
+            self.gang_cpu_millis += cpu_millis;
         }
     }
 }
@@ -99,6 +108,7 @@
         ranks.sort_unstable();
         self.release_holds();
         let pools = self.pools(time.now);
+        let cell_cpu_millis = self.cpu_millis(&pools);
         let mut reserved = match steps {
             Steps::All => Reserved::new(),
             Steps::Urgent => self.reserved.clone(),
@@ -132,7 +142,7 @@
                 pool,
                 reserved: spare.as_ref().unwrap_or(&reserved),
             };
-            let may_reserve = waiting.may_reserve(is_long_running);
+            let may_reserve = waiting.may_reserve(is_long_running, cell_cpu_millis);
             let mut reservation = self.place_step(rank.step, scope, may_reserve, time, out);
             if !rank.is_non_urgent && !reserved.is_empty() && self.ready.contains(&rank.step) {
                 // An urgent step may use reserved capacity when there is no other.
@@ -145,7 +155,7 @@
             let amounts = match reservation {
                 Some(Reservation::Planned(amounts)) => amounts,
                 Some(Reservation::Wanted(wanted)) => {
-                    waiting.add(is_long_running);
+                    waiting.add(is_long_running, self.waiting_cpu(rank.step));
                     let amounts = wanted.amounts.clone();
                     if !is_long_running && self.waited(rank.step, time.now) < MAX_PASSED {
                         awaited.push(wanted);
@@ -377,6 +387,8 @@
             let is_wait_short = wait.max(self.waited(demand.step, time.now)) <= LONG_WAIT;
             let missing = if awaited.is_sufficient && is_wait_short {
                 0
+            } else if spec.gang {
+                tasks * GANG_CHOICE
             } else {
                 tasks
             };
--- a/tests/testsuite/scheduler/gang_wait.rs
+++ b/tests/testsuite/scheduler/gang_wait.rs
@@ -22,7 +22,13 @@
 const DAY: Duration = Duration::from_secs(60);
 /// A gang that could run does not wait longer than this.
 const MAX_WAIT: Duration = Duration::from_secs(3);
+const CELL_CPU_MILLIS: u64 = (WORKERS * SLOTS) as u64 * 4_000;
 const VALIDITY: Duration = Duration::from_millis(2_000);
+const ADVICE: Advice = Advice {
+    base: Duration::from_millis(400),
+    per_worker: Duration::from_millis(6),
+    validity: VALIDITY,
+};
 const PERMITTED_PERCENT: u64 = 45;
 
 fn hash(value: impl Hash) -> u64 {
@@ -70,6 +76,8 @@
     gangs: BTreeMap<u64, WaitingGang>,
     /// How long the tasks of each job last.
     durations: HashMap<u64, Duration>,
+    /// When each gang started.
+    started: HashMap<u64, Instant>,
     next_job: u64,
 }
 
@@ -91,6 +99,7 @@
             calls: Vec::new(),
             gangs: BTreeMap::new(),
             durations: HashMap::new(),
+            started: HashMap::new(),
             next_job: 1,
         }
     }
@@ -124,11 +133,7 @@
                 ..step(30 + self.random.below(31) as u16)
             };
             let mut advised = queue();
-            advised.advice = Some(Advice {
-                base: Duration::from_millis(400),
-                per_worker: Duration::from_millis(6),
-                validity: VALIDITY,
-            });
+            advised.advice = Some(ADVICE);
             self.submit(advised, gang, Duration::from_secs(stretch));
         }
         if self.random.below(20 + 10 * (self.seed % 3)) == 0 {
@@ -162,8 +167,10 @@
     fn start_runs(&mut self) {
         for (worker, start) in self.cell.accept_starts() {
             let job = start.task.step.job.0;
-            self.gangs.remove(&job);
             let began = self.cell.now;
+            if self.gangs.remove(&job).is_some() {
+                self.started.insert(job, began);
+            }
             let end = began + self.durations[&job];
             let runs = self.runs.entry(worker).or_default();
             runs.push(Run { start, began, end });
@@ -260,14 +267,35 @@
     fn play(&mut self) {
         while self.cell.now < Instant(0) + DAY {
             self.arrive();
-            self.answer_calls();
-            self.cell.wait(STEP);
-            self.start_runs();
-            self.poll();
-            self.start_runs();
+            self.advance();
             self.check();
         }
     }
+
+    fn advance(&mut self) {
+        self.answer_calls();
+        self.cell.wait(STEP);
+        self.start_runs();
+        self.poll();
+        self.start_runs();
+    }
+
+    /// Keeps the cell full of batch jobs with much slack for `span`, with a queue of as many again.
+    fn advance_under_batch(&mut self, span: Duration) {
+        let end = self.cell.now + span;
+        while self.cell.now < end {
+            while self.cell.scheduler.load().waiting_cpu_millis < CELL_CPU_MILLIS {
+                let batch = Queue {
+                    name: "batch".to_owned(),
+                    slack_factor: 20.0,
+                    ..queue()
+                };
+                let duration = Duration::from_millis(1_000 + self.random.below(2_000));
+                self.submit(batch, step(8), duration);
+            }
+            self.advance();
+        }
+    }
 }
 
 #[test]
@@ -276,3 +304,38 @@
         World::new(seed).play();
     }
 }
+
+#[test]
+fn burst_of_gangs_beside_batch_jobs_with_slack_starts_in_time() {
+    for seed in 0..4 {
+        let mut world = World::new(seed);
+        world.advance_under_batch(Duration::from_secs(5));
+        let advised = Queue {
+            advice: Some(ADVICE),
+            slack_factor: 2.2,
+            target: Duration::from_millis(1_200),
+            ..queue()
+        };
+        let gang = spec::Step {
+            gang: true,
+            estimate: Duration::from_secs(3),
+            ..step(12)
+        };
+        let accepted = world.cell.now;
+        let first = world.next_job;
+        for _ in 0..24 {
+            world.submit(advised.clone(), gang.clone(), gang.estimate);
+        }
+        let gangs = first..world.next_job;
+        let objective = gang.estimate.mul_f64(advised.slack_factor) + advised.target;
+        world.advance_under_batch(objective);
+        for job in gangs {
+            let started = world.started.get(&job);
+            let ended = started.map(|&started| started + gang.estimate);
+            assert!(
+                ended.is_some_and(|ended| ended <= accepted + objective),
+                "seed {seed}: gang {job} started at {started:?}, accepted at {accepted:?}",
+            );
+        }
+    }
+}
