Leave drained workers out of the record of workers

A worker that is about to leave, has reported to this owner, runs nothing and has all its ends in the log is now left out of the record. A worker that is listed as ready again gets no task before a record contains it; the first of the unbroken sequence of records that contain it counts, so that an earlier record that becomes durable late does not count for it.

Ruled out: shortening the wait itself, which is the longest lease that an isolated owner may have granted.

--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -102,8 +102,12 @@
 enum Effect {
     Accepted(id::Job),
     Ended(id::Job),
-    Acknowledge { worker: id::Worker, number: u64 },
-    Recorded(Vec<id::Worker>),
+    Acknowledge {
+        worker: id::Worker,
+        number: u64,
+    },
+    /// The record of workers with this mark.
+    Recorded(Mark),
 }
 
 impl Effect {
@@ -318,6 +322,7 @@
             self.report_inheritance(time.now, out);
             self.end_inheritance(time.now);
             self.stop_partial_gangs(time.now, out);
+            self.note_vacated_workers();
         }
         self.judge_crashes(time, out);
         self.record_workers(out);
@@ -480,11 +485,9 @@
                     out.push(answer(request, Answer::Cancelled));
                 }
             }
-            Effect::Recorded(workers) => {
-                for worker in workers {
-                    if let Some(worker) = self.workers.get_mut(*worker) {
-                        worker.is_recorded = true;
-                    }
+            Effect::Recorded(mark) => {
+                for worker in self.workers.values_mut() {
+                    worker.is_recorded = worker.recorded_since.is_some_and(|since| since <= *mark);
                 }
             }
             Effect::Acknowledge { worker, number } => {
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -11,7 +11,7 @@
 
 use laburnum_derive::{message, state, value};
 
-use super::id::{Run, Task};
+use super::id::{Mark, Run, Task};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
@@ -209,6 +209,9 @@
     pub is_report_complete: bool,
     /// Whether the record of workers in the log contains this one.
     pub is_recorded: bool,
+    /// The mark of the first of the latest records of workers that all contain this one; `None` if the
+    /// last one does not.
+    pub recorded_since: Option<Mark>,
     /// The runs that may be on the worker.
     pub attempts: HashMap<(Task, Run), Attempt>,
     /// The capacity that the attempts with a known need use.
@@ -256,6 +259,7 @@
             is_replaced: false,
             is_report_complete: false,
             is_recorded: false,
+            recorded_since: None,
             attempts: HashMap::new(),
             used: Amount::default(),
             unknown_needs: 0,
@@ -341,6 +345,14 @@
         !self.listed || self.entry.draining
     }
 
+    /// Whether the worker is about to leave and has no run any more whose end is not in the log. No
+    /// later owner needs to wait for it.
+    pub fn is_vacated(&self) -> bool {
+        let has_unrecorded_ends = self.acknowledged < self.last_end;
+        let is_idle = self.attempts.is_empty() && !has_unrecorded_ends;
+        self.is_leaving() && self.has_reported && is_idle
+    }
+
     /// Whether new tasks may be placed on the worker if it has the capacity.
     pub fn is_usable(&self) -> bool {
         !self.is_leaving() && self.is_responding && self.is_report_complete && self.is_recorded
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -442,6 +442,19 @@
         worker.is_none_or(|worker| worker.acknowledged >= worker.last_end)
     }
 
+    /// Notices workers that the record of workers contains although they are vacated, and those that
+    /// it leaves out although they are to be used again. A worker may respond for many seconds after
+    /// its last run; if the record contained it until it is gone, the next owner would start nothing
+    /// before the longest lease has ended.
+    pub(super) fn note_vacated_workers(&mut self) {
+        let mut workers = self.workers.values();
+        let is_outdated =
+            workers.any(|worker| worker.is_vacated() == worker.recorded_since.is_some());
+        if is_outdated {
+            self.is_worker_list_recorded = false;
+        }
+    }
+
     /// Appends the record of the workers on which tasks may run, if the list has changed.
     pub(super) fn record_workers(&mut self, out: &mut Vec<Output>) {
         if std::mem::replace(&mut self.is_worker_list_recorded, true) {
@@ -449,6 +462,7 @@
         }
         let known = self.workers.values();
         let mut workers: Vec<(String, u64)> = known
+            .filter(|worker| !worker.is_vacated())
             .map(|worker| (worker.entry.name.clone(), worker.entry.incarnation))
             .collect();
         // A worker of an earlier owner that has not been listed again may run tasks until its lease
@@ -456,8 +470,15 @@
         let unlisted = self.unlisted_inherited_workers();
         workers.extend(unlisted.map(|worker| (worker.name.clone(), worker.incarnation)));
         let mark = self.append(Key::Workers, Some(record::encode(&Workers(workers))), out);
-        let keys: Vec<Worker> = self.workers.keys().collect();
-        self.defer(mark, Effect::Recorded(keys));
+        for worker in self.workers.values_mut() {
+            if worker.is_vacated() {
+                worker.recorded_since = None;
+                worker.is_recorded = false;
+            } else {
+                worker.recorded_since.get_or_insert(mark);
+            }
+        }
+        self.defer(mark, Effect::Recorded(mark));
     }
 
     /// Returns the known workers.
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -5,11 +5,11 @@
 
 use laburnumplank::core::error::Kind;
 use laburnumplank::core::scheduler::advice::AdvisorProxy;
-use laburnumplank::core::scheduler::id::{Job, Mark, Request};
+use laburnumplank::core::scheduler::id::{Job, Mark, Request, Worker};
 use laburnumplank::core::scheduler::message::{EndedRun, Outcome, Refusal, RunEnd, Start};
 use laburnumplank::core::scheduler::record::Phase;
 use laburnumplank::core::scheduler::spec::{Advice, Queue};
-use laburnumplank::core::scheduler::worker::State;
+use laburnumplank::core::scheduler::worker::{Entry, State};
 use laburnumplank::core::scheduler::{Input, Output, Rules};
 use laburnumplank::core::time::Instant;
 
@@ -289,6 +289,83 @@
     assert_eq!(third.starts.len(), 1, "w2 left before the second takeover");
 }
 
+/// Creates an owner with an empty worker `w1`, a worker `w2` that drains with one run, and a job that
+/// waits for capacity.
+fn owner_with_draining_worker() -> (Cell, Worker, Start) {
+    let mut first = Cell::new(1);
+    let two = first.add_worker("w2");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let (_, start) = first.accept_starts().remove(0);
+    drain(&mut first, "w2", true);
+    first.poll(two, vec![running(&start)], Vec::new());
+    first.submit(8, queue(), spec(vec![step(1)]));
+    first.confirm();
+    (first, two, start)
+}
+
+fn drain(cell: &mut Cell, name: &str, draining: bool) {
+    let entry = Entry {
+        draining,
+        ..entry(name)
+    };
+    cell.input(Input::Listed(entry));
+    cell.tick();
+}
+
+#[test]
+fn drained_worker_that_still_responds_blocks_no_takeover() {
+    let (mut first, two, start) = owner_with_draining_worker();
+    first.poll(two, Vec::new(), vec![ended(1, &start, RunEnd::Done)]);
+    first.confirm();
+    first.wait(Duration::from_millis(100));
+    first.confirm();
+
+    let mut second = first.successor(9);
+    second.add_worker("w1");
+    assert_eq!(second.starts.len(), 1, "nothing ran on w2 any more");
+}
+
+#[test]
+fn drained_worker_blocks_a_takeover_until_its_ends_are_in_the_log() {
+    let (mut first, two, start) = owner_with_draining_worker();
+    first.poll(two, Vec::new(), vec![ended(1, &start, RunEnd::Done)]);
+    first.wait(Duration::from_millis(100));
+
+    let mut second = first.successor(9);
+    second.add_worker("w1");
+    assert!(second.starts.is_empty(), "w2 may still run a task of job 7");
+}
+
+#[test]
+fn draining_worker_with_a_run_blocks_a_takeover() {
+    let (mut first, ..) = owner_with_draining_worker();
+    first.wait(Duration::from_millis(100));
+    first.confirm();
+
+    let mut second = first.successor(9);
+    second.add_worker("w1");
+    assert!(
+        second.starts.is_empty(),
+        "w2 may still run the task of job 7"
+    );
+}
+
+#[test]
+fn drained_worker_that_is_ready_again_gets_no_task_before_the_log_lists_it() {
+    let (mut first, two, start) = owner_with_draining_worker();
+    first.poll(two, Vec::new(), vec![ended(1, &start, RunEnd::Done)]);
+    first.confirm();
+    first.wait(Duration::from_millis(100));
+    first.confirm();
+    drain(&mut first, "w2", false);
+    first.poll(two, Vec::new(), Vec::new());
+    first.wait(Duration::from_millis(100));
+    assert!(first.starts.is_empty(), "the last record leaves w2 out");
+    first.confirm();
+    assert_eq!(first.starts.len(), 1);
+}
+
 #[test]
 fn cancelled_job_that_was_withdrawn_is_kept_when_it_is_handed_in_again() {
     let mut cell = Cell::new(1);
