--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -191,11 +191,12 @@
         actix_rt::spawn(Rc::clone(self).inherit_leases(Rc::clone(&owner)));
         let control = Rc::clone(self);
         let tables = self.tables.subscribe();
+        let copy = std::mem::take(&mut *self.standby.borrow_mut());
         actix_rt::spawn(async move {
             tokio::select! {
                 // After the ownership has ended by itself, a claim left in force would keep other
                 // entries from claiming the cell.
-                () = Rc::clone(&owner).run(tables) => control.resign(owner.token()),
+                () = Rc::clone(&owner).run(tables, copy) => control.resign(owner.token()),
                 () = owner.wait_until_late() => {
                     let end = control.clock.now() + YIELD_DURATION;
                     control.elector.borrow_mut().yield_until(end);
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -5,6 +5,7 @@
 mod election;
 mod inheritance;
 mod links;
+mod standby;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use crate::entry::owner::{Owner, no_owner};
 use crate::entry::port::{AppendCondition, AppendOutcome, Platform};
 use crate::entry::settings::Settings;
+use crate::entry::standby::Copy;
 use crate::util::clock::Clock;
 use crate::util::metric::Metrics;
 
@@ -90,6 +92,8 @@
     read_requested: Notify,
     /// Held while the claims are read to confirm an answer, so that one read confirms many.
     confirming: Mutex<()>,
+    /// What this entry has read of the jobs, while it is among the first to claim the cell.
+    standby: RefCell<Copy>,
     tables: watch::Sender<Option<Arc<QueueTable>>>,
     ready: watch::Sender<bool>,
 }
@@ -130,6 +134,7 @@
             notice_sent_at: Cell::new(clock.now()),
             read_requested: Notify::new(),
             confirming: Mutex::new(()),
+            standby: RefCell::default(),
             tables,
             ready,
         };
@@ -156,6 +161,7 @@
         actix_rt::spawn(Rc::clone(&self).announce());
         actix_rt::spawn(Rc::clone(&self).maintain_owner_link());
         actix_rt::spawn(Rc::clone(&self).follow_configuration());
+        actix_rt::spawn(Rc::clone(&self).follow_jobs());
         while let Some(call) = calls.recv().await {
             let control = Rc::clone(&self);
             actix_rt::spawn(async move {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod owner;
 pub mod port;
 pub mod settings;
+pub mod standby;
 pub mod writer;
 
 use tokio::sync::{mpsc, oneshot};
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -24,6 +24,7 @@
 use crate::entry::link::Link;
 use crate::entry::message::{EntryRequest, EntryResponse};
 use crate::entry::port::{Address, Directory, DirectoryChange, Platform, ReadError};
+use crate::entry::standby::Copy;
 use crate::entry::writer;
 use crate::util::clock::Clock;
 use crate::util::metric::{Metrics, label};
@@ -178,13 +179,15 @@
         }
     }
 
-    /// Takes the cell over and carries out the scheduler's decisions until the ownership ends.
+    /// Takes the cell over and carries out the scheduler's decisions until the ownership ends. `copy` is
+    /// what this entry has read of the jobs in the log before.
     pub async fn run(
         self: Rc<Owner<P>>,
         tables: watch::Receiver<Option<std::sync::Arc<QueueTable>>>,
+        copy: Copy,
     ) {
         let started_at = self.clock.now();
-        if !self.fence().await || !self.recover().await {
+        if !self.fence().await || !self.recover(copy).await {
             return;
         }
         info!(self.log, "cell taken over"; "token" => self.token.0,
--- a/src/entry/owner/takeover.rs
+++ b/src/entry/owner/takeover.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use slog::warn;
+use slog::{info, warn};
 
 use super::Owner;
 use crate::entry::port::{AppendCondition, AppendOutcome, Platform, Topic};
+use crate::entry::standby::{self, Copy};
 
 /// The pause before a step of a takeover is tried again.
 const TAKEOVER_RETRY: Duration = Duration::from_millis(100);
@@ -34,36 +35,41 @@
         false
     }
 
-    /// Restores the scheduler's state from the records of earlier owners. Returns whether this
+    /// Restores the scheduler's state from the records of earlier owners. `copy` is what this entry has
+    /// read of them before; the rest is read now, after the log has been fenced. Returns whether this
     /// succeeded before the ownership ended.
-    pub(super) async fn recover(&self) -> bool {
-        let mut after: Option<Vec<u8>> = None;
-        while !self.is_over() {
-            let page = tokio::select! {
-                page = self.platform.newest(Topic::Jobs, after.as_deref()) => page,
+    pub(super) async fn recover(&self, mut copy: Copy) -> bool {
+        let pages_before = copy.pages();
+        let mut reads = 0;
+        while !copy.is_current() || reads == 0 {
+            let read = copy.next_read();
+            let result = tokio::select! {
+                result = standby::fetch(&self.platform, &read) => result,
                 () = self.over.notified() => return false,
             };
-            match page {
-                Ok(page) => {
-                    let time = self.time();
-                    let mut scheduler = self.scheduler.borrow_mut();
-                    for (key, value) in &page.records {
-                        if !scheduler.restore_record(time, key, value) {
-                            warn!(self.log, "job record of unknown kind"; "key" => String::from_utf8_lossy(key).into_owned());
-                        }
-                    }
-                    if !page.has_more {
-                        scheduler.finish_recovery(time, &mut self.outputs.borrow_mut());
-                        return true;
-                    }
-                    after = page.records.last().map(|(key, _)| key.clone());
-                }
-                Err(failure) => {
-                    warn!(self.log, "jobs cannot be read"; "failure" => ?failure);
-                    tokio::time::sleep(TAKEOVER_RETRY).await;
-                }
+            reads += 1;
+            if let Err(failure) = copy.apply(result) {
+                warn!(self.log, "jobs cannot be read"; "failure" => ?failure);
+                tokio::time::sleep(TAKEOVER_RETRY).await;
+            }
+            if self.is_over() {
+                return false;
             }
         }
-        false
+        info!(self.log, "jobs read"; "token" => self.token.0, "reads" => reads,
+            "pages_before" => pages_before, "records" => copy.records().count());
+        self.restore(&copy);
+        true
+    }
+
+    fn restore(&self, copy: &Copy) {
+        let time = self.time();
+        let mut scheduler = self.scheduler.borrow_mut();
+        for (key, value) in copy.records() {
+            if !scheduler.restore_record(time, key, value) {
+                warn!(self.log, "job record of unknown kind"; "key" => String::from_utf8_lossy(key).into_owned());
+            }
+        }
+        scheduler.finish_recovery(time, &mut self.outputs.borrow_mut());
     }
 }
--- a/src/entry/port.rs
+++ b/src/entry/port.rs
@@ -79,6 +79,8 @@
     pub records: Vec<(u64, Bytes)>,
     /// The offset at which the next read continues.
     pub next: u64,
+    /// The offset at which the topic ended.
+    pub end: u64,
 }
 
 /// One page of the newest records of all keys.
@@ -88,6 +90,19 @@
     pub records: Vec<(Vec<u8>, Vec<u8>)>,
     /// Whether more keys follow after the last one of this page.
     pub has_more: bool,
+    /// The offset at which the topic ended when the page was read.
+    pub end: u64,
+}
+
+/// The changes of keys that a read returns.
+#[state]
+pub struct Changes {
+    /// The keys with their new values, in order; `None` for a key that was deleted.
+    pub records: Vec<(Vec<u8>, Option<Vec<u8>>)>,
+    /// The offset at which the next read continues.
+    pub next: u64,
+    /// The offset at which the topic ended.
+    pub end: u64,
 }
 
 /// Why a read failed.
@@ -128,6 +143,9 @@
         topic: Topic,
         after: Option<&[u8]>,
     ) -> impl Future<Output = Result<LatestPage, ReadError>>;
+
+    /// Reads the changes of keys from offset `from` on, without waiting for one.
+    fn changes(&self, topic: Topic, from: u64) -> impl Future<Output = Result<Changes, ReadError>>;
 }
 
 /// The address of one incarnation of a worker.
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -11,8 +11,9 @@
 use laburnumplank::core::scheduler::id::{Run, Step, Task, Token};
 use laburnumplank::core::scheduler::message::{Inventory, Outcome, Refusal, Start};
 use laburnumplank::entry::port::{
-    Address, Advisor, AppendCondition, AppendOutcome, Configuration, Directory, DirectoryChange,
-    LatestPage, Log, Page, PermittedWorkers, Platform, ReadError, Record, Topic, Workers,
+    Address, Advisor, AppendCondition, AppendOutcome, Changes, Configuration, Directory,
+    DirectoryChange, LatestPage, Log, Page, PermittedWorkers, Platform, ReadError, Record, Topic,
+    Workers,
 };
 
 /// The state of the platform, which all of its handles share.
@@ -20,6 +21,12 @@
 pub(super) struct State {
     /// The newest record of each key of the jobs topic.
     pub(super) jobs: RefCell<BTreeMap<Vec<u8>, Vec<u8>>>,
+    /// The changes of the jobs topic, in order.
+    changes: RefCell<Vec<(Vec<u8>, Option<Vec<u8>>)>>,
+    /// The first offset of the jobs topic that can still be read.
+    pub(super) first_change: Cell<u64>,
+    /// How many pages of newest records have been read.
+    pub(super) pages_read: Cell<u32>,
     /// How many more appends with records are refused.
     pub(super) refusals: Cell<u32>,
     /// How many more appends are executed without an answer.
@@ -110,6 +117,8 @@
         state.sequence.set(sequence + 1);
         for record in records {
             let key = record.key.clone().unwrap();
+            let change = (key.clone(), record.value.clone());
+            state.changes.borrow_mut().push(change);
             match &record.value {
                 Some(value) => state.jobs.borrow_mut().insert(key, value.clone()),
                 None => state.jobs.borrow_mut().remove(&key),
@@ -135,10 +144,26 @@
         Ok(Page {
             records: records.collect(),
             next: claims.len() as u64,
+            end: claims.len() as u64,
+        })
+    }
+
+    async fn changes(&self, _topic: Topic, from: u64) -> Result<Changes, ReadError> {
+        let first = self.0.first_change.get();
+        if from < first {
+            return Err(ReadError::Truncated { first });
+        }
+        let changes = self.0.changes.borrow();
+        let end = changes.len() as u64;
+        Ok(Changes {
+            records: changes[from as usize..].to_vec(),
+            next: end,
+            end,
         })
     }
 
     async fn newest(&self, _topic: Topic, _after: Option<&[u8]>) -> Result<LatestPage, ReadError> {
+        self.0.pages_read.set(self.0.pages_read.get() + 1);
         if self.0.is_reading_stuck.get() {
             std::future::pending::<()>().await;
         }
@@ -149,6 +174,7 @@
                 .map(|(key, value)| (key.clone(), value.clone()))
                 .collect(),
             has_more: false,
+            end: self.0.changes.borrow().len() as u64,
         })
     }
 }
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -5,5 +5,6 @@
 mod fake;
 mod owner;
 mod settling;
+mod standby;
 mod tenure;
 mod writer;
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -8,6 +8,7 @@
 use laburnumplank::entry::link::{self, Link};
 use laburnumplank::entry::message::{EntryRequest, EntryResponse};
 use laburnumplank::entry::owner::{Owner, no_owner};
+use laburnumplank::entry::standby::Copy;
 use laburnumplank::util::clock::Clock;
 use laburnumplank::util::metric::Metrics;
 use slog::{Discard, Logger, o};
@@ -25,7 +26,7 @@
 /// 0.6 s.
 const REFUSALS_UNTIL_UNAVAILABLE: u32 = 7;
 
-fn owner(platform: &Fake, token: u64) -> Rc<Owner<Fake>> {
+pub(super) fn owner(platform: &Fake, token: u64) -> Rc<Owner<Fake>> {
     let log = Logger::root(Discard, o!());
     let metrics = Metrics::new().unwrap();
     Owner::new(
@@ -39,10 +40,10 @@
 }
 
 /// Starts an owner and waits until its takeover is complete.
-async fn open(platform: &Fake, token: u64) -> Rc<Owner<Fake>> {
+pub(super) async fn open(platform: &Fake, token: u64) -> Rc<Owner<Fake>> {
     let owner = owner(platform, token);
     let (_, tables) = watch::channel(None);
-    actix_rt::spawn(Rc::clone(&owner).run(tables));
+    actix_rt::spawn(Rc::clone(&owner).run(tables, Copy::default()));
     while !owner.is_open() && !owner.is_over() {
         tokio::task::yield_now().await;
     }
@@ -50,7 +51,7 @@
 }
 
 /// Returns a request to submit a job of one task.
-fn submit(job: u64) -> EntryRequest {
+pub(super) fn submit(job: u64) -> EntryRequest {
     let step = Step {
         tasks: 1,
         ..Step::default()
@@ -285,7 +286,7 @@
         platform.0.is_reading_stuck.set(true);
         let owner = owner(&platform, 1);
         let (_, tables) = watch::channel(None);
-        let run = actix_rt::spawn(Rc::clone(&owner).run(tables));
+        let run = actix_rt::spawn(Rc::clone(&owner).run(tables, Copy::default()));
         while platform.0.fence.get() == 0 {
             tokio::task::yield_now().await;
         }
