--- a/src/entry/control/standby.rs
+++ b/src/entry/control/standby.rs
@@ -6,8 +6,8 @@
 use slog::info;
 
 use super::{Control, READ_RETRY_PAUSE};
-use crate::entry::port::Platform;
-use crate::entry::standby;
+use crate::entry::port::{Platform, ReadError};
+use crate::entry::standby::{self, Answer, Read};
 
 /// How many entries keep a copy: an owner that stops asks as many at once to take the cell over.
 const MAX_STANDBYS: u32 = 2;
@@ -19,34 +19,38 @@
 impl<P: Platform> Control<P> {
     /// Reads the jobs while this entry is a standby, and drops its copy when it no longer is one.
     pub(super) async fn follow_jobs(self: Rc<Control<P>>) {
-        let mut was_current = false;
         loop {
-            if !self.is_standby() {
-                was_current = false;
+            let pause = if self.is_standby() {
+                let read = self.standby.borrow().next_read();
+                let result = standby::fetch(&self.platform, &read).await;
+                self.apply_to_copy(&read, result)
+            } else {
                 self.standby.take();
-                tokio::time::sleep(CHECK_INTERVAL).await;
-                continue;
-            }
-            let read = self.standby.borrow().next_read();
-            let result = standby::fetch(&self.platform, &read).await;
-            let mut copy = self.standby.borrow_mut();
-            // An ownership that began meanwhile has taken the copy.
-            if copy.next_read() != read || !self.is_standby() {
-                continue;
-            }
-            let is_read = copy.apply(result).is_ok();
-            let is_current = copy.is_current();
-            if is_current && !was_current {
-                info!(self.log, "copy of the jobs is complete"; "pages" => copy.pages(),
-                    "records" => copy.records().count());
-            }
-            was_current = is_current;
-            drop(copy);
-            if !is_read {
-                tokio::time::sleep(READ_RETRY_PAUSE).await;
-            } else if is_current {
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-            }
+                CHECK_INTERVAL
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Applies the result of `read` to the copy of the jobs and returns the pause before the next read.
+    fn apply_to_copy(&self, read: &Read, result: Result<Answer, ReadError>) -> Duration {
+        let mut copy = self.standby.borrow_mut();
+        // An ownership that began meanwhile has taken the copy.
+        if copy.next_read() != *read || !self.is_standby() {
+            return Duration::ZERO;
+        }
+        let is_first = !copy.is_complete();
+        if copy.apply(result).is_err() {
+            return READ_RETRY_PAUSE;
+        }
+        if is_first && copy.is_complete() {
+            info!(self.log, "copy of the jobs is complete"; "pages" => copy.pages(),
+                "records" => copy.records().count());
+        }
+        if copy.is_current() {
+            FOLLOW_PAUSE
+        } else {
+            Duration::ZERO
         }
     }
 
--- a/src/entry/standby.rs
+++ b/src/entry/standby.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Whether all pages have been read.
+    pub fn is_complete(&self) -> bool {
+        self.has_all_pages
+    }
+
     /// Whether the copy has everything that was in the log when the last read was answered.
     pub fn is_current(&self) -> bool {
         self.has_all_pages && self.next == Some(self.end)
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -16,13 +16,16 @@
     Workers,
 };
 
+/// A key and its new value.
+type Change = (Vec<u8>, Option<Vec<u8>>);
+
 /// The state of the platform, which all of its handles share.
 #[derive(Default)]
 pub(super) struct State {
     /// The newest record of each key of the jobs topic.
     pub(super) jobs: RefCell<BTreeMap<Vec<u8>, Vec<u8>>>,
     /// The changes of the jobs topic, in order.
-    changes: RefCell<Vec<(Vec<u8>, Option<Vec<u8>>)>>,
+    changes: RefCell<Vec<Change>>,
     /// The first offset of the jobs topic that can still be read.
     pub(super) first_change: Cell<u64>,
     /// How many pages of newest records have been read.
