--- a/src/core/tenure.rs
+++ b/src/core/tenure.rs
@@ -175,9 +175,32 @@
 const LINK_GRACE: Duration = Duration::from_millis(300);
 /// The same after a new claim: an owner that reads the jobs of a cell on a small VM accepts links late.
 const TAKEOVER_GRACE: Duration = Duration::from_millis(1_000);
+/// How long a read by an entry without an owner waits for a new record. An entry measures silence by
+/// the answers to its reads, so this bounds how late it claims, and how close to the entry before it.
+const UNLINKED_READ_WAIT: Duration = Duration::from_millis(100);
+/// How long a read by an entry with an owner waits for a new record. It bounds, together with the time
+/// that an answer may take, how late an outage of the log is noticed.
+const LINKED_READ_WAIT: Duration = Duration::from_millis(400);
+/// The pause between two reads by an entry that owns the cell or has a link to its owner: the link
+/// shows the loss of the owner earlier, and every read costs money.
+const LINKED_READ_PAUSE: Duration = Duration::from_millis(1_000);
+/// The same while the link is new: an owner that has restarted accepts links, and only the log shows
+/// that its claim is from before.
+const NEW_LINK_READ_PAUSE: Duration = Duration::from_millis(150);
+/// How long a link counts as new.
+const NEW_LINK_AGE: Duration = Duration::from_millis(600);
 /// How long an unanswered claim counts as in flight.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Returns the pause between two reads of the claims by an entry whose link to the owner is this old.
+pub fn linked_read_pause(link_age: Duration) -> Duration {
+    if link_age < NEW_LINK_AGE {
+        NEW_LINK_READ_PAUSE
+    } else {
+        LINKED_READ_PAUSE
+    }
+}
+
 impl Elector {
     /// Creates the elector of `this_entry`.
     pub fn new(rules: Rules, this_entry: Owner) -> Elector {
@@ -419,6 +442,17 @@
             && self.is_owned_elsewhere(now)
     }
 
+    /// Returns how long the next read waits for a new record. `is_linked` says whether this entry owns the
+    /// cell or has a link to its owner.
+    pub fn read_wait(&self, is_linked: bool) -> Duration {
+        // The first read only finds the end of the log and must not wait for new records.
+        match &self.claim {
+            None => Duration::ZERO,
+            Some(_) if is_linked => LINKED_READ_WAIT,
+            Some(_) => UNLINKED_READ_WAIT,
+        }
+    }
+
     /// Records whether this entry can connect to the owner of a claim.
     pub fn note_reachable(&mut self, token: Token, is_reachable: bool) {
         self.unreachable_claim = (!is_reachable).then_some(token);
--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -17,15 +17,9 @@
 use crate::entry::port::{AppendCondition, AppendOutcome, Platform, Record, Topic};
 use crate::util::metric::label;
 
-/// How long a read of the claims waits for a new record. It bounds, together with the time that an
-/// answer may take, how late an outage of the log is noticed.
-const CLAIMS_WAIT: Duration = Duration::from_millis(400);
 /// How long an entry that handed the cell over because its decisions were late lets others claim
 /// first.
 const YIELD_DURATION: Duration = Duration::from_secs(10);
-/// The pause between two reads by an entry that owns the cell or has a link to its owner: the link
-/// shows the loss of the owner earlier, and every read costs money.
-const LINKED_READ_PAUSE: Duration = Duration::from_millis(1_000);
 /// How often to check whether a claim, a renewal or a release is due.
 const ELECTION_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause after an announcement that failed; nothing waits for it.
@@ -64,12 +58,7 @@
         loop {
             let sent = self.clock.now();
             let from = self.elector.borrow().next_offset();
-            // The first read only finds the end of the log and must not wait for new records.
-            let wait = if self.elector.borrow().claim().is_some() {
-                CLAIMS_WAIT
-            } else {
-                Duration::ZERO
-            };
+            let wait = self.elector.borrow().read_wait(self.has_owner());
             match self.platform.read(Topic::Claims, from, wait).await {
                 Ok(page) => {
                     if !self.is_log_reachable.replace(true) {
@@ -86,7 +75,9 @@
                     if self.has_owner() {
                         // The next read follows a request for it as well as the timeout.
                         let requested = self.read_requested.notified();
-                        let _ = tokio::time::timeout(LINKED_READ_PAUSE, requested).await;
+                        let link_age = self.clock.now().since(self.linked_since.get());
+                        let pause = tenure::linked_read_pause(link_age);
+                        let _ = tokio::time::timeout(pause, requested).await;
                     }
                 }
                 Err(failure) => {
--- a/src/entry/control/links.rs
+++ b/src/entry/control/links.rs
@@ -85,6 +85,8 @@
             let (link, transfer) = link::open(socket, self.this_entry.name.clone(), serve);
             info!(self.log, "link to the owner is up"; "owner" => &claim.owner.name, "token" => claim.token.0);
             *self.link.borrow_mut() = Some((claim.token, link));
+            self.linked_since.set(self.clock.now());
+            self.read_requested.notify_one();
             self.update_readiness();
             self.changed.notify_waiters();
             let replaced = async {
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -77,6 +77,8 @@
     link: RefCell<Option<(Token, Link)>>,
     /// Whether the entry at the other end of the link has responded that it is not the owner.
     has_peer_disclaimed: Cell<bool>,
+    /// When the last link to an owner was opened.
+    linked_since: Cell<Instant>,
     /// When the last link to an owner was closed.
     unlinked_since: Cell<Instant>,
     /// Whether the last read of the log succeeded.
@@ -127,6 +129,7 @@
             former_ownership: RefCell::default(),
             link: RefCell::default(),
             has_peer_disclaimed: Cell::new(false),
+            linked_since: Cell::new(clock.now()),
             unlinked_since: Cell::new(clock.now()),
             is_log_reachable: Cell::new(true),
             changed: Notify::new(),
--- a/tests/testsuite/entry/tenure.rs
+++ b/tests/testsuite/entry/tenure.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use laburnumplank::core::scheduler::id::Token;
-use laburnumplank::core::tenure::{Action, Claim, Elector, Owner, Record, Rules};
+use laburnumplank::core::tenure::{
+    Action, Claim, Elector, Owner, Record, Rules, linked_read_pause,
+};
 use laburnumplank::core::time::Instant;
 
 const RULES: Rules = Rules {
@@ -452,3 +454,20 @@
     elector.apply_read(at(2_350), at(2_340), vec![(7, renewal("third", 7))], 8);
     assert!(elector.is_cut_off(at(2_400), unlinked_since));
 }
+
+#[test]
+fn entry_without_an_owner_measures_silence_finer_than_entries_claim_after_each_other() {
+    let round_trip = Duration::from_millis(25);
+    let elector = elector_with_claim("other");
+    assert!(elector.read_wait(false) <= round_trip * 4);
+    assert!(elector.read_wait(true) > elector.read_wait(false));
+    let unread = Elector::new(RULES, owner("me", 1));
+    assert_eq!(unread.read_wait(false), Duration::ZERO);
+}
+
+#[test]
+fn log_is_read_soon_after_a_link_is_up_and_then_seldom() {
+    let new = linked_read_pause(Duration::from_millis(10));
+    let old = linked_read_pause(Duration::from_secs(10));
+    assert!(new * 4 < old);
+}
