--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -17,15 +17,9 @@
 use crate::entry::port::{AppendCondition, AppendOutcome, Platform, Record, Topic};
 use crate::util::metric::label;
 
-/// How long a read of the claims waits for a new record. It bounds, together with the time that an
-/// answer may take, how late an outage of the log is noticed.
-const CLAIMS_WAIT: Duration = Duration::from_millis(400);
 /// How long an entry that handed the cell over because its decisions were late lets others claim
 /// first.
 const YIELD_DURATION: Duration = Duration::from_secs(10);
-/// The pause between two reads by an entry that owns the cell or has a link to its owner: the link
-/// shows the loss of the owner earlier, and every read costs money.
-const LINKED_READ_PAUSE: Duration = Duration::from_millis(1_000);
 /// How often to check whether a claim, a renewal or a release is due.
 const ELECTION_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause after an announcement that failed; nothing waits for it.
@@ -41,7 +35,7 @@
 /// How many times an entry tries to append its claim of a takeover while other entries append
 /// records.
 const TAKEOVER_TRIES: usize = 3;
-/// The timeout of a takeover request: a read and an append of a slow log.
+/// How long an owner asks other entries to take the cell over: a read and an append of a slow log.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How often to check whether the log refuses the owner's records.
 const REFUSAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -64,16 +58,12 @@
         loop {
             let sent = self.clock.now();
             let from = self.elector.borrow().next_offset();
-            // The first read only finds the end of the log and must not wait for new records.
-            let wait = if self.elector.borrow().claim().is_some() {
-                CLAIMS_WAIT
-            } else {
-                Duration::ZERO
-            };
+            let wait = self.elector.borrow().read_wait(self.has_owner());
             match self.platform.read(Topic::Claims, from, wait).await {
                 Ok(page) => {
                     if !self.is_log_reachable.replace(true) {
                         info!(self.log, "log can be read again");
+                        self.changed.notify_waiters();
                     }
                     let is_empty = page.records.is_empty();
                     self.note_round_trip(sent, wait, is_empty);
@@ -85,7 +75,9 @@
                     if self.has_owner() {
                         // The next read follows a request for it as well as the timeout.
                         let requested = self.read_requested.notified();
-                        let _ = tokio::time::timeout(LINKED_READ_PAUSE, requested).await;
+                        let link_age = self.clock.now().since(self.linked_since.get());
+                        let pause = tenure::linked_read_pause(link_age);
+                        let _ = tokio::time::timeout(pause, requested).await;
                     }
                 }
                 Err(failure) => {
@@ -191,11 +183,12 @@
         actix_rt::spawn(Rc::clone(self).inherit_leases(Rc::clone(&owner)));
         let control = Rc::clone(self);
         let tables = self.tables.subscribe();
+        let copy = std::mem::take(&mut *self.standby.borrow_mut());
         actix_rt::spawn(async move {
             tokio::select! {
                 // After the ownership has ended by itself, a claim left in force would keep other
                 // entries from claiming the cell.
-                () = Rc::clone(&owner).run(tables) => control.resign(owner.token()),
+                () = Rc::clone(&owner).run(tables, copy) => control.resign(owner.token()),
                 () = owner.wait_until_late() => {
                     let end = control.clock.now() + YIELD_DURATION;
                     control.elector.borrow_mut().yield_until(end);
@@ -395,29 +388,42 @@
         }
     }
 
-    /// Requests the largest entries to take the cell over and returns the claim of the one that did.
+    /// Requests other entries, in the order in which they would claim the cell, to take it over, and
+    /// returns the claim of the one that did. An entry that is stopping as well declines at once, and
+    /// the next ones are asked.
     pub(super) async fn hand_over(&self, owner: &Owner<P>, is_stopping: bool) -> Option<Claim> {
         let mut links = owner.links();
-        {
-            let elector = self.elector.borrow();
-            links.sort_by_key(|link| std::cmp::Reverse(elector.processors_millis(&link.name())));
-        }
-        links.truncate(MAX_SUCCESSORS);
+        links.sort_by_cached_key(|link| self.elector.borrow().claiming_order(&link.name()));
         let request = EntryRequest::TakeOver {
             token: owner.token(),
             is_stopping,
         };
-        let requests = links
-            .iter()
-            .map(|link| link.request(request.clone(), TAKEOVER_TIMEOUT));
-        let responses = futures_util::future::join_all(requests).await;
-        let claims = responses.into_iter().filter_map(|response| match response {
-            Ok(EntryResponse::Claim(claim)) => claim,
-            _ => None,
-        });
-        let claim = claims.max_by_key(|claim| claim.token)?;
-        info!(self.log, "cell passed on"; "to" => &claim.owner.name, "token" => claim.token.0);
-        Some(claim)
+        let end = self.clock.now() + TAKEOVER_TIMEOUT;
+        let mut asked = 0;
+        for successors in links.chunks(MAX_SUCCESSORS) {
+            let timeout = end.since(self.clock.now());
+            // A successor may have fenced the log before its response arrived.
+            if timeout.is_zero() || owner.is_over() {
+                break;
+            }
+            asked += successors.len();
+            let requests = successors
+                .iter()
+                .map(|link| link.request(request.clone(), timeout));
+            let responses = futures_util::future::join_all(requests).await;
+            let claims = responses.into_iter().filter_map(|response| match response {
+                Ok(EntryResponse::Claim(claim)) => claim,
+                _ => None,
+            });
+            if let Some(claim) = claims.max_by_key(|claim| claim.token) {
+                info!(self.log, "cell passed on"; "to" => &claim.owner.name,
+                    "token" => claim.token.0, "asked" => asked);
+                return Some(claim);
+            }
+        }
+        warn!(self.log, "no entry has confirmed that it took the cell over"; "token" => owner.token().0, "asked" => asked,
+            "links" => links.len());
+        None
     }
 
     pub(super) async fn append(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,12 +6,14 @@
 //! traits of [`port`] abstract the platform's protocols.
 
 pub mod control;
+pub mod latency;
 pub mod link;
 pub mod message;
 pub mod owner;
 pub mod port;
 pub mod rpc;
 pub mod settings;
+pub mod standby;
 pub mod writer;
 
 use tokio::sync::{mpsc, oneshot};
