Order client accounts by weight in a full cell, and refuse what they send beyond it

An account that sends many times its usual filled the cell, and its jobs went first as long as their deadlines were near. Steps are now ordered by the standing of their account first: accounts that use less than their weighted dominant share of a full cell, those that use it or more, and jobs beyond the weight of their account, which are refused while the cell is full. A cell with room is not affected, nor are cells without accounts.

--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -114,6 +114,8 @@
     pub cancellers: Vec<Request>,
     /// Whether the job was accepted by an earlier owner, which may have started tasks.
     pub is_inherited: bool,
+    /// Whether its client account has sent more than its weight entitles it to.
+    pub is_surplus: bool,
     /// The runs that the job may have left since it ended; `None` without a client account.
     pub remainder: Option<Remainder>,
     /// The mark of the record of the job's acceptance.
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -60,14 +60,28 @@
             });
             return;
         }
+        let admitted = account.as_ref().map(|name| self.admit(name, time.now));
+        let is_surplus = match admitted {
+            Some(Err(error)) => {
+                out.push(Output::Answer {
+                    request,
+                    answer: Err(error),
+                });
+                return;
+            }
+            Some(Ok(is_surplus)) => is_surplus,
+            None => false,
+        };
         let record = Record::Accepted {
             at,
             queue: queue.clone(),
             spec: Spec::clone(&spec),
             account: account.clone(),
+            is_surplus,
         };
         let mut job = new_job(queue, spec, at, time.now);
         job.account = account;
+        job.is_surplus = is_surplus;
         job.last_run = self.first_run();
         job.submitters.push(request);
         self.jobs.insert(id, job);
@@ -147,10 +161,12 @@
                 queue,
                 spec,
                 account,
+                is_surplus,
             } => {
                 let age = time.stamp.since(at);
                 let mut job = new_job(queue, Arc::new(spec), at, time.now - age);
                 job.account = account;
+                job.is_surplus = is_surplus;
                 job.last_run = self.first_run();
                 job.is_durable = true;
                 job.is_inherited = true;
@@ -201,6 +217,7 @@
             self.complete_if_done(id, time, out);
         }
         self.inherit_accounts();
+        self.recover_intake(time.now);
         self.ended.make_contiguous().sort_unstable();
     }
 
@@ -534,6 +551,7 @@
         submitters: Vec::new(),
         cancellers: Vec::new(),
         is_inherited: false,
+        is_surplus: false,
         remainder: None,
         accepted_mark: Mark(0),
         progress_mark: Mark(0),
--- a/src/core/scheduler/ledger.rs
+++ b/src/core/scheduler/ledger.rs
@@ -100,6 +100,8 @@
     name: account::Name,
     /// The last cap that the configuration listed, if any.
     cap: Option<account::Cap>,
+    /// Its weight; `None` for an account that the configuration does not list.
+    weight: Option<f64>,
     /// What its known runs use.
     used: Amount,
     /// What it may have running on workers of earlier owners that have not reported.
@@ -131,9 +133,13 @@
         self.is_configured = true;
         let caps = accounts.iter().map(|account| account.cap);
         self.fallback = caps.reduce(account::Cap::min).unwrap_or_default();
+        for entry in self.entries.values_mut() {
+            entry.weight = None;
+        }
         for account in accounts {
             let key = self.open(&account.name);
             self.entries[key].cap = Some(account.cap);
+            self.entries[key].weight = Some(account.weight);
         }
     }
 
@@ -145,6 +151,7 @@
         let key = self.entries.insert(Entry {
             name: name.clone(),
             cap: None,
+            weight: None,
             used: Amount::default(),
             unseen: Amount::default(),
             held: Amount::default(),
@@ -159,6 +166,22 @@
         key.map_or(Amount::default(), |&key| self.entries[key].used)
     }
 
+    /// Whether no account is known.
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the weight of an account; `None` if the configuration does not list it.
+    pub(super) fn weight(&self, name: &account::Name) -> Option<f64> {
+        self.entries[*self.by_name.get(name)?].weight
+    }
+
+    /// Returns the listed accounts with their weights.
+    pub(super) fn weights(&self) -> impl Iterator<Item = (&account::Name, f64)> {
+        let entries = self.entries.values();
+        entries.filter_map(|entry| Some((&entry.name, entry.weight?)))
+    }
+
     /// Counts a run of a job.
     fn charge(&mut self, name: &account::Name, job: Job, amount: Amount) -> Charge {
         let account = self.open(name);
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -26,6 +26,7 @@
 pub mod poison;
 pub mod record;
 mod runs;
+pub mod share;
 pub mod spec;
 pub mod suspicion;
 mod trial;
@@ -162,6 +163,8 @@
     queues: HashMap<String, Queue>,
     /// What client accounts use, and their caps.
     ledger: ledger::Ledger,
+    /// What the order of client accounts is based on.
+    share: share::Share,
     advisor_proxies: advice::AdvisorProxies,
     pending_calls: advice::PendingCalls,
     /// By queue, the moving average of the share of workers that the advisor permits.
@@ -216,6 +219,7 @@
             trial_holds: Vec::new(),
             queues: HashMap::new(),
             ledger: ledger::Ledger::default(),
+            share: share::Share::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
             pending_calls: advice::PendingCalls::default(),
             permitted_shares: HashMap::new(),
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -19,6 +19,7 @@
 use super::message::{Output, Start};
 use super::order::{self, Rank};
 use super::plan::{self, Awaited, Candidate, Reservation, Reserved, Slot};
+use super::share::{self, Standing};
 use super::worker::{Attempt, State};
 use super::{Scheduler, Time, spec};
 use crate::core::resource::Amount;
@@ -87,11 +88,12 @@
     /// Starts the tasks of `steps` that can be started, in the order of rank.
     pub(super) fn place(&mut self, time: Time, steps: Steps, out: &mut Vec<Output>) {
         self.inherited_known_at = self.inherited_runs_known_at(time.now);
-        let mut ranks: Vec<Rank> = self
+        let beyond = self.accounts_beyond_share();
+        let mut ranks: Vec<(Standing, Rank)> = self
             .ready
             .iter()
-            .filter_map(|&step| self.rank(step, time))
-            .filter(|rank| steps == Steps::All || !rank.is_non_urgent)
+            .filter_map(|&step| Some((self.standing(step, &beyond), self.rank(step, time)?)))
+            .filter(|(standing, rank)| steps == Steps::All || is_urgent(*standing, rank))
             .collect();
         if ranks.is_empty() && steps == Steps::Urgent {
             return;
@@ -106,7 +108,8 @@
         };
         let mut waiting = Waiting::default();
         let mut awaited: Vec<Awaited> = Vec::new();
-        for rank in ranks {
+        let mut unplaced = share::Waiting::default();
+        for (standing, rank) in ranks {
             let Some(job) = self.jobs.get(&rank.step.job) else {
                 continue;
             };
@@ -123,7 +126,8 @@
             let Some(pool) = pools.get(&job.queue.service) else {
                 continue;
             };
-            let max_starts = self.startable_tasks(rank.step, !rank.is_non_urgent);
+            let is_urgent = is_urgent(standing, &rank);
+            let max_starts = self.startable_tasks(rank.step, is_urgent);
             if max_starts == 0 {
                 continue;
             }
@@ -143,7 +147,7 @@
             };
             let may_reserve = waiting.may_reserve(is_long_running);
             let mut reservation = self.place_step(rank.step, scope, may_reserve, time, out);
-            if !rank.is_non_urgent && !reserved.is_empty() && self.ready.contains(&rank.step) {
+            if is_urgent && !reserved.is_empty() && self.ready.contains(&rank.step) {
                 // An urgent step may use reserved capacity when there is no other.
                 let scope = Scope {
                     pool,
@@ -152,6 +156,7 @@
                 };
                 reservation = self.place_step(rank.step, scope, may_reserve, time, out);
             }
+            self.count_waiting(rank.step, max_starts, &mut unplaced);
             let amounts = match reservation {
                 Some(Reservation::Planned(amounts)) => amounts,
                 Some(Reservation::Wanted(wanted)) => {
@@ -172,6 +177,7 @@
         if steps == Steps::Urgent {
             return;
         }
+        self.note_fullness(&unplaced);
         self.held_cpu_millis = reserved
             .iter()
             .filter_map(|(&worker, amount)| Some((self.workers.get(worker)?.free(), amount)))
@@ -668,6 +674,11 @@
     }
 }
 
+/// Whether a step may go before all bulk work, also in capacity that is reserved for that.
+fn is_urgent(standing: Standing, rank: &Rank) -> bool {
+    !rank.is_non_urgent && standing < Standing::Surplus
+}
+
 /// Returns when the tasks of a step would end by their estimate if they started now.
 fn expected_end(job: &Job, id: Step, now: Instant) -> Instant {
     let spec = job.spec.steps.get(usize::from(id.index));
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -62,6 +62,9 @@
         /// The client account of the job. Records of versions without accounts have none.
         #[serde(default)]
         account: Option<account::Name>,
+        /// Whether the account has sent more than its weight entitles it to.
+        #[serde(default, skip_serializing_if = "is_false")]
+        is_surplus: bool,
     },
     /// The job has ended.
     Ended {
@@ -216,6 +219,14 @@
     }
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature is serde's"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// Encodes a record as CBOR.
 pub(super) fn encode<T: serde::Serialize>(record: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use laburnumplank::core::account;
 use laburnumplank::core::error::Error;
 use laburnumplank::core::resource::Amount;
 use laburnumplank::core::scheduler::advice::AdvisorCall;
@@ -351,6 +352,19 @@
         self.tick();
     }
 
+    /// Submits a job of a client account, without a placement.
+    pub(super) fn submit_for(&mut self, job: u64, account: &str, spec: Arc<Spec>) {
+        let at = self.time().stamp;
+        self.input(Input::Submit {
+            request: Request(job),
+            job: Job(job),
+            queue: queue(),
+            spec,
+            account: Some(account::Name(account.to_owned())),
+            at,
+        });
+    }
+
     /// Delivers the outcome of a start command.
     pub(super) fn finish_start(&mut self, worker: Worker, start: &Start, outcome: Outcome) {
         self.input(Input::Started {
--- a/tests/testsuite/scheduler/ledger.rs
+++ b/tests/testsuite/scheduler/ledger.rs
@@ -7,7 +7,7 @@
 use laburnumplank::core::account::{Account, Cap, Name};
 use laburnumplank::core::error::Kind;
 use laburnumplank::core::scheduler::Input;
-use laburnumplank::core::scheduler::id::{Job, Request};
+use laburnumplank::core::scheduler::id::Job;
 use laburnumplank::core::scheduler::message::{Outcome, RunEnd, Start};
 use laburnumplank::core::scheduler::spec::{self, Spec};
 
@@ -35,15 +35,7 @@
 }
 
 fn submit(cell: &mut Cell, job: u64, account: &str, spec: Arc<Spec>) {
-    let at = cell.time().stamp;
-    cell.input(Input::Submit {
-        request: Request(job),
-        job: Job(job),
-        queue: queue(),
-        spec,
-        account: Some(name(account)),
-        at,
-    });
+    cell.submit_for(job, account, spec);
     cell.tick();
     cell.confirm();
 }
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -18,5 +18,6 @@
 mod recovery;
 mod run;
 mod service;
+mod share;
 mod wait;
 mod world;
