Let the fuzz of the scheduler change the caps of client accounts

Jobs belong to two accounts or to none, caps change at random, and the oracle adds up what runs on the workers at each start. The other mixes draw the same events as before.

--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -12,6 +12,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
 
+use super::accounts::Cores;
 use super::world::{Former, World};
 
 /// The number of workers.
@@ -21,6 +22,11 @@
 /// How long jobs may take to end once the last fault is over.
 const FINISH_LIMIT: Duration = Duration::from_secs(60);
 
+/// The caps that accounts have at first, in cores.
+const FIRST_CAPS: Cores = [8, 12];
+/// Caps that all steps are within, in cores.
+const LAST_CAPS: Cores = [40, 40];
+
 /// A request or a fault.
 #[derive(Clone, Debug)]
 enum Event {
@@ -64,6 +70,8 @@
     LoseResponses(usize, u64),
     DelayCommands(usize, u64),
     DelayAppends(u64),
+    /// Changes the caps of client accounts, in cores.
+    SetCaps(Cores),
 }
 
 /// Which faults may separate owners, workers and the directory.
@@ -74,6 +82,8 @@
     /// Paths are cut; former owners end at once.
     Cuts,
     All,
+    /// The same, in a cell with client accounts whose caps change.
+    Accounts,
 }
 
 /// The occurrences of a job.
@@ -185,7 +195,7 @@
     ]
 }
 
-fn event(mix: Mix) -> impl Strategy<Value = Event> {
+fn common_event(mix: Mix) -> impl Strategy<Value = Event> {
     let worker = 0..WORKERS;
     let steps = prop::collection::vec(shape(), 1..3);
     let timed = prop::option::weighted(0.2, timing());
@@ -218,6 +228,14 @@
     ]
 }
 
+fn event(mix: Mix) -> BoxedStrategy<Event> {
+    if mix != Mix::Accounts {
+        return common_event(mix).boxed();
+    }
+    let caps = [2u64..20, 2u64..20];
+    prop_oneof![7 => common_event(mix), 1 => caps.prop_map(Event::SetCaps)].boxed()
+}
+
 fn apply(world: &mut World, event: &Event, jobs: &mut u64) {
     let millis = Duration::from_millis;
     match event {
@@ -281,18 +299,26 @@
         Event::LoseResponses(worker, ms) => world.lose_responses(*worker, millis(*ms)),
         Event::DelayCommands(worker, ms) => world.delay_commands(*worker, millis(*ms)),
         Event::DelayAppends(ms) => world.delay_appends(millis(*ms)),
+        Event::SetCaps(cores) => world.set_caps(*cores),
     }
 }
 
 /// Plays the events and returns the first broken promise.
-fn play(events: &[Event]) -> Result<(), String> {
+fn play(mix: Mix, events: &[Event]) -> Result<(), String> {
     let mut world = World::new(WORKERS);
+    if mix == Mix::Accounts {
+        world.set_caps(FIRST_CAPS);
+    }
     world.run(Duration::from_millis(200));
     let mut jobs = 0;
     for event in events {
         apply(&mut world, event, &mut jobs);
     }
     world.delay_appends(Duration::from_millis(5));
+    if mix == Mix::Accounts {
+        // Steps that need more than their cap wait until it is raised.
+        world.set_caps(LAST_CAPS);
+    }
     let end = world.now + FINISH_LIMIT;
     while world.oracle.violations.is_empty() && !world.unfinished().is_empty() && world.now < end {
         world.run(Duration::from_millis(500));
@@ -331,7 +357,7 @@
     let config = config(CASES, 2_000);
     let strategy = prop::collection::vec(event(mix), 1..80);
     let result = TestRunner::new(config).run(&strategy, |events| {
-        play(&events).map_err(TestCaseError::fail)
+        play(mix, &events).map_err(TestCaseError::fail)
     });
     if let Err(TestError::Fail(reason, events)) = result {
         panic!("{reason}; after:\n{events:#?}");
@@ -354,6 +380,11 @@
     fuzz(Mix::All);
 }
 
+#[test]
+fn random_faults_keep_the_caps_of_accounts() {
+    fuzz(Mix::Accounts);
+}
+
 /// Submits a job of one task.
 fn submit_task(world: &mut World, job: u64, span: Duration) {
     let shape = Shape {
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler that places the tasks of jobs on workers.
 
+mod accounts;
 mod advice;
 mod advisor;
 mod capacity;
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -18,6 +18,7 @@
 };
 use laburnumplank::core::time::{Instant, Stamp};
 
+use super::accounts::{Accounts, Cores};
 use super::advisor::{Advisor, Ticket};
 use super::cell::{entry, queue, rules};
 use super::oracle::Oracle;
@@ -334,6 +335,8 @@
     /// The jobs whose tasks crash their workers.
     pub(super) deadly_jobs: BTreeSet<Job>,
     pub(super) deadly: BTreeMap<Task, Deadly>,
+    /// The client accounts, if the cell has any.
+    accounts: Accounts,
 }
 
 impl World {
@@ -365,6 +368,7 @@
             oracle: Oracle::default(),
             deadly_jobs: BTreeSet::new(),
             deadly: BTreeMap::new(),
+            accounts: Accounts::default(),
         };
         (0..workers).for_each(|host| world.list(host));
         world.take_over(false);
@@ -452,6 +456,9 @@
         }
         self.carry_out(token, out);
         self.publish_proxies(token);
+        if let Some(accounts) = self.accounts.present() {
+            self.input_to(token, Input::Accounts(accounts));
+        }
         for entry in self.directory.values().cloned().collect::<Vec<Entry>>() {
             let input = Input::Listed(entry);
             self.schedule(self.now + TRANSIT, Event::Input { token, input });
@@ -602,11 +609,38 @@
             job,
             queue,
             spec,
-            account: None,
+            account: self.accounts.name_of(job),
             at,
         });
     }
 
+    /// Changes the caps of the client accounts.
+    pub(super) fn set_caps(&mut self, cores: Cores) {
+        self.remember(&format!("caps of {cores:?} cores"));
+        let accounts = self.accounts.set(self.now, cores);
+        self.broadcast(&Input::Accounts(accounts));
+    }
+
+    /// Checks that the run which has just begun brings its account no higher than its cap.
+    fn check_cap(&mut self, task: Task) {
+        let Some(account) = self.accounts.of_job(task.step.job) else {
+            return;
+        };
+        let up = self.hosts.iter().filter(|host| host.is_up);
+        let runs = up.flat_map(|host| host.model.runs());
+        let of_account =
+            runs.filter(|(task, _)| self.accounts.of_job(task.step.job) == Some(account));
+        let needs = of_account.filter_map(|(task, _)| Some(self.step_of(task)?.need.cpu_millis));
+        let (used, cap) = (
+            needs.sum::<u64>(),
+            self.accounts.highest_cap(account, self.now),
+        );
+        if used > cap {
+            let text = format!("QUOTA {task}: account {account} uses {used} of {cap}");
+            self.oracle.violations.push(text);
+        }
+    }
+
     /// Returns the time by the clocks of the latest owner.
     fn latest_time(&self) -> Time {
         self.time_of(self.owners[self.owners.len() - 1].token)
@@ -1265,6 +1299,7 @@
                     self.oracle.start(now, host, token, start, is_gang, model);
                     let incarnation = model.incarnation();
                     self.poison(host, incarnation, start.task);
+                    self.check_cap(start.task);
                 }
             }
             Command::Stop(task, run) => {
