Report what caps and weights do to client accounts

Once a second the owner logs up to five accounts whose steps a cap held back or whose jobs lay beyond the weight, with the use and the age of the cap, and counts them by account, up to 100 names.

--- a/src/core/scheduler/ledger.rs
+++ b/src/core/scheduler/ledger.rs
@@ -15,12 +15,14 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::time::Duration;
 
 use laburnum_derive::{message, state, value};
 use slotmap::{SlotMap, new_key_type};
 
 use super::id::{Job, Run, Step, Task, Worker};
 use super::job::Job as JobState;
+use super::place::Steps;
 use super::plan;
 use super::spec::{self, Spec};
 use super::worker::Attempt;
@@ -28,6 +30,7 @@
 use crate::core::account;
 use crate::core::error::{Error, Kind, Result};
 use crate::core::resource::Amount;
+use crate::core::time::Instant;
 
 new_key_type! {
     /// The key of a client account in the ledger.
@@ -59,7 +62,7 @@
     }
 }
 
-/// What a client account uses when its cap holds a step back.
+/// What a client account uses.
 #[state]
 pub struct AccountUse {
     /// The account.
@@ -72,6 +75,29 @@
     pub held: Amount,
     /// Its cap; `None` while the accounts of the configuration are not known.
     pub cap: Option<account::Cap>,
+    /// The time since the configuration last set the accounts.
+    pub cap_age: Duration,
+}
+
+/// What caps and weights did to the jobs of a client account.
+#[state]
+pub struct AccountReport {
+    /// What the account uses.
+    pub account: AccountUse,
+    /// Its weight; `None` for an account that the configuration does not list.
+    pub weight: Option<f64>,
+    /// The steps that its cap held back at the last placement of all steps.
+    pub capped_steps: u64,
+    /// The jobs beyond its weight that were accepted since the last report.
+    pub surplus_jobs: u64,
+    /// The jobs beyond its weight that were refused since the last report.
+    pub refused_jobs: u64,
+}
+
+impl AccountReport {
+    fn is_empty(&self) -> bool {
+        self.capped_steps + self.surplus_jobs + self.refused_jobs == 0
+    }
 }
 
 impl fmt::Display for AccountUse {
@@ -82,6 +108,7 @@
             unseen,
             held,
             cap,
+            cap_age,
         } = self;
         write!(
             out,
@@ -89,9 +116,10 @@
             name.0
         )?;
         match cap {
-            Some(cap) => write!(out, "{cap}"),
-            None => write!(out, "unknown"),
+            Some(cap) => write!(out, "{cap}")?,
+            None => write!(out, "unknown")?,
         }
+        write!(out, " cap_age_ms={}", cap_age.as_millis())
     }
 }
 
@@ -108,13 +136,17 @@
     unseen: Amount,
     /// What gangs that come earlier in the order wait for, as of the current placement.
     held: Amount,
+    /// See [`AccountReport`].
+    capped_steps: u64,
+    surplus_jobs: u64,
+    refused_jobs: u64,
 }
 
 /// The use and the caps of client accounts.
 #[derive(Default)]
 pub(super) struct Ledger {
-    /// Whether the accounts of the configuration are known.
-    is_configured: bool,
+    /// When the configuration last set the accounts; `None` while they are not known.
+    configured_at: Option<Instant>,
     /// The cap of accounts that the configuration has never listed: not yet, or not any more when this
     /// ownership began. It is the smallest of those that are listed.
     fallback: account::Cap,
@@ -129,8 +161,8 @@
 impl Ledger {
     /// Sets the accounts of the present configuration. An account that is not listed any more keeps its
     /// cap, since its accepted jobs go on.
-    pub(super) fn configure(&mut self, accounts: &[account::Account]) {
-        self.is_configured = true;
+    pub(super) fn configure(&mut self, accounts: &[account::Account], now: Instant) {
+        self.configured_at = Some(now);
         let caps = accounts.iter().map(|account| account.cap);
         self.fallback = caps.reduce(account::Cap::min).unwrap_or_default();
         for entry in self.entries.values_mut() {
@@ -155,6 +187,9 @@
             used: Amount::default(),
             unseen: Amount::default(),
             held: Amount::default(),
+            capped_steps: 0,
+            surplus_jobs: 0,
+            refused_jobs: 0,
         });
         self.by_name.insert(name.clone(), key);
         key
@@ -212,7 +247,7 @@
 
     /// Returns what an account may start now. Urgent steps may use what gangs wait for.
     fn room(&self, name: &account::Name, is_urgent: bool) -> Amount {
-        if !self.is_configured {
+        if self.configured_at.is_none() {
             return Amount::default();
         }
         let Some(entry) = self.by_name.get(name).map(|&key| &self.entries[key]) else {
@@ -237,7 +272,7 @@
     }
 
     /// Returns what is known of an account.
-    fn describe(&self, name: &account::Name) -> AccountUse {
+    fn describe(&self, name: &account::Name, now: Instant) -> AccountUse {
         let entry = self.by_name.get(name).map(|&key| &self.entries[key]);
         let amount = |of: fn(&Entry) -> Amount| entry.map(of).unwrap_or_default();
         let cap = entry.and_then(|entry| entry.cap).unwrap_or(self.fallback);
@@ -246,7 +281,10 @@
             used: amount(|entry| entry.used),
             unseen: amount(|entry| entry.unseen),
             held: amount(|entry| entry.held),
-            cap: self.is_configured.then_some(cap),
+            cap: self.configured_at.map(|_| cap),
+            cap_age: self
+                .configured_at
+                .map_or(Duration::ZERO, |at| now.since(at)),
         }
     }
 
@@ -260,12 +298,46 @@
         }
     }
 
-    fn release_holds(&mut self) {
+    fn begin_placement(&mut self) {
         for entry in self.entries.values_mut() {
             entry.held = Amount::default();
+            entry.capped_steps = 0;
         }
     }
 
+    /// Counts a job beyond the weight of its account.
+    pub(super) fn count_surplus(&mut self, name: &account::Name, is_refused: bool) {
+        let key = self.open(name);
+        let entry = &mut self.entries[key];
+        entry.surplus_jobs += u64::from(!is_refused);
+        entry.refused_jobs += u64::from(is_refused);
+    }
+
+    fn count_capped(&mut self, name: &account::Name) {
+        let key = self.open(name);
+        self.entries[key].capped_steps += 1;
+    }
+
+    /// Returns what happened to accounts since the last call.
+    fn take_reports(&mut self, now: Instant) -> Vec<AccountReport> {
+        let mut reports = Vec::new();
+        for entry in self.entries.values() {
+            reports.push(AccountReport {
+                account: self.describe(&entry.name, now),
+                weight: entry.weight,
+                capped_steps: entry.capped_steps,
+                surplus_jobs: entry.surplus_jobs,
+                refused_jobs: entry.refused_jobs,
+            });
+        }
+        for entry in self.entries.values_mut() {
+            entry.surplus_jobs = 0;
+            entry.refused_jobs = 0;
+        }
+        reports.retain(|report| !report.is_empty());
+        reports
+    }
+
     fn set_unseen(&mut self, unseen: &HashMap<account::Name, Amount>) {
         for entry in self.entries.values_mut() {
             entry.unseen = unseen.get(&entry.name).copied().unwrap_or_default();
@@ -313,9 +385,11 @@
         self.ledger.inherited = of_accounts.map(|(&id, _)| id).collect();
     }
 
-    /// Prepares the ledger for a placement.
-    pub(super) fn count_accounts(&mut self, time: Time) {
-        self.ledger.release_holds();
+    /// Prepares the ledger for a placement of all or of the urgent steps.
+    pub(super) fn count_accounts(&mut self, time: Time, steps: Steps) {
+        if steps == Steps::All {
+            self.ledger.begin_placement();
+        }
         let unseen = if self.inherited_known_at > time.now {
             self.unseen_use()
         } else {
@@ -406,7 +480,12 @@
     }
 
     /// Returns the account of a job if its cap allows no task of a step to start.
-    pub(super) fn account_at_cap(&self, job: &JobState, spec: &spec::Step) -> Option<AccountUse> {
+    pub(super) fn account_at_cap(
+        &self,
+        job: &JobState,
+        spec: &spec::Step,
+        now: Instant,
+    ) -> Option<AccountUse> {
         let name = job.account.as_ref()?;
         let room = self.ledger.room(name, job.queue.priority == 0);
         let needed = if spec.gang {
@@ -414,7 +493,7 @@
         } else {
             spec.need
         };
-        (!needed.fits(room)).then(|| self.ledger.describe(name))
+        (!needed.fits(room)).then(|| self.ledger.describe(name, now))
     }
 
     /// Holds the room below the cap of a gang's account while the gang waits for workers.
@@ -428,6 +507,19 @@
         }
     }
 
+    /// Counts a step that the cap of its account holds back.
+    pub(super) fn count_capped(&mut self, id: Step) {
+        let job = self.jobs.get(&id.job);
+        if let Some(name) = job.and_then(|job| job.account.as_ref()) {
+            self.ledger.count_capped(name);
+        }
+    }
+
+    /// Returns the client accounts whose jobs were held back, put off or refused since the last call.
+    pub fn take_account_reports(&mut self, now: Instant) -> Vec<AccountReport> {
+        self.ledger.take_reports(now)
+    }
+
     /// Checks the ledger against the table of runs.
     #[cfg(debug_assertions)]
     fn check_ledger(&self) {
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -266,7 +266,7 @@
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
             Input::Queues(queues) => self.set_queues(queues),
-            Input::Accounts(accounts) => self.ledger.configure(&accounts),
+            Input::Accounts(accounts) => self.ledger.configure(&accounts, time.now),
             Input::Polled {
                 worker,
                 sent,
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -100,7 +100,7 @@
         }
         ranks.sort_unstable();
         self.release_holds();
-        self.count_accounts(time);
+        self.count_accounts(time, steps);
         let pools = self.pools(time.now);
         let mut reserved = match steps {
             Steps::All => Reserved::new(),
@@ -129,6 +129,9 @@
             let is_urgent = is_urgent(standing, &rank);
             let max_starts = self.startable_tasks(rank.step, is_urgent);
             if max_starts == 0 {
+                if steps == Steps::All {
+                    self.count_capped(rank.step);
+                }
                 continue;
             }
             let Some(job) = self.jobs.get(&rank.step.job) else {
--- a/src/core/scheduler/share.rs
+++ b/src/core/scheduler/share.rs
@@ -119,7 +119,9 @@
         if self.share.intake.count(name, weight, now) {
             return Ok(false);
         }
-        if !self.share.is_full {
+        let is_refused = self.share.is_full;
+        self.ledger.count_surplus(name, is_refused);
+        if !is_refused {
             return Ok(true);
         }
         let wait = self.share.intake.next_at(name, now).since(now);
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -414,7 +414,7 @@
         if let Some(reason) = self.partial_gang(id, spec, step) {
             return reason;
         }
-        if let Some(account) = self.account_at_cap(job, spec) {
+        if let Some(account) = self.account_at_cap(job, spec, now) {
             return Reason::AccountCap(account);
         }
         if usable.workers.is_empty() {
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -4,10 +4,12 @@
 mod takeover;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use opentelemetry::KeyValue;
 use slab::Slab;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot, watch};
@@ -39,6 +41,12 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// The most waiting steps that the owner logs at a time.
 const MAX_LOGGED_WAITS: usize = 5;
+/// The most client accounts that the owner logs at a time.
+const MAX_LOGGED_ACCOUNTS: usize = 5;
+/// The most client accounts that have a label of their own in metrics, which keep each of them.
+const MAX_LABELLED_ACCOUNTS: usize = 100;
+/// The label of all others.
+const OTHER_ACCOUNTS: &str = "other";
 /// How often to measure the delay of decisions, as the lateness of a timer on the control thread.
 const DELAY_SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// An owner whose decisions are later than this on average hands the cell over: lookups are due
@@ -81,6 +89,8 @@
     /// The links to the other entries, each of which can call the advisor for the owner.
     advisor_proxies: RefCell<HashMap<AdvisorProxy, Link>>,
     next_proxy: Cell<u32>,
+    /// The client accounts with a label of their own in metrics.
+    labelled_accounts: RefCell<HashSet<account::Name>>,
 }
 
 impl<P: Platform> Owner<P> {
@@ -112,6 +122,7 @@
             is_refused: Cell::new(false),
             advisor_proxies: RefCell::default(),
             next_proxy: Cell::new(1),
+            labelled_accounts: RefCell::default(),
         })
     }
 
@@ -215,6 +226,7 @@
                 reported_at = self.clock.now();
                 self.report_load();
                 self.report_waits();
+                self.report_accounts();
             }
         }
     }
@@ -250,6 +262,49 @@
         }
     }
 
+    /// Logs and counts what caps and weights did to the jobs of client accounts, those with the most steps
+    /// held back first.
+    fn report_accounts(&self) {
+        let now = self.clock.now();
+        let mut reports = self.scheduler.borrow_mut().take_account_reports(now);
+        reports.sort_by_key(|report| Reverse((report.capped_steps, report.refused_jobs)));
+        for report in &reports {
+            let name = self.account_label(&report.account.name);
+            let events = [
+                ("capped_step", report.capped_steps),
+                ("surplus_job", report.surplus_jobs),
+                ("refused_job", report.refused_jobs),
+            ];
+            for (event, count) in events {
+                let labels = [
+                    KeyValue::new("account", name.clone()),
+                    KeyValue::new("event", event),
+                ];
+                self.metrics.account_events.add(count, &labels);
+            }
+        }
+        let more = reports.len().saturating_sub(MAX_LOGGED_ACCOUNTS);
+        for report in reports.iter().take(MAX_LOGGED_ACCOUNTS) {
+            info!(self.log, "client account held back"; "inputs" => %report.account,
+                "weight" => report.weight, "capped_steps" => report.capped_steps,
+                "surplus_jobs" => report.surplus_jobs, "refused_jobs" => report.refused_jobs,
+                "more" => more, "token" => self.token.0);
+        }
+    }
+
+    /// Returns the label of a client account in metrics.
+    fn account_label(&self, name: &account::Name) -> String {
+        let mut labelled = self.labelled_accounts.borrow_mut();
+        if labelled.len() < MAX_LABELLED_ACCOUNTS {
+            labelled.insert(name.clone());
+        }
+        if labelled.contains(name) {
+            name.0.clone()
+        } else {
+            OTHER_ACCOUNTS.to_owned()
+        }
+    }
+
     /// Runs `work` until it completes or the ownership ends.
     async fn run_until_over(self: Rc<Owner<P>>, work: impl Future<Output = ()>) {
         tokio::select! {
@@ -509,7 +564,8 @@
             } => {
                 let at = self.clock.stamp();
                 let spec = std::sync::Arc::new(spec);
-                info!(self.log, "job handed in"; "job" => %job, "queue" => &queue.name, "steps" => spec.steps.len());
+                info!(self.log, "job handed in"; "job" => %job, "queue" => &queue.name, "steps" => spec.steps.len(),
+                    "account" => account.as_ref().map(|name| name.0.as_str()));
                 let answer = self.request(|request| Input::Submit {
                     request,
                     job,
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -43,6 +43,9 @@
     pub given_up_tasks: Counter<u64>,
     /// Steps found waiting although they could run, once a second, by `reason`.
     pub waits: Counter<u64>,
+    /// Steps of a client account that its cap holds back, counted once a second, and its jobs beyond its
+    /// weight, by `account` and `event`.
+    pub account_events: Counter<u64>,
     /// Restarts of the daemon's supervised parts, by `part`.
     pub restarts: Counter<u64>,
 }
@@ -112,6 +115,11 @@
                 "laburnum_waits",
                 "steps found waiting although they could run",
             ),
+            account_events: counter(
+                &meter,
+                "laburnum_account_events",
+                "steps of a client account that its cap holds back, and jobs beyond its weight",
+            ),
             restarts: counter(
                 &meter,
                 "laburnum_restarts",
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -163,6 +163,7 @@
         &metrics.task_crashes,
         &metrics.given_up_tasks,
         &metrics.waits,
+        &metrics.account_events,
         &metrics.restarts,
     ];
     for counter in counters {
--- a/tests/testsuite/scheduler/ledger.rs
+++ b/tests/testsuite/scheduler/ledger.rs
@@ -10,6 +10,7 @@
 use laburnumplank::core::scheduler::id::Job;
 use laburnumplank::core::scheduler::message::{Outcome, RunEnd, Start};
 use laburnumplank::core::scheduler::spec::{self, Spec};
+use laburnumplank::core::scheduler::wait::Reason;
 
 use super::cell::{Cell, ended, queue, rules, running, spec, step};
 
@@ -287,6 +288,22 @@
     assert_eq!((starts_of(&cell, 8), starts_of(&cell, 9)), (4, 0));
 }
 
+#[test]
+fn step_that_a_cap_holds_back_is_explained() {
+    let (mut cell, _) = cell_at_cap();
+    cell.wait(Duration::from_secs(2));
+    let waits = cell.scheduler.waits(cell.now);
+    let wait = waits.iter().find(|wait| wait.step.job == Job(8)).unwrap();
+    let Reason::AccountCap(account) = &wait.reason else {
+        panic!("{:?}", wait.reason);
+    };
+    assert_eq!(account.name, name("museum"));
+    assert_eq!(account.used.cpu_millis, 8_000);
+    assert_eq!(account.cap.unwrap().cpu_millis, Some(8_000));
+    let reports = cell.scheduler.take_account_reports(cell.now);
+    assert_eq!((reports.len(), reports[0].capped_steps), (1, 1));
+}
+
 #[test]
 fn gang_wider_than_its_cap_is_refused() {
     let mut cell = cell_with_cap(8);
--- a/tests/testsuite/scheduler/share.rs
+++ b/tests/testsuite/scheduler/share.rs
@@ -139,6 +139,8 @@
         assert!(!wait.is_zero() && wait <= WINDOW, "{wait:?}");
         assert!(cell.scheduler.job(Job(request.0)).is_none());
     }
+    let reports = cell.scheduler.take_account_reports(cell.now);
+    assert_eq!((reports.len(), reports[0].refused_jobs), (1, 3));
 }
 
 #[test]
