--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -28,6 +28,7 @@
 pub mod poison;
 pub mod record;
 mod runs;
+pub mod share;
 pub mod spec;
 pub mod suspicion;
 mod trial;
@@ -173,6 +174,8 @@
     queues: HashMap<String, Queue>,
     /// What client accounts use, and their caps.
     ledger: ledger::Ledger,
+    /// What the order of client accounts is based on.
+    share: share::Share,
     advisor_proxies: advice::AdvisorProxies,
     pending_calls: advice::PendingCalls,
     /// By queue, the moving average of the share of workers that the advisor permits.
@@ -229,6 +232,7 @@
             trial_holds: Vec::new(),
             queues: HashMap::new(),
             ledger: ledger::Ledger::default(),
+            share: share::Share::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
             pending_calls: advice::PendingCalls::default(),
             permitted_shares: HashMap::new(),
@@ -275,7 +279,7 @@
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
             Input::Queues(queues) => self.set_queues(queues),
-            Input::Accounts(accounts) => self.ledger.configure(&accounts),
+            Input::Accounts(accounts) => self.ledger.configure(&accounts, time.now),
             Input::Polled {
                 worker,
                 sent,
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler that places the tasks of jobs on workers.
 
+mod accounts;
 mod advice;
 mod advisor;
 mod capacity;
@@ -19,5 +20,6 @@
 mod recovery;
 mod run;
 mod service;
+mod share;
 mod wait;
 mod world;
