Count the survival of a run from when it is certainly on its worker

Cause: a run had survived if it was reported 3 s after its start command was sent. A worker that carries commands out 3 s late reports the run at once, before the task crashes it, and the task was cleared of all its crashes. The time now counts from the response to the start or from the first report.

The test plays takeovers amid crashes, lost answers, late commands and slow records. In capacity, only the new field is set in the one value that names all fields.

Evidence: late_start_that_is_reported_at_once_has_not_survived fails on the code before.

--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -637,6 +637,7 @@
             deadline_ms: Some(deadline_ms),
             absent_since: None,
             is_confirmed: false,
+            present_since: None,
             is_reported: false,
             is_trial,
             percent: 0,
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -42,6 +42,7 @@
             attempt.percent = percent;
             attempt.reported_at = time.now;
             attempt.is_confirmed = true;
+            attempt.present_since.get_or_insert(time.now);
             attempt.is_reported = true;
             attempt.absent_since = None;
             if matches!(attempt.state, State::Starting | State::Doubtful) {
@@ -84,6 +85,7 @@
             deadline_ms: None,
             absent_since: None,
             is_confirmed: true,
+            present_since: Some(time.now),
             is_reported: true,
             is_trial,
             percent: 0,
@@ -354,6 +356,7 @@
         match outcome {
             Outcome::Done(_) => {
                 attempt.is_confirmed = true;
+                attempt.present_since.get_or_insert(time.now);
                 if attempt.state == State::Starting {
                     attempt.state = State::Running;
                     attempt.since = time.now;
--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -195,7 +195,8 @@
         } else {
             SURVIVAL
         };
-        at.since(attempt.started) >= survival
+        let present = attempt.present_since.map(|since| at.since(since));
+        present >= Some(survival)
     }
 
     fn is_gang(&self, task: Task) -> bool {
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -100,6 +100,9 @@
     pub absent_since: Option<Instant>,
     /// Whether the worker has reported the run or confirmed its start.
     pub is_confirmed: bool,
+    /// Since when the run has been on the worker for certain; `None` while it is not confirmed. A worker
+    /// may carry a start command out long after it was sent.
+    pub present_since: Option<Instant>,
     /// Whether this incarnation has reported the run. The response to a start does not show which
     /// incarnation carried it out.
     pub is_reported: bool,
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -120,6 +120,7 @@
                 stop_sent: None,
                 stop_answered: None,
                 deadline_ms: None,
+                present_since: None,
                 absent_since: None,
                 ..attempt
             };
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -257,6 +257,7 @@
         deadline_ms: None,
         absent_since: None,
         is_confirmed: true,
+        present_since: Some(started),
         is_reported: true,
         is_trial: false,
         percent: 50,
--- a/tests/testsuite/scheduler/poison.rs
+++ b/tests/testsuite/scheduler/poison.rs
@@ -9,9 +9,11 @@
 use laburnumplank::core::scheduler::poison::CrashHistory;
 use laburnumplank::core::scheduler::record::{Key, Phase, Progress};
 use laburnumplank::core::scheduler::spec::{Queue, Spec, Step};
+use proptest::prelude::*;
+use proptest::test_runner::TestRunner;
 
 use super::cell::{Cell, ended, entry, queue, running, spec, step};
-use super::fuzz::variable;
+use super::fuzz::{config, variable};
 use super::world::{STEP, World};
 
 /// A pause in which placements and appends settle.
@@ -24,6 +26,9 @@
 /// A lease of any worker has ended after this time.
 const MAX_LEASE: Duration = Duration::from_secs(7);
 
+/// The number of workers of a virtual cell.
+const HOSTS: usize = 6;
+
 /// A step of tasks of which eight fit on a worker.
 fn small_step(tasks: u16) -> Step {
     Step {
@@ -629,7 +634,7 @@
 /// Plays deadly jobs among others in a virtual cell with mass crashes and changes of the owner.
 fn play_deadly_jobs(seed: u64, takeovers: usize) {
     let mut numbers = Numbers(seed);
-    let mut world = World::new(6);
+    let mut world = World::new(HOSTS);
     let deadly = 1 + numbers.below(3);
     for job in 0..deadly {
         world.deadly_jobs.insert(Job(job));
@@ -708,6 +713,73 @@
     (1..=seeds).for_each(|seed| play_deadly_jobs(seed, 2));
 }
 
+/// A fault that leaves the outcome of a start or a crash unknown.
+#[derive(Clone, Debug)]
+enum Doubt {
+    /// The responses of a worker are lost.
+    LoseResponses(usize),
+    /// A worker carries out what it gets later.
+    HoldRequests(usize),
+    /// Another worker crashes.
+    Restart(usize),
+    /// Records reach the log late.
+    DelayAppends,
+}
+
+fn doubt() -> impl Strategy<Value = Doubt> {
+    let host = || 0..HOSTS;
+    prop_oneof![
+        3 => host().prop_map(Doubt::LoseResponses),
+        2 => host().prop_map(Doubt::HoldRequests),
+        1 => host().prop_map(Doubt::Restart),
+        1 => Just(Doubt::DelayAppends),
+    ]
+}
+
+fn cast(world: &mut World, doubt: &Doubt, span: Duration) {
+    match *doubt {
+        Doubt::LoseResponses(host) => world.lose_responses(host, span),
+        Doubt::HoldRequests(host) => world.hold_requests(host, span),
+        Doubt::Restart(host) => world.restart(host, span),
+        Doubt::DelayAppends => world.delay_appends(span / 10),
+    }
+}
+
+/// Takeovers amid crashes and starts without an answer would let a deadly task start too often.
+#[test]
+fn random_takeovers_and_lost_answers_start_no_deadly_task_too_often() {
+    let takeovers = prop::collection::vec((0u64..2_000, any::<bool>()), 0..3);
+    let doubts = prop::collection::vec((0u64..2_000, doubt(), 100u64..4_000), 0..12);
+    let strategy = (1u64..3, takeovers, doubts);
+    let result = TestRunner::new(config(48, 200)).run(&strategy, |(deadly, takeovers, doubts)| {
+        let mut world = World::new(HOSTS);
+        world.deadly_jobs.extend((0..deadly).map(Job));
+        for tick in 0..9_000 {
+            if tick % 50 == 0 && tick / 50 < 12 {
+                let spec = Spec::clone(&spec(vec![small_step(1)]));
+                world.submit(tick / 50, spec, Duration::from_millis(900), false);
+            }
+            for (_, leaves_former) in takeovers.iter().filter(|(at, _)| *at == tick) {
+                world.take_over(*leaves_former);
+            }
+            for (_, doubt, span_ms) in doubts.iter().filter(|(at, ..)| *at == tick) {
+                cast(&mut world, doubt, Duration::from_millis(*span_ms));
+            }
+            world.run(STEP);
+        }
+        let late = world.deadly.values().map(|deadly| deadly.late_starts);
+        prop_assert!(late.max().unwrap_or(0) <= 2, "{}", world.oracle.history());
+        prop_assert_eq!(&world.oracle.violations, &[""; 0]);
+        prop_assert!(
+            world.unfinished().is_empty(),
+            "LOST: {:?}",
+            world.unfinished()
+        );
+        Ok(())
+    });
+    result.unwrap();
+}
+
 /// An owner would not read the progress that a version without crashes has recorded.
 #[test]
 fn progress_without_crashes_is_read() {
@@ -813,3 +885,16 @@
     assert_ne!(phase(&next, 7), Some(Phase::Failed));
     assert_eq!(next.starts.len(), 1);
 }
+
+/// A start that the worker carries out late would seem to have survived at its first report.
+#[test]
+fn late_start_that_is_reported_at_once_has_not_survived() {
+    let mut cell = cell_of(3);
+    make_suspect(&mut cell);
+    settle(&mut cell);
+    let (worker, start) = cell.starts.remove(0);
+    cell.wait(SURVIVAL);
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    let job = cell.scheduler.job(Job(7)).unwrap();
+    assert!(job.crashes(start.task).unwrap().is_suspect());
+}
