--- a/src/entry/control/election.rs
+++ b/src/entry/control/election.rs
@@ -35,6 +35,9 @@
 /// How many times an entry tries to append its claim of a takeover while other entries append
 /// records.
 const TAKEOVER_TRIES: usize = 3;
+/// How many times an entry tries to append a claim of an abandoned cell while other entries append
+/// records.
+const CLAIM_TRIES: usize = 3;
 /// How long an owner asks other entries to take the cell over: a read and an append of a slow log.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How often to check whether the log refuses the owner's records.
@@ -270,13 +273,25 @@
         }
     }
 
-    async fn claim(self: &Rc<Control<P>>, at: u64) {
-        let claim = vec![tenure::Record::Claim(self.this_entry.clone())];
-        // A log that refuses the append is busy: the next try waits as it does after a claim that was
-        // not answered.
-        if self.append_claim(claim, at).await == AppendOutcome::Moved {
-            self.elector.borrow_mut().claim_conflicted();
+    /// Claims the cell. Records that are no claim and no renewal, such as the announcements of all
+    /// entries after an outage, do not cost this entry its place in the claiming order: it reads them
+    /// and tries again at once.
+    async fn claim(self: &Rc<Control<P>>, mut at: u64) {
+        let silent_since = self.elector.borrow().silent_since();
+        for _ in 0..CLAIM_TRIES {
+            let claim = vec![tenure::Record::Claim(self.this_entry.clone())];
+            // A log that refuses the append is busy: the next try waits as it does after a claim that
+            // was not answered.
+            if self.append_claim(claim, at).await != AppendOutcome::Moved {
+                return;
+            }
+            // Claims and renewals end the silence.
+            if !self.read_once().await || self.elector.borrow().silent_since() != silent_since {
+                break;
+            }
+            at = self.elector.borrow().next_offset();
         }
+        self.elector.borrow_mut().claim_conflicted();
     }
 
     /// Appends records of which the last claims the cell for this entry, on condition that the log
--- a/tests/testsuite/entry/control.rs
+++ b/tests/testsuite/entry/control.rs
@@ -121,3 +121,40 @@
         assert!(!jobs.contains_key(&b"0000000000000002"[..]));
     });
 }
+
+/// Encodes a record of the entry `front-2`.
+fn record_of_peer(record: fn(Owner) -> Record) -> bytes::Bytes {
+    let peer = Owner {
+        name: "front-2".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        incarnation: 1,
+        processors_millis: 1_000,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&record(peer), &mut bytes).unwrap();
+    bytes.into()
+}
+
+#[test]
+fn claim_is_repeated_after_announcements_of_other_entries_but_not_after_a_claim() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let claim = record_of_peer(Record::Claim);
+        let announcement = record_of_peer(Record::Present);
+        let before = vec![claim, announcement.clone(), announcement];
+        *platform.0.before_claims.borrow_mut() = before;
+        let clock = Clock::start();
+        let log = Logger::root(Discard, o!());
+        let metrics = Metrics::new().unwrap();
+        let (control, _view) = Control::new(platform.clone(), settings(), clock, log, metrics);
+        let (_calls, receiver) = mpsc::unbounded_channel();
+        actix_rt::spawn(Rc::clone(&control).run(receiver));
+        while platform.0.moved_claims.get() < 3 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let moved_after_claim = platform.0.moved_claims.get();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(platform.0.moved_claims.get(), moved_after_claim);
+        assert_eq!(platform.0.fence.get(), 0, "front-2 owns the cell");
+    });
+}
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -46,6 +46,10 @@
     pub(super) fence: Cell<u64>,
     /// The records of the claims topic.
     pub(super) claims: RefCell<Vec<Bytes>>,
+    /// Records of other entries, each of which is appended just before the next claim arrives.
+    pub(super) before_claims: RefCell<Vec<Bytes>>,
+    /// How many claims have been refused because the topic had moved.
+    pub(super) moved_claims: Cell<u32>,
     /// Whether reads of the claims are refused.
     pub(super) are_reads_refused: Cell<bool>,
     /// Whether reads of the claims wait until this is reset.
@@ -61,9 +65,13 @@
 impl State {
     fn append_claims(&self, records: &[Record], condition: AppendCondition) -> AppendOutcome {
         let mut claims = self.claims.borrow_mut();
+        if matches!(condition, AppendCondition::End(_)) {
+            claims.extend(self.before_claims.borrow_mut().pop());
+        }
         if let AppendCondition::End(end) = condition
             && end != claims.len() as u64
         {
+            self.moved_claims.set(self.moved_claims.get() + 1);
             return AppendOutcome::Moved;
         }
         claims.extend(
