--- a/src/core/scheduler/explain.rs
+++ b/src/core/scheduler/explain.rs
@@ -230,11 +230,15 @@
 
     /// Returns how many ready steps precede those of a job, and the processors that they need.
     fn ahead_of(&self, id: Job, time: Time) -> (usize, u64) {
-        let ranks = self.ready.iter().filter_map(|&step| self.rank(step, time));
+        let beyond = self.accounts_beyond_share();
+        let ranks = self.ready.iter().filter_map(|&step| {
+            let rank = self.rank(step, time)?;
+            Some((self.standing(step, &beyond), rank))
+        });
         let ranks: Vec<_> = ranks.collect();
-        let own = ranks.iter().filter(|rank| rank.step.job == id).min();
+        let own = ranks.iter().filter(|(_, rank)| rank.step.job == id).min();
         let ahead = ranks.iter().filter(|rank| Some(*rank) < own);
-        let ahead: Vec<_> = ahead.map(|rank| self.waiting_cpu(rank.step)).collect();
+        let ahead: Vec<_> = ahead.map(|(_, rank)| self.waiting_cpu(rank.step)).collect();
         (ahead.len(), ahead.iter().sum())
     }
 
--- a/src/core/scheduler/share.rs
+++ b/src/core/scheduler/share.rs
@@ -42,7 +42,7 @@
 }
 
 /// The jobs that accounts have sent within their weights, as far as they fall into the present window.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Intake {
     by_account: HashMap<account::Name, VecDeque<Instant>>,
 }
@@ -71,7 +71,7 @@
 }
 
 /// What the order of accounts is based on.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Share {
     intake: Intake,
     /// Whether the steps that could run needed more than the free capacity at the last placement.
