Use slow workers last

Workers that turn several times slower, or whose tasks stand still, respond and start everything at once, so they got tasks like the others, and a gang is as slow as its slowest member. The pace of each run is now compared with what is usual for its step; two measurements below 0.3 of it in a row make a worker slow for up to 3 s. Slow workers are candidates of last resort. The owner logs `worker changed` with `slow` and `no longer slow`.

Ruled out: estimates of run times as the measure (up to 90 % off), and leaving slow workers out, which could leave no room on a cell of which half is slow.

Known weakness: the belief flips while a step runs on slow workers only.

--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -26,6 +26,7 @@
 pub mod record;
 mod runs;
 pub mod spec;
+pub mod speed;
 pub mod suspicion;
 mod trial;
 pub mod wait;
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -17,5 +17,6 @@
 mod recovery;
 mod run;
 mod service;
+mod speed;
 mod wait;
 mod world;
