--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod runs;
 pub mod share;
 pub mod spec;
+pub mod speed;
 pub mod suspicion;
 mod trial;
 pub mod wait;
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -21,5 +21,6 @@
 mod run;
 mod service;
 mod share;
+mod speed;
 mod wait;
 mod world;
