--- a/src/core/scheduler/ledger.rs
+++ b/src/core/scheduler/ledger.rs
@@ -124,6 +124,7 @@
 }
 
 /// What is known of a client account.
+#[derive(Clone)]
 struct Entry {
     name: account::Name,
     /// The last cap that the configuration listed, if any.
@@ -143,7 +144,7 @@
 }
 
 /// The use and the caps of client accounts.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Ledger {
     /// When the configuration last set the accounts; `None` while they are not known.
     configured_at: Option<Instant>,
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -6,19 +6,21 @@
 //! client and no acknowledgement to a worker precedes the log: [`Output::Append`] carries a
 //! [`Mark`], and everything that depends on the record waits for [`Input::Durable`].
 //!
-//! Starts of tasks are not recorded. A new owner reads the inventory of every worker, and starts a
-//! task of an inherited job only when every worker that an earlier owner used has answered, has
-//! restarted or can no longer hold a lease. Workers reject late commands of earlier owners because
-//! these carry a lower fencing token.
+//! Starts of tasks are not recorded, except those of tasks that may [crash](poison) their workers. A new
+//! owner reads the inventory of every worker, and starts a task of an inherited job only when every worker
+//! that an earlier owner used has answered, has restarted or can no longer hold a lease. Workers reject late
+//! commands of earlier owners because these carry a lower fencing token.
 
 pub mod advice;
 mod advisor_calls;
 mod candidates;
+pub mod explain;
 pub mod id;
 mod inheritance;
 pub mod job;
 mod jobs;
 pub mod ledger;
+mod loss;
 pub mod message;
 mod order;
 mod place;
@@ -103,8 +105,12 @@
 enum Effect {
     Accepted(id::Job),
     Ended(id::Job),
-    Acknowledge { worker: id::Worker, number: u64 },
-    Recorded(Vec<id::Worker>),
+    Acknowledge {
+        worker: id::Worker,
+        number: u64,
+    },
+    /// The record of workers with this mark.
+    Recorded(Mark),
 }
 
 impl Effect {
@@ -126,6 +132,7 @@
 }
 
 /// Schedules the jobs of a cell; see the [module](self).
+#[derive(Clone)]
 pub struct Scheduler {
     rules: Rules,
     token: Token,
@@ -154,6 +161,10 @@
     inheritance_ends_at: Instant,
     /// When every run of an earlier owner is known or has ended, as of the last placement.
     inherited_known_at: Instant,
+    /// The changes of the owner at which workers were gone.
+    losses: loss::Losses,
+    /// Whether the last change of the owner has been judged.
+    has_noted_losses: bool,
     /// Whether a record of the present list of workers has been appended.
     is_worker_list_recorded: bool,
     /// Crashes of workers that were seen since the last tick.
@@ -214,6 +225,8 @@
             recovered_at: now,
             inheritance_ends_at: now,
             inherited_known_at: now,
+            losses: loss::Losses::default(),
+            has_noted_losses: false,
             is_worker_list_recorded: true,
             seen_crashes: Vec::new(),
             trial_holds: Vec::new(),
@@ -322,7 +335,9 @@
             self.report_inheritance(time.now, out);
             self.end_inheritance(time.now);
             self.stop_partial_gangs(time.now, out);
+            self.note_vacated_workers();
         }
+        self.note_losses(time, out);
         self.judge_crashes(time, out);
         self.record_workers(out);
         self.is_bulk_dirty |= self.is_dirty;
@@ -484,11 +499,9 @@
                     out.push(answer(request, Answer::Cancelled));
                 }
             }
-            Effect::Recorded(workers) => {
-                for worker in workers {
-                    if let Some(worker) = self.workers.get_mut(*worker) {
-                        worker.is_recorded = true;
-                    }
+            Effect::Recorded(mark) => {
+                for worker in self.workers.values_mut() {
+                    worker.is_recorded = worker.recorded_since.is_some_and(|since| since <= *mark);
                 }
             }
             Effect::Acknowledge { worker, number } => {
@@ -505,6 +518,11 @@
     }
 }
 
+/// Returns the owner that started a run.
+fn owner_of(run: Run) -> Token {
+    Token(run.0 >> RUN_BITS)
+}
+
 fn answer(request: Request, answer: Answer) -> Output {
     Output::Answer {
         request,
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -25,9 +25,12 @@
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
-/// How many gangs may have capacity reserved that is not yet free; more would leave too much of the
-/// cell idle.
-const MAX_WAITING_GANGS: usize = 3;
+/// This many gangs may have capacity reserved that is not yet free, however large they are.
+const MIN_WAITING_GANGS: usize = 3;
+/// Further gangs may reserve capacity until those that do need this share of the cell's processors. A
+/// fixed number of gangs would let a large cell start hardly any of them after a burst, and a larger
+/// share would leave too much of the cell idle.
+const MAX_AWAITED_PERCENT: u64 = 15;
 /// How many long-running steps may have capacity reserved that is not yet free. A worker that is
 /// taken away leaves a few of them without a run.
 const MAX_WAITING_LONG_RUNNING: usize = 8;
@@ -37,6 +40,9 @@
 /// A step that waits longer than this for the capacity of the permitted workers requests permits for
 /// further workers.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// A gang that waits for capacity requests permits for this many times the workers that it needs. With
+/// no choice it would wait for the slowest of as many runs as it has tasks.
+const GANG_CHOICE: usize = 2;
 /// Permits are requested this long before they are needed, in addition to the time that the call
 /// takes. It covers the round trip to the advisor and the time until the next placement.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(150);
@@ -50,27 +56,30 @@
 /// that many.
 const MIN_SPARES: usize = 10;
 
-/// How many steps wait for capacity that was reserved for them at this placement.
+/// The steps that wait for capacity that was reserved for them at this placement.
 #[derive(Default)]
 struct Waiting {
     gangs: usize,
+    /// The processors that the gangs need, in thousandths of a core.
+    gang_cpu_millis: u64,
     long_running: usize,
 }
 
 impl Waiting {
-    fn may_reserve(&self, is_long_running: bool) -> bool {
+    fn may_reserve(&self, is_long_running: bool, cell_cpu_millis: u64) -> bool {
         if is_long_running {
-            self.long_running < MAX_WAITING_LONG_RUNNING
-        } else {
-            self.gangs < MAX_WAITING_GANGS
+            return self.long_running < MAX_WAITING_LONG_RUNNING;
         }
+        self.gangs < MIN_WAITING_GANGS
+            || self.gang_cpu_millis * 100 < cell_cpu_millis * MAX_AWAITED_PERCENT
     }
 
-    fn add(&mut self, is_long_running: bool) {
+    fn add(&mut self, is_long_running: bool, cpu_millis: u64) {
         if is_long_running {
             self.long_running += 1;
         } else {
             self.gangs += 1;
+            self.gang_cpu_millis += cpu_millis;
         }
     }
 }
@@ -102,6 +111,7 @@
         self.release_holds();
         self.count_accounts(time, steps);
         let pools = self.pools(time.now);
+        let cell_cpu_millis = self.cpu_millis(&pools);
         let mut reserved = match steps {
             Steps::All => Reserved::new(),
             Steps::Urgent => self.reserved.clone(),
@@ -148,7 +158,7 @@
                 reserved: spare.as_ref().unwrap_or(&reserved),
                 max_starts,
             };
-            let may_reserve = waiting.may_reserve(is_long_running);
+            let may_reserve = waiting.may_reserve(is_long_running, cell_cpu_millis);
             let mut reservation = self.place_step(rank.step, scope, may_reserve, time, out);
             if is_urgent && !reserved.is_empty() && self.ready.contains(&rank.step) {
                 // An urgent step may use reserved capacity when there is no other.
@@ -163,7 +173,7 @@
             let amounts = match reservation {
                 Some(Reservation::Planned(amounts)) => amounts,
                 Some(Reservation::Wanted(wanted)) => {
-                    waiting.add(is_long_running);
+                    waiting.add(is_long_running, self.waiting_cpu(rank.step));
                     let amounts = wanted.amounts.clone();
                     if !is_long_running && self.waited(rank.step, time.now) < MAX_PASSED {
                         awaited.push(wanted);
@@ -207,14 +217,14 @@
 
     /// Whether tasks of a job may be started: its acceptance is in the log, no later owner may have
     /// started them, and every run that an earlier owner may have started is known or has ended.
-    fn may_start(&self, job: &Job, now: Instant) -> bool {
+    pub(super) fn may_start(&self, job: &Job, now: Instant) -> bool {
         job.is_durable
             && self.is_claim_confirmed(now)
             && self.is_pause_confirmed()
             && (!job.is_inherited || now >= self.inherited_known_at)
     }
 
-    fn rank(&self, step: Step, time: Time) -> Option<Rank> {
+    pub(super) fn rank(&self, step: Step, time: Time) -> Option<Rank> {
         let job = self.jobs.get(&step.job)?;
         let began = match job.spec.due(step.occurrence) {
             Some(due) => time.now - time.stamp.since(due),
@@ -295,8 +305,9 @@
     ) {
         let candidates = self.candidates(demand, spec, scope, Room::Free, time.now);
         let plan = plan::single(&candidates, &demand.waiting, demand.need);
-        if demand.may_start && self.are_starts_granted(demand, &plan, time, out) {
-            self.start_planned(demand, &candidates, &plan, time, out);
+        if demand.may_start {
+            let granted = self.granted_plan(demand, &plan, time, out);
+            self.start_planned(demand, &candidates, &granted, time, out);
         }
         if demand.needs_permit {
             let without_permit = workers_without_permit(&candidates, &plan);
@@ -340,7 +351,12 @@
         if !plan.is_empty() {
             let without_permit = workers_without_permit(&candidates, &plan);
             let may_start = demand.may_start && without_permit.is_empty();
-            if may_start && self.are_starts_granted(demand, &plan, time, out) {
+            // The first task has the crashes of the whole gang.
+            let first = Task {
+                step: demand.step,
+                index: plan[0].0,
+            };
+            if may_start && !self.granted_starts(&[first], time, out).is_empty() {
                 self.start_planned(demand, &candidates, &plan, time, out);
                 return None;
             }
@@ -400,6 +416,8 @@
             let is_wait_short = wait.max(self.waited(demand.step, time.now)) <= LONG_WAIT;
             let missing = if awaited.is_sufficient && is_wait_short {
                 0
+            } else if spec.gang {
+                tasks * GANG_CHOICE
             } else {
                 tasks
             };
@@ -463,20 +481,22 @@
         renewed
     }
 
-    /// Whether the planned tasks may be started as far as crashes of workers go. A plan has one suspect
-    /// task, one suspect gang or none.
-    fn are_starts_granted(
+    /// Returns the part of a plan for single tasks that may be started as far as crashes of workers go.
+    fn granted_plan(
         &mut self,
         demand: &Demand,
         plan: &[(u16, usize)],
         time: Time,
         out: &mut Vec<Output>,
-    ) -> bool {
-        let Some(&(index, _)) = plan.first() else {
-            return true;
-        };
+    ) -> Vec<(u16, usize)> {
         let step = demand.step;
-        self.is_start_granted(Task { step, index }, time, out)
+        let tasks = plan.iter().map(|&(index, _)| Task { step, index });
+        let granted = self.granted_starts(&tasks.collect::<Vec<_>>(), time, out);
+        let mut granted = granted.iter().peekable();
+        let mut plan = plan.to_vec();
+        // Both are in the same order.
+        plan.retain(|&(index, _)| granted.next_if_eq(&&Task { step, index }).is_some());
+        plan
     }
 
     /// Starts the planned tasks whose workers have a usable permit or need none.
@@ -532,7 +552,12 @@
 
     /// Returns the capacity for tasks on the permitted workers with the times at which it becomes
     /// free, according to the expected ends of the runs there.
-    fn slots(&self, candidates: &[Candidate], demand: &Demand, now: Instant) -> Vec<Slot> {
+    pub(super) fn slots(
+        &self,
+        candidates: &[Candidate],
+        demand: &Demand,
+        now: Instant,
+    ) -> Vec<Slot> {
         let mut slots = Vec::new();
         for (index, candidate) in candidates.iter().enumerate() {
             let Some(worker) = self.workers.get(candidate.worker) else {
@@ -637,8 +662,9 @@
         let checkpoint = step.tasks[checkpoint_task].checkpoint.as_ref();
         let checkpoint = checkpoint.map(|checkpoint| Arc::clone(&checkpoint.value));
         step.set(task.index, TaskState::Active { worker: key, run });
-        if let Some(history) = job.crashes_mut(task).filter(|_| is_trial) {
-            history.begin_trial(run);
+        let history = job.crashes_mut(task);
+        if let Some(history) = history.filter(|history| !history.is_empty()) {
+            history.begin(run);
         }
         let attempt = Attempt {
             need: Some(need),
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -5,6 +5,7 @@
 mod election;
 mod inheritance;
 mod links;
+mod standby;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use crate::entry::owner::{Owner, no_owner};
 use crate::entry::port::{AppendCondition, AppendOutcome, Platform};
 use crate::entry::settings::Settings;
+use crate::entry::standby::Copy;
 use crate::util::clock::Clock;
 use crate::util::metric::Metrics;
 
@@ -33,8 +35,6 @@
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The pause before a request is sent again, unless the owner changes earlier.
 const REQUEST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// How long the link to the owner may be down before this entry sends callers to other entries.
-const LINK_GRACE: Duration = Duration::from_millis(300);
 /// How long to wait for the advisor's answer to another entry's request.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long an owner that releases the cell waits until its last records have been sent to the log.
@@ -77,6 +77,8 @@
     link: RefCell<Option<(Token, Link)>>,
     /// Whether the entry at the other end of the link has responded that it is not the owner.
     has_peer_disclaimed: Cell<bool>,
+    /// When the last link to an owner was opened.
+    linked_since: Cell<Instant>,
     /// When the last link to an owner was closed.
     unlinked_since: Cell<Instant>,
     /// Whether the last read of the log succeeded.
@@ -92,6 +94,8 @@
     read_requested: Notify,
     /// Held while the claims are read to confirm an answer, so that one read confirms many.
     confirming: Mutex<()>,
+    /// What this entry has read of the jobs, while it is among the first to claim the cell.
+    standby: RefCell<Copy>,
     tables: watch::Sender<Option<Arc<QueueTable>>>,
     ready: watch::Sender<bool>,
 }
@@ -125,6 +129,7 @@
             former_ownership: RefCell::default(),
             link: RefCell::default(),
             has_peer_disclaimed: Cell::new(false),
+            linked_since: Cell::new(clock.now()),
             unlinked_since: Cell::new(clock.now()),
             is_log_reachable: Cell::new(true),
             changed: Notify::new(),
@@ -132,6 +137,7 @@
             notice_sent_at: Cell::new(clock.now()),
             read_requested: Notify::new(),
             confirming: Mutex::new(()),
+            standby: RefCell::default(),
             tables,
             ready,
         };
@@ -158,6 +164,7 @@
         actix_rt::spawn(Rc::clone(&self).announce());
         actix_rt::spawn(Rc::clone(&self).maintain_owner_link());
         actix_rt::spawn(Rc::clone(&self).follow_configuration());
+        actix_rt::spawn(Rc::clone(&self).follow_jobs());
         while let Some(call) = calls.recv().await {
             let control = Rc::clone(&self);
             actix_rt::spawn(async move {
@@ -211,9 +218,11 @@
 
     /// Sends a request to the current owner and returns its response.
     ///
-    /// While no owner can serve it, the request waits for one until `wait_until`. It fails at once when
-    /// another entry owns the cell and only this entry cannot reach it: the caller may then try
-    /// another entry. A request that may have been executed is repeated until `deadline`.
+    /// While no owner can serve it, or the log takes no records, the request waits until `wait_until`:
+    /// it is recorded as soon as the log is back, and a refused caller would come back later than that.
+    /// It fails at once when another entry owns the cell and only this entry cannot reach it: the
+    /// caller may then try another entry. A request that may have been executed is repeated until
+    /// `deadline`.
     pub async fn handle(
         self: &Rc<Control<P>>,
         request: EntryRequest,
@@ -231,7 +240,8 @@
             match error.kind {
                 Kind::AnswerLost => is_in_doubt |= !request.is_read(),
                 // Another entry that can still use the log replaces an owner that cannot.
-                Kind::NoOwner | Kind::LogDown if is_reachable || is_in_doubt => {}
+                Kind::NoOwner if is_reachable || is_in_doubt => {}
+                Kind::LogDown => {}
                 _ if is_in_doubt => return Err(in_doubt()),
                 _ => return Err(error),
             }
@@ -242,18 +252,34 @@
             if !is_in_doubt && self.is_cut_off() {
                 return Err(error.with_retry_after(Duration::ZERO));
             }
-            // The next attempt follows a change as well as the timeout; the deadlines are checked above.
-            let _ = tokio::time::timeout(REQUEST_RETRY_PAUSE, self.changed.notified()).await;
+            if error.kind == Kind::LogDown && !is_reachable {
+                self.wait_for_log(end).await;
+            } else {
+                // The next attempt follows a change as well as the timeout; the deadlines are checked
+                // above.
+                let _ = tokio::time::timeout(REQUEST_RETRY_PAUSE, self.changed.notified()).await;
+            }
+        }
+    }
+
+    /// Waits until this entry can read the log again, and at most until shortly before `end`.
+    async fn wait_for_log(&self, end: Instant) {
+        while !self.is_log_reachable.get() {
+            let left = end.since(self.clock.now() + REQUEST_RETRY_PAUSE);
+            if left.is_zero() {
+                return;
+            }
+            // The loop checks the log and the deadline again.
+            let _ = tokio::time::timeout(left, self.changed.notified()).await;
         }
     }
 
-    /// Whether the owner is alive and this entry has had no link to it for [`LINK_GRACE`]: other
-    /// entries may be able to serve the caller.
+    /// Whether the owner is alive and only this entry has no link to it: other entries may be able to
+    /// serve the caller.
     fn is_cut_off(&self) -> bool {
-        let now = self.clock.now();
-        let is_unlinked =
-            self.link.borrow().is_none() && now.since(self.unlinked_since.get()) >= LINK_GRACE;
-        is_unlinked && self.elector.borrow().is_owned_elsewhere(now)
+        let elector = self.elector.borrow();
+        let unlinked_since = self.unlinked_since.get();
+        self.link.borrow().is_none() && elector.is_cut_off(self.clock.now(), unlinked_since)
     }
 
     async fn send_to_owner(
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -18,20 +18,25 @@
 use crate::core::error::{Error, Kind, Result};
 use crate::core::queue::QueueTable;
 use crate::core::scheduler::advice::AdvisorProxy;
+use crate::core::scheduler::explain::Submission;
 use crate::core::scheduler::id::{Request, Task, Token, Worker};
 use crate::core::scheduler::poison;
 use crate::core::scheduler::{
     Answer, Input, OVERCOMMITTED, Output, RemainingLease, Rules, Scheduler, Time,
 };
+use crate::core::time::Instant;
 use crate::entry::link::Link;
-use crate::entry::message::{EntryRequest, EntryResponse};
+use crate::entry::message::{EntryRequest, EntryResponse, Explain};
 use crate::entry::port::{Address, Directory, DirectoryChange, Platform, ReadError};
+use crate::entry::standby::Copy;
 use crate::entry::writer;
 use crate::util::clock::Clock;
 use crate::util::metric::{Metrics, label};
 
 /// How often a waiting request checks whether the takeover is complete.
 const OPEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The shortest time between two explanations, each of which copies the scheduler.
+const EXPLAIN_INTERVAL: Duration = Duration::from_millis(200);
 /// How often to check for closed links.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause between two reads of the directory: a worker must get no new tasks from a few seconds
@@ -91,6 +96,8 @@
     next_proxy: Cell<u32>,
     /// The client accounts with a label of their own in metrics.
     labelled_accounts: RefCell<HashSet<account::Name>>,
+    /// When a placement was explained last.
+    explained_at: Cell<Option<Instant>>,
 }
 
 impl<P: Platform> Owner<P> {
@@ -123,6 +130,7 @@
             advisor_proxies: RefCell::default(),
             next_proxy: Cell::new(1),
             labelled_accounts: RefCell::default(),
+            explained_at: Cell::new(None),
         })
     }
 
@@ -189,13 +197,15 @@
         }
     }
 
-    /// Takes the cell over and carries out the scheduler's decisions until the ownership ends.
+    /// Takes the cell over and carries out the scheduler's decisions until the ownership ends. `copy` is
+    /// what this entry has read of the jobs in the log before.
     pub async fn run(
         self: Rc<Owner<P>>,
         tables: watch::Receiver<Option<std::sync::Arc<QueueTable>>>,
+        copy: Copy,
     ) {
         let started_at = self.clock.now();
-        if !self.fence().await || !self.recover().await {
+        if !self.fence().await || !self.recover(copy).await {
             return;
         }
         info!(self.log, "cell taken over"; "token" => self.token.0,
@@ -472,6 +482,10 @@
                     "incarnation" => incarnation, "known" => is_known, "source" => source,
                     "waited_ms" => waited.as_millis() as u64, "token" => self.token.0);
             }
+            Output::Lost { workers, losses } => {
+                warn!(self.log, "workers of earlier owners are gone"; "count" => workers.len(),
+                    "first" => workers.first(), "losses" => losses, "token" => self.token.0);
+            }
             Output::Worker {
                 worker,
                 name,
@@ -497,7 +511,8 @@
         let crashes: Vec<String> = crashes.collect();
         warn!(self.log, "task crashes its workers and is given up"; "task" => %task,
             "workers" => history.crashes.len(), "crashes" => crashes.join(", "),
-            "trials" => history.trials, "token" => self.token.0);
+            "trials" => history.trials, "open_starts" => history.starts.len(),
+            "unseen" => history.unseen, "token" => self.token.0);
     }
 
     fn report_overcommitted(&self, worker: Worker) {
@@ -592,6 +607,7 @@
                 });
                 answer.await
             }
+            EntryRequest::Explain(subject) => self.explain(subject),
             EntryRequest::Claim
             | EntryRequest::Configuration { .. }
             | EntryRequest::TakeOver { .. }
@@ -603,6 +619,41 @@
         }
     }
 
+    /// Explains a placement on a copy of the scheduler, at most once in [`EXPLAIN_INTERVAL`].
+    fn explain(&self, subject: Explain) -> Result<EntryResponse> {
+        let time = self.time();
+        let since = self.explained_at.get().map(|at| time.now.since(at));
+        if let Some(left) = since.and_then(|since| EXPLAIN_INTERVAL.checked_sub(since)) {
+            let error = Error::new(
+                Kind::Overloaded,
+                "the owner has just explained another placement; retry later",
+            );
+            return Err(error.with_retry_after(left));
+        }
+        self.explained_at.set(Some(time.now));
+        let scheduler = self.scheduler.borrow();
+        let explanation = match subject {
+            Explain::Submission {
+                queue,
+                spec,
+                account,
+            } => {
+                let spec = std::sync::Arc::new(spec);
+                let submission = Submission {
+                    queue: *queue,
+                    spec,
+                    account,
+                };
+                scheduler.explain_submission(time, &submission)
+            }
+            Explain::Job(job) => scheduler.explain_job(time, job).ok_or_else(|| {
+                let message = format!("job {job} is not known or has ended");
+                Error::new(Kind::NotFound, message)
+            })?,
+        };
+        Ok(EntryResponse::Explained(Box::new(explanation)))
+    }
+
     async fn request(&self, input: impl FnOnce(Request) -> Input) -> Result<EntryResponse> {
         let (reply, answer) = oneshot::channel();
         let request = Request(self.requests.borrow_mut().insert(reply) as u64);
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -3,7 +3,9 @@
 mod configuration;
 mod control;
 mod fake;
+mod latency;
 mod owner;
 mod settling;
+mod standby;
 mod tenure;
 mod writer;
--- a/tests/testsuite/entry/tenure.rs
+++ b/tests/testsuite/entry/tenure.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use laburnumplank::core::scheduler::id::Token;
-use laburnumplank::core::tenure::{Action, Claim, Elector, Owner, Record, Rules};
+use laburnumplank::core::tenure::{
+    Action, Claim, Elector, Owner, Record, Rules, linked_read_pause,
+};
 use laburnumplank::core::time::Instant;
 
 const RULES: Rules = Rules {
@@ -411,3 +413,61 @@
     elector.apply_read(at(10), at(10), vec![(6, Record::Claim(owner("me", 1)))], 7);
     assert_eq!(elector.former_claim(), None);
 }
+
+#[test]
+fn claim_of_an_owner_that_has_restarted_counts_as_released() {
+    let mut elector = elector_with_claim("other");
+    let restarted = vec![(5, Record::Present(owner("other", 2)))];
+    elector.apply_read(at(10), at(5), restarted, 6);
+    assert!(elector.claim().unwrap().is_released);
+    assert!(!elector.is_owned_elsewhere(at(10)));
+    assert_eq!(elector.action(at(20)), Some(Action::Claim { at: 6 }));
+}
+
+#[test]
+fn announcement_from_before_the_claim_leaves_it_in_force() {
+    let mut elector = Elector::new(RULES, owner("me", 1));
+    let claim = vec![(4, Record::Claim(owner("other", 2)))];
+    elector.apply_read(at(0), at(0), claim, 5);
+    let late = vec![
+        (5, Record::Present(owner("other", 1))),
+        (6, Record::Present(owner("other", 2))),
+        (7, Record::Present(owner("third", 3))),
+    ];
+    elector.apply_read(at(10), at(5), late, 8);
+    assert!(!elector.claim().unwrap().is_released);
+}
+
+#[test]
+fn entry_without_a_link_is_cut_off_only_after_time_to_dial_the_owner_of_the_claim() {
+    let mut elector = elector_with_claim("other");
+    let unlinked_since = at(1_000);
+    elector.apply_read(at(1_000), at(990), vec![(5, renewal("other", 5))], 6);
+    assert!(!elector.is_cut_off(at(1_200), unlinked_since));
+    assert!(elector.is_cut_off(at(1_300), unlinked_since));
+    let successor = Record::Claim(owner("third", 1));
+    elector.apply_read(at(1_400), at(1_390), vec![(6, successor)], 7);
+    assert!(
+        !elector.is_cut_off(at(1_450), unlinked_since),
+        "the new owner has not been dialled yet"
+    );
+    elector.apply_read(at(2_350), at(2_340), vec![(7, renewal("third", 7))], 8);
+    assert!(elector.is_cut_off(at(2_400), unlinked_since));
+}
+
+#[test]
+fn entry_without_an_owner_measures_silence_finer_than_entries_claim_after_each_other() {
+    let round_trip = Duration::from_millis(25);
+    let elector = elector_with_claim("other");
+    assert!(elector.read_wait(false) <= round_trip * 4);
+    assert!(elector.read_wait(true) > elector.read_wait(false));
+    let unread = Elector::new(RULES, owner("me", 1));
+    assert_eq!(unread.read_wait(false), Duration::ZERO);
+}
+
+#[test]
+fn log_is_read_soon_after_a_link_is_up_and_then_seldom() {
+    let new = linked_read_pause(Duration::from_millis(10));
+    let old = linked_read_pause(Duration::from_secs(10));
+    assert!(new * 4 < old);
+}
--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -337,7 +337,7 @@
 }
 
 /// Returns the value of an environment variable.
-fn variable<T: FromStr>(name: &str) -> Option<T> {
+pub(super) fn variable<T: FromStr>(name: &str) -> Option<T> {
     std::env::var(name).ok()?.parse().ok()
 }
 
