Keep the room that the advisor call of an urgent step names

On a full cell an urgent step goes first in the order, but before its first start it needs a permit. While the advisor was asked, bulk steps with permits took what had become free, so that the answer came too late and the step asked again elsewhere. The call of an urgent step now keeps the free capacity of the workers that it names, as much as it is expected to use, until the answer or the end of the call.

--- a/src/core/scheduler/advice.rs
+++ b/src/core/scheduler/advice.rs
@@ -12,6 +12,7 @@
 use laburnum_derive::{state, value};
 
 use super::id::{Step, Worker};
+use super::plan::Reserved;
 use super::spec::Advice;
 use crate::core::time::Instant;
 
@@ -412,6 +413,9 @@
     pub until: Instant,
     /// The number of workers that the call names.
     pub named: usize,
+    /// The free capacity of these workers that is kept until the answer; none for a step that is not
+    /// urgent.
+    pub(super) held: Reserved,
 }
 
 /// The calls to the advisor that are in progress.
--- a/src/core/scheduler/advisor_calls.rs
+++ b/src/core/scheduler/advisor_calls.rs
@@ -1,4 +1,8 @@
 //! Issues calls to the advisor and processes its answers.
+//!
+//! The load that decides about the capacity of the workers that a call names: on a full cell, bulk steps
+//! with permits for all workers around take what becomes free there while an urgent step, which comes
+//! before them in the order, awaits its answer. So the call of an urgent step keeps that capacity.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,11 +11,14 @@
 use super::advice::{AdvisorCall, AdvisorProxy, CALL_GRACE, PendingCall, cost, workers_to_name};
 use super::id::{Step, Worker};
 use super::message::Output;
+use super::plan::{self, Reserved};
 use super::{Scheduler, Time};
 use crate::core::time::Instant;
 
 /// The share of named workers that the advisor is assumed to permit before its first answer.
 const INITIAL_PERMITTED_SHARE: f64 = 0.4;
+/// The least share of named workers that is reckoned with.
+const MIN_SHARE: f64 = 0.05;
 /// The weight of the latest answer in the moving average of the permitted share.
 const SHARE_WEIGHT: f64 = 0.1;
 /// The pause after a failed call.
@@ -61,12 +68,14 @@
         let Some((proxy, end)) = picked else {
             return;
         };
+        let held = self.capacity_to_hold(step, &named, share);
         let number = self.pending_calls.add(PendingCall {
             proxy,
             step,
             since: time.now,
             until: end + CALL_GRACE,
             named: named.len(),
+            held,
         });
         let job = self.jobs.get_mut(&step.job);
         if let Some(state) = job.and_then(|job| job.step_mut(step)) {
@@ -82,6 +91,38 @@
         }));
     }
 
+    /// Returns the free capacity of the named workers that an urgent step is expected to use after the
+    /// answer, if the advisor permits `share` of them.
+    fn capacity_to_hold(&self, step: Step, named: &[Worker], share: f64) -> Reserved {
+        let mut held = Reserved::new();
+        let Some(job) = self.jobs.get(&step.job).filter(|job| job.queue.is_urgent()) else {
+            return held;
+        };
+        let waiting = job.step(step).map_or(0, |step| step.waiting);
+        let need = job.spec.steps[usize::from(step.index)].capacity_need();
+        let mut wanted = (waiting as f64 / share.max(MIN_SHARE)).ceil() as usize;
+        for &key in named {
+            let free = self
+                .workers
+                .get(key)
+                .map(super::worker::Worker::free)
+                .unwrap_or_default();
+            let tasks = plan::fits(free, need).min(waiting).min(wanted);
+            if tasks > 0 {
+                held.insert(key, need.times(tasks as u64));
+                wanted -= tasks;
+            }
+        }
+        held
+    }
+
+    /// Returns the capacity that is kept for a step until the advisor answers.
+    pub(super) fn held_for_call(&self, id: Step) -> Option<&Reserved> {
+        let step = self.jobs.get(&id.job)?.step(id)?;
+        let call = self.pending_calls.get(step.permits.call?)?;
+        Some(&call.held)
+    }
+
     /// Whether the advisor can be called for a step now.
     pub(super) fn may_call_advisor(&self, id: Step, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -488,7 +488,7 @@
 
 /// Refuses a request whose record the log does not take, with a delay after which to retry.
 fn log_unavailable(request: Request, id: id::Job, queue: &Queue) -> Output {
-    let min_delay = if queue.priority == 0 {
+    let min_delay = if queue.is_urgent() {
         URGENT_RETRY_S
     } else {
         NORMAL_RETRY_S
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -117,6 +117,7 @@
                 continue;
             }
             if self.is_blocked(rank.step, time.now) {
+                self.reserve_held(rank.step, &mut reserved);
                 continue;
             }
             let Some(pool) = pools.get(&job.queue.service) else {
@@ -142,6 +143,7 @@
                 };
                 reservation = self.place_step(rank.step, scope, may_reserve, time, out);
             }
+            self.reserve_held(rank.step, &mut reserved);
             let amounts = match reservation {
                 Some(Reservation::Planned(amounts)) => amounts,
                 Some(Reservation::Wanted(wanted)) => {
@@ -154,9 +156,7 @@
                 }
                 None => continue,
             };
-            for (worker, amount) in amounts {
-                *reserved.entry(worker).or_default() += amount;
-            }
+            add_reserved(&mut reserved, &amounts);
         }
         if steps == Steps::Urgent {
             return;
@@ -169,6 +169,13 @@
         self.reserved = reserved;
     }
 
+    /// Adds what is kept for a step until the advisor answers.
+    fn reserve_held(&self, step: Step, reserved: &mut Reserved) {
+        if let Some(held) = self.held_for_call(step) {
+            add_reserved(reserved, held);
+        }
+    }
+
     /// Whether a step has to wait for something other than capacity: for an answer of the advisor,
     /// for an entry that can call the advisor, or until a start is safe.
     fn is_blocked(&self, id: Step, now: Instant) -> bool {
@@ -656,6 +663,12 @@
     now + spec.map(|spec| spec.estimate).unwrap_or_default()
 }
 
+fn add_reserved(reserved: &mut Reserved, amounts: &Reserved) {
+    for (&worker, &amount) in amounts {
+        *reserved.entry(worker).or_default() += amount;
+    }
+}
+
 /// Returns `reserved` without the capacity that is reserved for gangs which cannot start before `end`;
 /// `None` if there is none.
 fn without_later(reserved: &Reserved, awaited: &[Awaited], end: Instant) -> Option<Reserved> {
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -59,7 +59,8 @@
     }
 }
 
-fn fits(free: Amount, need: Amount) -> usize {
+/// Returns how many tasks that need `need` each fit into `free`.
+pub(super) fn fits(free: Amount, need: Amount) -> usize {
     let ratio = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
     ratio(free.cpu_millis, need.cpu_millis)
         .min(ratio(free.memory_mib, need.memory_mib))
--- a/src/core/scheduler/spec.rs
+++ b/src/core/scheduler/spec.rs
@@ -124,6 +124,11 @@
 }
 
 impl Queue {
+    /// Whether the queue's jobs go before those of all others.
+    pub fn is_urgent(&self) -> bool {
+        self.priority == 0
+    }
+
     /// Creates a queue of which only the name is known.
     pub fn named(name: String) -> Queue {
         Queue {
--- a/tests/testsuite/scheduler/advice.rs
+++ b/tests/testsuite/scheduler/advice.rs
@@ -10,7 +10,7 @@
 use laburnumplank::core::scheduler::worker::Entry;
 use laburnumplank::core::time::Instant;
 
-use super::cell::{Cell, ended, entry, queue, running, spec, step};
+use super::cell::{Cell, ended, entry, queue, running, spec, step, task};
 
 /// The cost of a long call.
 const LONG_CALL: Duration = Duration::from_millis(400);
@@ -727,3 +727,37 @@
     let picked = proxies.pick_for_retry(later, LONG_CALL);
     assert_eq!(picked.map(|(proxy, _)| proxy), Some(AdvisorProxy(1)));
 }
+
+#[test]
+fn room_that_the_call_of_a_lookup_names_is_kept_for_it() {
+    let mut cell = Cell::new(1);
+    cell.input(Input::AdvisorProxies((0..9).map(AdvisorProxy).collect()));
+    let worker = cell.add_worker("w1");
+    let mut advised = queue();
+    advised.name = "lookups".to_owned();
+    advised.priority = 0;
+    advised.advice = Some(Advice {
+        base: Duration::from_millis(10),
+        per_worker: Duration::from_millis(1),
+        validity: Duration::from_millis(2_500),
+    });
+    cell.submit(1, advised, spec(vec![step(2)]));
+    cell.submit(2, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    // Half of the worker is left to the bulk job.
+    let started: Vec<_> = cell.starts.iter().map(|(_, start)| start.task).collect();
+    assert_eq!(started, [task(2, 0, 0), task(2, 0, 1)]);
+    let call = cell.calls[0].clone();
+    assert_eq!(call.workers, [worker]);
+    cell.input(Input::Advised {
+        call,
+        allowed: Some(vec![("w1".to_owned(), "ticket".into())]),
+        validity: Duration::from_millis(2_500),
+    });
+    cell.tick();
+    let started: Vec<_> = cell.starts[2..]
+        .iter()
+        .map(|(_, start)| start.task)
+        .collect();
+    assert_eq!(started, [task(1, 0, 0), task(1, 0, 1)]);
+}
