Revert "Keep two appends in flight to a slow log instead of four"

Half as many appends took as long each (0.62 to 0.73 s at the median), so they do not queue up at the log as was thought.

--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -30,6 +30,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// The pause before an append that arrived ahead of its predecessor is sent again.
 const OUT_OF_ORDER_PAUSE: Duration = Duration::from_millis(15);
+/// The maximum number of appends in flight. The log recognizes repeats of the last five only.
+const MAX_IN_FLIGHT: usize = 4;
 /// The maximum number of tries of one append in flight, and of probes in flight.
 const MAX_TRIES: usize = 5;
 /// The interval between probes of an unavailable log. Clients' changes are refused until a probe
@@ -251,7 +253,7 @@
         let limit = if self.written == Mark(0) {
             1
         } else {
-            self.latency.max_in_flight()
+            MAX_IN_FLIGHT
         };
         self.is_unavailable || self.batches.len() >= limit
     }
