Compare runs with those on sound workers only

The belief that a worker is slow flipped each second while a step ran on slow workers only, since these were compared with each other. The pace of a run on a worker that is known to be slow no longer counts as usual.

--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -70,16 +70,18 @@
         out: &mut Vec<Output>,
     ) {
         let job = self.jobs.get_mut(&task.step.job);
-        let Some(step) = job.and_then(|job| job.step_mut(task.step)) else {
+        let step = job.and_then(|job| job.step_mut(task.step));
+        let (Some(step), Some(worker)) = (step, self.workers.get_mut(key)) else {
             return;
         };
-        let Some(ratio) = step.pace.compare(pace) else {
-            return;
-        };
-        let Some(worker) = self.workers.get_mut(key) else {
+        let was_slow = worker.speed.is_slow(now);
+        let ratio = step.pace.ratio(pace);
+        if !was_slow {
+            step.pace.record(pace);
+        }
+        let Some(ratio) = ratio else {
             return;
         };
-        let was_slow = worker.speed.is_slow(now);
         worker.speed.record(now, ratio);
         let event = match (was_slow, worker.speed.is_slow(now)) {
             (false, true) => "slow",
--- a/src/core/scheduler/speed.rs
+++ b/src/core/scheduler/speed.rs
@@ -73,17 +73,21 @@
 }
 
 impl UsualPace {
-    /// Records the pace of a run. Returns its ratio to the usual pace; `None` until that is known.
-    pub fn compare(&mut self, pace: f64) -> Option<f64> {
+    /// Returns the ratio of the pace of a run to the usual one; `None` until that is known.
+    pub fn ratio(&self, pace: f64) -> Option<f64> {
         let is_known = self.measurements >= MIN_MEASUREMENTS && self.average > 0.0;
-        let ratio = is_known.then(|| pace / self.average);
-        // A slow worker with many tasks of the step must not pass for the usual.
-        if ratio.is_none_or(|ratio| ratio >= SLOW_RATIO) {
-            self.measurements = self.measurements.saturating_add(1);
-            let weight = PACE_WEIGHT.max(1.0 / f64::from(self.measurements));
-            self.average += (pace - self.average) * weight;
+        is_known.then(|| pace / self.average)
+    }
+
+    /// Records the pace of a run on a worker that is not known to be slow.
+    pub fn record(&mut self, pace: f64) {
+        // A worker that has just turned slow must not pass for the usual.
+        if self.ratio(pace).is_some_and(|ratio| ratio < SLOW_RATIO) {
+            return;
         }
-        ratio
+        self.measurements = self.measurements.saturating_add(1);
+        let weight = PACE_WEIGHT.max(1.0 / f64::from(self.measurements));
+        self.average += (pace - self.average) * weight;
     }
 }
 
