--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -119,7 +119,6 @@
             has_permit: !self.demand.needs_permit || permits.usable(key, self.now).is_some(),
             is_remote: data_rack.is_some() && *data_rack != worker.entry.rack,
             has_failed: self.failed_on.contains(&key) || worker.history.has_missed_start(),
-            is_slow: worker.speed.is_slow(self.now),
             neighbours: match self.demand.isolation {
                 Isolation::Shared if self.gang_workers.contains(&key) => usize::MAX,
                 Isolation::Shared => worker.attempts.len(),
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -11,7 +11,6 @@
 use super::poison::CrashHistory;
 use super::record::{self, Phase, Progress, Span};
 use super::spec::{Queue, Spec};
-use super::speed::UsualPace;
 use crate::core::account;
 use crate::core::time::{Instant, Stamp};
 
@@ -70,8 +69,6 @@
     pub permits: Permits,
     /// When the step began to have waiting tasks with all dependencies done; `None` while it has none.
     pub waiting_since: Option<Instant>,
-    /// The usual pace of the runs.
-    pub pace: UsualPace,
 }
 
 /// One occurrence of a job.
@@ -160,7 +157,6 @@
             waiting: usize::from(tasks),
             permits: Permits::default(),
             waiting_since: None,
-            pace: UsualPace::default(),
         }
     }
 
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -26,7 +26,6 @@
 pub mod record;
 mod runs;
 pub mod spec;
-pub mod speed;
 pub mod suspicion;
 mod trial;
 pub mod wait;
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -20,7 +20,7 @@
 use super::order::{self, Rank};
 use super::plan::{self, Awaited, Candidate, Reservation, Reserved, Slot};
 use super::worker::{Attempt, State};
-use super::{Scheduler, Time, spec, speed};
+use super::{Scheduler, Time, spec};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
@@ -644,7 +644,6 @@
             is_trial,
             percent: 0,
             reported_at: now,
-            progress: speed::Progress::new(now),
         };
         worker.insert(task, run, attempt);
         let account = worker.account(now, self.claim_confirmed_at);
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -47,8 +47,6 @@
     /// carry its last start command out. Other workers are preferred: a run on another worker shows whether the task or
     /// the worker is at fault.
     pub(super) has_failed: bool,
-    /// Whether runs there are much slower than elsewhere.
-    pub(super) is_slow: bool,
     /// The number of runs there, if the tasks should have few beside them.
     pub(super) neighbours: usize,
     pub(super) rack: Option<Arc<str>>,
@@ -100,7 +98,6 @@
                 (
                     candidate.neighbours,
                     candidate.has_failed,
-                    candidate.is_slow,
                     !candidate.has_permit,
                     candidate.is_remote,
                     left,
@@ -164,7 +161,6 @@
         let taken = need.times(candidate.fits(need) as u64);
         (
             candidate.has_failed,
-            candidate.is_slow,
             !candidate.has_permit,
             candidate.is_remote,
             leftover(candidate.free, taken, candidate.capacity),
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -8,7 +8,7 @@
 use super::message::{ActiveRun, EndedRun, Outcome, Output, Refusal, RunEnd};
 use super::record::Phase;
 use super::worker::{Attempt, State};
-use super::{Scheduler, Time, speed};
+use super::{Scheduler, Time};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
@@ -41,7 +41,6 @@
         if let Some(attempt) = worker.attempts.get_mut(&(task, run)) {
             attempt.percent = percent;
             attempt.reported_at = time.now;
-            let pace = attempt.progress.measure(time.now, percent);
             attempt.is_confirmed = true;
             attempt.is_reported = true;
             attempt.absent_since = None;
@@ -52,49 +51,11 @@
             }
             self.begun(task.step.job, out);
             self.note_survival(key, task, run, time.now, out);
-            if let Some(pace) = pace {
-                self.note_pace(key, task, pace, time.now, out);
-            }
             return;
         }
         self.adopt(key, task, run, time, out);
     }
 
-    /// Records the pace of a run, which shows whether its worker is slow.
-    fn note_pace(
-        &mut self,
-        key: Worker,
-        task: Task,
-        pace: f64,
-        now: Instant,
-        out: &mut Vec<Output>,
-    ) {
-        let job = self.jobs.get_mut(&task.step.job);
-        let step = job.and_then(|job| job.step_mut(task.step));
-        let (Some(step), Some(worker)) = (step, self.workers.get_mut(key)) else {
-            return;
-        };
-        let was_slow = worker.speed.is_slow(now);
-        let ratio = step.pace.ratio(pace);
-        if !was_slow {
-            step.pace.record(pace);
-        }
-        let Some(ratio) = ratio else {
-            return;
-        };
-        worker.speed.record(now, ratio);
-        let event = match (was_slow, worker.speed.is_slow(now)) {
-            (false, true) => "slow",
-            (true, false) => "no longer slow",
-            _ => return,
-        };
-        out.push(Output::Worker {
-            worker: key,
-            name: worker.entry.name.clone(),
-            event,
-        });
-    }
-
     /// Adopts a run that this owner did not start, or stops it when its task does not wait for a
     /// run.
     fn adopt(&mut self, key: Worker, task: Task, run: Run, time: Time, out: &mut Vec<Output>) {
@@ -127,7 +88,6 @@
             is_trial,
             percent: 0,
             reported_at: time.now,
-            progress: speed::Progress::new(time.now),
         };
         if let Some(worker) = self.workers.get_mut(key) {
             worker.insert(task, run, attempt);
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -12,7 +12,6 @@
 use laburnum_derive::{message, state, value};
 
 use super::id::{Mark, Run, Task};
-use super::speed;
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
@@ -110,8 +109,6 @@
     pub percent: u8,
     /// When the last report of the run arrived; before the first one, when the run was started.
     pub reported_at: Instant,
-    /// The progress since the pace of the run was last measured.
-    pub progress: speed::Progress,
 }
 
 impl Attempt {
@@ -235,8 +232,6 @@
     pub was_overcommitted: bool,
     /// The results of the latest runs, which show whether the worker is faulty.
     pub history: super::suspicion::RunHistory,
-    /// Whether its runs are much slower than others of their steps.
-    pub speed: speed::Speed,
     /// The acknowledgement that the latest poll carries.
     sent_acknowledgement: u64,
     /// The last acknowledgement in a poll that was answered.
@@ -275,7 +270,6 @@
             reported: Amount::default(),
             was_overcommitted: false,
             history: super::suspicion::RunHistory::default(),
-            speed: speed::Speed::default(),
             sent_acknowledgement: 0,
             confirmed_acknowledgement: 0,
             deadline_ms: 0,
