--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -30,7 +30,6 @@
 mod runs;
 pub mod share;
 pub mod spec;
-pub mod speed;
 pub mod suspicion;
 mod trial;
 pub mod wait;
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -21,7 +21,7 @@
 use super::plan::{self, Awaited, Candidate, Reservation, Reserved, Slot};
 use super::share::{self, Standing};
 use super::worker::{Attempt, State};
-use super::{Scheduler, Time, spec, speed};
+use super::{Scheduler, Time, spec};
 use crate::core::resource::Amount;
 use crate::core::time::Instant;
 
@@ -690,7 +690,6 @@
             is_trial,
             percent: 0,
             reported_at: now,
-            progress: speed::Progress::new(now),
         };
         self.insert_run(key, task, run, attempt);
         let Some(worker) = self.workers.get(key) else {
