Log how reads and queries of the configuration go

Each failure now says how long it took, how old the last successful read is, the version and the position; queries say what the other entry answered; a counter has the reads by outcome, a gauge the version in force.

tests: entry:: of the testsuite.

--- a/src/entry/control/configuration.rs
+++ b/src/entry/control/configuration.rs
@@ -12,53 +12,114 @@
 
 use super::{Control, READ_RETRY_PAUSE};
 use crate::core::account;
+use crate::core::error::{Kind, Result};
 use crate::core::queue::QueueTable;
+use crate::core::time::Instant;
 use crate::entry::link::Link;
 use crate::entry::message::{EntryRequest, EntryResponse};
-use crate::entry::port::{Configuration, Platform};
+use crate::entry::owner::no_owner;
+use crate::entry::port::{Configuration, Platform, ReadError};
+use crate::util::metric::label;
 
 /// How long another entry may take to respond to the query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// The most entries that are dialled for the configuration after one failed read. Each may take as long as
 /// [`QUERY_TIMEOUT`].
 const MAX_DIALLED: usize = 2;
+/// The interval between log lines while reads go on failing.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How the reads of the configuration went.
+struct Reads {
+    /// When the last read succeeded, or when the entry started.
+    succeeded_at: Instant,
+    /// How many reads have failed since.
+    failures: usize,
+    /// When the last failure was logged.
+    logged_at: Instant,
+}
+
+impl Reads {
+    fn new(now: Instant) -> Reads {
+        Reads {
+            succeeded_at: now,
+            failures: 0,
+            logged_at: now,
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
 
 impl<P: Platform> Control<P> {
     /// Publishes each new version of the queues that operators configure.
     pub(super) async fn follow_configuration(self: Rc<Control<P>>) {
         let mut configuration = self.platform.configuration();
-        let mut is_reachable = true;
-        let mut failures: usize = 0;
+        let mut reads = Reads::new(self.clock.now());
         loop {
+            let sent = self.clock.now();
             match configuration.next().await {
                 Ok(table) => {
-                    is_reachable = true;
-                    failures = 0;
+                    self.note_read(&mut reads, sent);
                     if let Some(table) = table {
-                        self.put_in_force(table, "the log");
+                        self.put_in_force(table, "the log", sent);
                     }
                 }
                 Err(failure) => {
-                    if is_reachable {
-                        warn!(self.log, "configuration cannot be read"; "failure" => ?failure);
-                        is_reachable = false;
-                    }
-                    self.query_configuration(failures).await;
-                    failures += 1;
+                    self.note_failed_read(&mut reads, sent, failure, configuration.position());
+                    self.query_configuration(reads.failures).await;
+                    reads.failures += 1;
                     tokio::time::sleep(READ_RETRY_PAUSE).await;
                 }
             }
         }
     }
 
-    /// Puts a version in force unless it is older than the present one.
-    fn put_in_force(&self, table: QueueTable, source: &str) {
+    fn note_read(&self, reads: &mut Reads, sent: Instant) {
+        self.count_read("done");
+        if reads.failures > 0 {
+            info!(self.log, "configuration can be read again"; "failures" => reads.failures,
+                "age_ms" => millis(sent.since(reads.succeeded_at)));
+        }
+        *reads = Reads::new(self.clock.now());
+    }
+
+    /// Logs the first failure and then one a second.
+    fn note_failed_read(
+        &self,
+        reads: &mut Reads,
+        sent: Instant,
+        failure: ReadError,
+        position: Option<u64>,
+    ) {
+        self.count_read("failed");
+        let now = self.clock.now();
+        if reads.failures > 0 && now.since(reads.logged_at) < FAILURE_LOG_INTERVAL {
+            return;
+        }
+        reads.logged_at = now;
+        warn!(self.log, "configuration cannot be read"; "failure" => ?failure, "failures" => reads.failures + 1,
+            "took_ms" => millis(now.since(sent)), "age_ms" => millis(now.since(reads.succeeded_at)),
+            "version" => self.configured_version(), "position" => position);
+    }
+
+    fn count_read(&self, outcome: &'static str) {
+        let outcome = label("outcome", outcome);
+        self.metrics.configuration_reads.add(1, &outcome);
+    }
+
+    /// Puts a version in force unless it is older than the present one. It was asked for at `sent`.
+    fn put_in_force(&self, table: QueueTable, source: &str, sent: Instant) {
         let version = table.version;
         if self.configured_version() >= Some(version) {
             return;
         }
         info!(self.log, "configuration in force"; "version" => version, "queues" => table.queues().count(),
-            "accounts" => table.accounts.as_ref().map_or(0, account::Table::len), "source" => source);
+            "accounts" => table.accounts.as_ref().map_or(0, account::Table::len), "source" => source,
+            "took_ms" => millis(self.clock.now().since(sent)));
+        self.metrics.configuration_version.record(version, &[]);
         self.tables.send_replace(Some(Arc::new(table)));
         self.update_readiness();
     }
@@ -82,9 +143,11 @@
         };
         let links = self.open_links();
         for link in &links {
+            let sent = self.clock.now();
             let response = link.request(request.clone(), QUERY_TIMEOUT).await;
+            self.log_query(&link.name(), sent, &response);
             if let Ok(EntryResponse::Configuration(table)) = response {
-                return self.put_in_force_from(table, &link.name());
+                return self.put_in_force_from(table, &link.name(), sent);
             }
         }
         let peers: Vec<SocketAddr> = self.elector.borrow().peers().collect();
@@ -94,16 +157,31 @@
             .skip(first)
             .take(MAX_DIALLED.min(peers.len()))
         {
+            let sent = self.clock.now();
             let response = self.query(*peer, request.clone()).await;
-            if let Some(Ok(EntryResponse::Configuration(table))) = response {
-                return self.put_in_force_from(table, &peer.to_string());
+            let response = response.unwrap_or_else(|| Err(no_owner()));
+            self.log_query(&peer.to_string(), sent, &response);
+            if let Ok(EntryResponse::Configuration(table)) = response {
+                return self.put_in_force_from(table, &peer.to_string(), sent);
             }
         }
     }
 
-    fn put_in_force_from(&self, table: Option<Box<QueueTable>>, source: &str) {
+    fn log_query(&self, peer: &str, sent: Instant, response: &Result<EntryResponse>) {
+        let outcome = match response {
+            Ok(EntryResponse::Configuration(Some(_))) => "newer",
+            Ok(_) => "nothing newer",
+            Err(error) if error.kind == Kind::AnswerLost => "no response",
+            Err(_) => "not reached",
+        };
+        info!(self.log, "configuration queried"; "entry" => peer, "outcome" => outcome,
+            "took_ms" => millis(self.clock.now().since(sent)));
+        self.count_read(outcome);
+    }
+
+    fn put_in_force_from(&self, table: Option<Box<QueueTable>>, source: &str, sent: Instant) {
         if let Some(table) = table {
-            self.put_in_force(*table, source);
+            self.put_in_force(*table, source, sent);
         }
     }
 
--- a/src/entry/port.rs
+++ b/src/entry/port.rs
@@ -229,6 +229,9 @@
     /// Waits for a newer table than the last one returned. Returns `None` when there is no newer table
     /// yet; the caller then calls again.
     fn next(&mut self) -> impl Future<Output = Result<Option<QueueTable>, ReadError>>;
+
+    /// Returns the offset up to which the feed has read; `None` before the first read.
+    fn position(&self) -> Option<u64>;
 }
 
 /// All interfaces of the platform.
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -4,7 +4,7 @@
 //! `GET /metrics`.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -46,6 +46,10 @@
     /// Steps of a client account that its cap holds back, counted once a second, and its jobs beyond its
     /// weight, by `account` and `event`.
     pub account_events: Counter<u64>,
+    /// Reads of the configuration, by `outcome`.
+    pub configuration_reads: Counter<u64>,
+    /// The version of the configuration in force.
+    pub configuration_version: Gauge<u64>,
     /// Restarts of the daemon's supervised parts, by `part`.
     pub restarts: Counter<u64>,
 }
@@ -120,6 +124,15 @@
                 "laburnum_account_events",
                 "steps of a client account that its cap holds back, and jobs beyond its weight",
             ),
+            configuration_reads: counter(
+                &meter,
+                "laburnum_configuration_reads",
+                "reads of the configuration",
+            ),
+            configuration_version: meter
+                .u64_gauge("laburnum_configuration_version")
+                .with_description("version of the configuration in force")
+                .build(),
             restarts: counter(
                 &meter,
                 "laburnum_restarts",
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -256,6 +256,10 @@
             Feed::Refused => Err(ReadError::Refused),
         }
     }
+
+    fn position(&self) -> Option<u64> {
+        None
+    }
 }
 
 impl Platform for Fake {
