--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use laburnumplank::core::scheduler::WorkerPoll;
 use laburnumplank::core::scheduler::id::{Run, Step, Task, Token};
 use laburnumplank::core::scheduler::message::{Inventory, Outcome, Refusal, Start};
+use laburnumplank::core::tenure;
 use laburnumplank::entry::port::{
     Address, Advisor, AppendCondition, AppendOutcome, Changes, Configuration, Directory,
     DirectoryChange, LatestPage, Log, Page, PermittedWorkers, Platform, ReadError, Record, Topic,
@@ -60,7 +62,36 @@
 
 /// A handle of the platform.
 #[derive(Clone, Default)]
-pub(super) struct Fake(pub(super) Rc<State>);
+pub(super) struct Fake(pub(super) Rc<State>, Detour);
+
+/// The address at which an entry reaches another one, instead of the one that the other announces.
+type Detour = Option<(SocketAddr, SocketAddr)>;
+
+impl Fake {
+    /// Returns a handle for an entry that reaches the entry at `from` through `to`.
+    pub(super) fn with_detour(&self, from: SocketAddr, to: SocketAddr) -> Fake {
+        Fake(Rc::clone(&self.0), Some((from, to)))
+    }
+
+    /// Returns a record of the claims as the entry of this handle reads it.
+    fn redirect(&self, record: Bytes) -> Bytes {
+        let Some((from, to)) = self.1 else {
+            return record;
+        };
+        let mut decoded: tenure::Record = ciborium::from_reader(&record[..]).unwrap();
+        let owner = match &mut decoded {
+            tenure::Record::Claim(owner) | tenure::Record::Present(owner) => owner,
+            tenure::Record::Renewal(claim) => &mut claim.owner,
+            tenure::Record::Release(_) => return record,
+        };
+        if owner.address == from {
+            owner.address = to;
+        }
+        let mut redirected = Vec::new();
+        ciborium::into_writer(&decoded, &mut redirected).unwrap();
+        redirected.into()
+    }
+}
 
 impl State {
     fn append_claims(&self, records: &[Record], condition: AppendCondition) -> AppendOutcome {
@@ -157,6 +188,7 @@
         }
         let claims = state.claims.borrow();
         let records = (0..).zip(claims.iter().cloned()).skip(from as usize);
+        let records = records.map(|(offset, record)| (offset, self.redirect(record)));
         Ok(Page {
             records: records.collect(),
             next: claims.len() as u64,
