Pass changes of the configuration on from the owner, page by page

A configuration was transferred whole, to every entry, and each transfer that was interrupted began again: 820 kB to each of fifteen entries behind 60 Mbit/s, from the log; and, once a read had failed, all queues in one frame from the owner, which closes a link of 10 Mbit/s (400 ms without a frame) and outlasts the query (500 ms). Transfers that fail add to the load that makes them fail.

Every entry still learns from the log that there is a newer version. A read whose response has more than 32 kB is paused; the owner finishes it, the others ask the owner for the changes since their version, which come in pages of 256 queues with what the queues have in common written once. The owner answers when it has read that far. An entry that doesn't get them within 2 s finishes the read. An entry that the log turns away gets pages as well, from the next entry if the first one has not read the log lately. An entry of an earlier release still gets the whole table.

Ruled out: holding a version without applying it (all in the logs apply what they read within 0.1 s); a read that succeeds and moves past the manifest (none in any log).

--- a/src/core/queue.rs
+++ b/src/core/queue/mod.rs
@@ -1,6 +1,9 @@
 //! Maps a client's request to a queue, by the host and the longest matching prefix of the path.
 
-use std::collections::HashMap;
+pub mod patch;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use laburnum_derive::message;
@@ -21,6 +24,13 @@
     pub is_public: bool,
 }
 
+impl QueueBinding {
+    /// Returns the host and the prefix.
+    fn key(&self) -> (&str, &str) {
+        (&self.host, &self.prefix)
+    }
+}
+
 /// Limits for the HTTP requests of clients.
 #[message]
 pub struct Limits {
@@ -47,8 +57,13 @@
     by_host: HashMap<String, Vec<QueueBinding>>,
 }
 
+/// Returns the place of a prefix among those of its host.
+fn order(prefix: &str) -> (Reverse<usize>, &str) {
+    (Reverse(prefix.len()), prefix)
+}
+
 impl QueueTable {
-    /// Creates the table of a version.
+    /// Creates the table of a version. Of several bindings with the same host and prefix, the first counts.
     pub fn new(
         version: u64,
         limits: Limits,
@@ -63,7 +78,8 @@
                 .push(binding);
         }
         for bindings in by_host.values_mut() {
-            bindings.sort_by_key(|binding| std::cmp::Reverse(binding.prefix.len()));
+            bindings.sort_by(|one, other| order(&one.prefix).cmp(&order(&other.prefix)));
+            bindings.dedup_by(|later, first| later.prefix == first.prefix);
         }
         QueueTable {
             version,
@@ -82,11 +98,18 @@
         Some((binding, &path[binding.prefix.len()..]))
     }
 
-    /// Returns the queue of every host and prefix; a queue may occur more than once.
+    /// Returns the queue of every host and prefix; a queue may have several.
     pub fn queues(&self) -> impl Iterator<Item = &Queue> {
-        self.by_host
-            .values()
-            .flatten()
-            .map(|binding| &binding.queue)
+        self.bindings().map(|binding| &binding.queue)
+    }
+
+    fn bindings(&self) -> impl Iterator<Item = &QueueBinding> {
+        self.by_host.values().flatten()
+    }
+
+    /// Returns the bindings by host and prefix.
+    fn by_key(&self) -> BTreeMap<(&str, &str), &QueueBinding> {
+        let bindings = self.bindings();
+        bindings.map(|binding| (binding.key(), binding)).collect()
     }
 }
--- a/src/entry/control/configuration.rs
+++ b/src/entry/control/configuration.rs
@@ -1,34 +1,75 @@
-//! Follows the configuration: from the log and, while this entry cannot read it, from other entries.
+//! Follows the configuration: from the log, and from other entries where that is faster or the log cannot be read.
+//!
+//! A configuration may be much larger than a change of it. Every entry learns from the log that there is a
+//! newer version. If that takes long to transfer, only the owner reads all of it, and the others get the changes
+//! from the owner; an entry that does not get them in time reads the log as well.
 //!
 //! The log may turn some entries away and serve the others. A key that was withdrawn must not admit callers
-//! at those, so an entry whose read has failed asks the owner, or else the other entries, for a newer version.
+//! at those, so an entry whose read has failed gets the changes from the owner, or else from other entries.
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
+use tokio::sync::Notify;
 
 use super::{Control, READ_RETRY_PAUSE};
 use crate::core::account;
-use crate::core::error::{Kind, Result};
+use crate::core::error::Kind;
 use crate::core::queue::QueueTable;
+use crate::core::queue::patch::{self, History, Transfer};
 use crate::core::time::Instant;
 use crate::entry::link::Link;
-use crate::entry::message::{EntryRequest, EntryResponse};
-use crate::entry::owner::no_owner;
-use crate::entry::port::{Configuration, Platform, ReadError};
+use crate::entry::message::{ConfigurationPage, EntryRequest, EntryResponse};
+use crate::entry::port::{Configuration, Platform, ReadError, Reading};
 use crate::util::metric::label;
 
-/// How long another entry may take to respond to the query.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
-/// The most entries that are dialled for the configuration after one failed read. Each may take as long as
-/// [`QUERY_TIMEOUT`].
+/// How long another entry may take to respond with a page.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an entry waits for the owner to have a large configuration before it reads all of it.
+const OWNER_WAIT: Duration = Duration::from_millis(1_000);
+/// How long the changes of a large configuration may take to arrive from the owner.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// An entry whose last successful read is older may be as far behind as the one that queries it. A read waits
+/// for up to 0.7 s.
+const CURRENT_READ_AGE: Duration = Duration::from_millis(1_500);
+/// The most open links over which the configuration is queried after one failed read.
+const MAX_LINKS: usize = 2;
+/// The most entries that are dialled for the configuration after one failed read.
 const MAX_DIALLED: usize = 2;
+/// A transfer from another entry ends when this many pages did not continue it: that entry gets versions faster
+/// than it passes them on.
+const MAX_RESTARTS: usize = 8;
 /// The interval between log lines while reads go on failing.
 const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What an entry tells others of the configuration.
+#[derive(Default)]
+pub(super) struct Relay {
+    history: RefCell<History>,
+    /// The offset up to which this entry knows the log.
+    position: Cell<Option<u64>>,
+    /// When this entry last knew that there was nothing newer.
+    read_at: Cell<Option<Instant>>,
+    /// Notifies of every change of the position.
+    moved: Notify,
+}
+
+/// What another entry has said of its configuration once it had nothing newer.
+struct Standing {
+    position: Option<u64>,
+    read_age: Option<Duration>,
+}
+
+impl Standing {
+    fn is_current(&self) -> bool {
+        self.read_age.is_some_and(|age| age <= CURRENT_READ_AGE)
+    }
+}
+
 /// How the reads of the configuration went.
 struct Reads {
     /// When the last read succeeded, or when the entry started.
@@ -56,20 +97,19 @@
 impl<P: Platform> Control<P> {
     /// Publishes each new version of the queues that operators configure.
     pub(super) async fn follow_configuration(self: Rc<Control<P>>) {
-        let mut configuration = self.platform.configuration();
+        let mut feed = self.platform.configuration();
         let mut reads = Reads::new(self.clock.now());
         loop {
             let sent = self.clock.now();
-            match configuration.next().await {
-                Ok(table) => {
-                    self.note_read(&mut reads, sent);
-                    if let Some(table) = table {
-                        self.put_in_force(table, "the log", sent);
-                    }
-                }
+            match self.read_configuration(&mut feed, sent).await {
+                Ok(()) => self.note_read(&mut reads, sent, feed.position()),
                 Err(failure) => {
-                    self.note_failed_read(&mut reads, sent, failure, configuration.position());
-                    self.query_configuration(reads.failures).await;
+                    self.note_failed_read(&mut reads, sent, failure, feed.position());
+                    if let Some(position) = self.query_configuration(reads.failures).await
+                        && Some(position) > feed.position()
+                    {
+                        feed.skip_to(position);
+                    }
                     reads.failures += 1;
                     tokio::time::sleep(READ_RETRY_PAUSE).await;
                 }
@@ -77,13 +117,55 @@
         }
     }
 
-    fn note_read(&self, reads: &mut Reads, sent: Instant) {
+    /// Puts what the feed returns next in force.
+    async fn read_configuration(
+        &self,
+        feed: &mut P::Configuration,
+        sent: Instant,
+    ) -> std::result::Result<(), ReadError> {
+        let mut reading = feed.next().await?;
+        if let Reading::Large { end } = reading {
+            if let Some(position) = self.receive_from_owner(end).await {
+                feed.skip_to(position);
+                return Ok(());
+            }
+            reading = feed.finish().await?;
+        }
+        if let Reading::Table(table) = reading {
+            self.put_in_force(*table, "the log", sent);
+        }
+        Ok(())
+    }
+
+    /// Gets the changes up to the offset `end` of the log from the owner. Returns the offset up to which
+    /// they reach; `None` if this entry has to read the log itself.
+    async fn receive_from_owner(&self, end: u64) -> Option<u64> {
+        let (_, link) = self.link.borrow().clone()?;
+        let received = self.receive_over(&link, Some(end), OWNER_WAIT);
+        let received = tokio::time::timeout(OWNER_TIMEOUT, received).await;
+        let position = received
+            .ok()
+            .flatten()
+            .and_then(|standing| standing.position);
+        position.filter(|&position| position >= end)
+    }
+
+    fn note_read(&self, reads: &mut Reads, sent: Instant, position: Option<u64>) {
         self.count_read("done");
         if reads.failures > 0 {
             info!(self.log, "configuration can be read again"; "failures" => reads.failures,
                 "age_ms" => millis(sent.since(reads.succeeded_at)));
         }
         *reads = Reads::new(self.clock.now());
+        self.configuration.read_at.set(Some(reads.succeeded_at));
+        self.move_position(position);
+    }
+
+    fn move_position(&self, position: Option<u64>) {
+        if position > self.configuration.position.get() {
+            self.configuration.position.set(position);
+            self.configuration.moved.notify_waiters();
+        }
     }
 
     /// Logs the first failure and then one a second.
@@ -120,6 +202,10 @@
             "accounts" => table.accounts.as_ref().map_or(0, account::Table::len), "source" => source,
             "took_ms" => millis(self.clock.now().since(sent)));
         self.metrics.configuration_version.record(version, &[]);
+        let former = self.tables.borrow().clone();
+        let mut history = self.configuration.history.borrow_mut();
+        history.push(former.as_deref(), &table);
+        drop(history);
         self.tables.send_replace(Some(Arc::new(table)));
         self.update_readiness();
     }
@@ -129,60 +215,150 @@
     }
 
     /// Returns the response to an entry that has the configuration `known`.
-    pub(super) fn newer_configuration(&self, known: Option<u64>) -> EntryResponse {
+    pub(super) async fn serve_configuration(
+        &self,
+        known: Option<u64>,
+        page: Option<ConfigurationPage>,
+    ) -> EntryResponse {
+        let Some(page) = page else {
+            return EntryResponse::Configuration(self.newer_table(known));
+        };
+        let end = self.clock.now() + page.wait.min(OWNER_WAIT);
+        loop {
+            // Registered before the check, so that no change between the two is missed.
+            let moved = self.configuration.moved.notified();
+            let newer = self.newer_page(known, page.number);
+            let now = self.clock.now();
+            let has_read = self.configuration.position.get() >= page.position;
+            if newer.is_some() || has_read || now >= end {
+                let read_at = self.configuration.read_at.get();
+                return EntryResponse::ConfigurationPage {
+                    page: newer.map(Box::new),
+                    position: self.configuration.position.get(),
+                    read_age: read_at.map(|read_at| now.since(read_at)),
+                };
+            }
+            // The loop checks the position and the time again.
+            let _ = tokio::time::timeout(end.since(now), moved).await;
+        }
+    }
+
+    fn newer_table(&self, known: Option<u64>) -> Option<Box<QueueTable>> {
         let table = self.tables.borrow().clone();
         let newer = table.filter(|table| Some(table.version) > known);
-        EntryResponse::Configuration(newer.map(|table| Box::new(QueueTable::clone(&table))))
+        newer.map(|table| Box::new(QueueTable::clone(&table)))
     }
 
-    /// Asks other entries for a newer configuration: over the open links, or else a few of the others, from the
-    /// one numbered `first` on.
-    async fn query_configuration(&self, first: usize) {
-        let request = EntryRequest::Configuration {
-            known: self.configured_version(),
-        };
+    fn newer_page(&self, known: Option<u64>, number: usize) -> Option<patch::Page> {
+        let table = self.tables.borrow().clone()?;
+        let mut history = self.configuration.history.borrow_mut();
+        let step = history.next_step(known, &table)?;
+        Some(step.page(number))
+    }
+
+    /// Gets newer versions from other entries: over open links, or else from a few of the others, from the
+    /// one numbered `first` on. Returns the offset of the log up to which they reach, if an entry has
+    /// responded that has read the log lately.
+    async fn query_configuration(&self, first: usize) -> Option<u64> {
         let links = self.open_links();
-        for link in &links {
-            let sent = self.clock.now();
-            let response = link.request(request.clone(), QUERY_TIMEOUT).await;
-            self.log_query(&link.name(), sent, &response);
-            if let Ok(EntryResponse::Configuration(table)) = response {
-                return self.put_in_force_from(table, &link.name(), sent);
+        for link in links
+            .iter()
+            .cycle()
+            .skip(first)
+            .take(MAX_LINKS.min(links.len()))
+        {
+            let standing = self.receive_over(link, None, Duration::ZERO).await;
+            if let Some(standing) = standing.filter(Standing::is_current) {
+                return standing.position;
             }
         }
         let peers: Vec<SocketAddr> = self.elector.borrow().peers().collect();
-        for peer in peers
+        for &peer in peers
             .iter()
             .cycle()
             .skip(first)
             .take(MAX_DIALLED.min(peers.len()))
         {
-            let sent = self.clock.now();
-            let response = self.query(*peer, request.clone()).await;
-            let response = response.unwrap_or_else(|| Err(no_owner()));
-            self.log_query(&peer.to_string(), sent, &response);
-            if let Ok(EntryResponse::Configuration(table)) = response {
-                return self.put_in_force_from(table, &peer.to_string(), sent);
+            let standing = self
+                .with_link(peer, async |link| {
+                    self.receive_over(link, None, Duration::ZERO).await
+                })
+                .await;
+            if let Some(standing) = standing.flatten().filter(Standing::is_current) {
+                return standing.position;
             }
         }
+        None
     }
 
-    fn log_query(&self, peer: &str, sent: Instant, response: &Result<EntryResponse>) {
-        let outcome = match response {
-            Ok(EntryResponse::Configuration(Some(_))) => "newer",
-            Ok(_) => "nothing newer",
-            Err(error) if error.kind == Kind::AnswerLost => "no response",
-            Err(_) => "not reached",
-        };
-        info!(self.log, "configuration queried"; "entry" => peer, "outcome" => outcome,
-            "took_ms" => millis(self.clock.now().since(sent)));
-        self.count_read(outcome);
+    /// Gets the versions that another entry has beyond the one in force here, and puts them in force. The other
+    /// entry may take up to `wait` until it has read the log up to `position`. Returns `None` if it
+    /// does not respond.
+    async fn receive_over(
+        &self,
+        link: &Link,
+        position: Option<u64>,
+        wait: Duration,
+    ) -> Option<Standing> {
+        let started = self.clock.now();
+        let mut transfer = Transfer::default();
+        let mut restarts = 0;
+        while restarts < MAX_RESTARTS {
+            let request = EntryRequest::Configuration {
+                known: self.configured_version(),
+                page: Some(ConfigurationPage {
+                    number: transfer.next_page(),
+                    position,
+                    wait,
+                }),
+            };
+            let response = link.request(request, PAGE_TIMEOUT + wait).await;
+            match response {
+                Ok(EntryResponse::ConfigurationPage {
+                    page: None,
+                    position,
+                    read_age,
+                }) => {
+                    self.log_query(link, started, "nothing newer");
+                    return Some(Standing { position, read_age });
+                }
+                Ok(EntryResponse::ConfigurationPage {
+                    page: Some(page), ..
+                }) => {
+                    restarts += usize::from(!transfer.add(*page));
+                    let base = self.tables.borrow().clone();
+                    if let Some(table) = transfer.finish(base.as_deref()) {
+                        self.put_in_force(table, &link.name(), started);
+                    }
+                }
+                // An entry of an earlier release.
+                Ok(EntryResponse::Configuration(table)) => {
+                    if let Some(table) = table {
+                        self.put_in_force(*table, &link.name(), started);
+                    }
+                    return None;
+                }
+                Ok(_) => return None,
+                Err(error) => {
+                    let is_lost = error.kind == Kind::AnswerLost;
+                    let outcome = if is_lost {
+                        "no response"
+                    } else {
+                        "not reached"
+                    };
+                    self.log_query(link, started, outcome);
+                    return None;
+                }
+            }
+        }
+        self.log_query(link, started, "not completed");
+        None
     }
 
-    fn put_in_force_from(&self, table: Option<Box<QueueTable>>, source: &str, sent: Instant) {
-        if let Some(table) = table {
-            self.put_in_force(*table, source, sent);
-        }
+    fn log_query(&self, link: &Link, started: Instant, outcome: &'static str) {
+        info!(self.log, "configuration queried"; "entry" => link.name(), "outcome" => outcome,
+            "version" => self.configured_version(), "took_ms" => millis(self.clock.now().since(started)));
+        self.count_read(outcome);
     }
 
     /// Returns the link to the owner or, if this entry is the owner, those of the other entries.
--- a/src/entry/control/links.rs
+++ b/src/entry/control/links.rs
@@ -12,7 +12,7 @@
 use crate::core::error::{Kind, Result};
 use crate::core::scheduler::id::Token;
 use crate::core::tenure::Claim;
-use crate::entry::link;
+use crate::entry::link::{self, Link};
 use crate::entry::message::{EntryRequest, EntryResponse};
 use crate::entry::owner::no_owner;
 use crate::entry::port::Platform;
@@ -155,15 +155,29 @@
         peer: SocketAddr,
         request: EntryRequest,
     ) -> Option<Result<EntryResponse>> {
+        let response = self
+            .with_link(peer, async |link| {
+                link.request(request, QUERY_TIMEOUT).await
+            })
+            .await?;
+        let is_lost = matches!(&response, Err(error) if error.kind == Kind::AnswerLost);
+        (!is_lost).then_some(response)
+    }
+
+    /// Opens a link to another entry for `exchange`; returns `None` if the other entry cannot be reached or the
+    /// link fails.
+    pub(super) async fn with_link<T>(
+        &self,
+        peer: SocketAddr,
+        exchange: impl AsyncFnOnce(&Link) -> T,
+    ) -> Option<T> {
         let socket = link::dial(peer).await?;
         let serve = |_| async { Err(no_owner()) };
         let (link, transfer) = link::open(socket, self.this_entry.name.clone(), serve);
-        let response = tokio::select! {
-            () = transfer => return None,
-            response = link.request(request, QUERY_TIMEOUT) => response,
-        };
-        let is_lost = matches!(&response, Err(error) if error.kind == Kind::AnswerLost);
-        (!is_lost).then_some(response)
+        tokio::select! {
+            () = transfer => None,
+            result = exchange(&link) => Some(result),
+        }
     }
 
     /// Returns the claim in force, if another entry owns the cell.
--- a/src/entry/control/mod.rs
+++ b/src/entry/control/mod.rs
@@ -97,6 +97,8 @@
     /// What this entry has read of the jobs, while it is among the first to claim the cell.
     standby: RefCell<Copy>,
     tables: watch::Sender<Option<Arc<QueueTable>>>,
+    /// What this entry tells others of the configuration.
+    configuration: configuration::Relay,
     ready: watch::Sender<bool>,
 }
 
@@ -139,6 +141,7 @@
             confirming: Mutex::new(()),
             standby: RefCell::default(),
             tables,
+            configuration: configuration::Relay::default(),
             ready,
         };
         let view = View {
@@ -325,8 +328,8 @@
         if let EntryRequest::Claim = request {
             return Ok(EntryResponse::Claim(self.elector.borrow().claim().cloned()));
         }
-        if let EntryRequest::Configuration { known } = request {
-            return Ok(self.newer_configuration(known));
+        if let EntryRequest::Configuration { known, page } = request {
+            return Ok(self.serve_configuration(known, page).await);
         }
         if let EntryRequest::Leases { former, successor } = request {
             let leases = self.leases_of_former_ownership(former, successor);
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -6,7 +6,7 @@
 
 use crate::core::account;
 use crate::core::error::Result;
-use crate::core::queue::QueueTable;
+use crate::core::queue::{QueueTable, patch};
 use crate::core::scheduler::RemainingLease;
 use crate::core::scheduler::explain::Explanation;
 use crate::core::scheduler::id::{Job, Step, Token};
@@ -57,10 +57,13 @@
     },
     /// Returns the latest claim that the receiving entry has read or received.
     Claim,
-    /// Returns the configuration in force at the receiving entry, if it is newer than a version.
+    /// Returns a page of what the receiving entry has of the configuration beyond a version.
     Configuration {
         /// The version that the sending entry has; `None` if it has none.
         known: Option<u64>,
+        /// The page; `None` from an entry of an earlier release, which gets the whole table.
+        #[serde(default)]
+        page: Option<ConfigurationPage>,
     },
     /// Requests that the receiving entry take the cell over from the sending owner.
     #[serde(rename = "Succeed")]
@@ -118,6 +121,18 @@
     }
 }
 
+/// Which page of the configuration to return, and when.
+#[message]
+pub struct ConfigurationPage {
+    /// The number of the page.
+    pub number: usize,
+    /// The offset up to which the receiving entry should have read the log. If it has nothing newer yet, it
+    /// waits until it has.
+    pub position: Option<u64>,
+    /// The longest that it waits.
+    pub wait: Duration,
+}
+
 /// What to explain.
 #[message]
 pub enum Explain {
@@ -151,6 +166,15 @@
     Claim(Option<Claim>),
     /// The configuration in force at the responding entry; `None` if it has no newer one.
     Configuration(Option<Box<QueueTable>>),
+    /// A page of the changes of the configuration.
+    ConfigurationPage {
+        /// The page; `None` if the responding entry has no newer version.
+        page: Option<Box<patch::Page>>,
+        /// The offset up to which it has read the log.
+        position: Option<u64>,
+        /// The time since its last read that succeeded; `None` if none has.
+        read_age: Option<Duration>,
+    },
     /// The workers that may still have a lease, as of the response.
     Leases(Vec<RemainingLease>),
     /// Where the tasks of a job would go, or wait.
--- a/src/entry/port.rs
+++ b/src/entry/port.rs
@@ -224,11 +224,32 @@
     fn changes(&mut self) -> impl Future<Output = Result<Vec<DirectoryChange>, ReadError>>;
 }
 
+/// What a read of the configuration returned.
+#[state]
+pub enum Reading {
+    /// No newer table yet.
+    Unchanged,
+    /// A table.
+    Table(Box<QueueTable>),
+    /// There are records up to the offset `end`, whose transfer takes long and is paused. The reader either
+    /// [finishes](Configuration::finish) it or, if it gets their content elsewhere,
+    /// [skips](Configuration::skip_to) them.
+    Large {
+        /// The offset at which the topic ends.
+        end: u64,
+    },
+}
+
 /// The queues that operators configured, as a feed.
 pub trait Configuration {
-    /// Waits for a newer table than the last one returned. Returns `None` when there is no newer table
-    /// yet; the caller then calls again.
-    fn next(&mut self) -> impl Future<Output = Result<Option<QueueTable>, ReadError>>;
+    /// Waits for a newer table than the last one returned, for a limited time.
+    fn next(&mut self) -> impl Future<Output = Result<Reading, ReadError>>;
+
+    /// Completes a paused transfer.
+    fn finish(&mut self) -> impl Future<Output = Result<Reading, ReadError>>;
+
+    /// Continues at `position`, and drops a paused transfer.
+    fn skip_to(&mut self, position: u64);
 
     /// Returns the offset up to which the feed has read; `None` before the first read.
     fn position(&self) -> Option<u64>;
--- a/tests/testsuite/entry/configuration.rs
+++ b/tests/testsuite/entry/configuration.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 
 use super::control::settings;
-use super::fake::{Fake, Feed};
+use super::fake::{Fake, Feed, Tables};
 
 fn table(version: u64) -> QueueTable {
     table_of(version, 0)
@@ -162,3 +162,31 @@
         assert_eq!(*table, table_of(7, MANY_QUEUES));
     });
 }
+
+#[test]
+fn large_configuration_is_transferred_from_the_log_only_to_the_owner() {
+    actix_rt::System::new().block_on(async {
+        let platform = Fake::default();
+        let tables = Tables::default();
+        let start_reader = |name| start(&platform, name, Feed::Log(tables.clone()));
+        let owner = start_reader("front-1");
+        let mut others = Vec::new();
+        tables.push(table_of(1, 1));
+        for name in ["front-2", "front-3", "front-4"] {
+            wait_for_version(&owner, 1).await;
+            others.push(start_reader(name));
+        }
+        for other in &others {
+            let mut ready = other.ready.clone();
+            ready.wait_for(|ready| *ready).await.unwrap();
+        }
+        tables.transfers.set(0);
+        for version in 2..10 {
+            tables.push(table_of(version, 100 * version as usize));
+            for other in &others {
+                wait_for_version(other, version).await;
+            }
+        }
+        assert_eq!(tables.transfers.get(), 8, "once for each version");
+    });
+}
--- a/tests/testsuite/entry/fake.rs
+++ b/tests/testsuite/entry/fake.rs
@@ -14,8 +14,8 @@
 use laburnumplank::core::tenure;
 use laburnumplank::entry::port::{
     Address, Advisor, AppendCondition, AppendOutcome, Changes, Configuration, Directory,
-    DirectoryChange, LatestPage, Log, Page, PermittedWorkers, Platform, ReadError, Record, Topic,
-    Workers,
+    DirectoryChange, LatestPage, Log, Page, PermittedWorkers, Platform, ReadError, Reading, Record,
+    Topic, Workers,
 };
 
 /// A key and its new value.
@@ -271,6 +271,8 @@
     Table(QueueTable),
     /// The platform refuses every read.
     Refused,
+    /// The tables of a log, one after the other.
+    Log(Tables),
 }
 
 impl Directory for Empty {
@@ -280,17 +282,64 @@
 }
 
 impl Configuration for Feed {
-    async fn next(&mut self) -> Result<Option<QueueTable>, ReadError> {
+    async fn next(&mut self) -> Result<Reading, ReadError> {
         tokio::time::sleep(Duration::from_millis(10)).await;
         match self {
-            Feed::Empty => Ok(None),
-            Feed::Table(table) => Ok(Some(table.clone())),
+            Feed::Empty => Ok(Reading::Unchanged),
+            Feed::Table(table) => Ok(Reading::Table(Box::new(table.clone()))),
             Feed::Refused => Err(ReadError::Refused),
+            Feed::Log(log) => Ok(log.next()),
+        }
+    }
+
+    async fn finish(&mut self) -> Result<Reading, ReadError> {
+        match self {
+            Feed::Log(log) => Ok(log.finish()),
+            _ => Ok(Reading::Unchanged),
+        }
+    }
+
+    fn skip_to(&mut self, position: u64) {
+        if let Feed::Log(log) = self {
+            log.position = position;
         }
     }
 
     fn position(&self) -> Option<u64> {
-        None
+        match self {
+            Feed::Log(log) => Some(log.position),
+            _ => None,
+        }
+    }
+}
+
+/// A log of tables, all of which take long to transfer.
+#[derive(Clone, Default)]
+pub(super) struct Tables {
+    tables: Rc<RefCell<Vec<QueueTable>>>,
+    position: u64,
+    /// How many tables have been transferred to all readers.
+    pub(super) transfers: Rc<Cell<u32>>,
+}
+
+impl Tables {
+    pub(super) fn push(&self, table: QueueTable) {
+        self.tables.borrow_mut().push(table);
+    }
+
+    fn next(&self) -> Reading {
+        let end = self.tables.borrow().len() as u64;
+        match end > self.position {
+            true => Reading::Large { end },
+            false => Reading::Unchanged,
+        }
+    }
+
+    fn finish(&mut self) -> Reading {
+        let table = self.tables.borrow()[self.position as usize].clone();
+        self.position += 1;
+        self.transfers.set(self.transfers.get() + 1);
+        Reading::Table(Box::new(table))
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod membership;
 mod placement;
+mod queue;
 mod request;
 mod scheduler;
 mod schema;
