Add amounts without overflow

What a client asks for is not bounded: two steps of 10,000 tasks of 2^64-1 thousandths of a core overflowed the sum of what waits, which ends the process in a debug build and gives a small sum in a release build. The same holds for capacities that another writer lists. Amounts now saturate, and so do the two sums that the scheduler keeps beside them.

Failed before: jobs_that_need_more_than_can_be_counted_hold_up_no_other_job ("attempt to multiply with overflow").

--- a/src/core/resource.rs
+++ b/src/core/resource.rs
@@ -58,15 +58,6 @@
         }
     }
 
-    /// Returns `self` plus `other`, saturating.
-    pub fn saturating_add(self, other: Amount) -> Amount {
-        Amount {
-            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
-            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
-            accelerators: self.accelerators.saturating_add(other.accelerators),
-        }
-    }
-
     /// Returns `self` multiplied by `count`, saturating.
     pub fn times(self, count: u64) -> Amount {
         Amount {
@@ -80,11 +71,12 @@
 impl Add for Amount {
     type Output = Amount;
 
+    /// Adds each resource, saturating.
     fn add(self, other: Amount) -> Amount {
         Amount {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 }
--- a/src/core/scheduler/ledger.rs
+++ b/src/core/scheduler/ledger.rs
@@ -260,8 +260,8 @@
             entry.held
         };
         let cap = entry.cap.unwrap_or(self.fallback);
-        let taken = entry.used.saturating_add(entry.unseen);
-        cap.left(taken.saturating_add(held))
+        let taken = entry.used + entry.unseen;
+        cap.left(taken + held)
     }
 
     /// Returns the first gang that needs more than its account may ever use at once.
@@ -295,7 +295,7 @@
         let entry = &mut self.entries[key];
         // Room that the account can never have isn't worth waiting for.
         if entry.cap.unwrap_or(self.fallback).allows(amount) {
-            entry.held = entry.held.saturating_add(amount);
+            entry.held += amount;
         }
     }
 
@@ -414,7 +414,7 @@
                 None => waiting_need(job),
             };
             let sum = unseen.entry(name.clone()).or_default();
-            *sum = sum.saturating_add(amount);
+            *sum += amount;
         }
         if let Some(capacity) = self.unknown_capacity() {
             for amount in unseen.values_mut() {
@@ -561,5 +561,5 @@
         let need = job.spec.steps[index].need;
         need.times(waiting as u64)
     });
-    needs.fold(Amount::default(), Amount::saturating_add)
+    needs.fold(Amount::default(), std::ops::Add::add)
 }
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -434,7 +434,9 @@
         Load {
             jobs: self.jobs.len(),
             ready_steps: self.ready.len(),
-            waiting_cpu_millis: self.ready.iter().map(|&step| self.waiting_cpu(step)).sum(),
+            waiting_cpu_millis: self.ready.iter().fold(0, |sum: u64, &step| {
+                sum.saturating_add(self.waiting_cpu(step))
+            }),
             workers: self.workers.len(),
             usable_workers: usable.clone().count(),
             held_cpu_millis: self.held_cpu_millis,
@@ -448,7 +450,9 @@
         let job = self.jobs.get(&id.job);
         let found =
             job.and_then(|job| Some((job.step(id)?, &job.spec.steps[usize::from(id.index)])));
-        found.map_or(0, |(step, spec)| step.waiting as u64 * spec.need.cpu_millis)
+        found.map_or(0, |(step, spec)| {
+            spec.need.times(step.waiting as u64).cpu_millis
+        })
     }
 
     /// Appends a record and returns its mark.
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -71,7 +71,7 @@
             return self.long_running < MAX_WAITING_LONG_RUNNING;
         }
         self.gangs < MIN_WAITING_GANGS
-            || self.gang_cpu_millis * 100 < cell_cpu_millis * MAX_AWAITED_PERCENT
+            || self.gang_cpu_millis.saturating_mul(100) < cell_cpu_millis * MAX_AWAITED_PERCENT
     }
 
     fn add(&mut self, is_long_running: bool, cpu_millis: u64) {
@@ -79,7 +79,7 @@
             self.long_running += 1;
         } else {
             self.gangs += 1;
-            self.gang_cpu_millis += cpu_millis;
+            self.gang_cpu_millis = self.gang_cpu_millis.saturating_add(cpu_millis);
         }
     }
 }
--- a/src/core/scheduler/share.rs
+++ b/src/core/scheduler/share.rs
@@ -85,7 +85,7 @@
 impl Waiting {
     /// Adds `tasks` tasks that need `need` each.
     fn add(&mut self, need: Amount, tasks: usize) {
-        self.0 = self.0.saturating_add(need.times(tasks as u64));
+        self.0 += need.times(tasks as u64);
     }
 }
 
@@ -151,9 +151,7 @@
             return Beyond(HashSet::new());
         }
         let workers = self.workers.values().filter(|worker| worker.is_usable());
-        let capacity = workers.fold(Amount::default(), |sum, worker| {
-            sum.saturating_add(worker.entry.capacity)
-        });
+        let capacity = workers.fold(Amount::default(), |sum, worker| sum + worker.entry.capacity);
         let jobs = self
             .ready
             .iter()
@@ -208,9 +206,7 @@
     /// Compares what waits with what is free.
     pub(super) fn note_fullness(&mut self, waiting: &Waiting) {
         let usable = self.workers.values().filter(|worker| worker.is_usable());
-        let free = usable.fold(Amount::default(), |sum, worker| {
-            sum.saturating_add(worker.free())
-        });
+        let free = usable.fold(Amount::default(), |sum, worker| sum + worker.free());
         self.share.is_full = !waiting.0.fits(free);
     }
 }
--- a/tests/testsuite/scheduler/capacity.rs
+++ b/tests/testsuite/scheduler/capacity.rs
@@ -469,3 +469,21 @@
         ]
     );
 }
+
+/// The sum of what two jobs need overflowed, which ended the owner or made the sum small.
+#[test]
+fn jobs_that_need_more_than_can_be_counted_hold_up_no_other_job() {
+    let mut cell = Cell::new(1);
+    cell.add_worker("w1");
+    for (job, gang) in [(1, false), (2, false), (3, true), (4, true)] {
+        let mut largest = step(10_000);
+        largest.need.cpu_millis = u64::MAX;
+        largest.need.memory_mib = u64::MAX;
+        largest.gang = gang;
+        cell.submit(job, queue(), spec(vec![largest]));
+    }
+    cell.submit(7, queue(), spec(vec![step(4)]));
+    cell.confirm();
+    assert_eq!(cell.scheduler.load().waiting_cpu_millis, u64::MAX);
+    assert_eq!(cell.accept_starts().len(), 4);
+}
