--- a/crates/laburnum-measure/src/lib.rs
+++ b/crates/laburnum-measure/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cell;
 pub mod lease;
+pub mod load;
 pub mod placement;
 pub mod plot;
 pub mod report;
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -10,7 +10,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure")]
 pub(crate) struct Options {
-    /// measurements to run: cell, lease, placement, request, scheduler, stream (default: all)
+    /// measurements to run: cell, lease, load, placement, request, scheduler, stream (default: all)
     #[argh(positional)]
     names: Vec<String>,
 
@@ -28,6 +28,7 @@
     ("placement", measure::placement::run),
     ("request", measure::request::run),
     ("scheduler", measure::scheduler::run),
+    ("load", measure::load::run),
     ("stream", measure::stream::run),
 ];
 
