--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -252,7 +252,8 @@
             "held_cpu_millis" => load.held_cpu_millis,
             "used_cpu_millis" => load.used_cpu_millis, "unsettled_runs" => unsettled.runs,
             "unsettled_cpu_millis" => unsettled.cpu_millis,
-            "unknown_needs" => unsettled.unknown_needs, "askers" => self.advisor_proxies());
+            "unknown_needs" => unsettled.unknown_needs, "askers" => self.advisor_proxies(),
+            "visits" => load.visits);
     }
 
     /// Logs the steps that wait although they could run, the longest waits first.
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod advice;
 mod advisor;
+mod cadence;
 mod capacity;
 mod cell;
 pub(crate) use cell::rules;
