--- a/crates/laburnum-measure/src/load.rs
+++ b/crates/laburnum-measure/src/load.rs
@@ -20,6 +20,7 @@
 use rand_pcg::Pcg64;
 
 use crate::report::{Report, Table};
+use crate::scheduler;
 
 /// How long the virtual cell is under load.
 const LOAD_S: u64 = 20;
@@ -181,7 +182,9 @@
         };
         for index in 0..workers {
             cell.input(Input::Listed(entry(index)));
-            let worker = cell.scheduler.worker_named(&name(index));
+            let worker = cell
+                .scheduler
+                .worker_named(&scheduler::name(index as usize));
             let worker = worker.expect("the worker has just been listed");
             let host = Host {
                 running: Vec::new(),
@@ -435,21 +438,9 @@
     }
 }
 
-fn name(index: u64) -> String {
-    format!("worker-{index}")
-}
-
 fn entry(index: u64) -> Entry {
-    let rack = format!("r{}", index / 20);
     Entry {
-        name: name(index),
-        incarnation: 1,
-        address: ([127, 0, 0, 1], 9).into(),
-        service: "desk".to_owned(),
-        data_centre: "quimper".to_owned(),
         capacity: amount(16_000, 32_768),
-        labels: vec!["a".to_owned(), rack.clone()],
-        rack: Some(rack),
-        draining: false,
+        ..scheduler::entry(index as usize)
     }
 }
--- a/crates/laburnum-measure/src/scheduler.rs
+++ b/crates/laburnum-measure/src/scheduler.rs
@@ -195,11 +195,11 @@
     }
 }
 
-fn name(index: usize) -> String {
+pub(crate) fn name(index: usize) -> String {
     format!("worker-{index}")
 }
 
-fn entry(index: usize) -> Entry {
+pub(crate) fn entry(index: usize) -> Entry {
     let rack = format!("r{}", index / 20);
     Entry {
         name: name(index),
