--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -72,11 +72,6 @@
 const BULK_PAUSE: Duration = Duration::from_millis(25);
 /// Up to this many ready steps are cheap to visit at each placement.
 const FEW_STEPS: usize = 32;
-/// A placement of all steps may look at this many pairs of a step and a worker for each millisecond since the last
-/// one, so that placements of a long queue on a large cell leave most of the processor to calls.
-const VISITS_PER_MS: u64 = 1_250;
-/// The same for the workers that a placement of the urgent steps sorts.
-const SORTED_WORKERS_PER_MS: usize = 100;
 
 /// Time limits and factors of the scheduler.
 #[message]
@@ -197,8 +192,6 @@
     is_dirty: bool,
     /// The same since the last placement of all steps.
     is_bulk_dirty: bool,
-    /// How many pairs of a ready step and a worker all placements of all steps so far had to consider.
-    visits: u64,
     /// When tasks were placed last.
     placed_at: Instant,
     /// When all steps were placed last.
@@ -251,7 +244,6 @@
             recovered_progress: HashMap::new(),
             is_dirty: true,
             is_bulk_dirty: true,
-            visits: 0,
             placed_at: now,
             bulk_placed_at: now,
             checked_at: now,
@@ -359,9 +351,8 @@
             self.is_bulk_dirty = false;
             self.placed_at = time.now;
             self.bulk_placed_at = time.now;
-            self.visits += self.visits_of_all_steps();
             self.place(time, place::Steps::All, out);
-        } else if self.is_dirty && since >= self.urgent_pause() {
+        } else if self.is_dirty && since >= PLACE_PAUSE {
             self.is_dirty = false;
             self.placed_at = time.now;
             self.place(time, place::Steps::Urgent, out);
@@ -380,24 +371,11 @@
 
     /// Returns the shortest time between two placements of all steps.
     fn bulk_pause(&self) -> Duration {
-        let shortest = if self.ready.len() > FEW_STEPS {
+        if self.ready.len() > FEW_STEPS {
             BULK_PAUSE
         } else {
             PLACE_PAUSE
-        };
-        let pause = Duration::from_millis(self.visits_of_all_steps() / VISITS_PER_MS);
-        pause.clamp(shortest, PLACE_INTERVAL)
-    }
-
-    /// Returns how many pairs of a step and a worker a placement of all steps has to consider.
-    fn visits_of_all_steps(&self) -> u64 {
-        (self.ready.len() * self.workers.len()) as u64
-    }
-
-    /// Returns the shortest time between two placements.
-    fn urgent_pause(&self) -> Duration {
-        let pause = (self.workers.len() / SORTED_WORKERS_PER_MS) as u64;
-        Duration::from_millis(pause).clamp(PLACE_PAUSE, PLACE_INTERVAL)
+        }
     }
 
     /// Returns the time until the next [`tick`](Scheduler::tick) is due if there is no input.
@@ -406,9 +384,7 @@
             .bulk_pause()
             .saturating_sub(now.since(self.bulk_placed_at));
         if self.is_dirty {
-            let until_urgent = self
-                .urgent_pause()
-                .saturating_sub(now.since(self.placed_at));
+            let until_urgent = PLACE_PAUSE.saturating_sub(now.since(self.placed_at));
             until_urgent.min(until_bulk)
         } else if self.is_bulk_dirty {
             until_bulk
@@ -466,7 +442,6 @@
             held_cpu_millis: self.held_cpu_millis,
             free_cpu_millis: usable.clone().map(|worker| worker.free().cpu_millis).sum(),
             used_cpu_millis: usable.map(|worker| worker.used.cpu_millis).sum(),
-            visits: self.visits,
         }
     }
 
@@ -578,6 +553,4 @@
     pub free_cpu_millis: u64,
     /// Used processors of the usable workers, in thousandths of a core.
     pub used_cpu_millis: u64,
-    /// How many pairs of a ready step and a worker all placements of all steps so far had to consider.
-    pub visits: u64,
 }
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -252,8 +252,7 @@
             "held_cpu_millis" => load.held_cpu_millis,
             "used_cpu_millis" => load.used_cpu_millis, "unsettled_runs" => unsettled.runs,
             "unsettled_cpu_millis" => unsettled.cpu_millis,
-            "unknown_needs" => unsettled.unknown_needs, "askers" => self.advisor_proxies(),
-            "visits" => load.visits);
+            "unknown_needs" => unsettled.unknown_needs, "askers" => self.advisor_proxies());
     }
 
     /// Logs the steps that wait although they could run, the longest waits first.
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -3,7 +3,6 @@
 mod accounts;
 mod advice;
 mod advisor;
-mod cadence;
 mod capacity;
 mod cell;
 pub(crate) use cell::rules;
