Log how late an owner is and what its decisions cost

"load of the owner" shows, once a second, the mean and the longest delay of decisions, the time spent deciding, the inputs, placements, visited steps, workers and jobs looked at since the last line, the records and requests that wait, and the longest wait of an urgent step. The scheduler counts its work; measure load shows the counts, and a load of 150 %.

--- a/crates/laburnum-measure/src/load.rs
+++ b/crates/laburnum-measure/src/load.rs
@@ -1,5 +1,5 @@
-//! The processor time of the scheduler on a busy cell in virtual time: lookups, sweeps and gangs, all of which
-//! need the advisor, on a fleet that they fill by two thirds.
+//! The processor time and the counted work of the scheduler on a busy cell in virtual time: lookups, sweeps and
+//! gangs, all of which need the advisor, on a fleet that they fill by three quarters, and with a backlog.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -13,6 +13,7 @@
     ActiveRun, EndedRun, Inventory, Outcome, RunEnd, Start,
 };
 use laburnumplank::core::scheduler::spec::{Advice, Queue, Spec, Step};
+use laburnumplank::core::scheduler::work::Work;
 use laburnumplank::core::scheduler::worker::Entry;
 use laburnumplank::core::scheduler::{Input, Output, Rules, Scheduler, Time};
 use laburnumplank::core::time::{Instant, Stamp};
@@ -26,6 +27,14 @@
 const LOAD_S: u64 = 20;
 /// The fleet for which the rates of [`CLASSES`] are given.
 const REFERENCE_WORKERS: u64 = 1_100;
+/// The measured numbers of workers, and rates of jobs in hundredths of those of [`CLASSES`].
+const LOADS: [(u64, u64); 5] = [
+    (350, 100),
+    (1_100, 100),
+    (1_100, 150),
+    (2_200, 100),
+    (2_200, 150),
+];
 /// How many entries can call the advisor, for that fleet.
 const REFERENCE_PROXIES: u64 = 147;
 /// The time from a command to its outcome.
@@ -104,8 +113,11 @@
     ticks: Duration,
     inputs: Duration,
     reports: Duration,
-    input_count: u64,
     starts: u64,
+    /// The work that the scheduler has counted.
+    work: Work,
+    /// The ready steps at each report, added up.
+    ready_steps: u64,
 }
 
 /// Runs the measurement.
@@ -116,20 +128,28 @@
 pub fn run() -> eyre::Result<Report> {
     let columns = [
         "workers",
+        "load, %",
+        "ready steps",
         "starts/s",
         "inputs/s",
+        "steps visited/s",
+        "workers looked at/s",
         "placement, ms/s",
         "inputs, ms/s",
         "waits and load, ms/s",
     ];
     let mut table = Table::new("The scheduler under load", &columns);
-    for workers in [350, 1_100, 2_200] {
-        let usage = Cell::new(workers).play();
+    for (workers, percent) in LOADS {
+        let usage = Cell::new(workers, percent).play();
         let per_s = |time: Duration| format!("{:.1}", time.as_secs_f64() * 1e3 / LOAD_S as f64);
         table.row([
             workers.to_string(),
+            percent.to_string(),
+            (usage.ready_steps / LOAD_S).to_string(),
             (usage.starts / LOAD_S).to_string(),
-            (usage.input_count / LOAD_S).to_string(),
+            (usage.work.inputs / LOAD_S).to_string(),
+            (usage.work.steps / LOAD_S).to_string(),
+            (usage.work.workers / LOAD_S).to_string(),
             per_s(usage.ticks),
             per_s(usage.inputs),
             per_s(usage.reports),
@@ -151,6 +171,8 @@
     scheduler: Scheduler,
     now: u64,
     workers: u64,
+    /// The rates of jobs, in hundredths of those of [`CLASSES`].
+    percent: u64,
     events: BinaryHeap<(Reverse<u64>, u64)>,
     pending: Vec<Option<Event>>,
     hosts: std::collections::HashMap<Worker, Host>,
@@ -160,7 +182,7 @@
 }
 
 impl Cell {
-    fn new(workers: u64) -> Cell {
+    fn new(workers: u64, percent: u64) -> Cell {
         let rules = Rules {
             lease: Duration::from_millis(4_500),
             max_lease: Duration::from_millis(6_000),
@@ -173,6 +195,7 @@
             scheduler: Scheduler::new(rules, Token(1), Instant(0)),
             now: 0,
             workers,
+            percent,
             events: BinaryHeap::new(),
             pending: Vec::new(),
             hosts: std::collections::HashMap::new(),
@@ -208,6 +231,7 @@
         let start = 8_000_000;
         let end = start + LOAD_S * 1_000_000;
         let mut next_report = start;
+        let mut idle_work = Work::default();
         while self.now < end {
             let due = self.events.peek().map_or(end, |(Reverse(at), _)| *at);
             let now = Instant(self.now);
@@ -225,14 +249,17 @@
             self.tick();
             if self.now < start {
                 self.usage = Usage::default();
+                idle_work = self.scheduler.work();
             } else if self.now >= next_report {
                 next_report += 1_000_000;
                 let began = WallClock::now();
-                let _ = self.scheduler.load();
+                let load = self.scheduler.load();
                 let _ = self.scheduler.waits(Instant(self.now));
                 self.usage.reports += began.elapsed();
+                self.usage.ready_steps += load.ready_steps as u64;
             }
         }
+        self.usage.work = self.scheduler.work() - idle_work;
         self.usage
     }
 
@@ -254,7 +281,6 @@
         let began = WallClock::now();
         self.scheduler.step(self.time(), input, &mut out);
         self.usage.inputs += began.elapsed();
-        self.usage.input_count += 1;
         self.carry_out(out);
     }
 
@@ -300,6 +326,7 @@
     fn arrive(&mut self, index: usize) {
         let class = &CLASSES[index];
         let rate = class.per_s * self.workers as f64 / REFERENCE_WORKERS as f64;
+        let rate = rate * self.percent as f64 / 100.0;
         let gap = -self.random.random::<f64>().max(1e-9).ln() / rate;
         self.schedule((gap * 1e6) as u64, Event::Arrive(index));
         self.next_job += 1;
--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -135,6 +135,7 @@
     /// Returns the workers on which new tasks may be placed, by service; those with the most free
     /// processors come first.
     pub(super) fn pools(&self, now: Instant) -> HashMap<String, Vec<PoolWorker>> {
+        self.work.count_workers(self.workers.len());
         let mut pools: HashMap<String, Vec<PoolWorker>> = HashMap::new();
         for (key, worker) in &self.workers {
             if !is_placeable(worker, now) {
@@ -179,6 +180,7 @@
             return Vec::new();
         };
         if !demand.needs_permit {
+            self.work.count_workers(scope.pool.len());
             let pool = scope.pool.iter();
             return pool
                 .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
@@ -186,6 +188,7 @@
         }
         let permitted = request.step.permits.permitted();
         let permitted = permitted.filter_map(|key| {
+            self.work.count_workers(1);
             let worker = self.workers.get(key)?;
             let is_in_pool = is_placeable(worker, now) && worker.entry.service == request.service;
             is_in_pool.then(|| request.candidate(key, worker)).flatten()
@@ -228,6 +231,7 @@
         let permits = &request.step.permits;
         let pool = scope.pool.iter();
         pool.take_while(|member| member.free_cpu_millis >= min_cpu_millis)
+            .inspect(|_| self.work.count_workers(1))
             .filter(|member| permits.is_open(member.key))
             .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
             .collect()
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -33,6 +33,7 @@
 pub mod suspicion;
 mod trial;
 pub mod wait;
+pub mod work;
 pub mod worker;
 mod workers;
 
@@ -203,6 +204,8 @@
     /// Free processors that were reserved for gangs at the last placement, in thousandths of a
     /// core.
     held_cpu_millis: u64,
+    /// What was done so far.
+    work: work::Counter,
 }
 
 impl Scheduler {
@@ -249,6 +252,7 @@
             checked_at: now,
             reserved: plan::Reserved::new(),
             held_cpu_millis: 0,
+            work: work::Counter::default(),
         }
     }
 
@@ -260,6 +264,7 @@
     /// Processes one input.
     pub fn step(&mut self, time: Time, input: Input, out: &mut Vec<Output>) {
         self.note_pause(time.now);
+        self.work.count_input();
         match input {
             Input::Submit {
                 request,
@@ -413,7 +418,8 @@
 
     /// Returns the number of accepted jobs of a queue of which no task has been started.
     pub fn pending(&self, queue: &str) -> usize {
-        let jobs = self.jobs.values().filter(|job| job.queue.name == queue);
+        let jobs = self.jobs.values().inspect(|_| self.work.count_job());
+        let jobs = jobs.filter(|job| job.queue.name == queue);
         jobs.filter(|job| job.is_durable && job.phase == Phase::Queued)
             .count()
     }
@@ -428,6 +434,11 @@
         self.workers.get(worker)
     }
 
+    /// Returns what was done in this ownership so far.
+    pub fn work(&self) -> work::Work {
+        self.work.total()
+    }
+
     /// Returns the current load, for metrics and logs.
     pub fn load(&self) -> Load {
         let usable = self.workers.values().filter(|worker| worker.is_usable());
@@ -445,6 +456,16 @@
         }
     }
 
+    /// Returns how long the urgent step has waited that waits longest; zero if none waits.
+    pub fn longest_urgent_wait(&self, now: Instant) -> Duration {
+        let urgent = self.ready.iter().filter(|step| {
+            let job = self.jobs.get(&step.job);
+            job.is_some_and(|job| job.queue.is_urgent())
+        });
+        let waits = urgent.map(|&step| self.waited(step, now));
+        waits.max().unwrap_or_default()
+    }
+
     /// Returns the processors that the waiting tasks of a step need, in thousandths of a core.
     fn waiting_cpu(&self, id: id::Step) -> u64 {
         let job = self.jobs.get(&id.job);
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -108,6 +108,7 @@
             return;
         }
         ranks.sort_unstable();
+        self.work.count_placement(steps == Steps::Urgent);
         self.release_holds();
         self.count_accounts(time, steps);
         let pools = self.pools(time.now);
@@ -120,6 +121,7 @@
         let mut awaited: Vec<Awaited> = Vec::new();
         let mut unplaced = share::Waiting::default();
         for (standing, rank) in ranks {
+            self.work.count_step();
             let Some(job) = self.jobs.get(&rank.step.job) else {
                 continue;
             };
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the scheduler of a cell that this entry owns, and carries out its decisions.
 
 mod calls;
+mod pace;
 mod takeover;
 
 use std::cell::{Cell, RefCell};
@@ -57,9 +58,6 @@
 /// An owner whose decisions are later than this on average hands the cell over: lookups are due
 /// within a few hundred milliseconds.
 const MAX_MEAN_DELAY: Duration = Duration::from_millis(120);
-/// The weight of the latest delay in the mean: a single pause of half a second must not cause a
-/// handover.
-const DELAY_WEIGHT: f64 = 0.2;
 /// An owner whose decisions are late keeps the cell at least this long, so that slow entries don't
 /// hand it over to each other again and again.
 const MIN_TENURE: Duration = Duration::from_secs(3);
@@ -98,6 +96,8 @@
     explained_at: Cell<Option<Instant>>,
     /// The client accounts with a label of their own in metrics.
     labelled_accounts: RefCell<HashSet<account::Name>>,
+    /// How late decisions are, and what they cost.
+    pace: RefCell<pace::Pace>,
 }
 
 impl<P: Platform> Owner<P> {
@@ -131,6 +131,7 @@
             next_proxy: Cell::new(1),
             explained_at: Cell::new(None),
             labelled_accounts: RefCell::default(),
+            pace: RefCell::default(),
         })
     }
 
@@ -235,6 +236,7 @@
             if self.clock.now().since(reported_at) >= REPORT_INTERVAL {
                 reported_at = self.clock.now();
                 self.report_load();
+                self.report_pace();
                 self.report_waits();
                 self.report_accounts();
             }
@@ -255,6 +257,22 @@
             "unknown_needs" => unsettled.unknown_needs, "askers" => self.advisor_proxies());
     }
 
+    /// Logs how late the decisions of this entry are and what they cost, so that operators can tell an
+    /// overloaded owner from a full cell.
+    fn report_pace(&self) {
+        let scheduler = self.scheduler.borrow();
+        let report = self.pace.borrow_mut().take_report(scheduler.work());
+        let work = report.work;
+        let urgent_wait = scheduler.longest_urgent_wait(self.clock.now());
+        info!(self.log, "load of the owner"; "mean_delay_ms" => report.mean_delay.as_millis() as u64,
+            "longest_delay_ms" => report.longest_delay.as_millis() as u64,
+            "deciding_ms" => report.deciding.as_millis() as u64, "inputs" => work.inputs,
+            "placements" => work.placements, "urgent_placements" => work.urgent_placements,
+            "steps" => work.steps, "workers" => work.workers, "jobs" => work.jobs, "records" => self.queue.len(),
+            "requests" => self.requests.borrow().len(),
+            "urgent_wait_ms" => urgent_wait.as_millis() as u64, "token" => self.token.0);
+    }
+
     /// Logs the steps that wait although they could run, the longest waits first.
     fn report_waits(&self) {
         let waits = self.scheduler.borrow().waits(self.clock.now());
@@ -327,19 +345,17 @@
     /// the cell.
     pub async fn wait_until_late(&self) {
         let started_at = self.clock.now();
-        let mut mean_s = 0.0;
         loop {
             let due = self.clock.now() + DELAY_SAMPLE_INTERVAL;
             tokio::time::sleep(DELAY_SAMPLE_INTERVAL).await;
-            let delay_s = self.clock.now().since(due).as_secs_f64();
-            mean_s += (delay_s - mean_s) * DELAY_WEIGHT;
+            let mean = self
+                .pace
+                .borrow_mut()
+                .note_delay(self.clock.now().since(due));
             let may_hand_over = self.clock.now().since(started_at) >= MIN_TENURE;
             // No entry can claim the cell without the log, and a slow owner is better than none.
-            if may_hand_over
-                && mean_s > MAX_MEAN_DELAY.as_secs_f64()
-                && !self.is_log_unavailable.get()
-            {
-                warn!(self.log, "decisions run late"; "mean_ms" => (mean_s * 1e3) as u64);
+            if may_hand_over && mean > MAX_MEAN_DELAY && !self.is_log_unavailable.get() {
+                warn!(self.log, "decisions run late"; "mean_ms" => mean.as_millis() as u64);
                 return;
             }
         }
@@ -353,6 +369,8 @@
             self.scheduler.borrow_mut().tick(time, &mut outputs);
             std::mem::take(&mut *outputs)
         };
+        let deciding = self.clock.now().since(time.now);
+        self.pace.borrow_mut().note_decisions(deciding);
         for output in outputs {
             self.carry_out(output);
         }
--- a/src/entry/writer.rs
+++ b/src/entry/writer.rs
@@ -90,6 +90,11 @@
         waiting.retain(|(_, record)| record.key.as_deref() != Some(key));
     }
 
+    /// Returns how many records wait.
+    pub fn len(&self) -> usize {
+        self.records.borrow().len()
+    }
+
     /// Whether no record waits. Appends may still be in flight.
     pub fn is_empty(&self) -> bool {
         self.records.borrow().is_empty()
