Read from links into small buffers

tungstenite reads into a buffer that grows by 128 KiB, and clears it, before each read. Links of the daemon have the same buffers.

A read takes 4 KiB now. There is no test for the time that a read takes.

--- a/src/daemon/peer/link.rs
+++ b/src/daemon/peer/link.rs
@@ -11,7 +11,7 @@
 use crate::daemon::context::Context;
 use crate::daemon::peer::{Command, DIAL_TIMEOUT, KEEP_ALIVE_PERIOD, PATH, SILENCE_TIMEOUT};
 use crate::util::metric::label;
-use crate::wire::Frame;
+use crate::wire::{self, Frame};
 
 /// A frame in the queue of a link.
 pub(super) struct Queued {
@@ -26,7 +26,9 @@
         let stream = TcpStream::connect(address).await.ok()?;
         let _ = stream.set_nodelay(true);
         let url = format!("ws://{address}{PATH}");
-        tokio_tungstenite::client_async(url, stream).await.ok()
+        let config = Some(wire::socket_config());
+        let connected = tokio_tungstenite::client_async_with_config(url, stream, config);
+        connected.await.ok()
     };
     let (socket, _response) = actix_rt::time::timeout(DIAL_TIMEOUT, dialled)
         .await
--- a/src/daemon/peer/mod.rs
+++ b/src/daemon/peer/mod.rs
@@ -29,7 +29,7 @@
 use crate::core::request::call::Id;
 use crate::core::time::Instant;
 use crate::util::metric::label;
-use crate::wire::{Frame, Reply, Request, Response};
+use crate::wire::{self, Frame, Reply, Request, Response};
 
 /// How long a link may be idle before it carries a keep-alive.
 const KEEP_ALIVE_PERIOD: Duration = Duration::from_millis(800);
@@ -409,7 +409,8 @@
         );
         let context = self.context.clone();
         actix_rt::spawn(async move {
-            let socket = WebSocketStream::from_raw_socket(stream, Role::Server, None).await;
+            let config = Some(wire::socket_config());
+            let socket = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
             serve_link(&context, id, socket, frames).await;
             context.peer(Command::Closed { link: id });
         });
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -19,6 +19,7 @@
 
 use super::message::{EntryRequest, EntryResponse, Frame};
 use crate::core::error::{Error, Kind, Result};
+use crate::wire;
 
 /// The interval between heartbeats on an idle link.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -111,7 +112,9 @@
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let url = format!("ws://{address}/");
-        tokio_tungstenite::client_async(url, stream).await.ok()
+        let config = Some(wire::socket_config());
+        let connected = tokio_tungstenite::client_async_with_config(url, stream, config);
+        connected.await.ok()
     };
     let (socket, _response) = tokio::time::timeout(DIAL_TIMEOUT, dialled).await.ok()??;
     Some(socket)
@@ -120,7 +123,8 @@
 /// Completes the handshake of an accepted connection; returns `None` when it fails.
 pub async fn accept(stream: TcpStream) -> Option<WebSocketStream<TcpStream>> {
     stream.set_nodelay(true).ok()?;
-    let accepted = tokio_tungstenite::accept_async(stream);
+    let config = Some(wire::socket_config());
+    let accepted = tokio_tungstenite::accept_async_with_config(stream, config);
     tokio::time::timeout(DIAL_TIMEOUT, accepted)
         .await
         .ok()?
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,3 +11,14 @@
 pub use frame::{Frame, SlotHandover, TargetGrants};
 pub use request::{Call, Reply, Request, Response, StreamState};
 pub use stream::Stream;
+
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+/// The most bytes that one read takes from a socket between entries. A socket clears as much memory
+/// before each read, and most frames are much smaller.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+
+/// Returns the configuration of the sockets between entries.
+pub fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+}
