Keep the workers on which tasks may be placed up to date

A fleet notes which workers have changed, and a placement looks again at these only. Workers have seats, small numbers that sets of workers consist of: those with room for a need, those that a step is permitted, those that the advisor need not be asked about. What a step may use is the intersection. Expected ends are kept until their worker changes, and a call sorts only as many workers as it can name. The order of candidates, and so each placement, stays as it was; in builds with debug assertions each placement compares the pools with new ones, and each search for unasked workers with a full one.

--- a/src/core/scheduler/advice.rs
+++ b/src/core/scheduler/advice.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use fixedbitset::FixedBitSet;
 use laburnum_derive::{state, value};
 
 use super::id::{Step, Worker};
@@ -91,6 +92,12 @@
     /// The earliest time of the next call; set after a failed call.
     pub not_before: Instant,
     recheck: Option<Recheck>,
+    /// The seats of the permitted workers, and maybe those of others.
+    permitted_seats: FixedBitSet,
+    /// The seats of the workers of which the advisor need not be asked, unless others have got them since.
+    closed_seats: FixedBitSet,
+    /// How many seats had got a further worker before the first answer.
+    reused_before: Option<usize>,
 }
 
 impl Permits {
@@ -113,10 +120,50 @@
         verdict.is_none_or(|verdict| *verdict == Verdict::Doubted)
     }
 
-    /// Returns the workers that the last answers permitted, whether or not their permits have ended.
-    pub fn permitted(&self) -> impl Iterator<Item = Worker> {
-        let permitted = self.workers.iter();
-        permitted.filter_map(|(&worker, verdict)| verdict.permit().map(|_| worker))
+    /// Whether the last answers permitted any worker.
+    pub(super) fn has_permitted(&self) -> bool {
+        let mut verdicts = self.workers.values();
+        verdicts.any(|verdict| verdict.permit().is_some())
+    }
+
+    /// Returns the seats of the workers that the last answers permitted, whether or not their permits have
+    /// ended. The [verdict](Permits::verdict) tells whether the worker that has the seat now is permitted.
+    pub(super) fn permitted_seats(&self) -> &FixedBitSet {
+        &self.permitted_seats
+    }
+
+    /// Stores which seat a worker has that an answer has named. `reused` are the seats that got a further
+    /// worker so far.
+    pub(super) fn note_seat(&mut self, worker: Worker, seat: usize, reused: &[usize]) {
+        self.reused_before.get_or_insert(reused.len());
+        self.closed_seats.grow(seat + 1);
+        self.closed_seats.set(seat, !self.is_open(worker));
+        self.permitted_seats.grow(seat + 1);
+        let is_permitted = self.verdict(worker) == Some(true);
+        self.permitted_seats.set(seat, is_permitted);
+    }
+
+    /// Returns those of `seats` whose workers the advisor may have to be asked about: all for which that
+    /// [is so](Permits::is_open), and maybe others.
+    pub(super) fn open_seats(&self, seats: &FixedBitSet, reused: &[usize]) -> FixedBitSet {
+        let mut open = seats.clone();
+        open.difference_with(&self.closed_seats);
+        let before = self.reused_before.unwrap_or(reused.len());
+        for &seat in &reused[before..] {
+            if seats.contains(seat) {
+                open.insert(seat);
+            }
+        }
+        open
+    }
+
+    /// Forgets the answer for a worker.
+    pub(super) fn forget(&mut self, worker: Worker, seat: usize) {
+        self.workers.remove(&worker);
+        for seats in [&mut self.closed_seats, &mut self.permitted_seats] {
+            seats.grow(seat + 1);
+            seats.remove(seat);
+        }
     }
 
     /// Doubts all denials when the next recheck is due. Is to be called while the permitted workers
@@ -131,6 +178,7 @@
                         *verdict = Verdict::Doubted;
                     }
                 }
+                self.closed_seats.clone_from(&self.permitted_seats);
                 (recheck.wait * 2).min(MAX_RECHECK)
             }
         };
--- a/src/core/scheduler/advisor_calls.rs
+++ b/src/core/scheduler/advisor_calls.rs
@@ -94,7 +94,7 @@
     /// Returns the free capacity of the named workers that an urgent step is expected to use after the
     /// answer, if the advisor permits `share` of them.
     fn capacity_to_hold(&self, step: Step, named: &[Worker], share: f64) -> Reserved {
-        let mut held = Reserved::new();
+        let mut held = Reserved::default();
         let Some(job) = self.jobs.get(&step.job).filter(|job| job.queue.is_urgent()) else {
             return held;
         };
@@ -206,6 +206,12 @@
             .count();
         let until = call.issued_at(now) + validity;
         state.permits.record_answer(&call.workers, allowed, until);
+        for &key in &call.workers {
+            if let Some(worker) = self.workers.get(key) {
+                let reused = self.workers.reused();
+                state.permits.note_seat(key, worker.seat, reused);
+            }
+        }
         if !first_answers.is_empty() {
             let latest = permitted as f64 / first_answers.len() as f64;
             let share = self
--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -5,12 +5,14 @@
 //! permitted; the others matter only while the advisor can be called, and those with too few free
 //! processors are not visited.
 
-use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::rc::Rc;
+
+use fixedbitset::FixedBitSet;
 
 use super::id::{Step, Worker};
 use super::job::Step as StepState;
 use super::plan::{Candidate, Reserved};
+use super::pool::{Pool, is_placeable};
 use super::worker::Worker as WorkerState;
 use super::{Scheduler, spec};
 use crate::core::resource::Amount;
@@ -40,18 +42,10 @@
     pub(super) isolation: Isolation,
 }
 
-/// A worker on which new tasks may be placed.
-pub(super) struct PoolWorker {
-    key: Worker,
-    /// Its free processors when the placement began, in thousandths of a core. Tasks that the
-    /// placement starts only make them fewer.
-    free_cpu_millis: u64,
-}
-
 /// Where the tasks of a step may be placed.
 #[derive(Clone, Copy)]
 pub(super) struct Scope<'a> {
-    pub(super) pool: &'a [PoolWorker],
+    pub(super) pool: &'a Pool,
     /// The capacity that steps earlier in the order have reserved.
     pub(super) reserved: &'a Reserved,
     /// How many tasks the cap of the job's client account allows to start.
@@ -75,8 +69,6 @@
     reserved: &'a Reserved,
     room: Room,
     now: Instant,
-    /// The service whose workers run the step.
-    service: &'a str,
     /// The workers on which the last run of a task of the step failed.
     failed_on: Vec<Worker>,
     /// The workers that others keep for themselves, or that have runs which the tasks must not join.
@@ -86,6 +78,23 @@
 }
 
 impl CandidateRequest<'_> {
+    /// Returns the seats of the workers of a pool that may be candidates.
+    fn seats(&self, pool: &Pool) -> Rc<FixedBitSet> {
+        pool.with_room(match self.room {
+            Room::Free => self.demand.need.cpu_millis,
+            Room::Any => 0,
+        })
+    }
+
+    /// Returns the worker at a seat of a pool unless it cannot be a candidate for lack of room.
+    fn key(&self, pool: &Pool, seat: usize) -> Option<Worker> {
+        let need = match self.room {
+            Room::Free => self.demand.need,
+            Room::Any => Amount::default(),
+        };
+        pool.worker_with_room(seat, need)
+    }
+
     /// Returns the worker as a candidate; `None` if it may not run the step or lacks the room.
     fn candidate(&self, key: Worker, worker: &WorkerState) -> Option<Candidate> {
         let reserved = self.reserved.get(&key).copied().unwrap_or_default();
@@ -126,46 +135,12 @@
                 Isolation::Shared => worker.attempts.len(),
                 _ => 0,
             },
-            rack: worker.rack.clone(),
+            rack: self.spec.same_rack.then(|| worker.rack.clone()).flatten(),
         })
     }
 }
 
 impl Scheduler {
-    /// Returns the workers on which new tasks may be placed, by service; those with the most free
-    /// processors come first.
-    pub(super) fn pools(&self, now: Instant) -> HashMap<String, Vec<PoolWorker>> {
-        self.work.count_workers(self.workers.len());
-        let mut pools: HashMap<String, Vec<PoolWorker>> = HashMap::new();
-        for (key, worker) in &self.workers {
-            if !is_placeable(worker, now) {
-                continue;
-            }
-            let free_cpu_millis = worker.free().cpu_millis;
-            let member = PoolWorker {
-                key,
-                free_cpu_millis,
-            };
-            match pools.get_mut(&worker.entry.service) {
-                Some(pool) => pool.push(member),
-                None => {
-                    pools.insert(worker.entry.service.clone(), vec![member]);
-                }
-            }
-        }
-        for pool in pools.values_mut() {
-            pool.sort_unstable_by_key(|member| (Reverse(member.free_cpu_millis), member.key));
-        }
-        pools
-    }
-
-    /// Returns the processors of all workers of the pools, in thousandths of a core.
-    pub(super) fn cpu_millis(&self, pools: &HashMap<String, Vec<PoolWorker>>) -> u64 {
-        let members = pools.values().flatten();
-        let workers = members.filter_map(|member| self.workers.get(member.key));
-        workers.map(|worker| worker.entry.capacity.cpu_millis).sum()
-    }
-
     /// Returns the workers that may run a step without a further answer of the advisor; their permits
     /// may have to be renewed.
     pub(super) fn candidates(
@@ -180,20 +155,48 @@
             return Vec::new();
         };
         if !demand.needs_permit {
-            self.work.count_workers(scope.pool.len());
-            let pool = scope.pool.iter();
+            let pool = scope.pool.by_room().iter();
             return pool
-                .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
+                .inspect(|_| self.work.count_workers(1))
+                .filter_map(|&key| request.candidate(key, self.workers.get(key)?))
                 .collect();
         }
-        let permitted = request.step.permits.permitted();
-        let permitted = permitted.filter_map(|key| {
+        let mut permitted: Vec<Candidate> = self.permitted(&request, scope.pool).collect();
+        permitted.sort_unstable_by_key(|candidate| candidate.worker);
+        permitted
+    }
+
+    /// Whether there is a worker, maybe without room, that may run a step without a further answer of the
+    /// advisor.
+    pub(super) fn has_permitted_candidate(
+        &self,
+        demand: &Demand,
+        spec: &spec::Step,
+        scope: Scope<'_>,
+        now: Instant,
+    ) -> bool {
+        let request = self.candidate_request(demand, spec, scope, Room::Any, now);
+        request.is_some_and(|request| self.permitted(&request, scope.pool).next().is_some())
+    }
+
+    fn permitted<'a>(
+        &'a self,
+        request: &'a CandidateRequest<'a>,
+        pool: &'a Pool,
+    ) -> impl Iterator<Item = Candidate> + 'a {
+        let permits = &request.step.permits;
+        let mut seats = (*request.seats(pool)).clone();
+        seats.intersect_with(permits.permitted_seats());
+        seats.into_ones().filter_map(move |seat| {
             self.work.count_workers(1);
+            let key = request.key(pool, seat)?;
             let worker = self.workers.get(key)?;
-            let is_in_pool = is_placeable(worker, now) && worker.entry.service == request.service;
-            is_in_pool.then(|| request.candidate(key, worker)).flatten()
-        });
-        permitted.collect()
+            let is_permitted = permits.verdict(key) == Some(true);
+            let is_candidate = is_permitted && is_placeable(worker, request.now);
+            is_candidate
+                .then(|| request.candidate(key, worker))
+                .flatten()
+        })
     }
 
     /// Returns the workers of the pool on which the advisor has given no answer for a step; none while
@@ -224,17 +227,44 @@
         let Some(request) = self.candidate_request(demand, spec, scope, room, now) else {
             return Vec::new();
         };
-        let min_cpu_millis = match room {
-            Room::Free => demand.need.cpu_millis,
-            Room::Any => 0,
-        };
+        self.unasked(&request, scope.pool).collect()
+    }
+
+    /// Whether there is a worker in the pool on which the advisor has given no answer for a step.
+    pub(super) fn has_unasked_candidate(
+        &self,
+        demand: &Demand,
+        spec: &spec::Step,
+        scope: Scope<'_>,
+        now: Instant,
+    ) -> bool {
+        let request = self.candidate_request(demand, spec, scope, Room::Any, now);
+        request.is_some_and(|request| self.unasked(&request, scope.pool).next().is_some())
+    }
+
+    fn unasked<'a>(
+        &'a self,
+        request: &'a CandidateRequest<'a>,
+        pool: &'a Pool,
+    ) -> impl Iterator<Item = Candidate> + 'a {
         let permits = &request.step.permits;
-        let pool = scope.pool.iter();
-        pool.take_while(|member| member.free_cpu_millis >= min_cpu_millis)
-            .inspect(|_| self.work.count_workers(1))
-            .filter(|member| permits.is_open(member.key))
-            .filter_map(|member| request.candidate(member.key, self.workers.get(member.key)?))
-            .collect()
+        let seats = request.seats(pool);
+        let open = permits.open_seats(&seats, self.workers.reused());
+        debug_assert!(
+            seats.ones().all(|seat| {
+                let key = pool.worker_with_room(seat, Amount::default());
+                open.contains(seat) || key.is_none_or(|key| !permits.is_open(key))
+            }),
+            "the advisor has to be asked about a worker whose seat is closed"
+        );
+        open.into_ones().filter_map(move |seat| {
+            self.work.count_workers(1);
+            let key = request.key(pool, seat)?;
+            let is_open = permits.is_open(key);
+            is_open
+                .then(|| request.candidate(key, self.workers.get(key)?))
+                .flatten()
+        })
     }
 
     fn candidate_request<'a>(
@@ -255,15 +285,9 @@
             reserved: scope.reserved,
             room,
             now,
-            service: &job.queue.service,
             failed_on: tasks.filter_map(|task| task.failed_on).collect(),
             excluded: self.excluded_workers(demand.isolation),
             gang_workers: self.gang_workers(demand.isolation),
         })
     }
 }
-
-/// Whether new tasks may be placed on a worker if it has the capacity.
-fn is_placeable(worker: &WorkerState, now: Instant) -> bool {
-    worker.is_usable() && worker.history.allows_run(now, worker.attempts.len())
-}
--- a/src/core/scheduler/explain.rs
+++ b/src/core/scheduler/explain.rs
@@ -18,6 +18,7 @@
 use super::message::{Input, Output};
 use super::place::Steps;
 use super::plan::{self, Reserved};
+use super::pool::{Pool, Pools};
 use super::spec::{Queue, Spec};
 use super::{Scheduler, Time};
 use crate::core::account;
@@ -340,10 +341,10 @@
         let demand = self.demand(id, now)?;
         let job = self.jobs.get(&id.job)?;
         let spec = job.spec.steps.get(usize::from(id.index))?;
-        let pools = self.pools(now);
+        let pools = Pools::of(&self.workers, now);
         let scope = Scope {
             pool: pools.get(&job.queue.service)?,
-            reserved: &Reserved::new(),
+            reserved: &Reserved::default(),
             max_starts: usize::MAX,
         };
         let candidates = self.candidates(&demand, spec, scope, Room::Any, now);
@@ -362,9 +363,10 @@
         else {
             return counts;
         };
-        let pools = self.pools(now);
+        let pools = Pools::of(&self.workers, now);
+        let none = Pool::default();
         let scope = Scope {
-            pool: pools.get(&job.queue.service).map_or(&[], Vec::as_slice),
+            pool: pools.get(&job.queue.service).unwrap_or(&none),
             reserved: &self.reserved,
             max_starts: usize::MAX,
         };
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod advisor_calls;
 mod candidates;
 pub mod explain;
+mod fleet;
 pub mod id;
 mod inheritance;
 pub mod job;
@@ -26,6 +27,7 @@
 mod place;
 mod plan;
 pub mod poison;
+mod pool;
 pub mod record;
 mod runs;
 pub mod share;
@@ -41,7 +43,6 @@
 use std::time::Duration;
 
 use laburnum_derive::{message, state, value};
-use slotmap::SlotMap;
 
 pub use inheritance::RemainingLease;
 pub use message::{Answer, Input, Output};
@@ -138,7 +139,7 @@
     rules: Rules,
     token: Token,
     began: Instant,
-    jobs: HashMap<id::Job, job::Job>,
+    jobs: HashMap<id::Job, job::Job, foldhash::fast::RandomState>,
     /// The jobs of which no task has been started, and maybe some of which one was before this ownership.
     unstarted: BTreeSet<id::Job>,
     /// Steps with waiting tasks whose dependencies are done.
@@ -147,7 +148,9 @@
     scheduled: BTreeSet<(Stamp, id::Job)>,
     /// Ended jobs, oldest first.
     ended: VecDeque<(Instant, id::Job)>,
-    workers: SlotMap<id::Worker, worker::Worker>,
+    workers: fleet::Fleet,
+    /// The workers on which tasks may be placed, as of the last placement.
+    pools: pool::Pools,
     by_name: HashMap<String, id::Worker>,
     /// When the last request to the log was sent whose response showed that no later owner had fenced
     /// the log.
@@ -217,12 +220,13 @@
             rules,
             token,
             began: now,
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             unstarted: BTreeSet::new(),
             ready: BTreeSet::new(),
             scheduled: BTreeSet::new(),
             ended: VecDeque::new(),
-            workers: SlotMap::with_key(),
+            workers: fleet::Fleet::default(),
+            pools: pool::Pools::default(),
             by_name: HashMap::new(),
             claim_confirmed_at: now,
             active_at: now,
@@ -253,7 +257,7 @@
             placed_at: now,
             bulk_placed_at: now,
             checked_at: now,
-            reserved: plan::Reserved::new(),
+            reserved: plan::Reserved::default(),
             held_cpu_millis: 0,
             work: work::Counter::default(),
         }
--- a/src/core/scheduler/place.rs
+++ b/src/core/scheduler/place.rs
@@ -12,13 +12,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::advice::cost;
+use super::advice::{MAX_NAMED, cost};
 use super::candidates::{Demand, Isolation, Room, Scope};
 use super::id::{Run, Step, Task, Worker};
 use super::job::{Job, Step as StepState, TaskState};
 use super::message::{Output, Start};
 use super::order::{self, Rank};
 use super::plan::{self, Awaited, Candidate, Reservation, Reserved, Slot};
+use super::pool::Pools;
 use super::share::{self, Standing};
 use super::worker::{Attempt, State};
 use super::{Scheduler, Time, spec};
@@ -111,10 +112,36 @@
         self.work.count_placement(steps == Steps::Urgent);
         self.release_holds();
         self.count_accounts(time, steps);
-        let pools = self.pools(time.now);
-        let cell_cpu_millis = self.cpu_millis(&pools);
+        self.refresh_pools(time.now);
+        // The pools don't change during a placement.
+        let pools = std::mem::take(&mut self.pools);
+        self.place_ranked(ranks, &pools, time, steps, out);
+        self.pools = pools;
+    }
+
+    /// Brings the pools up to date.
+    fn refresh_pools(&mut self, now: Instant) {
+        let changed = self.workers.take_changed();
+        let looked_at = self.pools.refresh(&self.workers, &changed, now);
+        self.work.count_workers(looked_at);
+        debug_assert!(
+            self.pools.is_same(&Pools::of(&self.workers, now)),
+            "a worker has changed without a refresh of its pool"
+        );
+    }
+
+    /// Starts the tasks that can be started of the steps with these ranks.
+    fn place_ranked(
+        &mut self,
+        ranks: Vec<(Standing, Rank)>,
+        pools: &Pools,
+        time: Time,
+        steps: Steps,
+        out: &mut Vec<Output>,
+    ) {
+        let cell_cpu_millis = pools.cpu_millis();
         let mut reserved = match steps {
-            Steps::All => Reserved::new(),
+            Steps::All => Reserved::default(),
             Steps::Urgent => self.reserved.clone(),
         };
         let mut waiting = Waiting::default();
@@ -167,7 +194,7 @@
                 // An urgent step may use reserved capacity when there is no other.
                 let scope = Scope {
                     pool,
-                    reserved: &Reserved::new(),
+                    reserved: &Reserved::default(),
                     max_starts: self.startable_tasks(rank.step, true),
                 };
                 reservation = self.place_step(rank.step, scope, may_reserve, time, out);
@@ -334,13 +361,14 @@
             } else {
                 without_permit
             };
-            self.request_permits(demand, &renewed, unknown, missing, time, out);
+            self.request_permits(demand, &renewed, &unknown, missing, time, out);
             // Without a call, the denials stay as they are, and a long queue need not visit the workers.
-            if missing > 0 && !has_unknown && self.may_call_advisor(demand.step, time.now) {
-                let permitted = self.candidates(demand, spec, scope, Room::Any, time.now);
-                if permitted.is_empty() {
-                    self.recheck_denials(demand.step, time.now);
-                }
+            if missing > 0
+                && !has_unknown
+                && self.may_call_advisor(demand.step, time.now)
+                && !self.has_permitted_candidate(demand, spec, scope, time.now)
+            {
+                self.recheck_denials(demand.step, time.now);
             }
         }
     }
@@ -370,7 +398,7 @@
                 return None;
             }
             let renewed = self.with_spares(demand, without_permit, &candidates, time.now);
-            self.request_permits(demand, &renewed, Vec::new(), 0, time, out);
+            self.request_permits(demand, &renewed, &[], 0, time, out);
             return Some(Reservation::Planned(plan::planned_capacity(
                 &candidates,
                 &plan,
@@ -381,7 +409,7 @@
             // The advisor is called only if the gang could start after the answer.
             let unknown = self.unknown_candidates(demand, spec, scope, Room::Free, time.now);
             if self.could_fit(demand, &candidates, &unknown) {
-                self.request_permits(demand, &[], unknown, demand.waiting.len(), time, out);
+                self.request_permits(demand, &[], &unknown, demand.waiting.len(), time, out);
             }
         }
         None
@@ -435,7 +463,7 @@
             } else {
                 Vec::new()
             };
-            self.request_permits(demand, &without_permit, unknown, missing, time, out);
+            self.request_permits(demand, &without_permit, &unknown, missing, time, out);
         }
         if awaited.is_sufficient || !spec.gang {
             return Some(Reservation::Wanted(Awaited {
@@ -461,8 +489,7 @@
         let job = self.jobs.get(&demand.step.job);
         let step = job.and_then(|job| job.step(demand.step));
         let is_called = step.is_some_and(|step| step.permits.call.is_some());
-        let unasked = self.unasked_candidates(demand, spec, scope, Room::Any, now);
-        is_called || !unasked.is_empty()
+        is_called || self.has_unasked_candidate(demand, spec, scope, now)
     }
 
     /// Adds to the workers for which a step renews its permits others whose permits end soon too.
@@ -588,7 +615,7 @@
         &mut self,
         demand: &Demand,
         without_permit: &[Worker],
-        mut unknown: Vec<Candidate>,
+        unknown: &[Candidate],
         missing: usize,
         time: Time,
         out: &mut Vec<Output>,
@@ -596,22 +623,13 @@
         if without_permit.is_empty() && (missing == 0 || unknown.is_empty()) {
             return;
         }
-        // Workers with capacity for more tasks come first. Among equals, the order differs by step,
-        // so that the calls of a burst of steps don't all name the same few workers.
-        unknown.sort_by_cached_key(|candidate| {
-            (
-                candidate.is_remote,
-                Reverse(candidate.fits(demand.need).min(missing)),
-                step_worker_hash(demand.step, candidate.worker),
-            )
-        });
         let fitting: usize = unknown
             .iter()
             .map(|candidate| candidate.fits(demand.need))
             .sum();
         let per_worker = (fitting / unknown.len().max(1)).max(1);
         let wanted = missing.div_ceil(per_worker);
-        let unknown: Vec<Worker> = unknown.iter().map(|candidate| candidate.worker).collect();
+        let unknown = preferred_unknown(demand, unknown, missing);
         self.call_advisor(demand.step, without_permit, &unknown, wanted, time, out);
     }
 
@@ -764,6 +782,27 @@
     without_permit
 }
 
+/// Returns the workers that a call should name first, no more than it can name. Workers with capacity for
+/// more tasks come first. Among equals, the order differs by step, so that the calls of a burst of steps
+/// don't all name the same few workers.
+fn preferred_unknown(demand: &Demand, unknown: &[Candidate], missing: usize) -> Vec<Worker> {
+    let ranked = unknown.iter().map(|candidate| {
+        let rank = (
+            candidate.is_remote,
+            Reverse(candidate.fits(demand.need).min(missing)),
+            step_worker_hash(demand.step, candidate.worker),
+        );
+        (rank, candidate.worker)
+    });
+    let mut ranked: Vec<_> = ranked.collect();
+    if ranked.len() > MAX_NAMED {
+        ranked.select_nth_unstable(MAX_NAMED);
+        ranked.truncate(MAX_NAMED);
+    }
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, worker)| worker).collect()
+}
+
 /// Returns a hash by which workers are ordered differently for each step.
 fn step_worker_hash(step: Step, worker: Worker) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/src/core/scheduler/plan.rs
+++ b/src/core/scheduler/plan.rs
@@ -13,7 +13,7 @@
 use crate::core::time::Instant;
 
 /// Capacity that is reserved for steps that come earlier in the order, by worker.
-pub(super) type Reserved = HashMap<Worker, Amount>;
+pub(super) type Reserved = HashMap<Worker, Amount, foldhash::fast::RandomState>;
 
 /// Capacity that is reserved for a gang. Steps that come later in the order cannot use it.
 pub(super) enum Reservation {
@@ -49,6 +49,7 @@
     pub(super) has_failed: bool,
     /// The number of runs there, if the tasks should have few beside them.
     pub(super) neighbours: usize,
+    /// Its rack, for a step whose tasks should share one.
     pub(super) rack: Option<Arc<str>>,
 }
 
@@ -185,7 +186,7 @@
     plan: &[(u16, usize)],
     need: Amount,
 ) -> Reserved {
-    let mut reserved = Reserved::new();
+    let mut reserved = Reserved::default();
     for &(_, index) in plan {
         *reserved.entry(candidates[index].worker).or_default() += need;
     }
@@ -254,7 +255,7 @@
 ) -> AwaitedCapacity {
     slots.sort_by_key(|slot| slot.at);
     slots.truncate(tasks);
-    let mut amounts = Reserved::new();
+    let mut amounts = Reserved::default();
     for slot in &slots {
         *amounts
             .entry(candidates[slot.candidate].worker)
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -405,12 +405,10 @@
             Refusal::Fenced => out.push(Output::Superseded),
             Refusal::OtherWorker => self.lost_address(key, time.now, out),
             Refusal::Permit => {
-                if let Some(step) = self
-                    .jobs
-                    .get_mut(&task.step.job)
-                    .and_then(|job| job.step_mut(task.step))
-                {
-                    step.permits.workers.remove(&key);
+                let job = self.jobs.get_mut(&task.step.job);
+                let step = job.and_then(|job| job.step_mut(task.step));
+                if let (Some(step), Some(worker)) = (step, self.workers.get(key)) {
+                    step.permits.forget(key, worker.seat);
                 }
             }
             Refusal::Unhealthy | Refusal::Malformed => {
--- a/src/core/scheduler/suspicion.rs
+++ b/src/core/scheduler/suspicion.rs
@@ -107,6 +107,11 @@
         self.pause.is_some_and(|pause| now < self.until + pause)
     }
 
+    /// Whether the end of a pause may change if a run may be placed on the worker.
+    pub fn is_paused(&self) -> bool {
+        self.pause.is_some() || self.starts_paused_until.is_some()
+    }
+
     /// Whether a run may be placed on the worker at `now`, while `running` other runs are there.
     pub fn allows_run(&self, now: Instant, running: usize) -> bool {
         let may_be_tried = !self.is_suspect(now) || (now >= self.until && running == 0);
--- a/src/core/scheduler/wait.rs
+++ b/src/core/scheduler/wait.rs
@@ -287,7 +287,7 @@
 impl Usable {
     /// Returns how many tasks fit on the workers for which `is_counted` holds.
     fn fits(&self, is_counted: impl Fn(Worker) -> bool) -> usize {
-        self.fits_beside(&Reserved::new(), is_counted)
+        self.fits_beside(&Reserved::default(), is_counted)
     }
 
     /// Returns the same without the capacity in `reserved`.
@@ -476,7 +476,7 @@
         }
         if verdicts.permitted + verdicts.ended >= needed {
             Reason::PermitsEnded(verdicts)
-        } else if permits.permitted().next().is_some() {
+        } else if permits.has_permitted() {
             Reason::NoRoom(verdicts)
         } else {
             Reason::NoPermittedWorker(verdicts)
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -4,6 +4,7 @@
 //! more. The capacity stays in use after a lost response, while a stop is in progress and while the
 //! worker does not respond. A run whose need is not known uses all capacity that the others leave.
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -142,15 +143,19 @@
     /// Returns when the run is expected to end, extrapolated from the progress that was reported last,
     /// or from the estimate while there is none.
     pub fn expected_end(&self, now: Instant) -> Instant {
-        let end = match self.percent {
+        self.extrapolated_end().max(now + MIN_REMAINING)
+    }
+
+    /// Returns the same without regard to the present, which may be later.
+    fn extrapolated_end(&self) -> Instant {
+        match self.percent {
             0 => self.started + self.estimate,
             percent => {
                 let spent = self.reported_at.since(self.started);
                 let left = f64::from(100 - percent.min(100)) / f64::from(percent);
                 self.reported_at + spent.mul_f64(left)
             }
-        };
-        end.max(now + MIN_REMAINING)
+        }
     }
 }
 
@@ -198,6 +203,8 @@
 pub struct Worker {
     /// The latest entry in the directory.
     pub entry: Entry,
+    /// The number of the worker among those of the cell. Another worker gets it once this one is removed.
+    pub seat: usize,
     /// The rack of `entry`, in a form that candidates for placement can share.
     pub rack: Option<Arc<str>>,
     /// Whether the directory lists the worker now.
@@ -220,6 +227,9 @@
     pub recorded_since: Option<Mark>,
     /// The runs that may be on the worker.
     pub attempts: HashMap<(Task, Run), Attempt>,
+    /// When each of them is expected to end and what it needs, in the order of the ends; empty after a change
+    /// of the worker.
+    ends: OnceCell<Vec<(Instant, Amount)>>,
     /// The capacity that the attempts with a known need use.
     pub used: Amount,
     /// The number of attempts whose need is not known.
@@ -254,8 +264,9 @@
 impl Worker {
     /// Creates a worker that was first listed at `now` and may hold a lease from an earlier owner until
     /// `inherited_until`.
-    pub fn new(entry: Entry, now: Instant, inherited_until: Instant) -> Worker {
+    pub fn new(entry: Entry, seat: usize, now: Instant, inherited_until: Instant) -> Worker {
         Worker {
+            seat,
             rack: entry.rack.as_deref().map(Arc::from),
             entry,
             listed: true,
@@ -267,6 +278,7 @@
             is_recorded: false,
             recorded_since: None,
             attempts: HashMap::new(),
+            ends: OnceCell::new(),
             used: Amount::default(),
             unknown_needs: 0,
             trials: 0,
@@ -440,6 +452,22 @@
         Some(attempt)
     }
 
+    /// Discards what was derived from the runs, which may have changed.
+    pub(super) fn discard_ends(&mut self) {
+        self.ends.take();
+    }
+
+    fn ends(&self) -> &[(Instant, Amount)] {
+        self.ends.get_or_init(|| {
+            let attempts = self.attempts.values();
+            let mut ends: Vec<(Instant, Amount)> = attempts
+                .map(|attempt| (attempt.extrapolated_end(), attempt.need.unwrap_or_default()))
+                .collect();
+            ends.sort_unstable_by_key(|(end, _)| *end);
+            ends
+        })
+    }
+
     /// Returns the times, in ascending order, at which capacity for a further task that needs `need`
     /// is expected to be free; at most `max_tasks` times. `free` is the capacity that is free now.
     pub fn availability_times(
@@ -449,16 +477,10 @@
         max_tasks: usize,
         now: Instant,
     ) -> Vec<Instant> {
-        let mut ends: Vec<(Instant, Amount)> = self
-            .attempts
-            .values()
-            .map(|attempt| (attempt.expected_end(now), attempt.need.unwrap_or_default()))
-            .collect();
-        ends.sort_unstable_by_key(|(end, _)| *end);
         let mut times = Vec::new();
         let mut available = free;
         let mut at = now;
-        let mut ends = ends.into_iter();
+        let mut ends = self.ends().iter();
         loop {
             while times.len() < max_tasks && need.fits(available) {
                 available -= need;
@@ -467,8 +489,8 @@
             let Some((end, amount)) = ends.next().filter(|_| times.len() < max_tasks) else {
                 return times;
             };
-            available += amount;
-            at = end;
+            available += *amount;
+            at = (*end).max(now + MIN_REMAINING);
         }
     }
 
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -80,8 +80,8 @@
         let inherited_until = self
             .inherited_lease_end(&name, entry.incarnation)
             .unwrap_or(now);
-        let worker = worker::Worker::new(entry, now, inherited_until);
-        let key = self.workers.insert(worker);
+        let new = |seat| worker::Worker::new(entry, seat, now, inherited_until);
+        let key = self.workers.insert(new);
         out.push(event(key, &self.workers[key], "listed"));
         self.by_name.insert(name, key);
         self.is_worker_list_recorded = false;
