--- a/src/core/scheduler/candidates.rs
+++ b/src/core/scheduler/candidates.rs
@@ -87,7 +87,7 @@
     }
 
     /// Returns the worker at a seat of a pool unless it cannot be a candidate for lack of room.
-    fn key(&self, pool: &Pool, seat: usize) -> Option<Worker> {
+    fn worker_at(&self, pool: &Pool, seat: usize) -> Option<Worker> {
         let need = match self.room {
             Room::Free => self.demand.need,
             Room::Any => Amount::default(),
@@ -179,6 +179,7 @@
         request.is_some_and(|request| self.permitted(&request, scope.pool).next().is_some())
     }
 
+    /// Returns the candidates that the last answers of the advisor permitted.
     fn permitted<'a>(
         &'a self,
         request: &'a CandidateRequest<'a>,
@@ -189,7 +190,7 @@
         seats.intersect_with(permits.permitted_seats());
         seats.into_ones().filter_map(move |seat| {
             self.work.count_workers(1);
-            let key = request.key(pool, seat)?;
+            let key = request.worker_at(pool, seat)?;
             let worker = self.workers.get(key)?;
             let is_permitted = permits.verdict(key) == Some(true);
             let is_candidate = is_permitted && is_placeable(worker, request.now);
@@ -242,6 +243,7 @@
         request.is_some_and(|request| self.unasked(&request, scope.pool).next().is_some())
     }
 
+    /// Returns the candidates that the advisor has not been asked about, or has to be asked about again.
     fn unasked<'a>(
         &'a self,
         request: &'a CandidateRequest<'a>,
@@ -259,7 +261,7 @@
         );
         open.into_ones().filter_map(move |seat| {
             self.work.count_workers(1);
-            let key = request.key(pool, seat)?;
+            let key = request.worker_at(pool, seat)?;
             let is_open = permits.is_open(key);
             is_open
                 .then(|| request.candidate(key, self.workers.get(key)?))
--- a/tests/testsuite/scheduler/work.rs
+++ b/tests/testsuite/scheduler/work.rs
@@ -83,7 +83,7 @@
         let (mut cell, workers) = idle_cell();
         let starts = fill(&mut cell);
         cell.input(Input::AdvisorProxies((0..400).map(AdvisorProxy).collect()));
-        // The workers are free while the steps get their permits, and full again before they may start.
+        // The first step that is permitted on the only worker with room fills it again.
         end_first_run(&mut cell, &starts, workers[0]);
         for job in 0..backlog {
             cell.submit(100 + job, advised_queue(), spec(vec![step(1)]));
