--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A job whose tasks work only together, while one runner after the other crashes and comes back."""
+"""A version of the manifest gives a queue another name, at the same host and prefix."""
 
 import asyncio
 import pathlib
@@ -7,49 +7,46 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standin
 
-RUNNERS = 8
-CRASHES = 5
-# More than the crashes, so that even a run which is lost with its runner leaves some.
-ATTEMPTS = 6
-FIRST_CRASH_S = 3.0
-# From one crash to the next. Each crash takes one of eight runners, so one eighth of the service.
-INTERVAL_S = 5.0
-DOWN_S = 1.5
-JOB = "00000000000000a1"
-# One task fills more than half of a runner, so that the job has a task on each.
-STEP = {"count": RUNNERS, "cpu": 9000, "memMb": 4096, "estimateMs": 8000, "gang": True,
-        "work_s": 8.0}
+WATCHED, CANCELLED = "00000000000000b1", "00000000000000b2"
+STEP = {"count": 4, "cpu": 2000, "memMb": 1024, "estimateMs": 30000, "work_s": 30.0}
+# The version is in force after configApplyMs, 2.5 s.
+APPLY_S = 6.0
 
 
 def cell(folder):
-    return standin.Cell(folder, entries=3, runners=RUNNERS, attempts=ATTEMPTS)
+    return standin.Cell(folder, entries=3, runners=4)
 
 
 async def play(cell):
-    if not await cell.submit(JOB, [STEP]):
-        raise standin.Unable("the job was not accepted")
-    await cell.until(lambda: len(cell.starts_of(JOB)) >= RUNNERS, 10, "all tasks have begun")
-    await asyncio.sleep(FIRST_CRASH_S)
-    for index in range(CRASHES if cell.trouble else 0):
-        runner = cell.runners[index % RUNNERS]
-        runner.crash()
-        await asyncio.sleep(DOWN_S)
-        await runner.start()
-        await asyncio.sleep(INTERVAL_S - DOWN_S)
-    # Time for all of the work, and for the leases of the last crash.
-    state = "unanswered"
-    for _ in range(30):
-        state = await cell.state(JOB)
-        if state in ("completed", "failed", "cancelled", "gone"):
-            break
-        await asyncio.sleep(1.0)
-    failed = {end[3] for end in cell.ends_of(JOB, "failed")}
-    cell.record(f"state {state}; runs that ended failed: {len(failed)}; attempts of the queue: {cell.attempts}")
-    if state in ("failed", "cancelled", "gone") and len(failed) < cell.attempts:
-        return [f"LOST: nobody cancelled job {JOB}, {len(failed)} of its runs ended failed, and it is shown as {state}"]
-    if state != "completed":
-        raise standin.Unable(f"the job is {state} at the end")
-    return []
+    for job in (WATCHED, CANCELLED):
+        if not await cell.submit(job, [STEP]):
+            raise standin.Unable("a job was not accepted")
+    await cell.until(lambda: len(cell.starts) >= 8, 10, "all tasks have begun")
+    await asyncio.sleep(4.0)
+    if cell.trouble:
+        manifest = cell.manifest(2)
+        manifest["routes"][0]["name"] = "r-filings"
+        cell.store.put("keyed.op", "config", manifest)
+        cell.record("operator writes version 2: route r-jobs removed, route r-filings added at its host and prefix")
+    await asyncio.sleep(APPLY_S)
+    breaches = []
+    for entry in cell.entries:
+        status, _ = await cell.request("GET", WATCHED, entry=entry)
+        if status == 410:
+            breaches.append(f"LOST: {entry.name} answers 410 for job {WATCHED}, which was accepted and not cancelled")
+        elif status != 200:
+            raise standin.Unable(f"GET is answered with {status}")
+    status, _ = await cell.request("DELETE", CANCELLED)
+    if status not in (200, 410):
+        raise standin.Unable(f"DELETE is answered with {status}")
+    bound = (standin.BOUNDS["cancel_ms"] + standin.BOUNDS["stopMs"]) / 1000
+    await asyncio.sleep(bound + 1.0)
+    running = [run.task for runner in cell.runners for run in runner.runs.values() if run.job == CANCELLED]
+    cell.record(f"{bound + 1.0} s after the answer to DELETE, {len(running)} tasks of job {CANCELLED} run")
+    if running:
+        breaches.append(f"UNASKED: DELETE of job {CANCELLED} was answered with {status}, and {len(running)} of its "
+                        f"tasks run on over {bound} s later")
+    return breaches
 
 
 if __name__ == "__main__":
