Show that silent channels cut the owner off from all runners for 30 s

Open channels go silent once, new ones work. The owner tries its idle channels one after the other, 1.15 s each, so the runs of the whole cell lapse and nothing is started until the rest of the channels is 30 s old.

--- a/review/standin.py
+++ b/review/standin.py
@@ -88,6 +88,12 @@
         self.handle = handle
         self.server = None
         self.writers = set()
+        self.silent = set()
+
+    def silence(self):
+        """Lets all open channels go silent for good, without a reset. New ones work."""
+        self.silent |= self.writers
+        return len(self.writers)
 
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.connection, host, port, backlog=512)
@@ -104,8 +110,12 @@
         try:
             while True:
                 first, headers, body = await read_message(reader)
+                if writer in self.silent:
+                    continue
                 method, target, _ = first.split(" ", 2)
                 answer = await self.handle(Request(method, target, headers, body))
+                if writer in self.silent:
+                    continue
                 if answer is None:
                     break
                 status, content = answer
@@ -118,6 +128,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.transport.abort()
 
 
