Replace all connections to a peer when one of them falls silent

What callers saw: open connections between the owner and the workers went silent once, without a reset, while new ones worked.

Cause: the client keeps as many idle connections to a worker as it once had commands under way, 36 after jobs of 60 tasks, and takes the one that has been idle longest. A request that times out gives up its own connection only, so that the next one takes one that is as dead: 0.9 s and a pause of 0.25 s each, until the rest are 30 s old. The lease is 4.5 s. Store and advisor have the same client.

Ruled out: TCP_USER_TIMEOUT and keep-alive probes, since the peer's kernel acknowledges. A shorter keep-alive would close idle connections that are needed again, and opening a connection costs a worker something. A bound on idle connections divides the time, but 4 of them take 4.6 s already.

Change: each peer has a pool of its own. A request that times out gives up all connections that were open when it was sent: the pool is replaced, requests under way keep the former one until they end. What bounds that is decided in `core::connection`: requests over a pool that has been replaced, and over one on which no response has ever arrived, replace nothing, so that a slow, frozen or dropping worker costs at most one pool for each time that it answers. No command is repeated that was not before. A log line and a counter tell one dead connection, all of them, and a silent peer apart. Pools of peers that are not used any more are closed after the keep-alive time, too.

Why it works: the poll under way when the connections fall silent fails 1.9 s after it was sent, the next one uses a new connection: 2.15 s, and with a connect that takes its whole 0.6 s and 0.5 s for records of ends before the poll 4.25 s after the last renewal, of 4.5 s.

--- a/crates/laburnum-testkit/src/standin/server.rs
+++ b/crates/laburnum-testkit/src/standin/server.rs
@@ -128,6 +128,20 @@
         self.faults.send_replace(faults);
     }
 
+    /// Lets `count` of the open connections go silent for good. Returns how many did.
+    pub fn silence(&self, count: usize) -> usize {
+        let mut connections = self.connections.borrow_mut();
+        let open = connections.values_mut().filter(|each| !each.silent);
+        let mut silenced = 0;
+        for connection in open.take(count) {
+            connection.silent = true;
+            silenced += 1;
+            // A connection that has just closed takes no command.
+            let _ = connection.commands.send(Command::Silence);
+        }
+        silenced
+    }
+
     /// Returns the number of connections that are open and not silent.
     fn open_connections(&self) -> usize {
         let connections = self.connections.borrow();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod account;
 pub mod config;
+pub mod connection;
 pub mod error;
 pub mod id;
 pub mod lease;
--- a/src/util/metric.rs
+++ b/src/util/metric.rs
@@ -33,6 +33,9 @@
     pub peer_messages: Counter<u64>,
     /// Commands sent to workers, by `command`.
     pub worker_commands: Counter<u64>,
+    /// Requests without a response, by the `role` of the peer and the kind of `silence`. Those over connections
+    /// that have been replaced since are not counted.
+    pub silent_connections: Counter<u64>,
     /// Calls to the advisor, by `outcome`.
     pub advisor_calls: Counter<u64>,
     /// Workers whose runs were found to use more than their capacity.
@@ -98,6 +101,11 @@
                 "laburnum_worker_commands",
                 "commands sent to workers",
             ),
+            silent_connections: counter(
+                &meter,
+                "laburnum_silent_connections",
+                "requests without a response that show silent connections or a silent peer",
+            ),
             advisor_calls: counter(&meter, "laburnum_advisor_calls", "calls to the advisor"),
             overcommitted_workers: counter(
                 &meter,
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -158,6 +158,7 @@
         &metrics.target_requests,
         &metrics.peer_messages,
         &metrics.worker_commands,
+        &metrics.silent_connections,
         &metrics.advisor_calls,
         &metrics.overcommitted_workers,
         &metrics.task_crashes,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 mod account;
 mod config;
+mod connection;
 mod daemon;
 mod docs;
 mod entry;
