Keep the jobs of a queue when the queue is renamed

What callers saw: once a version of the configuration gave a queue another name, at the same host and prefix, every entry answered GET for its running jobs with 410, there is no such job.

Cause: a job keeps the name of its queue, and reads, cancellations and counts compare it with the name that the queue has now. Clients don't know the name; they ask at the host and prefix. Settings went by the name, too: after a rename jobs kept the old ones for good, and after two queues had exchanged their names they got each other's, and callers at one saw the jobs of the other.

Evidence: `scheduler::queue`, 12 tests.

Ruled out: by id alone. Where there are no client accounts, or a queue is public, the queue is all that keeps callers at one host from jobs of another; see docs/design/queues-and-their-jobs.md.

Change: a job remembers the endpoint, host and prefix, at which it was handed in, in its records and also after its end, and belongs to the queue that is there. Requests between entries carry the endpoint beside the name. The owner goes by the names in its own version for both sides, so that entries of different versions get one answer. The name decides only where the endpoint is unknown (records and entries of earlier releases) or has no queue any more.

Why it works: an operator can change the name, the settings or the presence of a queue; what a client sends stays the same and is what the job is found by. A change of owner changes nothing, since the record says it.

--- a/crates/laburnum-measure/src/load.rs
+++ b/crates/laburnum-measure/src/load.rs
@@ -361,6 +361,7 @@
             request: Request(self.next_job),
             job: Job(self.next_job),
             queue,
+            endpoint: None,
             spec,
             account: None,
             at: self.time().stamp,
--- a/crates/laburnum-measure/src/scheduler.rs
+++ b/crates/laburnum-measure/src/scheduler.rs
@@ -164,6 +164,7 @@
             request: Request(job),
             job: Job(job),
             queue: queue(),
+            endpoint: None,
             spec: spec(),
             account: None,
             at,
--- a/src/core/queue/mod.rs
+++ b/src/core/queue/mod.rs
@@ -1,16 +1,54 @@
 //! Maps a client's request to a queue, by the host and the longest matching prefix of the path.
 
 pub mod patch;
+mod registry;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use laburnum_derive::message;
+use laburnum_derive::{message, name, state};
 
 use super::account;
 use super::scheduler::spec::Queue;
 
+pub use registry::Registry;
+
+/// The host and the path prefix at which clients reach a queue. Clients know no other name of it.
+#[name]
+pub struct Endpoint {
+    /// The host that requests name.
+    pub host: String,
+    /// The prefix of their paths.
+    pub prefix: String,
+}
+
+/// Which queue a request is for, or a job belongs to.
+#[state]
+#[derive(Copy, Eq)]
+pub struct Locator<'a> {
+    /// The endpoint; `None` for a job of a release that did not record it and for a request of such an entry.
+    pub endpoint: Option<&'a Endpoint>,
+    /// The name that the queue had when the job was accepted, or has in the configuration of the entry that took the
+    /// request.
+    pub name: &'a str,
+}
+
+impl<'a> From<&'a str> for Locator<'a> {
+    fn from(name: &'a str) -> Locator<'a> {
+        Locator {
+            endpoint: None,
+            name,
+        }
+    }
+}
+
+impl<'a> From<&'a String> for Locator<'a> {
+    fn from(name: &'a String) -> Locator<'a> {
+        name.as_str().into()
+    }
+}
+
 /// A host and a path prefix whose requests go to a queue.
 #[message]
 pub struct QueueBinding {
@@ -25,6 +63,14 @@
 }
 
 impl QueueBinding {
+    /// Returns the host and the prefix as an endpoint.
+    pub fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+        }
+    }
+
     /// Returns the host and the prefix.
     fn key(&self) -> (&str, &str) {
         (&self.host, &self.prefix)
@@ -103,7 +149,8 @@
         self.bindings().map(|binding| &binding.queue)
     }
 
-    fn bindings(&self) -> impl Iterator<Item = &QueueBinding> {
+    /// Returns all bindings.
+    pub fn bindings(&self) -> impl Iterator<Item = &QueueBinding> {
         self.by_host.values().flatten()
     }
 
--- a/src/core/scheduler/explain.rs
+++ b/src/core/scheduler/explain.rs
@@ -136,6 +136,7 @@
             request: Request(u64::MAX),
             job: id,
             queue: submission.queue.clone(),
+            endpoint: None,
             spec: Arc::clone(&submission.spec),
             account: submission.account.clone(),
             at: time.stamp,
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -13,6 +13,7 @@
 use super::record::{self, Phase, Progress, Span};
 use super::spec::{Queue, Spec};
 use crate::core::account;
+use crate::core::queue::{Endpoint, Locator};
 use crate::core::time::{Instant, Stamp};
 
 /// The state of a task.
@@ -84,6 +85,8 @@
 pub struct Job {
     /// The queue as configured now, or as last configured if it was removed.
     pub queue: Queue,
+    /// Where the client handed the job in; `None` if an earlier release accepted it.
+    pub endpoint: Option<Endpoint>,
     /// The client account that the job belongs to, if any.
     pub account: Option<account::Name>,
     /// The job as its client described it.
@@ -205,6 +208,14 @@
         }
     }
 
+    /// Returns which queue the job belongs to.
+    pub fn locator(&self) -> Locator<'_> {
+        Locator {
+            endpoint: self.endpoint.as_ref(),
+            name: &self.queue.name,
+        }
+    }
+
     /// Whether the job has ended without a run left.
     pub fn is_over(&self) -> bool {
         self.phase.is_final() && self.remainder.is_none_or(|remainder| remainder.runs == 0)
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -12,6 +12,7 @@
 use super::{Effect, Scheduler, Time, answer};
 use crate::core::account;
 use crate::core::error::{Error, Kind};
+use crate::core::queue::{Endpoint, Locator, QueueBinding, Registry};
 use crate::core::time::{Instant, Stamp};
 
 /// The shortest retry delay for jobs of urgent queues while the log takes no appends, in whole
@@ -34,6 +35,7 @@
         request: Request,
         id: id::Job,
         queue: Queue,
+        endpoint: Option<Endpoint>,
         spec: Arc<Spec>,
         account: Option<account::Name>,
         at: Stamp,
@@ -78,8 +80,9 @@
             spec: Spec::clone(&spec),
             account: account.clone(),
             is_surplus,
+            endpoint: endpoint.clone(),
         };
-        let mut job = new_job(queue, spec, at, time.now);
+        let mut job = new_job(queue, endpoint, spec, at, time.now);
         job.account = account;
         job.is_surplus = is_surplus;
         job.last_run = self.first_run();
@@ -171,9 +174,10 @@
                 spec,
                 account,
                 is_surplus,
+                endpoint,
             } => {
                 let age = time.stamp.since(at);
-                let mut job = new_job(queue, Arc::new(spec), at, time.now - age);
+                let mut job = new_job(queue, endpoint, Arc::new(spec), at, time.now - age);
                 job.account = account;
                 job.is_surplus = is_surplus;
                 job.last_run = self.first_run();
@@ -188,9 +192,10 @@
                 phase,
                 account,
                 remainder,
+                endpoint,
             } => {
                 let queue = Queue::named(queue);
-                let mut job = new_job(queue, Arc::new(Spec::empty()), at, time.now);
+                let mut job = new_job(queue, endpoint, Arc::new(Spec::empty()), at, time.now);
                 job.account = account;
                 job.is_durable = true;
                 job.is_end_durable = true;
@@ -356,20 +361,18 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments, reason = "the fields of one input")]
     pub(super) fn cancel(
         &mut self,
         time: Time,
         request: Request,
         id: id::Job,
-        queue: &str,
+        queue: Locator<'_>,
         account: Option<&account::Name>,
-        _at: Stamp,
         out: &mut Vec<Output>,
     ) {
         let job = self.jobs.get_mut(&id);
-        let job = job.filter(|job| job.queue.name == queue && job.is_visible_to(account));
-        let Some(job) = job else {
+        let job = job.filter(|job| self.queues.is_same(job.locator(), queue));
+        let Some(job) = job.filter(|job| job.is_visible_to(account)) else {
             out.push(answer(request, Answer::Gone));
             return;
         };
@@ -419,6 +422,7 @@
             phase,
             account: job.account.clone(),
             remainder,
+            endpoint: job.endpoint.clone(),
         };
         let occurrences = std::mem::take(&mut job.occurrences);
         let has_progress = job.progress_mark > Mark(0) || job.is_inherited;
@@ -508,13 +512,11 @@
         }
     }
 
-    pub(super) fn set_queues(&mut self, queues: Vec<Queue>) {
-        self.queues = queues
-            .into_iter()
-            .map(|queue| (queue.name.clone(), queue))
-            .collect();
+    pub(super) fn set_queues(&mut self, bindings: Vec<QueueBinding>) {
+        self.queues = Registry::new(bindings);
         for job in self.jobs.values_mut() {
-            if let Some(queue) = self.queues.get(&job.queue.name) {
+            if let Some((endpoint, queue)) = self.queues.find(job.locator()) {
+                job.endpoint.get_or_insert_with(|| endpoint.clone());
                 job.queue.clone_from(queue);
             }
         }
@@ -545,10 +547,17 @@
     }
 }
 
-fn new_job(queue: Queue, spec: Arc<Spec>, at: Stamp, accepted_at: Instant) -> Job {
+fn new_job(
+    queue: Queue,
+    endpoint: Option<Endpoint>,
+    spec: Arc<Spec>,
+    at: Stamp,
+    accepted_at: Instant,
+) -> Job {
     let payload = Arc::from(spec.payload.as_str());
     Job {
         queue,
+        endpoint,
         account: None,
         payload,
         chains: spec.chains(),
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -14,6 +14,7 @@
 use super::worker::{Account, Entry, Evidence};
 use crate::core::account;
 use crate::core::error::Error;
+use crate::core::queue::{Endpoint, QueueBinding};
 use crate::core::resource::Amount;
 use crate::core::time::Stamp;
 
@@ -172,6 +173,8 @@
         job: Job,
         /// The queue as configured now.
         queue: Queue,
+        /// The endpoint that the client used; `None` if an entry of an earlier release took the request.
+        endpoint: Option<Endpoint>,
         /// The job.
         spec: Arc<Spec>,
         /// The client account of the caller, if the queue needs a key of one.
@@ -185,8 +188,10 @@
         request: Request,
         /// The job.
         job: Job,
-        /// The queue that the client named.
+        /// The name of the queue at the endpoint that the client used.
         queue: String,
+        /// That endpoint; `None` if an entry of an earlier release took the request.
+        endpoint: Option<Endpoint>,
         /// The client account of the caller, if the queue needs a key of one.
         account: Option<account::Name>,
         /// The time of day.
@@ -197,7 +202,7 @@
     /// The directory no longer lists the worker with this name.
     Unlisted(String),
     /// The queues of the present configuration.
-    Queues(Vec<Queue>),
+    Queues(Vec<QueueBinding>),
     /// The client accounts of the present configuration.
     Accounts(Vec<account::Account>),
     /// A worker responded to a poll.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -48,10 +48,10 @@
 pub use message::{Answer, Input, Output};
 pub use workers::OVERCOMMITTED;
 
+use super::queue::{Locator, Registry};
 use super::time::{Instant, Stamp};
 use id::{Mark, Request, Run, Token};
 use record::Phase;
-use spec::Queue;
 
 /// The bits of a run number below the fencing token. One owner can start `2^RUN_BITS` runs of a job
 /// before its run numbers reach those of the next owner.
@@ -177,7 +177,7 @@
     seen_crashes: Vec<trial::SeenCrash>,
     /// The workers that are kept for the trials of tasks.
     trial_holds: Vec<(id::Task, id::Worker)>,
-    queues: HashMap<String, Queue>,
+    queues: Registry,
     /// What client accounts use, and their caps.
     ledger: ledger::Ledger,
     /// What the order of client accounts is based on.
@@ -240,7 +240,7 @@
             is_worker_list_recorded: true,
             seen_crashes: Vec::new(),
             trial_holds: Vec::new(),
-            queues: HashMap::new(),
+            queues: Registry::default(),
             ledger: ledger::Ledger::default(),
             share: share::Share::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
@@ -277,20 +277,28 @@
                 request,
                 job,
                 queue,
+                endpoint,
                 spec,
                 account,
                 at,
-            } => self.submit(time, request, job, queue, spec, account, at, out),
+            } => self.submit(time, request, job, queue, endpoint, spec, account, at, out),
             Input::Cancel {
                 request,
                 job,
                 queue,
+                endpoint,
                 account,
-                at,
-            } => self.cancel(time, request, job, &queue, account.as_ref(), at, out),
+                at: _,
+            } => {
+                let locator = Locator {
+                    endpoint: endpoint.as_ref(),
+                    name: &queue,
+                };
+                self.cancel(time, request, job, locator, account.as_ref(), out);
+            }
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
-            Input::Queues(queues) => self.set_queues(queues),
+            Input::Queues(bindings) => self.set_queues(bindings),
             Input::Accounts(accounts) => self.ledger.configure(&accounts, time.now),
             Input::Polled {
                 worker,
@@ -405,10 +413,12 @@
         }
     }
 
-    /// Returns the phase of a job of `queue` according to the records that are in the log; `None`
+    /// Returns the phase of a job of a queue according to the records that are in the log; `None`
     /// for an unknown job.
-    pub fn phase(&self, job: id::Job, queue: &str) -> Option<Phase> {
-        let job = self.jobs.get(&job).filter(|job| job.queue.name == queue)?;
+    pub fn phase<'a>(&self, job: id::Job, queue: impl Into<Locator<'a>>) -> Option<Phase> {
+        let queue = queue.into();
+        let job = self.jobs.get(&job);
+        let job = job.filter(|job| self.queues.is_same(job.locator(), queue))?;
         if !job.is_durable {
             return None;
         }
@@ -424,11 +434,13 @@
     }
 
     /// Returns the number of accepted jobs of a queue of which no task has been started.
-    pub fn pending(&self, queue: &str) -> usize {
+    pub fn pending<'a>(&self, queue: impl Into<Locator<'a>>) -> usize {
+        let queue = queue.into();
         let jobs = self.unstarted.iter().filter_map(|id| self.jobs.get(id));
         let jobs = jobs.inspect(|_| self.work.count_job());
         let accepted = jobs.filter(|job| job.is_durable && job.phase == Phase::Queued);
-        accepted.filter(|job| job.queue.name == queue).count()
+        let of_queue = accepted.filter(|job| self.queues.is_same(job.locator(), queue));
+        of_queue.count()
     }
 
     /// Returns the id of the worker with a name.
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -13,6 +13,7 @@
 use super::poison;
 use super::spec::{Queue, Spec};
 use crate::core::account;
+use crate::core::queue::Endpoint;
 use crate::core::time::Stamp;
 
 /// The phase of a job, as reported to its client.
@@ -65,6 +66,9 @@
         /// Whether the account has sent more than its weight entitles it to.
         #[serde(default, skip_serializing_if = "is_false")]
         is_surplus: bool,
+        /// Where the client handed the job in. Records of earlier releases have none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        endpoint: Option<Endpoint>,
     },
     /// The job has ended.
     Ended {
@@ -80,6 +84,9 @@
         /// The runs that the job may have left. Records of jobs without an account have none.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         remainder: Option<Remainder>,
+        /// Where the client handed the job in. Records of earlier releases have none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        endpoint: Option<Endpoint>,
     },
 }
 
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -6,7 +6,7 @@
 
 use crate::core::account;
 use crate::core::error::Result;
-use crate::core::queue::{QueueTable, patch};
+use crate::core::queue::{Endpoint, QueueTable, patch};
 use crate::core::scheduler::RemainingLease;
 use crate::core::scheduler::explain::Explanation;
 use crate::core::scheduler::id::{Job, Step, Token};
@@ -24,6 +24,9 @@
         job: Job,
         /// The job's queue.
         queue: Queue,
+        /// The endpoint that the client used. Entries of earlier releases send none.
+        #[serde(default)]
+        endpoint: Option<Endpoint>,
         /// The job's steps and schedule.
         spec: Spec,
         /// The client account of the caller, if the queue needs a key of one.
@@ -34,8 +37,11 @@
     Cancel {
         /// The job's id.
         job: Job,
-        /// The queue's name.
+        /// The name of the queue at the endpoint that the client used.
         queue: String,
+        /// That endpoint. Entries of earlier releases send none.
+        #[serde(default)]
+        endpoint: Option<Endpoint>,
         /// The client account of the caller, if the queue needs a key of one.
         #[serde(default)]
         account: Option<account::Name>,
@@ -44,16 +50,22 @@
     Read {
         /// The job's id.
         job: Job,
-        /// The queue's name.
+        /// The name of the queue at the endpoint that the client used.
         queue: String,
+        /// That endpoint. Entries of earlier releases send none.
+        #[serde(default)]
+        endpoint: Option<Endpoint>,
         /// The client account of the caller, if the queue needs a key of one.
         #[serde(default)]
         account: Option<account::Name>,
     },
     /// Counts the jobs of a queue of which no task has started yet.
     Pending {
-        /// The queue's name.
+        /// The name of the queue at the endpoint that the client used.
         queue: String,
+        /// That endpoint. Entries of earlier releases send none.
+        #[serde(default)]
+        endpoint: Option<Endpoint>,
     },
     /// Returns the latest claim that the receiving entry has read or received.
     Claim,
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::core::account;
 use crate::core::error::{Error, Kind, Result};
-use crate::core::queue::QueueTable;
+use crate::core::queue::{Locator, QueueTable};
 use crate::core::scheduler::advice::AdvisorProxy;
 use crate::core::scheduler::explain::Submission;
 use crate::core::scheduler::id::{Request, Task, Token, Worker};
@@ -578,20 +578,31 @@
             EntryRequest::Read {
                 job,
                 queue,
+                endpoint,
                 account,
             } => {
+                let queue = Locator {
+                    endpoint: endpoint.as_ref(),
+                    name: &queue,
+                };
                 let scheduler = self.scheduler.borrow();
                 let state = scheduler.job(job);
                 let state = state.filter(|state| state.is_visible_to(account.as_ref()));
-                let phase = state.and_then(|_| scheduler.phase(job, &queue));
+                let phase = state.and_then(|_| scheduler.phase(job, queue));
                 Ok(phase.map_or(EntryResponse::Gone, EntryResponse::Phase))
             }
-            EntryRequest::Pending { queue } => Ok(EntryResponse::Pending(
-                self.scheduler.borrow().pending(&queue) as u64,
-            )),
+            EntryRequest::Pending { queue, endpoint } => {
+                let queue = Locator {
+                    endpoint: endpoint.as_ref(),
+                    name: &queue,
+                };
+                let pending = self.scheduler.borrow().pending(queue);
+                Ok(EntryResponse::Pending(pending as u64))
+            }
             EntryRequest::Submit {
                 job,
                 queue,
+                endpoint,
                 spec,
                 account,
             } => {
@@ -603,6 +614,7 @@
                     request,
                     job,
                     queue,
+                    endpoint,
                     spec,
                     account,
                     at,
@@ -612,6 +624,7 @@
             EntryRequest::Cancel {
                 job,
                 queue,
+                endpoint,
                 account,
             } => {
                 let at = self.clock.stamp();
@@ -620,6 +633,7 @@
                     request,
                     job,
                     queue,
+                    endpoint,
                     account,
                     at,
                 });
@@ -761,7 +775,7 @@
         loop {
             let table = tables.borrow_and_update().clone();
             if let Some(table) = table {
-                self.apply(Input::Queues(table.queues().cloned().collect()));
+                self.apply(Input::Queues(table.bindings().cloned().collect()));
                 let accounts = table.accounts.iter().flat_map(account::Table::accounts);
                 self.apply(Input::Accounts(accounts.cloned().collect()));
             }
--- a/tests/testsuite/entry/control.rs
+++ b/tests/testsuite/entry/control.rs
@@ -45,6 +45,7 @@
     EntryRequest::Read {
         job: Job(job),
         queue: "filings".to_owned(),
+        endpoint: None,
         account: None,
     }
 }
--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -59,6 +59,7 @@
     EntryRequest::Submit {
         job: Job(job),
         queue: Queue::named("filings".to_owned()),
+        endpoint: None,
         spec: Spec {
             payload: "filing".to_owned(),
             steps: vec![step],
@@ -200,6 +201,7 @@
         let read = EntryRequest::Read {
             job: Job(7),
             queue: "filings".to_owned(),
+            endpoint: None,
             account: None,
         };
         assert!(matches!(
--- a/tests/testsuite/entry/standby.rs
+++ b/tests/testsuite/entry/standby.rs
@@ -120,6 +120,7 @@
     let read = EntryRequest::Read {
         job: Job(job),
         queue: "filings".to_owned(),
+        endpoint: None,
         account: None,
     };
     matches!(owner.serve(read).await, Ok(EntryResponse::Phase(_)))
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -305,6 +305,7 @@
             request: Request(100 + job),
             job: Job(job),
             queue: queue().name,
+            endpoint: None,
             account: None,
             at,
         });
@@ -346,6 +347,7 @@
             request: Request(job),
             job: Job(job),
             queue,
+            endpoint: None,
             spec,
             account: None,
             at,
@@ -360,6 +362,7 @@
             request: Request(job),
             job: Job(job),
             queue: queue(),
+            endpoint: None,
             spec,
             account: Some(account::Name(account.to_owned())),
             at,
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod order;
 mod poison;
 mod promise;
+mod queue;
 mod recovery;
 mod run;
 mod service;
--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -168,6 +168,7 @@
         request: Request(8),
         job: Job(7),
         queue: "filings".to_owned(),
+        endpoint: None,
         account: None,
         at: first.time().stamp,
     });
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -210,6 +210,7 @@
         request: Request(8),
         job: Job(7),
         queue: "filings".to_owned(),
+        endpoint: None,
         account: None,
         at: cell.time().stamp,
     });
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -608,6 +608,7 @@
             request,
             job,
             queue,
+            endpoint: None,
             spec,
             account: self.accounts.name_of(job),
             at,
@@ -655,6 +656,7 @@
             request,
             job,
             queue,
+            endpoint: None,
             account: None,
             at,
         });
