--- a/tests/testsuite/entry/owner.rs
+++ b/tests/testsuite/entry/owner.rs
@@ -270,6 +270,20 @@
     });
 }
 
+/// The other end is alive and its kernel acknowledges; only missing heartbeats show that nothing arrives any more.
+#[test]
+fn link_that_falls_silent_is_closed_before_lookups_are_due() {
+    actix_rt::System::new().block_on(async {
+        let (near, near_transfer, _far, far_transfer) = link().await;
+        actix_rt::spawn(near_transfer);
+        let request = near.request(EntryRequest::Claim, Duration::from_secs(60));
+        let response = tokio::time::timeout(Duration::from_millis(900), request).await;
+        assert_eq!(response.unwrap().unwrap_err().kind, Kind::AnswerLost);
+        assert!(!near.is_open());
+        drop(far_transfer);
+    });
+}
+
 #[test]
 fn remaining_leases_are_known_only_after_the_end_of_an_ownership() {
     actix_rt::System::new().block_on(async {
