Keep entries of unnamed services from ending a worker's incarnation

What callers saw: an entry of another writer stood under a living worker's id for a second, well formed, with a later start and a service that no configuration names.

Cause: the scheduler takes an entry with a later incarnation as proof of a restart, whatever service it names.

Change: an entry whose service no queue of this ownership has, and no accepted job, is kept back until a queue has it. The entries that the worker itself writes go on to count. At a takeover it leaves the worker unlisted until its next heartbeat, and what earlier owners ran there is waited for as for any silent worker. While nothing is known of services, as before the first configuration, every entry counts.

Ruled out: checking in the adapter, which knows neither queues nor jobs; dropping such entries, since the manifest with a new service may come after its workers.

--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -9,6 +9,7 @@
 use super::message::{Answer, Output};
 use super::record::{Key, Phase, Progress, Record, Workers, encode};
 use super::spec::{Queue, Spec};
+use super::worker::Entry;
 use super::{Effect, Scheduler, Time, answer};
 use crate::core::account;
 use crate::core::error::{Error, Kind};
@@ -74,6 +75,7 @@
             Some(Ok(is_surplus)) => is_surplus,
             None => false,
         };
+        self.services.insert(queue.service.clone());
         let record = Record::Accepted {
             at,
             queue: queue.clone(),
@@ -177,6 +179,7 @@
                 endpoint,
             } => {
                 let age = time.stamp.since(at);
+                self.services.insert(queue.service.clone());
                 let mut job = new_job(queue, endpoint, Arc::new(spec), at, time.now - age);
                 job.account = account;
                 job.is_surplus = is_surplus;
@@ -512,7 +515,15 @@
         }
     }
 
-    pub(super) fn set_queues(&mut self, bindings: Vec<QueueBinding>) {
+    pub(super) fn set_queues(
+        &mut self,
+        now: Instant,
+        bindings: Vec<QueueBinding>,
+        out: &mut Vec<Output>,
+    ) {
+        for binding in &bindings {
+            self.services.insert(binding.queue.service.clone());
+        }
         self.queues = Registry::new(bindings);
         for job in self.jobs.values_mut() {
             if let Some((endpoint, queue)) = self.queues.find(job.locator()) {
@@ -520,6 +531,14 @@
                 job.queue.clone_from(queue);
             }
         }
+        let services = &self.services;
+        let named = self
+            .unnamed
+            .extract_if(|_, entry| services.contains(&entry.service));
+        let named: Vec<Entry> = named.map(|(_, entry)| entry).collect();
+        for entry in named {
+            self.listed(now, entry, out);
+        }
     }
 }
 
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -447,6 +447,13 @@
         /// The change, as log lines name it.
         event: &'static str,
     },
+    /// Write a log line: an entry in the directory is kept back, because no queue has its service.
+    UnnamedService {
+        /// The worker's name.
+        worker: String,
+        /// The service.
+        service: String,
+    },
     /// End this ownership: a worker has seen the token of a later owner.
     Superseded,
 }
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -39,7 +39,7 @@
 pub mod worker;
 mod workers;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use laburnum_derive::{message, state, value};
@@ -178,6 +178,10 @@
     /// The workers that are kept for the trials of tasks.
     trial_holds: Vec<(id::Task, id::Worker)>,
     queues: Registry,
+    /// The services that a queue has had in this ownership, or had when a job was accepted.
+    services: HashSet<String>,
+    /// The latest entries in the directory whose service no queue has, by the worker's name.
+    unnamed: HashMap<String, worker::Entry>,
     /// What client accounts use, and their caps.
     ledger: ledger::Ledger,
     /// What the order of client accounts is based on.
@@ -241,6 +245,8 @@
             seen_crashes: Vec::new(),
             trial_holds: Vec::new(),
             queues: Registry::default(),
+            services: HashSet::new(),
+            unnamed: HashMap::new(),
             ledger: ledger::Ledger::default(),
             share: share::Share::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
@@ -298,7 +304,7 @@
             }
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
-            Input::Queues(bindings) => self.set_queues(bindings),
+            Input::Queues(bindings) => self.set_queues(time.now, bindings, out),
             Input::Accounts(accounts) => self.ledger.configure(&accounts, time.now),
             Input::Polled {
                 worker,
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -29,7 +29,20 @@
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 impl Scheduler {
+    /// Processes an entry of the directory. One whose service no queue has is kept until a queue has it: it may come
+    /// from another writer than the worker and says nothing about it.
     pub(super) fn listed(&mut self, now: Instant, entry: Entry, out: &mut Vec<Output>) {
+        if !self.services.is_empty() && !self.services.contains(&entry.service) {
+            let former = self.unnamed.insert(entry.name.clone(), entry.clone());
+            if former.is_none_or(|former| former.service != entry.service) {
+                out.push(Output::UnnamedService {
+                    worker: entry.name,
+                    service: entry.service,
+                });
+            }
+            return;
+        }
+        self.unnamed.remove(&entry.name);
         if let Some(&key) = self.by_name.get(&entry.name) {
             let Some(worker) = self.workers.get_mut(key) else {
                 return;
@@ -142,6 +155,7 @@
     /// Processes that the directory no longer lists a worker. The worker gets no new tasks, and its
     /// runs are kept until its lease ends.
     pub(super) fn unlisted(&mut self, name: &str, out: &mut Vec<Output>) {
+        self.unnamed.remove(name);
         let Some(&key) = self.by_name.get(name) else {
             return;
         };
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -449,6 +449,10 @@
                     "crashes" => crashes, "verdict" => verdict.name(), "token" => self.token.0);
             }
             Output::GivenUp { task, history } => self.report_given_up(task, &history),
+            Output::UnnamedService { worker, service } => {
+                info!(self.log, "entry in the directory names no service of a queue"; "worker" => worker,
+                    "service" => service, "token" => self.token.0);
+            }
             Output::Phase { job, phase, reason } => {
                 info!(self.log, "job changed"; "job" => %job, "phase" => phase.name(), "reason" => reason);
             }
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -264,6 +264,7 @@
                     self.beliefs.push(output);
                 }
                 Output::Adopted { .. }
+                | Output::UnnamedService { .. }
                 | Output::Lost { .. }
                 | Output::Crashed { .. }
                 | Output::GivenUp { .. }
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod cell;
 pub(crate) use cell::rules;
+mod directory;
 mod explain;
 mod fault;
 mod fuzz;
