--- a/src/core/queue/mod.rs
+++ b/src/core/queue/mod.rs
@@ -34,12 +34,16 @@
     pub name: &'a str,
 }
 
+impl<'a> Locator<'a> {
+    /// Creates the locator of a queue at an endpoint, if it is known, with its name.
+    pub fn new(endpoint: Option<&'a Endpoint>, name: &'a str) -> Locator<'a> {
+        Locator { endpoint, name }
+    }
+}
+
 impl<'a> From<&'a str> for Locator<'a> {
     fn from(name: &'a str) -> Locator<'a> {
-        Locator {
-            endpoint: None,
-            name,
-        }
+        Locator::new(None, name)
     }
 }
 
--- a/src/core/scheduler/job.rs
+++ b/src/core/scheduler/job.rs
@@ -210,10 +210,7 @@
 
     /// Returns which queue the job belongs to.
     pub fn locator(&self) -> Locator<'_> {
-        Locator {
-            endpoint: self.endpoint.as_ref(),
-            name: &self.queue.name,
-        }
+        Locator::new(self.endpoint.as_ref(), &self.queue.name)
     }
 
     /// Whether the job has ended without a run left.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -296,11 +296,8 @@
                 account,
                 at: _,
             } => {
-                let locator = Locator {
-                    endpoint: endpoint.as_ref(),
-                    name: &queue,
-                };
-                self.cancel(time, request, job, locator, account.as_ref(), out);
+                let queue = Locator::new(endpoint.as_ref(), &queue);
+                self.cancel(time, request, job, queue, account.as_ref(), out);
             }
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -585,10 +585,7 @@
                 endpoint,
                 account,
             } => {
-                let queue = Locator {
-                    endpoint: endpoint.as_ref(),
-                    name: &queue,
-                };
+                let queue = Locator::new(endpoint.as_ref(), &queue);
                 let scheduler = self.scheduler.borrow();
                 let state = scheduler.job(job);
                 let state = state.filter(|state| state.is_visible_to(account.as_ref()));
@@ -596,10 +593,7 @@
                 Ok(phase.map_or(EntryResponse::Gone, EntryResponse::Phase))
             }
             EntryRequest::Pending { queue, endpoint } => {
-                let queue = Locator {
-                    endpoint: endpoint.as_ref(),
-                    name: &queue,
-                };
+                let queue = Locator::new(endpoint.as_ref(), &queue);
                 let pending = self.scheduler.borrow().pending(queue);
                 Ok(EntryResponse::Pending(pending as u64))
             }
--- a/tests/testsuite/scheduler/queue.rs
+++ b/tests/testsuite/scheduler/queue.rs
@@ -83,19 +83,13 @@
 
 fn phase(cell: &Cell, job: u64, prefix: &str, name: &str) -> Option<Phase> {
     let endpoint = endpoint(prefix);
-    let queue = Locator {
-        endpoint: Some(&endpoint),
-        name,
-    };
-    cell.scheduler.phase(Job(job), queue)
+    cell.scheduler
+        .phase(Job(job), Locator::new(Some(&endpoint), name))
 }
 
 fn pending(cell: &Cell, prefix: &str, name: &str) -> usize {
     let endpoint = endpoint(prefix);
-    cell.scheduler.pending(Locator {
-        endpoint: Some(&endpoint),
-        name,
-    })
+    cell.scheduler.pending(Locator::new(Some(&endpoint), name))
 }
 
 /// Clients were told that a running job does not exist.
