Log the address and the evidence on which runs of a worker are released

'restarted' stood for two sources: an entry of the directory, and the response of the worker to a poll. No decision has changed.

--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the scheduler.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -444,6 +445,10 @@
         worker: Worker,
         /// The worker's name, also of one that was removed.
         name: String,
+        /// The incarnation of the worker.
+        incarnation: u64,
+        /// The address of the worker.
+        address: SocketAddr,
         /// The change, as log lines name it.
         event: &'static str,
     },
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -177,6 +177,8 @@
 pub struct Evidence {
     /// The incarnation of the worker.
     pub incarnation: u64,
+    /// The address to which its commands were sent.
+    pub address: SocketAddr,
     /// The state of the run.
     pub state: State,
     /// Whether the worker had reported the run or confirmed its start.
@@ -345,6 +347,7 @@
     pub fn evidence(&self, attempt: &Attempt, now: Instant) -> Evidence {
         Evidence {
             incarnation: self.entry.incarnation,
+            address: self.entry.address,
             state: attempt.state,
             is_confirmed: attempt.is_confirmed,
             age: now.since(attempt.started),
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -23,6 +23,10 @@
 const LEASE_ENDED: &str = "lease ended without an answer";
 /// The event of a worker whose address another worker has.
 pub(super) const LOST_ADDRESS: &str = "another worker has its address";
+/// The event of a worker of which the directory lists a later incarnation.
+const RESTART_LISTED: &str = "the directory lists a later start";
+/// The event of a worker whose response to a poll names another incarnation.
+const RESTART_REPORTED: &str = "its report names another start";
 /// A start command without an outcome for this long is in doubt: the caller reports one much earlier.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a stop command may go unanswered before it is sent again.
@@ -76,7 +80,7 @@
                     run,
                 });
             }
-            self.remove_worker(key, now, "restarted", out);
+            self.remove_worker(key, now, RESTART_LISTED, out);
             let next = self.add_worker(entry, now, out);
             if let Some(worker) = self.workers.get_mut(next) {
                 // A poll of the former incarnation may have reached this one and extended its lease.
@@ -211,14 +215,14 @@
         worker.expect_lease(now, self.rules.max_lease);
         worker.is_responding = false;
         if undecided.is_empty() {
-            self.remove_worker(key, now, "restarted", out);
+            self.remove_worker(key, now, RESTART_REPORTED, out);
             return;
         }
         out.push(event(key, worker, "restarted with starts under way"));
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
         for (task, run) in runs {
             if !undecided.contains(&(task, run)) {
-                self.release(key, task, run, "restarted", now, out);
+                self.release(key, task, run, RESTART_REPORTED, now, out);
             }
         }
     }
@@ -519,6 +523,8 @@
     Output::Worker {
         worker: key,
         name: worker.entry.name.clone(),
+        incarnation: worker.entry.incarnation,
+        address: worker.entry.address,
         event,
     }
 }
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -476,7 +476,8 @@
                 evidence,
             } => {
                 info!(self.log, "run released without an end"; "task" => %task, "run" => run.0,
-                    "worker" => worker, "incarnation" => evidence.incarnation, "reason" => reason,
+                    "worker" => worker, "incarnation" => evidence.incarnation,
+                    "address" => %evidence.address, "reason" => reason,
                     "state" => evidence.state.name(), "confirmed" => evidence.is_confirmed,
                     "age_ms" => evidence.age.as_millis() as u64,
                     "report_age_ms" => evidence.report_age.as_millis() as u64,
@@ -511,9 +512,12 @@
             Output::Worker {
                 worker,
                 name,
+                incarnation,
+                address,
                 event,
             } => {
-                info!(self.log, "worker changed"; "worker" => name, "event" => event);
+                info!(self.log, "worker changed"; "worker" => name, "event" => event,
+                    "incarnation" => incarnation, "address" => %address, "token" => self.token.0);
                 match event {
                     "listed" => {
                         actix_rt::spawn(Rc::clone(self).poll_worker(worker));
