Show that an entry of the directory releases the runs of a worker that responds

Reproduced with entries that differ from the worker's own by the start or the address only, written by another writer: 4 of 4 new tests of scheduler::directory fail on this commit (3 of before pass). Known red until the fix.

--- a/tests/testsuite/scheduler/directory.rs
+++ b/tests/testsuite/scheduler/directory.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use laburnumplank::core::queue::QueueBinding;
-use laburnumplank::core::scheduler::message::Input;
+use laburnumplank::core::scheduler::id::Worker;
+use laburnumplank::core::scheduler::message::{Input, Outcome, Refusal, Start};
 use laburnumplank::core::scheduler::spec::Queue;
 use laburnumplank::core::scheduler::worker::Entry;
 
@@ -80,3 +81,103 @@
     }]));
     assert!(cell.scheduler.worker_named("w1").is_some());
 }
+
+/// An entry that differs from the worker's own by a later start only.
+fn later(name: &str) -> Entry {
+    let own = entry(name);
+    Entry {
+        incarnation: own.incarnation + 1,
+        ..own
+    }
+}
+
+/// An entry that differs from the worker's own by the address only.
+fn moved(name: &str) -> Entry {
+    Entry {
+        address: "127.0.0.1:10".parse().unwrap(),
+        ..entry(name)
+    }
+}
+
+/// Returns a cell with a task that runs on the worker `w1`, its start, and a free worker `w2`.
+fn cell_with_a_run() -> (Cell, Worker, Start) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.accept_starts().remove(0);
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    cell.add_worker("w2");
+    (cell, worker, start)
+}
+
+/// The owner took the entry for a restart and ran the task a second time, beside the first run.
+#[test]
+fn later_start_in_the_directory_ends_no_run_of_a_worker_that_responds() {
+    let (mut cell, worker, start) = cell_with_a_run();
+    cell.input(Input::Listed(later("w1")));
+    for _ in 0..20 {
+        cell.wait(Duration::from_millis(100));
+        assert!(cell.starts.is_empty());
+        assert!(
+            cell.scheduler.worker(worker).is_some(),
+            "it is still polled"
+        );
+        cell.poll(worker, vec![running(&start)], Vec::new());
+    }
+    assert!(cell.stops.is_empty());
+}
+
+/// The owner polled the address of the entry, where another worker rejected its poll.
+#[test]
+fn other_address_in_the_directory_is_not_polled_for_a_worker_that_responds() {
+    let (mut cell, worker, start) = cell_with_a_run();
+    cell.input(Input::Listed(moved("w1")));
+    for _ in 0..20 {
+        cell.wait(Duration::from_millis(100));
+        let known = cell.scheduler.worker(worker).map(|worker| &worker.entry);
+        assert_eq!(known.map(|known| known.address), Some(entry("w1").address));
+        cell.poll(worker, vec![running(&start)], Vec::new());
+    }
+    assert!(cell.starts.is_empty() && cell.stops.is_empty());
+}
+
+/// Returns the next owner of a cell with a run on `w1`, and a free worker `w2`.
+fn owner_with_an_inherited_run() -> (Cell, Start) {
+    let (first, _, start) = cell_with_a_run();
+    let mut second = first.successor(9);
+    second.add_worker("w2");
+    (second, start)
+}
+
+/// The address of the entry was another worker's, which showed to the next owner that `w1` had ended.
+#[test]
+fn rejection_at_an_address_that_never_responded_ends_no_inherited_run() {
+    let (mut second, start) = owner_with_an_inherited_run();
+    second.input(Input::Listed(moved("w1")));
+    let worker = second.scheduler.worker_named("w1").unwrap();
+    second.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Refused(Refusal::OtherWorker),
+    });
+    second.wait(Duration::from_secs(1));
+    assert!(second.starts.is_empty(), "w1 may run the task");
+    let worker = second.list_worker("w1");
+    second.poll(worker, vec![running(&start)], Vec::new());
+    second.wait(Duration::from_secs(12));
+    assert!(second.starts.is_empty() && second.stops.is_empty());
+}
+
+/// The worker's own entry was ignored as that of an earlier incarnation, and its runs lapsed.
+#[test]
+fn own_entry_of_a_worker_follows_a_later_start_that_never_responded() {
+    let (mut second, start) = owner_with_an_inherited_run();
+    second.input(Input::Listed(later("w1")));
+    second.wait(Duration::from_secs(1));
+    let worker = second.list_worker("w1");
+    let known = second.scheduler.worker(worker).unwrap();
+    assert_eq!(known.entry.incarnation, entry("w1").incarnation);
+    second.poll(worker, vec![running(&start)], Vec::new());
+    second.wait(Duration::from_secs(12));
+    assert!(second.starts.is_empty() && second.stops.is_empty());
+}
