Verify an entry that contradicts its worker before it counts

Cause: the scheduler took what the directory says of a worker for what the worker says of itself. An entry with a later start counted as a restart and released all runs of the worker at once; one with another address redirected polls and commands, and the rejection by whoever is there counted as the end of the worker. Others than the worker may write its entry.

Ruled out: checking entries more strictly alone, since an entry in order can't be told from the worker's own by its form; taking the later of two entries, since a restart is the later one as well; waiting for the lease after each contradiction, which would cost every true restart up to 4.8 s.

Change: an entry with another start or address under the name of a worker that has responded is a hint. The address that it names is polled, without a lease or an acknowledgement. A response from there with that start replaces the known incarnation; a response of the known one to a poll sent after the hint, a rejection at the listed address or the worker's own next entry refutes it. While neither responds, the runs are kept until the lease of the known one has ended. A rejection proves the end of a worker only at an address at which it has responded to this owner. A worker of which nothing but the directory speaks is replaced by its next entry.

The simulated cell answers the verification of a restart; the world compares names instead of start numbers when a command reaches a worker under its next name.

--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -202,6 +202,13 @@
     Listed(Entry),
     /// The directory no longer lists the worker with this name.
     Unlisted(String),
+    /// The poll of [`Output::Verify`] has an outcome.
+    Verified {
+        /// The entry.
+        entry: Entry,
+        /// The outcome: done if the worker that the entry names is there, in the incarnation that it names.
+        outcome: Outcome,
+    },
     /// The queues of the present configuration.
     Queues(Vec<QueueBinding>),
     /// The client accounts of the present configuration.
@@ -323,6 +330,9 @@
         /// The run.
         run: Run,
     },
+    /// Poll the address of an entry, without a lease or an acknowledgement, until the poll has an outcome or the
+    /// entry needs [no verification](super::Scheduler::is_unverified) any more.
+    Verify(Entry),
     /// Call the advisor.
     CallAdvisor(AdvisorCall),
     /// Respond to a client.
@@ -452,6 +462,21 @@
         /// The change, as log lines name it.
         event: &'static str,
     },
+    /// Write a log line: an entry in the directory contradicts what is known of its worker.
+    Contradiction {
+        /// The entry.
+        entry: Entry,
+        /// The known incarnation.
+        incarnation: u64,
+        /// The known address.
+        address: SocketAddr,
+        /// The time since the known worker last responded.
+        report_age: Duration,
+        /// The time that is left until its lease has certainly ended.
+        lease_left: Duration,
+        /// What was found out.
+        verdict: &'static str,
+    },
     /// Write a log line: an entry in the directory is kept back, because no queue has its service.
     UnnamedService {
         /// The worker's name.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -34,6 +34,7 @@
 pub mod spec;
 pub mod suspicion;
 mod trial;
+mod verify;
 pub mod wait;
 pub mod work;
 pub mod worker;
@@ -182,6 +183,8 @@
     services: HashSet<String>,
     /// The latest entries in the directory whose service no queue has, by the worker's name.
     unnamed: HashMap<String, worker::Entry>,
+    /// The entries in the directory that contradict what is known of a worker, by its name.
+    unverified: HashMap<String, verify::UnverifiedEntry>,
     /// What client accounts use, and their caps.
     ledger: ledger::Ledger,
     /// What the order of client accounts is based on.
@@ -247,6 +250,7 @@
             queues: Registry::default(),
             services: HashSet::new(),
             unnamed: HashMap::new(),
+            unverified: HashMap::new(),
             ledger: ledger::Ledger::default(),
             share: share::Share::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
@@ -301,6 +305,7 @@
             }
             Input::Listed(entry) => self.listed(time.now, entry, out),
             Input::Unlisted(name) => self.unlisted(&name, out),
+            Input::Verified { entry, outcome } => self.verified(time, &entry, &outcome, out),
             Input::Queues(bindings) => self.set_queues(time.now, bindings, out),
             Input::Accounts(accounts) => self.ledger.configure(&accounts, time.now),
             Input::Polled {
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -213,6 +213,8 @@
     pub listed: bool,
     /// Whether the worker has responded to this owner and no poll has failed since.
     pub is_responding: bool,
+    /// Whether the worker has responded to this owner at the address of `entry`, with the start that `entry` names.
+    pub is_proven: bool,
     /// Whether the worker has ever reported all of its runs and ends to this owner.
     pub has_reported: bool,
     /// Whether the last report was full, so that the worker may have further ends.
@@ -273,6 +275,7 @@
             entry,
             listed: true,
             is_responding: false,
+            is_proven: false,
             has_reported: false,
             may_have_unread_ends: false,
             is_replaced: false,
@@ -356,6 +359,16 @@
         }
     }
 
+    /// Whether an entry names this incarnation at its address.
+    pub fn is_named_by(&self, entry: &Entry) -> bool {
+        self.entry.incarnation == entry.incarnation && self.entry.address == entry.address
+    }
+
+    /// Whether nothing but the directory speaks for this incarnation, and no run may be on it.
+    pub fn is_hearsay(&self) -> bool {
+        !self.is_proven && !self.is_replaced && self.attempts.is_empty()
+    }
+
     /// Whether the worker has reported more runs than fit into its capacity.
     pub fn is_overcommitted(&self) -> bool {
         !self.reported.fits(self.entry.capacity)
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -23,8 +23,12 @@
 const LEASE_ENDED: &str = "lease ended without an answer";
 /// The event of a worker whose address another worker has.
 pub(super) const LOST_ADDRESS: &str = "another worker has its address";
-/// The event of a worker of which the directory lists a later incarnation.
-const RESTART_LISTED: &str = "the directory lists a later start";
+/// The event of a worker whose next incarnation has responded.
+const RESTARTED: &str = "its next incarnation has responded";
+/// The event of a worker that has never responded and of which the directory lists another start or address.
+const LISTED_OTHERWISE: &str = "the directory lists it otherwise";
+/// The event of a worker that has never responded and at whose address another one is.
+const REJECTED_ENTRY: &str = "its entry names another worker's address";
 /// The event of a worker whose response to a poll names another incarnation.
 const RESTART_REPORTED: &str = "its report names another start";
 /// A start command without an outcome for this long is in doubt: the caller reports one much earlier.
@@ -47,49 +51,70 @@
             return;
         }
         self.unnamed.remove(&entry.name);
-        if let Some(&key) = self.by_name.get(&entry.name) {
-            let Some(worker) = self.workers.get_mut(key) else {
-                return;
-            };
-            if worker.entry.incarnation == entry.incarnation {
-                let was_usable = worker.listed && !worker.entry.draining;
-                let has_capacity_changed = worker.entry.capacity != entry.capacity;
-                worker.entry = entry;
-                worker.listed = true;
-                if was_usable && worker.entry.draining {
-                    out.push(event(key, worker, "draining"));
-                }
-                if has_capacity_changed {
-                    out.push(event(key, worker, "capacity changed"));
-                    report_commitment(key, worker, out);
-                }
-                return;
-            }
-            if worker.entry.incarnation > entry.incarnation {
-                return;
-            }
-            let former = worker.entry.incarnation;
-            self.note_crash(key, true);
-            let undecided = self.take_undecided(key);
-            for &(task, run, _) in &undecided {
-                out.push(Output::PassedOn {
-                    worker: entry.name.clone(),
-                    from: former,
-                    to: entry.incarnation,
-                    task,
-                    run,
-                });
-            }
-            self.remove_worker(key, now, RESTART_LISTED, out);
-            let next = self.add_worker(entry, now, out);
-            if let Some(worker) = self.workers.get_mut(next) {
-                // A poll of the former incarnation may have reached this one and extended its lease.
-                worker.expect_lease(now, self.rules.max_lease);
-            }
-            self.transfer(key, next, undecided, now);
+        let Some(&key) = self.by_name.get(&entry.name) else {
+            self.add_worker(entry, now, out);
             return;
+        };
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        if worker.is_named_by(&entry) {
+            self.unverified.remove(&entry.name);
+            self.update_entry(key, entry, out);
+        } else if worker.is_hearsay() {
+            self.remove_worker(key, now, LISTED_OTHERWISE, out);
+            self.add_worker(entry, now, out);
+        } else if worker.entry.incarnation <= entry.incarnation {
+            self.verify(key, entry, now, out);
         }
-        self.add_worker(entry, now, out);
+    }
+
+    /// Replaces the entry of a worker by a newer one of the same incarnation.
+    pub(super) fn update_entry(&mut self, key: Worker, entry: Entry, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let was_usable = worker.listed && !worker.entry.draining;
+        let has_capacity_changed = worker.entry.capacity != entry.capacity;
+        worker.entry = entry;
+        worker.listed = true;
+        if was_usable && worker.entry.draining {
+            out.push(event(key, worker, "draining"));
+        }
+        if has_capacity_changed {
+            out.push(event(key, worker, "capacity changed"));
+            report_commitment(key, worker, out);
+        }
+    }
+
+    /// Replaces a worker by its next incarnation, which has responded, and returns the key of that.
+    pub(super) fn restarted(
+        &mut self,
+        key: Worker,
+        entry: Entry,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Worker {
+        let from = self.workers[key].entry.incarnation;
+        self.note_crash(key, true);
+        let undecided = self.take_undecided(key);
+        for &(task, run, _) in &undecided {
+            out.push(Output::PassedOn {
+                worker: entry.name.clone(),
+                from,
+                to: entry.incarnation,
+                task,
+                run,
+            });
+        }
+        self.remove_worker(key, now, RESTARTED, out);
+        let next = self.add_worker(entry, now, out);
+        if let Some(worker) = self.workers.get_mut(next) {
+            // A poll of the former incarnation may have reached this one and extended its lease.
+            worker.expect_lease(now, self.rules.max_lease);
+        }
+        self.transfer(key, next, undecided, now);
+        next
     }
 
     fn add_worker(&mut self, entry: Entry, now: Instant, out: &mut Vec<Output>) -> Worker {
@@ -160,6 +185,7 @@
     /// runs are kept until its lease ends.
     pub(super) fn unlisted(&mut self, name: &str, out: &mut Vec<Output>) {
         self.unnamed.remove(name);
+        self.unverified.remove(name);
         let Some(&key) = self.by_name.get(name) else {
             return;
         };
@@ -183,6 +209,10 @@
             self.by_name.remove(&worker.entry.name);
             self.is_worker_list_recorded = false;
             out.push(event(key, &worker, reason));
+            // Nothing contradicts the entry any more.
+            if let Some(unverified) = self.unverified.remove(&worker.entry.name) {
+                self.add_worker(unverified.entry, now, out);
+            }
         }
     }
 
@@ -230,6 +260,15 @@
     /// Processes that another worker has taken the address of a worker. Nothing of the former one is left,
     /// and no command that is under way to it will be carried out.
     pub(super) fn lost_address(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        if self
+            .workers
+            .get(key)
+            .is_some_and(|worker| !worker.is_proven)
+        {
+            // The worker may have another address, and runs of earlier owners there.
+            self.remove_worker(key, now, REJECTED_ENTRY, out);
+            return;
+        }
         self.release_pending_starts(key, now, out);
         self.note_crash(key, true);
         if let Some(worker) = self.workers.get(key) {
@@ -263,14 +302,22 @@
             .iter()
             .filter(|(_, worker)| !worker.is_responding && self.has_lease_ended(worker.lease_end()))
             .filter(|(_, worker)| {
-                !worker.attempts.is_empty() || !worker.listed || worker.is_replaced
+                let is_contradicted = self.unverified.contains_key(&worker.entry.name);
+                !worker.attempts.is_empty()
+                    || !worker.listed
+                    || worker.is_replaced
+                    || is_contradicted
             })
             .map(|(key, _)| key)
             .collect();
         for key in lapsed {
             self.is_dirty = true;
             let worker = self.workers.get(key);
-            match worker.filter(|worker| worker.listed && !worker.is_replaced) {
+            let stays = |worker: &&worker::Worker| {
+                let is_contradicted = self.unverified.contains_key(&worker.entry.name);
+                worker.listed && !worker.is_replaced && !is_contradicted
+            };
+            match worker.filter(stays) {
                 Some(worker) => {
                     out.push(event(key, worker, LEASE_ENDED));
                     self.release_all(key, time.now, LEASE_ENDED, out);
@@ -340,12 +387,14 @@
             return;
         };
         worker.read_clock(time.now, inventory.clock_ms);
+        worker.is_proven = true;
         worker.confirm_acknowledgement();
         if !worker.is_responding {
             worker.is_responding = true;
             out.push(event(key, worker, "responding"));
             self.note_inherited_response(key);
         }
+        self.refute(key, sent, time.now, out);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
--- a/src/entry/owner/calls.rs
+++ b/src/entry/owner/calls.rs
@@ -7,14 +7,14 @@
 use slog::{debug, info, warn};
 
 use super::{LOCAL_PROXY, Owner};
-use crate::core::scheduler::Input;
 use crate::core::scheduler::advice;
 use crate::core::scheduler::id::{Run, Task, Worker};
 use crate::core::scheduler::message::{Outcome, Start};
-use crate::core::scheduler::worker::Account;
+use crate::core::scheduler::worker::{Account, Entry};
+use crate::core::scheduler::{Input, WorkerPoll};
 use crate::entry::link::Link;
 use crate::entry::message::{EntryRequest, EntryResponse};
-use crate::entry::port::Platform;
+use crate::entry::port::{Address, Platform};
 use crate::util::metric::label;
 
 /// How long a worker may delay the response to a poll until a run ends.
@@ -57,6 +57,31 @@
         }
     }
 
+    /// Polls the address of an entry that contradicts what is known of its worker, until a worker responds there or the
+    /// entry needs no verification any more.
+    pub(super) async fn verify(self: Rc<Owner<P>>, entry: Entry) {
+        let address = Address::from(&entry);
+        let poll = WorkerPoll {
+            acknowledged: 0,
+            deadline_ms: None,
+        };
+        while !self.is_over() && self.scheduler.borrow().is_unverified(&entry) {
+            let response = self
+                .platform
+                .poll(&address, poll, Duration::ZERO, self.token);
+            let outcome = match response.await {
+                Ok(inventory) => Outcome::Done(Some(inventory.clock_ms)),
+                Err(refusal) => refusal.map_or(Outcome::Unknown, Outcome::Refused),
+            };
+            debug!(self.log, "entry verified"; "worker" => &entry.name, "outcome" => ?outcome);
+            self.apply(Input::Verified {
+                entry: entry.clone(),
+                outcome,
+            });
+            tokio::time::sleep(POLL_RETRY_PAUSE).await;
+        }
+    }
+
     /// Waits until the ends that a worker reported are in the log, at most for
     /// [`ENDS_DURABLE_WAIT`].
     async fn wait_until_ends_durable(&self, worker: Worker) {
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -419,6 +419,9 @@
                     .add(1, &label("command", "stop"));
                 actix_rt::spawn(Rc::clone(self).stop(worker, task, run));
             }
+            Output::Verify(entry) => {
+                actix_rt::spawn(Rc::clone(self).verify(entry));
+            }
             Output::CallAdvisor(call) => {
                 actix_rt::spawn(Rc::clone(self).advise(call));
             }
@@ -449,6 +452,21 @@
                     "crashes" => crashes, "verdict" => verdict.name(), "token" => self.token.0);
             }
             Output::GivenUp { task, history } => self.report_given_up(task, &history),
+            Output::Contradiction {
+                entry,
+                incarnation,
+                address,
+                report_age,
+                lease_left,
+                verdict,
+            } => {
+                warn!(self.log, "entry in the directory contradicts its worker"; "worker" => entry.name,
+                    "incarnation" => incarnation, "address" => %address,
+                    "listed_incarnation" => entry.incarnation, "listed_address" => %entry.address,
+                    "report_age_ms" => report_age.as_millis() as u64,
+                    "lease_left_ms" => lease_left.as_millis() as u64, "verdict" => verdict,
+                    "token" => self.token.0);
+            }
             Output::UnnamedService { worker, service } => {
                 info!(self.log, "entry in the directory names no service of a queue"; "worker" => worker,
                     "service" => service, "token" => self.token.0);
@@ -561,12 +579,7 @@
 
     fn address(&self, worker: Worker) -> Option<Address> {
         let scheduler = self.scheduler.borrow();
-        let entry = &scheduler.worker(worker)?.entry;
-        Some(Address {
-            name: entry.name.clone(),
-            incarnation: entry.incarnation,
-            address: entry.address,
-        })
+        Some(Address::from(&scheduler.worker(worker)?.entry))
     }
 
     fn answer(&self, request: Request, answer: Result<Answer>) {
--- a/src/entry/port.rs
+++ b/src/entry/port.rs
@@ -159,6 +159,16 @@
     pub address: SocketAddr,
 }
 
+impl From<&Entry> for Address {
+    fn from(entry: &Entry) -> Address {
+        Address {
+            name: entry.name.clone(),
+            incarnation: entry.incarnation,
+            address: entry.address,
+        }
+    }
+}
+
 /// The workers' control interface.
 pub trait Workers {
     /// Starts a run.
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -111,6 +111,8 @@
     /// Start commands, in order.
     pub(super) starts: Vec<(Worker, Start)>,
     pub(super) stops: Vec<(Worker, Task, Run)>,
+    /// Entries whose address is to be polled, in order.
+    pub(super) verifications: Vec<Entry>,
     /// Calls to the advisor, in order.
     pub(super) calls: Vec<AdvisorCall>,
     pub(super) answers: Vec<(Request, Result<Answer, Error>)>,
@@ -142,6 +144,7 @@
             log: BTreeMap::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            verifications: Vec::new(),
             calls: Vec::new(),
             answers: Vec::new(),
             events: Vec::new(),
@@ -263,7 +266,9 @@
                 Output::Released { .. } | Output::PassedOn { .. } | Output::Inherited { .. } => {
                     self.beliefs.push(output);
                 }
+                Output::Verify(entry) => self.verifications.push(entry),
                 Output::Adopted { .. }
+                | Output::Contradiction { .. }
                 | Output::UnnamedService { .. }
                 | Output::Lost { .. }
                 | Output::Crashed { .. }
@@ -289,16 +294,27 @@
         self.scheduler.worker_named(name).unwrap()
     }
 
-    /// Lists the next incarnation of a worker, and confirms the record of workers.
+    /// Lists the next incarnation of a worker, which confirms its entry, and confirms the record of workers.
     pub(super) fn restart_worker(&mut self, name: &str) -> Worker {
         let mut restarted = entry(name);
         restarted.incarnation += 1;
         self.input(Input::Listed(restarted));
+        self.finish_verifications(&Outcome::Done(None));
         self.tick();
         self.confirm();
         self.scheduler.worker_named(name).unwrap()
     }
 
+    /// Delivers the outcome of all polls that verify entries.
+    pub(super) fn finish_verifications(&mut self, outcome: &Outcome) {
+        for entry in std::mem::take(&mut self.verifications) {
+            self.input(Input::Verified {
+                entry,
+                outcome: outcome.clone(),
+            });
+        }
+    }
+
     /// Cancels a job; the record of its end is not confirmed.
     pub(super) fn cancel(&mut self, job: u64) {
         let at = self.time().stamp;
--- a/tests/testsuite/scheduler/directory.rs
+++ b/tests/testsuite/scheduler/directory.rs
@@ -181,3 +181,46 @@
     second.wait(Duration::from_secs(12));
     assert!(second.starts.is_empty() && second.stops.is_empty());
 }
+
+/// The entry of another writer replaced the worker's own, which had followed it.
+#[test]
+fn entry_that_the_own_one_followed_does_not_replace_a_silent_worker() {
+    let (mut cell, worker, _) = cell_with_a_run();
+    cell.input(Input::Listed(moved("w1")));
+    cell.input(Input::Listed(entry("w1")));
+    cell.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Unknown,
+    });
+    cell.wait(Duration::from_secs(8));
+    let worker = cell.scheduler.worker_named("w1").unwrap();
+    let known = cell.scheduler.worker(worker).unwrap();
+    assert_eq!(known.entry.address, entry("w1").address);
+}
+
+/// Without an answer from either address, the entry counts once the lease has ended.
+#[test]
+fn later_start_of_a_silent_worker_counts_after_the_lease() {
+    let (mut cell, worker, _) = cell_with_a_run();
+    cell.input(Input::Listed(later("w1")));
+    cell.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Unknown,
+    });
+    cell.wait(Duration::from_secs(1));
+    assert!(cell.starts.is_empty(), "its lease goes on");
+    cell.wait(Duration::from_secs(5));
+    let next = cell.scheduler.worker_named("w1").unwrap();
+    assert_ne!(next, worker);
+    cell.confirm();
+    assert_eq!(cell.starts.len(), 1);
+}
+
+/// A restart is known as soon as the next incarnation has responded.
+#[test]
+fn later_start_that_the_worker_confirms_releases_its_runs_at_once() {
+    let (mut cell, worker, _) = cell_with_a_run();
+    let next = cell.restart_worker("w1");
+    assert_ne!(next, worker);
+    assert_eq!(cell.starts.len(), 1);
+}
--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -13,7 +13,7 @@
 use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
 
 use super::accounts::Cores;
-use super::world::{Former, World};
+use super::world::{Foreign, Former, Place, World};
 
 /// The number of workers.
 const WORKERS: usize = 3;
@@ -61,6 +61,8 @@
         renames: bool,
     },
     ListStale(usize),
+    /// Lets another writer replace the entry of a worker.
+    ListForeign(usize, Foreign),
     Unlist(usize, u64),
     TruncateReports(usize, u64),
     DelayPolls(usize, u64),
@@ -84,6 +86,8 @@
     All,
     /// The same, in a cell with client accounts whose caps change.
     Accounts,
+    /// All faults, while another writer replaces entries of the directory.
+    Foreign,
 }
 
 /// The occurrences of a job.
@@ -229,11 +233,18 @@
 }
 
 fn event(mix: Mix) -> BoxedStrategy<Event> {
-    if mix != Mix::Accounts {
-        return common_event(mix).boxed();
+    let caps = [2u64..20, 2u64..20].prop_map(Event::SetCaps);
+    match mix {
+        Mix::Accounts => prop_oneof![7 => common_event(mix), 1 => caps].boxed(),
+        Mix::Foreign => prop_oneof![4 => common_event(mix), 1 => foreign()].boxed(),
+        _ => common_event(mix).boxed(),
     }
-    let caps = [2u64..20, 2u64..20];
-    prop_oneof![7 => common_event(mix), 1 => caps.prop_map(Event::SetCaps)].boxed()
+}
+
+fn foreign() -> impl Strategy<Value = Event> {
+    let place = prop_oneof![Just(Place::Own), Just(Place::Nobody), Just(Place::Somebody)];
+    (0..WORKERS, 0u64..3, place)
+        .prop_map(|(worker, later, place)| Event::ListForeign(worker, Foreign { later, place }))
 }
 
 fn apply(world: &mut World, event: &Event, jobs: &mut u64) {
@@ -290,6 +301,7 @@
             renames,
         } => world.restart_late(*worker, millis(*down_ms), millis(*listing_ms), *renames),
         Event::ListStale(worker) => world.list_stale(*worker),
+        Event::ListForeign(worker, foreign) => world.list_foreign(*worker, *foreign),
         Event::Unlist(worker, ms) => world.unlist(*worker, millis(*ms)),
         Event::TruncateReports(worker, ms) => world.truncate_reports(*worker, millis(*ms)),
         Event::StopLog(ms, is_silent) => world.stop_log(millis(*ms), *is_silent),
@@ -380,6 +392,11 @@
     fuzz(Mix::All);
 }
 
+#[test]
+fn random_faults_beside_foreign_entries_double_no_task() {
+    fuzz(Mix::Foreign);
+}
+
 #[test]
 fn random_faults_keep_the_caps_of_accounts() {
     fuzz(Mix::Accounts);
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -33,11 +33,11 @@
 /// How long an owner tries to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long an owner waits for the response to a command.
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const COMMAND_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long a worker delays the response to a poll until a run ends.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
 /// The pause after a poll that failed.
-const POLL_RETRY_PAUSE: Duration = Duration::from_millis(250);
+pub(super) const POLL_RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// How long a former owner that was not told of its successor goes on.
 pub(super) const FORMER_LIFE: Duration = Duration::from_millis(1_500);
 /// The pause before a former owner that cannot be reached is asked again for the remaining leases.
@@ -68,6 +68,31 @@
     }
 }
 
+/// An address at which nobody is.
+const NOBODY: &str = "127.0.0.1:10";
+/// The address of a worker with another name.
+const SOMEBODY: &str = "127.0.0.1:11";
+/// How long it takes a worker to write its entry again.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// What an entry of another writer says of a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Foreign {
+    /// How much later the incarnation is than that of the worker.
+    pub(super) later: u64,
+    pub(super) place: Place,
+}
+
+/// The address in an entry of another writer.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Place {
+    /// The worker's own.
+    Own,
+    Nobody,
+    /// That of another worker.
+    Somebody,
+}
+
 /// A worker and the faults on the path to it.
 pub(super) struct Host {
     pub(super) model: Model,
@@ -158,6 +183,8 @@
     Arrives {
         host: usize,
         key: Worker,
+        /// The name of the worker that the command is for.
+        name: String,
         incarnation: u64,
         token: u64,
         sent: Instant,
@@ -219,6 +246,11 @@
     Lists(usize),
     Unlists(String),
     Leaves(usize),
+    /// An owner polls the address of an entry that contradicts what it knows of the worker.
+    Verifies {
+        token: u64,
+        entry: Entry,
+    },
 }
 
 /// What becomes of an owner at a takeover.
@@ -314,7 +346,7 @@
     /// When former owners ended, and the leases that were left, by token.
     ended_owners: BTreeMap<u64, (Instant, Vec<RemainingLease>)>,
     /// What the directory lists, by name.
-    directory: BTreeMap<String, Entry>,
+    pub(super) directory: BTreeMap<String, Entry>,
     log: BTreeMap<Vec<u8>, Vec<u8>>,
     events: BTreeMap<(Instant, u64), Event>,
     event_count: u64,
@@ -1023,6 +1055,16 @@
                     };
                     self.schedule(self.now, polls);
                 }
+                Output::Verify(entry) => {
+                    self.schedule(self.now + TRANSIT, Event::Verifies { token, entry });
+                }
+                Output::Contradiction { entry, verdict, .. } => {
+                    let (name, incarnation, address) =
+                        (entry.name, entry.incarnation, entry.address);
+                    self.remember(&format!(
+                        "token {token}: entry of {name} with incarnation {incarnation} at {address}: {verdict}"
+                    ));
+                }
                 Output::Adopted {
                     task,
                     run,
@@ -1067,7 +1109,8 @@
             return;
         };
         let host = host_of(&worker.entry.name);
-        let incarnation = worker.entry.incarnation;
+        let (incarnation, address) = (worker.entry.incarnation, worker.entry.address);
+        let name = worker.entry.name.clone();
         let timeout = match &command {
             Command::Start(start) => {
                 let id = (key, start.task, start.run, true);
@@ -1093,7 +1136,12 @@
         let cut = self.owner(token).and_then(|owner| owner.cuts.get(&host));
         let is_cut = cut.is_some_and(|cut| now < cut.requests_until);
         self.schedule(now + timeout, returns);
-        if is_cut {
+        if is_cut || address == NOBODY.parse().unwrap() {
+            return;
+        }
+        if address == SOMEBODY.parse().unwrap() {
+            let response = Err(Some(Refusal::OtherWorker));
+            self.respond(host, key, token, now, command, response);
             return;
         }
         let is_order = !matches!(command, Command::Poll(..));
@@ -1116,6 +1164,7 @@
         let arrives = Event::Arrives {
             host,
             key,
+            name,
             incarnation,
             token,
             sent: now,
@@ -1130,6 +1179,7 @@
             Event::Arrives {
                 host,
                 key,
+                name,
                 incarnation,
                 token,
                 sent,
@@ -1141,7 +1191,7 @@
                 if is_lost || !self.is_received(host, sent) {
                     return;
                 }
-                if incarnation < self.hosts[host].first_with_name {
+                if name != self.hosts[host].name(host) {
                     let response = Err(Some(Refusal::OtherWorker));
                     self.respond(host, key, token, sent, command, response);
                     return;
@@ -1249,6 +1299,7 @@
                 }
             }
             Event::Lists(host) => self.list(host),
+            Event::Verifies { token, entry } => self.verify(token, entry),
             Event::Unlists(name) => {
                 self.directory.remove(&name);
                 self.broadcast(&Input::Unlisted(name));
@@ -1256,6 +1307,96 @@
         }
     }
 
+    /// Polls the worker that an entry names, and delivers the outcome.
+    fn verify(&mut self, token: u64, entry: Entry) {
+        let now = self.now;
+        let Some(owner) = self.owner(token) else {
+            return;
+        };
+        if !owner.scheduler.is_unverified(&entry) {
+            return;
+        }
+        let host = host_of(&entry.name);
+        let cut = owner.cuts.get(&host);
+        let is_cut = cut.is_some_and(|cut| now < cut.requests_until.max(cut.responses_until));
+        let (pause, outcome) = if let Some(until) = owner.frozen_until {
+            (until.since(now), Outcome::Unknown)
+        } else if is_cut {
+            (COMMAND_TIMEOUT, Outcome::Unknown)
+        } else {
+            match self.answer_at(host, token, &entry) {
+                None => (COMMAND_TIMEOUT, Outcome::Unknown),
+                Some(outcome) => (TRANSIT, outcome),
+            }
+        };
+        let input = Input::Verified {
+            entry: entry.clone(),
+            outcome,
+        };
+        self.schedule(now + pause, Event::Input { token, input });
+        let again = now + pause + POLL_RETRY_PAUSE;
+        self.schedule(again, Event::Verifies { token, entry });
+    }
+
+    /// Returns how the address of an entry answers a poll; `None` if it doesn't.
+    fn answer_at(&mut self, host: usize, token: u64, entry: &Entry) -> Option<Outcome> {
+        let now = self.now;
+        if entry.address == SOMEBODY.parse().unwrap() {
+            return Some(Outcome::Refused(Refusal::OtherWorker));
+        }
+        let worker = &self.hosts[host];
+        let is_away = !worker.is_up
+            || now < worker.responses_lost_until
+            || now < worker.requests_held_until
+            || entry.address == NOBODY.parse().unwrap();
+        if is_away {
+            return None;
+        }
+        if worker.name(host) != entry.name {
+            return Some(Outcome::Refused(Refusal::OtherWorker));
+        }
+        let poll = WorkerPoll {
+            acknowledged: 0,
+            deadline_ms: None,
+        };
+        if let Err(refusal) = self.execute(host, token, &Command::Poll(poll, Duration::ZERO)) {
+            return Some(Outcome::Refused(refusal));
+        }
+        if self.hosts[host].model.incarnation() == entry.incarnation {
+            Some(Outcome::Done(None))
+        } else {
+            Some(Outcome::Refused(Refusal::OtherIncarnation))
+        }
+    }
+
+    /// Lets another writer replace the entry of a worker, until the worker writes its own again.
+    pub(super) fn list_foreign(&mut self, host: usize, foreign: Foreign) {
+        let host = host % self.hosts.len();
+        if self.hosts[host].is_gone {
+            return;
+        }
+        let own = entry(&self.hosts[host].name(host));
+        let address = match foreign.place {
+            Place::Own => own.address,
+            Place::Nobody => NOBODY.parse().unwrap(),
+            Place::Somebody => SOMEBODY.parse().unwrap(),
+        };
+        let incarnation = self.hosts[host].model.incarnation() + foreign.later;
+        let listed = Entry {
+            incarnation,
+            address,
+            capacity: self.hosts[host].model.capacity(),
+            ..own
+        };
+        self.remember(&format!(
+            "another writer lists w{host} with incarnation {incarnation} at {address}"
+        ));
+        self.directory.insert(listed.name.clone(), listed.clone());
+        self.broadcast(&Input::Listed(listed));
+        self.schedule(self.now + HEARTBEAT, Event::Lists(host));
+        self.disturb(self.now + HEARTBEAT);
+    }
+
     /// Whether a message that was sent at `sent` reaches a worker now. A crash breaks the connections
     /// to a worker, but one that is being opened may reach the next incarnation.
     fn is_received(&self, host: usize, sent: Instant) -> bool {
