Let an owner whose start was fenced leave the task to its successor

A start that a worker rejects because it has seen a higher token released its run, and the same pass of the scheduler placed the task on another worker: the outputs of a pass are carried out to the end although the ownership ends in between. A worker that the successor has not polled yet would carry that start out. The successor waits for the reports of all recorded workers before it starts an inherited task, so that no second run is known to come of this.

scheduler::release::start_that_a_worker_fenced_is_not_repeated_on_another failed on: a second start went out.

--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -371,8 +371,10 @@
                     worker.history.record_unanswered_start(time.now, sent);
                 }
             }
+            // The successor decides on the task.
+            Outcome::Refused(Refusal::Fenced) => out.push(Output::Superseded),
             // The worker has the run: an earlier copy of the command was carried out.
-            Outcome::Refused(refusal) if attempt.is_confirmed && *refusal != Refusal::Fenced => {}
+            Outcome::Refused(_) if attempt.is_confirmed => {}
             Outcome::Refused(refusal) => {
                 self.refused(time, key, task, run, *refusal, out);
             }
@@ -402,7 +404,6 @@
             worker.history.record_refused_start(time.now, sent);
         }
         match refusal {
-            Refusal::Fenced => out.push(Output::Superseded),
             Refusal::OtherWorker => self.lost_address(key, time.now, out),
             Refusal::Permit => {
                 let job = self.jobs.get_mut(&task.step.job);
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod promise;
 mod queue;
 mod recovery;
+mod release;
 mod run;
 mod service;
 mod share;
