Count the lease that a former owner may have extended on a restarted worker

An owner that finds a recorded worker in its next incarnation took it for one without a lease. A poll or start of the owner before may have reached that incarnation. The lease in it ends on the clock of the former incarnation, which is far ahead, so that the worker shortens it to the longest that it grants. When the worker then fell silent, its runs were released before that lease had ended: the worker was up and went on with them.

The lease of such a worker now ends at the earliest when all leases that earlier owners may have granted have ended.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -194,12 +194,15 @@
         }
     }
 
-    /// Returns when the lease of a worker from earlier owners has ended for certain.
+    /// Returns when the lease of a worker from earlier owners has ended for certain; `None` if they did not know the
+    /// worker.
     pub(super) fn inherited_lease_end(&self, name: &str, incarnation: u64) -> Option<Instant> {
-        let mut inherited = self.inherited_workers.iter();
-        let inherited =
-            inherited.find(|other| other.name == name && other.incarnation == incarnation)?;
-        Some(inherited.until)
+        let inherited = self.inherited_workers.iter();
+        let mut of_name = inherited.filter(|other| other.name == name).peekable();
+        of_name.peek()?;
+        let same = of_name.find(|other| other.incarnation == incarnation);
+        // A command that was meant for a former incarnation may have extended the lease of this one.
+        Some(same.map_or(self.inheritance_ends_at, |inherited| inherited.until))
     }
 
     /// Whether every run that an earlier owner started is known or has ended: each worker on which
