Test what a report has to hold before a run that it leaves out is released

Four conditions of the release of a run under a worker that responds were guarded by no test: a list of ends that is full, a list that cannot be read whole, a stop that only the former incarnation confirmed, and the end of a lease on the former incarnation's clock. No fault was found here; the code is unchanged.

--- a/tests/testsuite/scheduler/recovery.rs
+++ b/tests/testsuite/scheduler/recovery.rs
@@ -709,7 +709,7 @@
 }
 
 /// Returns as many ends of runs of other jobs as one report holds.
-fn full_report(start: &Start) -> Vec<EndedRun> {
+pub(super) fn full_report(start: &Start) -> Vec<EndedRun> {
     let ends = (1..=MAX_REPORTED_ENDS).map(|number| {
         let mut other = start.clone();
         other.task.step.job = Job(1_000 + number);
--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -4,15 +4,93 @@
 
 use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::id::Worker;
-use laburnumplank::core::scheduler::message::{Outcome, Refusal};
+use laburnumplank::core::scheduler::message::{Outcome, Refusal, Start};
 
-use super::cell::{Cell, queue, spec, step};
+use super::cell::{Cell, queue, running, spec, step};
+use super::recovery::full_report;
+
+/// Returns an owner with a run that `w1` has confirmed and reported, and an idle worker `w2`.
+fn owner_with_run() -> (Cell, Worker, Start) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.accept_starts().remove(0);
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    cell.add_worker("w2");
+    (cell, worker, start)
+}
+
+/// Returns an owner with a start on `w1` that is not answered, and an idle worker `w2`.
+fn owner_with_unanswered_start() -> (Cell, Worker, Start) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.remove(0);
+    cell.finish_start(worker, &start, Outcome::Unknown);
+    cell.add_worker("w2");
+    (cell, worker, start)
+}
 
 fn fail_poll(cell: &mut Cell, worker: Worker, outcome: Outcome) {
     cell.input(Input::PollFailed { worker, outcome });
     cell.tick();
 }
 
+/// The end of the run may be among those that the next response lists.
+#[test]
+fn run_that_a_full_list_of_ends_leaves_out_is_kept() {
+    let (mut cell, worker, start) = owner_with_run();
+    for _ in 0..5 {
+        cell.wait(Duration::from_millis(100));
+        cell.poll(worker, Vec::new(), full_report(&start));
+        assert!(cell.starts.is_empty());
+    }
+}
+
+#[test]
+fn run_that_an_unreadable_report_leaves_out_is_kept() {
+    let (mut cell, worker, _) = owner_with_run();
+    for _ in 0..5 {
+        cell.wait(Duration::from_millis(100));
+        cell.poll_with(worker, Vec::new(), Vec::new(), false);
+        assert!(cell.starts.is_empty());
+    }
+}
+
+/// The next incarnation may carry the start out, and has seen no stop.
+#[test]
+fn stop_that_the_former_incarnation_confirmed_voids_no_start_on_the_next() {
+    let (mut cell, worker, start) = owner_with_unanswered_start();
+    cell.poll(worker, Vec::new(), Vec::new());
+    assert_eq!(cell.stops, [(worker, start.task, start.run)]);
+    cell.input(Input::Stopped {
+        worker,
+        task: start.task,
+        run: start.run,
+        outcome: Outcome::Done(None),
+    });
+    let next = cell.restart_worker("w1");
+    for _ in 0..10 {
+        cell.wait(Duration::from_millis(100));
+        cell.poll(next, Vec::new(), Vec::new());
+        assert!(cell.starts.is_empty(), "no stop was answered by w1");
+    }
+}
+
+/// The end of the lease in the start was a time on the clock of the former incarnation.
+#[test]
+fn clock_of_the_next_incarnation_voids_no_start() {
+    let (mut cell, _, _) = owner_with_unanswered_start();
+    let next = cell.restart_worker("w1");
+    for _ in 0..100 {
+        cell.wait(Duration::from_millis(100));
+        cell.poll(next, Vec::new(), Vec::new());
+        assert!(cell.starts.is_empty(), "w1 may carry the start out");
+    }
+}
+
 /// The next incarnation may have got a poll of the former owner. The lease that it carried ends on the clock of the
 /// former incarnation, so that the next one shortens it to the longest that it grants.
 #[test]
