Let a rejection prove the end of a worker only where it has responded

What callers saw: nothing that is known.

Cause, twice the same: the owner took a response for the worker's present state without regard to what it was asked with. 1. A poll that the next incarnation answers has extended that one's lease, to the longest. The owner forgot this lease unless a start was under way, and later counted the lease of the next incarnation from its own polls only. 2. A rejection at an address that only the directory gives, or at the former address of a worker that has moved, released all runs.

Change: an incarnation that has been replaced stays in the table until the directory lists the next one or the lease has ended. A rejection at an address at which the worker has not responded removes an entry of which nothing else speaks, and counts as silence otherwise.

Tests: scheduler::release::lease_that_a_poll_answered_by_the_next_incarnation_extended_counts_in_full failed on (found by the audit), scheduler::directory::rejection_at_the_former_address_ends_no_run_of_a_worker_that_moved failed on the commit before.

--- a/src/core/scheduler/verify.rs
+++ b/src/core/scheduler/verify.rs
@@ -93,14 +93,16 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        let key = if worker.entry.incarnation == entry.incarnation {
+        let has_moved = worker.entry.incarnation == entry.incarnation;
+        let key = if has_moved {
             self.update_entry(key, entry, out);
             key
         } else {
             self.restarted(key, entry, now, out)
         };
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.is_proven = true;
+            // A response to a command under way may still come from the former address.
+            worker.is_proven = !has_moved;
         }
     }
 
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -27,8 +27,8 @@
 const RESTARTED: &str = "its next incarnation has responded";
 /// The event of a worker that has never responded and of which the directory lists another start or address.
 const LISTED_OTHERWISE: &str = "the directory lists it otherwise";
-/// The event of a worker that has never responded and at whose address another one is.
-const REJECTED_ENTRY: &str = "its entry names another worker's address";
+/// The event of a worker that has never responded at its address, where another worker or incarnation is.
+const REJECTED_ENTRY: &str = "it is not at the address that the directory gives";
 /// The event of a worker whose response to a poll names another incarnation.
 const RESTART_REPORTED: &str = "its report names another start";
 /// A start command without an outcome for this long is in doubt: the caller reports one much earlier.
@@ -236,6 +236,10 @@
 
     /// Processes that an incarnation of a worker has ended. The directory will list the next one.
     fn replaced(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        if !self.is_proven(key) {
+            self.reject_hearsay(key, now, out);
+            return;
+        }
         self.note_crash(key, true);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -244,11 +248,7 @@
         worker.is_replaced = true;
         worker.expect_lease(now, self.rules.max_lease);
         worker.is_responding = false;
-        if undecided.is_empty() {
-            self.remove_worker(key, now, RESTART_REPORTED, out);
-            return;
-        }
-        out.push(event(key, worker, "restarted with starts under way"));
+        out.push(event(key, worker, RESTART_REPORTED));
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
         for (task, run) in runs {
             if !undecided.contains(&(task, run)) {
@@ -257,16 +257,28 @@
         }
     }
 
+    fn is_proven(&self, key: Worker) -> bool {
+        self.workers.get(key).is_some_and(|worker| worker.is_proven)
+    }
+
+    /// Processes a rejection at an address that only the directory gives for a worker. The worker may be elsewhere.
+    fn reject_hearsay(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.is_hearsay() {
+            self.remove_worker(key, now, REJECTED_ENTRY, out);
+        } else {
+            worker.is_responding = false;
+            out.push(event(key, worker, REJECTED_ENTRY));
+        }
+    }
+
     /// Processes that another worker has taken the address of a worker. Nothing of the former one is left,
     /// and no command that is under way to it will be carried out.
     pub(super) fn lost_address(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
-        if self
-            .workers
-            .get(key)
-            .is_some_and(|worker| !worker.is_proven)
-        {
-            // The worker may have another address, and runs of earlier owners there.
-            self.remove_worker(key, now, REJECTED_ENTRY, out);
+        if !self.is_proven(key) {
+            self.reject_hearsay(key, now, out);
             return;
         }
         self.release_pending_starts(key, now, out);
--- a/tests/testsuite/scheduler/directory.rs
+++ b/tests/testsuite/scheduler/directory.rs
@@ -173,6 +173,11 @@
 fn own_entry_of_a_worker_follows_a_later_start_that_never_responded() {
     let (mut second, start) = owner_with_an_inherited_run();
     second.input(Input::Listed(later("w1")));
+    let worker = second.scheduler.worker_named("w1").unwrap();
+    second.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Refused(Refusal::OtherIncarnation),
+    });
     second.wait(Duration::from_secs(1));
     let worker = second.list_worker("w1");
     let known = second.scheduler.worker(worker).unwrap();
@@ -224,3 +229,20 @@
     assert_ne!(next, worker);
     assert_eq!(cell.starts.len(), 1);
 }
+
+/// A poll of the former address was under way, which another worker had taken by then.
+#[test]
+fn rejection_at_the_former_address_ends_no_run_of_a_worker_that_moved() {
+    let (mut cell, worker, start) = cell_with_a_run();
+    cell.input(Input::Listed(moved("w1")));
+    cell.finish_verifications(&Outcome::Done(None));
+    cell.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Refused(Refusal::OtherWorker),
+    });
+    cell.wait(Duration::from_millis(500));
+    assert!(cell.starts.is_empty());
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    cell.wait(Duration::from_secs(1));
+    assert!(cell.starts.is_empty() && cell.stops.is_empty());
+}
--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -91,8 +91,32 @@
     }
 }
 
-/// The next incarnation may have got a poll of the former owner. The lease that it carried ends on the clock of the
-/// former incarnation, so that the next one shortens it to the longest that it grants.
+/// The lease that the poll carried ends on the clock of the former incarnation, so that the next one shortens it to the
+/// longest that it grants.
+#[test]
+fn lease_that_a_poll_answered_by_the_next_incarnation_extended_counts_in_full() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.scheduler.poll(cell.now, worker);
+    fail_poll(
+        &mut cell,
+        worker,
+        Outcome::Refused(Refusal::OtherIncarnation),
+    );
+    let next = cell.restart_worker("w1");
+    cell.poll(next, Vec::new(), Vec::new());
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    assert_eq!(cell.accept_starts().len(), 1);
+    cell.add_worker("w2");
+    fail_poll(&mut cell, next, Outcome::Unknown);
+    cell.wait(Duration::from_millis(6_100));
+    assert!(cell.starts.is_empty(), "w1 may hold a lease of 6 s");
+    cell.wait(Duration::from_millis(400));
+    assert_eq!(cell.starts.len(), 1);
+}
+
+/// The same with a poll of the former owner.
 #[test]
 fn lease_that_a_former_owner_extended_on_a_restarted_worker_counts_in_full() {
     let mut first = Cell::new(1);
