Record the addresses of workers, at which a rejection proves their end to the next owner

What callers saw: nothing yet.

Cause: what the former owner knew of a worker's address was not passed on.

Change: the owner records, at most once a second, at which address each worker has responded. A rejection there ends the wait for the worker's earlier runs; at any other address it doesn't. The record has a key of its own, so that entries of an earlier release go on reading the record of workers.

Ruled out: asking the directory, which anybody writes; the former owner, which may be gone.

Test: scheduler::directory::rejection_at_the_recorded_address_ends_the_wait_for_an_inherited_run failed without the record.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -12,13 +12,15 @@
 //! for ended before the log has confirmed its claim after that end: a successor may have extended the
 //! lease, and may know by now that the run is done.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use laburnum_derive::message;
 
 use super::id::Worker;
 use super::message::Output;
-use super::worker::{Worker as WorkerState, longest_lease};
+use super::worker::{Entry, Worker as WorkerState, longest_lease};
 use super::workers::{LOST_ADDRESS, START_TIMEOUT};
 use super::{Rules, Scheduler};
 use crate::core::time::Instant;
@@ -28,6 +30,8 @@
 pub(super) struct InheritedWorker {
     pub(super) name: String,
     pub(super) incarnation: u64,
+    /// The address at which it responded to an earlier owner, if known.
+    pub(super) address: Option<SocketAddr>,
     /// When its lease has ended for certain.
     pub(super) until: Instant,
     /// What `until` is based on.
@@ -65,7 +69,16 @@
 impl Scheduler {
     /// Restores the workers on which earlier owners may have started tasks, at the end of the recovery:
     /// until then an earlier owner may have gone on writing.
-    pub(super) fn inherit_workers(&mut self, now: Instant, workers: Vec<(String, u64)>) {
+    pub(super) fn inherit_workers(
+        &mut self,
+        now: Instant,
+        workers: Vec<(String, u64)>,
+        addresses: &[(String, u64, SocketAddr)],
+    ) {
+        let addresses: HashMap<(&str, u64), SocketAddr> = addresses
+            .iter()
+            .map(|(name, incarnation, address)| ((name.as_str(), *incarnation), *address))
+            .collect();
         let of_isolated_owner = MAX_CLAIM_AGE + longest_lease(self.rules.lease);
         let until = now + longest_lease(self.rules.max_lease).max(of_isolated_owner);
         self.recovered_at = now;
@@ -74,6 +87,7 @@
         let inherited = workers.into_iter();
         self.inherited_workers = inherited
             .map(|(name, incarnation)| InheritedWorker {
+                address: addresses.get(&(name.as_str(), incarnation)).copied(),
                 name,
                 incarnation,
                 until,
@@ -183,6 +197,16 @@
         lost.map(|inherited| inherited.name.clone()).collect()
     }
 
+    /// Whether a worker that an entry names responded to an earlier owner at the address in it.
+    pub(super) fn was_at(&self, entry: &Entry) -> bool {
+        let mut inherited = self.inherited_workers.iter();
+        inherited.any(|inherited| {
+            inherited.name == entry.name
+                && inherited.incarnation == entry.incarnation
+                && inherited.address == Some(entry.address)
+        })
+    }
+
     /// Records that a worker of earlier owners has ended.
     pub(super) fn end_inherited_lease(&mut self, name: &str, incarnation: u64) {
         let mut inherited = self.inherited_workers.iter_mut();
--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -7,7 +7,7 @@
 use super::id::{self, Mark, Request};
 use super::job::{Job, Occurrence, TaskState};
 use super::message::{Answer, Output};
-use super::record::{Key, Phase, Progress, Record, Workers, encode};
+use super::record::{Addresses, Key, Phase, Progress, Record, Workers, encode};
 use super::spec::{Queue, Spec};
 use super::worker::Entry;
 use super::{Effect, Scheduler, Time, answer};
@@ -157,6 +157,13 @@
                 self.recovered_workers = workers;
                 true
             }
+            Some(Key::Addresses) => {
+                let Ok(Addresses(addresses)) = ciborium::from_reader(value) else {
+                    return false;
+                };
+                self.recovered_addresses = addresses;
+                true
+            }
             Some(Key::Losses) => {
                 let Ok(losses) = ciborium::from_reader(value) else {
                     return false;
@@ -217,7 +224,8 @@
     pub fn finish_recovery(&mut self, time: Time, out: &mut Vec<Output>) {
         self.active_at = time.now;
         let workers = std::mem::take(&mut self.recovered_workers);
-        self.inherit_workers(time.now, workers);
+        let addresses = std::mem::take(&mut self.recovered_addresses);
+        self.inherit_workers(time.now, workers, &addresses);
         let progress = std::mem::take(&mut self.recovered_progress);
         self.drop_outdated_progress(&progress, out);
         let unfinished: Vec<id::Job> = self
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -41,6 +41,7 @@
 mod workers;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use laburnum_derive::{message, state, value};
@@ -197,8 +198,14 @@
     durable: Mark,
     effects: VecDeque<(Mark, Effect)>,
     is_log_reachable: bool,
+    /// When the addresses of workers were last recorded; `None` before that.
+    addresses_recorded_at: Option<Instant>,
+    /// Whether a worker has responded at an address that the record of addresses lacks.
+    has_unrecorded_address: bool,
     /// The record of workers, until the end of the recovery.
     recovered_workers: Vec<(String, u64)>,
+    /// The record of their addresses, until the end of the recovery.
+    recovered_addresses: Vec<(String, u64, SocketAddr)>,
     /// Progress records read before their jobs.
     recovered_progress: HashMap<id::Job, record::Progress>,
     /// Whether anything that placement depends on has changed since the last placement.
@@ -260,7 +267,10 @@
             durable: Mark(0),
             effects: VecDeque::new(),
             is_log_reachable: true,
+            addresses_recorded_at: None,
+            has_unrecorded_address: false,
             recovered_workers: Vec::new(),
+            recovered_addresses: Vec::new(),
             recovered_progress: HashMap::new(),
             is_dirty: true,
             is_bulk_dirty: true,
@@ -368,6 +378,7 @@
         self.note_losses(time, out);
         self.judge_crashes(time, out);
         self.record_workers(out);
+        self.record_addresses(time.now, out);
         self.is_bulk_dirty |= self.is_dirty;
         let is_first = self.placed_at == self.began;
         let since = time.now.since(self.placed_at);
--- a/src/core/scheduler/record.rs
+++ b/src/core/scheduler/record.rs
@@ -6,6 +6,8 @@
 //! of them. The end of a run is acknowledged to the worker only after the record that contains it is
 //! in the log.
 
+use std::net::SocketAddr;
+
 use laburnum_derive::{message, value};
 
 use super::id::{Job, Run};
@@ -190,6 +192,8 @@
     Progress(Job),
     /// The key of the [`Workers`] record.
     Workers,
+    /// The key of the [`Addresses`] record.
+    Addresses,
     /// The key of the record of [`Losses`](super::loss::Losses).
     Losses,
 }
@@ -200,6 +204,14 @@
 #[derive(Default)]
 pub struct Workers(pub Vec<(String, u64)>);
 
+/// The addresses at which workers have responded to the owner, by name and incarnation. The next owner takes a rejection
+/// for the end of a worker only there. Apart from [`Workers`], whose form earlier releases read.
+#[message]
+#[derive(Default)]
+pub struct Addresses(pub Vec<(String, u64, SocketAddr)>);
+
+/// The text of [`Key::Addresses`].
+const ADDRESSES_KEY: &str = "addresses";
 /// The text of [`Key::Workers`].
 const WORKERS_KEY: &str = "workers";
 /// The text of [`Key::Losses`].
@@ -214,6 +226,7 @@
             Key::Job(job) => job.to_string().into_bytes(),
             Key::Progress(job) => format!("{job}{PROGRESS_SUFFIX}").into_bytes(),
             Key::Workers => WORKERS_KEY.as_bytes().to_vec(),
+            Key::Addresses => ADDRESSES_KEY.as_bytes().to_vec(),
             Key::Losses => LOSSES_KEY.as_bytes().to_vec(),
         }
     }
@@ -224,6 +237,9 @@
         if text == WORKERS_KEY {
             return Some(Key::Workers);
         }
+        if text == ADDRESSES_KEY {
+            return Some(Key::Addresses);
+        }
         if text == LOSSES_KEY {
             return Some(Key::Losses);
         }
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -6,7 +6,7 @@
 use super::id::{Run, Task, Worker};
 use super::job::TaskState;
 use super::message::{Inventory, Outcome, Output, Refusal};
-use super::record::{self, Key, Workers};
+use super::record::{self, Addresses, Key, Workers};
 use super::worker::{self, Attempt, Entry, State};
 use super::{Effect, Scheduler, Time, WorkerPoll};
 use crate::core::resource::Amount;
@@ -33,6 +33,10 @@
 const RESTART_REPORTED: &str = "its report names another start";
 /// A start command without an outcome for this long is in doubt: the caller reports one much earlier.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(2);
+/// The shortest time between two records of the addresses of workers.
+const ADDRESSES_INTERVAL: Duration = Duration::from_secs(1);
+/// The most addresses in a record: the log limits the size of one.
+const MAX_RECORDED_ADDRESSES: usize = 5_000;
 /// How long a stop command may go unanswered before it is sent again.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -277,7 +281,9 @@
     /// Processes that another worker has taken the address of a worker. Nothing of the former one is left,
     /// and no command that is under way to it will be carried out.
     pub(super) fn lost_address(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
-        if !self.is_proven(key) {
+        let worker = self.workers.get(key);
+        let was_there = worker.is_some_and(|worker| worker.is_proven || self.was_at(&worker.entry));
+        if !was_there {
             self.reject_hearsay(key, now, out);
             return;
         }
@@ -399,7 +405,7 @@
             return;
         };
         worker.read_clock(time.now, inventory.clock_ms);
-        worker.is_proven = true;
+        self.has_unrecorded_address |= !std::mem::replace(&mut worker.is_proven, true);
         worker.confirm_acknowledgement();
         if !worker.is_responding {
             worker.is_responding = true;
@@ -563,6 +569,32 @@
         self.defer(mark, Effect::Recorded(mark));
     }
 
+    /// Appends the record of the addresses at which workers have responded, if there are new ones.
+    pub(super) fn record_addresses(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let is_due = self
+            .addresses_recorded_at
+            .is_none_or(|at| now.since(at) >= ADDRESSES_INTERVAL);
+        if !is_due || !std::mem::take(&mut self.has_unrecorded_address) {
+            return;
+        }
+        self.addresses_recorded_at = Some(now);
+        let proven = self.workers.values().filter(|worker| worker.is_proven);
+        let proven = proven.map(|worker| {
+            let entry = &worker.entry;
+            (entry.name.clone(), entry.incarnation, entry.address)
+        });
+        let inherited = self.unlisted_inherited_workers().filter_map(|inherited| {
+            let address = inherited.address?;
+            Some((inherited.name.clone(), inherited.incarnation, address))
+        });
+        let addresses = proven
+            .chain(inherited)
+            .take(MAX_RECORDED_ADDRESSES)
+            .collect();
+        let record = record::encode(&Addresses(addresses));
+        self.append(Key::Addresses, Some(record), out);
+    }
+
     /// Returns the known workers.
     pub fn workers(&self) -> impl Iterator<Item = Worker> {
         self.workers.keys()
--- a/tests/testsuite/scheduler/directory.rs
+++ b/tests/testsuite/scheduler/directory.rs
@@ -246,3 +246,21 @@
     cell.wait(Duration::from_secs(1));
     assert!(cell.starts.is_empty() && cell.stops.is_empty());
 }
+
+/// The next owner waited for the longest lease of a worker that was certain to have ended.
+#[test]
+fn rejection_at_the_recorded_address_ends_the_wait_for_an_inherited_run() {
+    let (mut first, ..) = cell_with_a_run();
+    first.wait(Duration::from_secs(1));
+    first.confirm();
+    let mut second = first.successor(9);
+    second.add_worker("w2");
+    let worker = second.list_worker("w1");
+    assert!(second.starts.is_empty());
+    second.input(Input::PollFailed {
+        worker,
+        outcome: Outcome::Refused(Refusal::OtherWorker),
+    });
+    second.wait(Duration::from_millis(100));
+    assert_eq!(second.starts.len(), 1);
+}
