--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -6,7 +6,7 @@
 use super::id::{Run, Task, Worker};
 use super::job::TaskState;
 use super::message::{Inventory, Outcome, Output, Refusal};
-use super::record::{self, Key, Workers};
+use super::record::{self, Addresses, Key, Workers};
 use super::worker::{self, Attempt, Entry, State};
 use super::{Effect, Scheduler, Time, WorkerPoll};
 use crate::core::resource::Amount;
@@ -27,12 +27,16 @@
 const RESTARTED: &str = "its next incarnation has responded";
 /// The event of a worker that has never responded and of which the directory lists another start or address.
 const LISTED_OTHERWISE: &str = "the directory lists it otherwise";
-/// The event of a worker that has never responded and at whose address another one is.
-const REJECTED_ENTRY: &str = "its entry names another worker's address";
+/// The event of a worker that has never responded at its address, where another worker or incarnation is.
+const REJECTED_ENTRY: &str = "it is not at the address that the directory gives";
 /// The event of a worker whose response to a poll names another incarnation.
 const RESTART_REPORTED: &str = "its report names another start";
 /// A start command without an outcome for this long is in doubt: the caller reports one much earlier.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(2);
+/// The shortest time between two records of the addresses of workers.
+const ADDRESSES_INTERVAL: Duration = Duration::from_secs(1);
+/// The most addresses in a record: the log limits the size of one.
+const MAX_RECORDED_ADDRESSES: usize = 5_000;
 /// How long a stop command may go unanswered before it is sent again.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -236,6 +240,10 @@
 
     /// Processes that an incarnation of a worker has ended. The directory will list the next one.
     fn replaced(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        if !self.is_proven(key) {
+            self.reject_hearsay(key, now, out);
+            return;
+        }
         self.note_crash(key, true);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -244,11 +252,7 @@
         worker.is_replaced = true;
         worker.expect_lease(now, self.rules.max_lease);
         worker.is_responding = false;
-        if undecided.is_empty() {
-            self.remove_worker(key, now, RESTART_REPORTED, out);
-            return;
-        }
-        out.push(event(key, worker, "restarted with starts under way"));
+        out.push(event(key, worker, RESTART_REPORTED));
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
         for (task, run) in runs {
             if !undecided.contains(&(task, run)) {
@@ -257,16 +261,30 @@
         }
     }
 
+    fn is_proven(&self, key: Worker) -> bool {
+        self.workers.get(key).is_some_and(|worker| worker.is_proven)
+    }
+
+    /// Processes a rejection at an address that only the directory gives for a worker. The worker may be elsewhere.
+    fn reject_hearsay(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.is_hearsay() {
+            self.remove_worker(key, now, REJECTED_ENTRY, out);
+        } else {
+            worker.is_responding = false;
+            out.push(event(key, worker, REJECTED_ENTRY));
+        }
+    }
+
     /// Processes that another worker has taken the address of a worker. Nothing of the former one is left,
     /// and no command that is under way to it will be carried out.
     pub(super) fn lost_address(&mut self, key: Worker, now: Instant, out: &mut Vec<Output>) {
-        if self
-            .workers
-            .get(key)
-            .is_some_and(|worker| !worker.is_proven)
-        {
-            // The worker may have another address, and runs of earlier owners there.
-            self.remove_worker(key, now, REJECTED_ENTRY, out);
+        let worker = self.workers.get(key);
+        let was_there = worker.is_some_and(|worker| worker.is_proven || self.was_at(&worker.entry));
+        if !was_there {
+            self.reject_hearsay(key, now, out);
             return;
         }
         self.release_pending_starts(key, now, out);
@@ -387,7 +405,7 @@
             return;
         };
         worker.read_clock(time.now, inventory.clock_ms);
-        worker.is_proven = true;
+        self.has_unrecorded_address |= !std::mem::replace(&mut worker.is_proven, true);
         worker.confirm_acknowledgement();
         if !worker.is_responding {
             worker.is_responding = true;
@@ -551,6 +569,32 @@
         self.defer(mark, Effect::Recorded(mark));
     }
 
+    /// Appends the record of the addresses at which workers have responded, if there are new ones.
+    pub(super) fn record_addresses(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let is_due = self
+            .addresses_recorded_at
+            .is_none_or(|at| now.since(at) >= ADDRESSES_INTERVAL);
+        if !is_due || !std::mem::take(&mut self.has_unrecorded_address) {
+            return;
+        }
+        self.addresses_recorded_at = Some(now);
+        let proven = self.workers.values().filter(|worker| worker.is_proven);
+        let proven = proven.map(|worker| {
+            let entry = &worker.entry;
+            (entry.name.clone(), entry.incarnation, entry.address)
+        });
+        let inherited = self.unlisted_inherited_workers().filter_map(|inherited| {
+            let address = inherited.address?;
+            Some((inherited.name.clone(), inherited.incarnation, address))
+        });
+        let addresses = proven
+            .chain(inherited)
+            .take(MAX_RECORDED_ADDRESSES)
+            .collect();
+        let record = record::encode(&Addresses(addresses));
+        self.append(Key::Addresses, Some(record), out);
+    }
+
     /// Returns the known workers.
     pub fn workers(&self) -> impl Iterator<Item = Worker> {
         self.workers.keys()
