Compare entries and judge lapsed workers in one place each

Entry::agrees_with, stays_after_lease and cell_with_a_run serve both. No behaviour and no assertion has changed.

--- a/src/core/scheduler/verify.rs
+++ b/src/core/scheduler/verify.rs
@@ -19,13 +19,6 @@
     since: Instant,
 }
 
-impl UnverifiedEntry {
-    /// Whether an entry names the same incarnation at the same address.
-    fn is_of(&self, entry: &Entry) -> bool {
-        self.entry.incarnation == entry.incarnation && self.entry.address == entry.address
-    }
-}
-
 impl Scheduler {
     /// Asks the address of an entry that contradicts what is known of the worker `key` for its worker.
     pub(super) fn verify(
@@ -36,7 +29,7 @@
         out: &mut Vec<Output>,
     ) {
         if let Some(known) = self.unverified.get_mut(&entry.name)
-            && known.is_of(&entry)
+            && known.entry.agrees_with(&entry)
         {
             known.entry = entry;
             return;
@@ -55,7 +48,9 @@
     /// Whether an entry that was first listed at `since` still has to be verified.
     pub fn is_unverified(&self, entry: &Entry, since: Instant) -> bool {
         let unverified = self.unverified.get(&entry.name);
-        unverified.is_some_and(|unverified| unverified.is_of(entry) && unverified.since == since)
+        unverified.is_some_and(|unverified| {
+            unverified.entry.agrees_with(entry) && unverified.since == since
+        })
     }
 
     /// Lists the unverified entry of a worker that has been removed: nothing contradicts it any more.
@@ -74,7 +69,7 @@
         out: &mut Vec<Output>,
     ) {
         let unverified = self.unverified.get(&entry.name);
-        if unverified.is_none_or(|unverified| !unverified.is_of(entry)) {
+        if unverified.is_none_or(|unverified| !unverified.entry.agrees_with(entry)) {
             return;
         }
         let Some(&key) = self.by_name.get(&entry.name) else {
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -48,6 +48,13 @@
     pub draining: bool,
 }
 
+impl Entry {
+    /// Whether another entry of this worker names the same incarnation at the same address.
+    pub fn agrees_with(&self, other: &Entry) -> bool {
+        self.incarnation == other.incarnation && self.address == other.address
+    }
+}
+
 /// The state of a run on a worker.
 #[value]
 pub enum State {
@@ -359,11 +366,6 @@
         }
     }
 
-    /// Whether an entry names this incarnation at its address.
-    pub fn is_named_by(&self, entry: &Entry) -> bool {
-        self.entry.incarnation == entry.incarnation && self.entry.address == entry.address
-    }
-
     /// Whether nothing but the directory speaks for this incarnation, and no run may be on it.
     pub fn is_only_listed(&self) -> bool {
         !self.is_proven && !self.is_replaced && self.attempts.is_empty()
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -62,7 +62,7 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        if worker.is_named_by(&entry) {
+        if worker.entry.agrees_with(&entry) {
             self.unverified.remove(&entry.name);
             self.update_entry(key, entry, out);
         } else if worker.is_only_listed() {
@@ -320,23 +320,13 @@
             .workers
             .iter()
             .filter(|(_, worker)| !worker.is_responding && self.has_lease_ended(worker.lease_end()))
-            .filter(|(_, worker)| {
-                let is_contradicted = self.unverified.contains_key(&worker.entry.name);
-                !worker.attempts.is_empty()
-                    || !worker.listed
-                    || worker.is_replaced
-                    || is_contradicted
-            })
+            .filter(|(_, worker)| !worker.attempts.is_empty() || !self.stays_after_lease(worker))
             .map(|(key, _)| key)
             .collect();
         for key in lapsed {
             self.is_dirty = true;
             let worker = self.workers.get(key);
-            let stays = |worker: &&worker::Worker| {
-                let is_contradicted = self.unverified.contains_key(&worker.entry.name);
-                worker.listed && !worker.is_replaced && !is_contradicted
-            };
-            match worker.filter(stays) {
+            match worker.filter(|worker| self.stays_after_lease(worker)) {
                 Some(worker) => {
                     out.push(event(key, worker, LEASE_ENDED));
                     self.release_all(key, time.now, LEASE_ENDED, out);
@@ -346,6 +336,12 @@
         }
     }
 
+    /// Whether a silent worker whose lease has ended is still expected to respond as the incarnation that is known.
+    fn stays_after_lease(&self, worker: &worker::Worker) -> bool {
+        let is_contradicted = self.unverified.contains_key(&worker.entry.name);
+        worker.listed && !worker.is_replaced && !is_contradicted
+    }
+
     /// Returns the contents of a poll of a worker; `None` for an unknown worker and for an incarnation
     /// that has ended.
     pub fn poll(&mut self, now: Instant, key: Worker) -> Option<WorkerPoll> {
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -408,6 +408,18 @@
     }
 }
 
+/// Returns a cell with a task that the worker `w1` runs and has reported, its start, and a free worker `w2`.
+pub(super) fn cell_with_a_run() -> (Cell, Worker, Start) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.accept_starts().remove(0);
+    cell.poll(worker, vec![running(&start)], Vec::new());
+    cell.add_worker("w2");
+    (cell, worker, start)
+}
+
 pub(super) fn ended(number: u64, start: &Start, end: RunEnd) -> EndedRun {
     EndedRun {
         number,
--- a/tests/testsuite/scheduler/directory.rs
+++ b/tests/testsuite/scheduler/directory.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use laburnumplank::core::queue::QueueBinding;
-use laburnumplank::core::scheduler::id::Worker;
 use laburnumplank::core::scheduler::message::{Input, Outcome, Refusal, Start};
 use laburnumplank::core::scheduler::spec::Queue;
 use laburnumplank::core::scheduler::worker::Entry;
 
-use super::cell::{Cell, entry, queue, running, spec, step};
+use super::cell::{Cell, cell_with_a_run, entry, queue, running, spec, step};
 
 /// An entry of another writer under a worker's name: a later start, and a service that no queue has.
 fn foreign(name: &str) -> Entry {
@@ -99,18 +98,6 @@
     }
 }
 
-/// Returns a cell with a task that runs on the worker `w1`, its start, and a free worker `w2`.
-fn cell_with_a_run() -> (Cell, Worker, Start) {
-    let mut cell = Cell::new(1);
-    let worker = cell.add_worker("w1");
-    cell.submit(7, queue(), spec(vec![step(1)]));
-    cell.confirm();
-    let (_, start) = cell.accept_starts().remove(0);
-    cell.poll(worker, vec![running(&start)], Vec::new());
-    cell.add_worker("w2");
-    (cell, worker, start)
-}
-
 /// The owner took the entry for a restart and ran the task a second time, beside the first run.
 #[test]
 fn later_start_in_the_directory_ends_no_run_of_a_worker_that_responds() {
--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -6,21 +6,9 @@
 use laburnumplank::core::scheduler::id::Worker;
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, Start};
 
-use super::cell::{Cell, queue, running, spec, step};
+use super::cell::{Cell, cell_with_a_run, queue, spec, step};
 use super::recovery::full_report;
 
-/// Returns an owner with a run that `w1` has confirmed and reported, and an idle worker `w2`.
-fn owner_with_run() -> (Cell, Worker, Start) {
-    let mut cell = Cell::new(1);
-    let worker = cell.add_worker("w1");
-    cell.submit(7, queue(), spec(vec![step(1)]));
-    cell.confirm();
-    let (_, start) = cell.accept_starts().remove(0);
-    cell.poll(worker, vec![running(&start)], Vec::new());
-    cell.add_worker("w2");
-    (cell, worker, start)
-}
-
 /// Returns an owner with a start on `w1` that is not answered, and an idle worker `w2`.
 fn owner_with_unanswered_start() -> (Cell, Worker, Start) {
     let mut cell = Cell::new(1);
@@ -41,7 +29,7 @@
 /// The end of the run may be among those that the next response lists.
 #[test]
 fn run_that_a_full_list_of_ends_leaves_out_is_kept() {
-    let (mut cell, worker, start) = owner_with_run();
+    let (mut cell, worker, start) = cell_with_a_run();
     for _ in 0..5 {
         cell.wait(Duration::from_millis(100));
         cell.poll(worker, Vec::new(), full_report(&start));
@@ -51,7 +39,7 @@
 
 #[test]
 fn run_that_an_unreadable_report_leaves_out_is_kept() {
-    let (mut cell, worker, _) = owner_with_run();
+    let (mut cell, worker, _) = cell_with_a_run();
     for _ in 0..5 {
         cell.wait(Duration::from_millis(100));
         cell.poll_with(worker, Vec::new(), Vec::new(), false);
