Log whether a released run had been reported by its worker's incarnation

The lines on releases could not tell a run that the known incarnation had reported from one whose start the next incarnation may have carried out: both are `confirmed`.

Ruled out: nothing yet.

--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -190,6 +190,8 @@
     pub state: State,
     /// Whether the worker had reported the run or confirmed its start.
     pub is_confirmed: bool,
+    /// Whether this incarnation had reported the run.
+    pub is_reported: bool,
     /// The time since the run was started or, for a run of an earlier owner, first reported.
     pub age: Duration,
     /// The time since the worker last responded.
@@ -360,6 +362,7 @@
             address: self.entry.address,
             state: attempt.state,
             is_confirmed: attempt.is_confirmed,
+            is_reported: attempt.is_reported,
             age: now.since(attempt.started),
             report_age: now.since(self.answered),
             lease_left: self.lease_end().since(now),
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -497,6 +497,7 @@
                     "worker" => worker, "incarnation" => evidence.incarnation,
                     "address" => %evidence.address, "reason" => reason,
                     "state" => evidence.state.name(), "confirmed" => evidence.is_confirmed,
+                    "reported" => evidence.is_reported,
                     "age_ms" => evidence.age.as_millis() as u64,
                     "report_age_ms" => evidence.report_age.as_millis() as u64,
                     "lease_left_ms" => evidence.lease_left.as_millis() as u64, "token" => self.token.0);
