Show that a start which a restarted worker carried out is repeated beside it

Callers see a task run twice at the same time, or again after it was done.

A worker that restarts under its name shortens a lease on its former clock to the longest that it grants, 6 s from the arrival of the command. The owner counts the 4.5 s of the former clock, and releases a start that was never reported after that.

--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -137,3 +137,68 @@
     cell.wait(Duration::from_millis(100));
     assert!(cell.is_superseded && cell.starts.is_empty());
 }
+
+/// Returns an owner with a start on `w1`, which has not reported it and is silent, and a free worker `w2`.
+fn owner_with_unreported_start(outcome: Outcome) -> (Cell, Worker) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.remove(0);
+    cell.finish_start(worker, &start, outcome);
+    cell.add_worker("w2");
+    fail_poll(&mut cell, worker, Outcome::Unknown);
+    (cell, worker)
+}
+
+/// The worker restarted under its name before the start arrived, and shortened the lease on the former clock to the
+/// longest that it grants.
+#[test]
+fn start_carried_out_by_the_next_incarnation_runs_alone_until_its_lease_has_ended() {
+    for outcome in [Outcome::Done(None), Outcome::Unknown] {
+        let (mut cell, _) = owner_with_unreported_start(outcome.clone());
+        cell.wait(Duration::from_millis(6_100));
+        assert!(
+            cell.starts.is_empty(),
+            "{outcome:?}: the run may go on for 6 s"
+        );
+        cell.wait(Duration::from_millis(400));
+        assert_eq!(cell.starts.len(), 1, "{outcome:?}");
+    }
+}
+
+/// The next incarnation carries out polls as well, each of which extends its lease anew.
+#[test]
+fn polls_after_a_start_extend_the_lease_of_the_next_incarnation() {
+    let (mut cell, worker) = owner_with_unreported_start(Outcome::Done(None));
+    cell.wait(Duration::from_millis(2_000));
+    let poll = cell.scheduler.poll(cell.now, worker).unwrap();
+    assert!(poll.deadline_ms.is_some());
+    cell.wait(Duration::from_millis(6_100));
+    assert!(cell.starts.is_empty(), "the poll may have extended a lease");
+    cell.wait(Duration::from_millis(400));
+    assert_eq!(cell.starts.len(), 1);
+}
+
+/// The same for the next owner, which the former one tells which leases are left.
+#[test]
+fn successor_waits_for_the_next_incarnation_with_an_unreported_start() {
+    let (mut first, _) = owner_with_unreported_start(Outcome::Done(None));
+    first.wait(Duration::from_millis(2_100));
+    let mut second = first.successor(9);
+    second.inherit_leases(&first);
+    second.add_worker("w2");
+    second.wait(Duration::from_millis(4_000));
+    assert!(second.starts.is_empty(), "the run may go on for 6 s");
+    second.wait(Duration::from_millis(400));
+    assert_eq!(second.starts.len(), 1);
+}
+
+/// A worker reports its runs once a second, and what it has reported is on the incarnation that is known.
+#[test]
+fn reported_run_is_started_again_once_the_lease_of_its_incarnation_has_ended() {
+    let (mut cell, worker, _) = cell_with_a_run();
+    fail_poll(&mut cell, worker, Outcome::Unknown);
+    cell.wait(Duration::from_millis(4_900));
+    assert_eq!(cell.starts.len(), 1);
+}
