Keep a start that was never reported until the next incarnation's lease has ended

Cause: the response to a start names no incarnation. A worker that restarts under its name carries out the starts that are under way to the former incarnation, and shortens their lease, which ends on the former clock, to the longest that it grants: 6 s from each command. The owner counted 4.5 s on the former clock, so that it released the run of a silent worker up to 1.5 s too early. It knew of the longer lease only once it had learned of the restart, and when it told the next owner of starts without a response.

Evidence: in the soak, the doubled runs had been released as `gone` or `lease ended without an answer`, with `reported` false. Ruled out there: entries of the directory and rejections (other reasons), late orders (the soak marks them).

Change: a run that its incarnation has not reported is kept until the longest lease after the last command that extends one has ended, also for the next owner. Reported runs are released as before.

--- a/src/core/scheduler/inheritance.rs
+++ b/src/core/scheduler/inheritance.rs
@@ -340,9 +340,10 @@
         .attempts
         .values()
         .any(|attempt| !attempt.is_confirmed && now.since(attempt.started) < START_TIMEOUT);
+    let left = worker.last_lease_end(rules.max_lease).since(now);
     if may_be_under_way {
-        longest_lease(rules.max_lease)
+        left.max(longest_lease(rules.max_lease))
     } else {
-        worker.lease_end().since(now)
+        left
     }
 }
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -330,7 +330,7 @@
                 task,
                 run,
                 reason,
-                evidence: worker.evidence(&attempt, now),
+                evidence: worker.evidence(&attempt, self.rules.max_lease, now),
             });
         }
         self.requeue(key, task, run, now);
--- a/src/core/scheduler/trial.rs
+++ b/src/core/scheduler/trial.rs
@@ -36,15 +36,31 @@
 }
 
 impl Scheduler {
-    /// Stores that a worker's incarnation has ended, or may have ended, under its runs. Must be called
-    /// before the runs leave the worker.
-    pub(super) fn note_crash(&mut self, key: Worker, is_end_certain: bool) {
+    /// Stores that a worker's incarnation has ended under its runs. Must be called before the runs leave the worker.
+    pub(super) fn note_crash(&mut self, key: Worker) {
+        if let Some(worker) = self.workers.get(key) {
+            let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
+            self.note_crash_under(key, &runs, true);
+        }
+    }
+
+    /// Stores that a worker's incarnation has ended, or may have ended, under some of its runs. Must be called before
+    /// these leave the worker.
+    pub(super) fn note_crash_under(
+        &mut self,
+        key: Worker,
+        runs: &[(Task, Run)],
+        is_end_certain: bool,
+    ) {
         // A worker that drains leaves as planned.
         let worker = self.workers.get(key);
         let Some(worker) = worker.filter(|worker| !worker.entry.draining) else {
             return;
         };
-        for (&(task, run), attempt) in &worker.attempts {
+        for &(task, run) in runs {
+            let Some(attempt) = worker.attempts.get(&(task, run)) else {
+                continue;
+            };
             if self.has_survived(task, attempt, attempt.reported_at) {
                 continue;
             }
--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -196,7 +196,7 @@
     pub age: Duration,
     /// The time since the worker last responded.
     pub report_age: Duration,
-    /// The time that is left until the worker's lease has certainly ended.
+    /// The time that is left until the lease of the run has certainly ended.
     pub lease_left: Duration,
 }
 
@@ -267,6 +267,8 @@
     confirmed_acknowledgement: u64,
     /// The latest lease end that was sent to the worker, on its clock in milliseconds.
     deadline_ms: u64,
+    /// When a lease end was last sent to the worker.
+    extended_at: Option<Instant>,
     reading: Option<Reading>,
     /// When a lease from an earlier owner has ended for certain.
     inherited_until: Instant,
@@ -305,6 +307,7 @@
             sent_acknowledgement: 0,
             confirmed_acknowledgement: 0,
             deadline_ms: 0,
+            extended_at: None,
             reading: None,
             inherited_until,
             expected_until: now,
@@ -356,7 +359,7 @@
     }
 
     /// Returns what is known of a run on this worker.
-    pub fn evidence(&self, attempt: &Attempt, now: Instant) -> Evidence {
+    pub fn evidence(&self, attempt: &Attempt, max_lease: Duration, now: Instant) -> Evidence {
         Evidence {
             incarnation: self.entry.incarnation,
             address: self.entry.address,
@@ -365,7 +368,7 @@
             is_reported: attempt.is_reported,
             age: now.since(attempt.started),
             report_age: now.since(self.answered),
-            lease_left: self.lease_end().since(now),
+            lease_left: self.lease_end_of(attempt, max_lease).since(now),
         }
     }
 
@@ -415,6 +418,7 @@
     pub fn extend(&mut self, now: Instant, span: Duration) -> Option<u64> {
         let deadline = self.clock_ms(now)? + span.as_millis() as u64;
         self.deadline_ms = self.deadline_ms.max(deadline);
+        self.extended_at = Some(now);
         Some(deadline)
     }
 
@@ -439,7 +443,24 @@
         self.confirmed_acknowledgement = self.confirmed_acknowledgement.max(sent);
     }
 
-    /// Returns when every lease that the worker may hold, also one of an earlier owner, has ended on
+    /// Returns when the lease under which a run may be there has ended. One that this incarnation has not reported
+    /// may be on the next one, which shortens a lease that ends on the former clock to the longest that it grants.
+    pub fn lease_end_of(&self, attempt: &Attempt, max_lease: Duration) -> Instant {
+        let end = self.lease_end();
+        match self.extended_at {
+            Some(at) if !attempt.is_reported => end.max(at + longest_lease(max_lease)),
+            _ => end,
+        }
+    }
+
+    /// Returns when every lease under which runs may be there has ended.
+    pub fn last_lease_end(&self, max_lease: Duration) -> Instant {
+        let attempts = self.attempts.values();
+        let ends = attempts.map(|attempt| self.lease_end_of(attempt, max_lease));
+        ends.fold(self.lease_end(), Instant::max)
+    }
+
+    /// Returns when every lease that this incarnation may hold, also one of an earlier owner, has ended on
     /// this process's clock.
     pub fn lease_end(&self) -> Instant {
         let inherited_end = self.inherited_until.max(self.expected_until);
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -100,7 +100,7 @@
         out: &mut Vec<Output>,
     ) -> Worker {
         let from = self.workers[key].entry.incarnation;
-        self.note_crash(key, true);
+        self.note_crash(key);
         let undecided = self.take_undecided(key);
         for &(task, run, _) in &undecided {
             out.push(Output::PassedOn {
@@ -234,8 +234,20 @@
             return;
         };
         let runs: Vec<(Task, Run)> = worker.attempts.keys().copied().collect();
-        self.note_crash(key, false);
-        for (task, run) in runs {
+        self.release_runs(key, &runs, reason, now, out);
+    }
+
+    /// Removes runs of a worker that may have ended under them, and returns their tasks to the waiting state.
+    fn release_runs(
+        &mut self,
+        key: Worker,
+        runs: &[(Task, Run)],
+        reason: &'static str,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        self.note_crash_under(key, runs, false);
+        for &(task, run) in runs {
             self.release(key, task, run, reason, now, out);
         }
     }
@@ -246,7 +258,7 @@
             self.reject_listing(key, now, out);
             return;
         }
-        self.note_crash(key, true);
+        self.note_crash(key);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -289,7 +301,7 @@
             return;
         }
         self.release_pending_starts(key, now, out);
-        self.note_crash(key, true);
+        self.note_crash(key);
         if let Some(worker) = self.workers.get(key) {
             let name = worker.entry.name.clone();
             self.end_inherited_lease(&name, worker.entry.incarnation);
@@ -313,29 +325,43 @@
         }
     }
 
-    /// Releases the runs of workers that don't respond and whose leases have ended for certain, and
-    /// removes those that are gone.
+    /// Releases the runs of workers that don't respond once their leases have ended for certain, and removes the workers
+    /// that are gone.
     pub(super) fn release_lapsed(&mut self, time: Time, out: &mut Vec<Output>) {
-        let lapsed: Vec<Worker> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| !worker.is_responding && self.has_lease_ended(worker.lease_end()))
-            .filter(|(_, worker)| !worker.attempts.is_empty() || !self.stays_after_lease(worker))
-            .map(|(key, _)| key)
-            .collect();
-        for key in lapsed {
-            self.is_dirty = true;
-            let worker = self.workers.get(key);
-            match worker.filter(|worker| self.stays_after_lease(worker)) {
-                Some(worker) => {
-                    out.push(event(key, worker, LEASE_ENDED));
-                    self.release_all(key, time.now, LEASE_ENDED, out);
-                }
-                None => self.remove_worker(key, time.now, "gone", out),
+        let workers = self.workers.iter();
+        let silent = workers.filter(|(_, worker)| {
+            !worker.is_responding && self.has_lease_ended(worker.lease_end())
+        });
+        let silent: Vec<Worker> = silent.map(|(key, _)| key).collect();
+        for key in silent {
+            let lapsed = self.lapsed_runs(key);
+            let Some(worker) = self.workers.get(key) else {
+                continue;
+            };
+            let has_others = lapsed.len() < worker.attempts.len();
+            if !has_others && !self.stays_after_lease(worker) {
+                self.is_dirty = true;
+                self.remove_worker(key, time.now, "gone", out);
+            } else if !lapsed.is_empty() {
+                out.push(event(key, worker, LEASE_ENDED));
+                self.release_runs(key, &lapsed, LEASE_ENDED, time.now, out);
             }
         }
     }
 
+    /// Returns the runs on a silent worker whose leases have ended for certain.
+    fn lapsed_runs(&self, key: Worker) -> Vec<(Task, Run)> {
+        let Some(worker) = self.workers.get(key) else {
+            return Vec::new();
+        };
+        let max_lease = self.rules.max_lease;
+        let lapsed = worker
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| self.has_lease_ended(worker.lease_end_of(attempt, max_lease)));
+        lapsed.map(|(&id, _)| id).collect()
+    }
+
     /// Whether a silent worker whose lease has ended is still expected to respond as the incarnation that is known.
     fn stays_after_lease(&self, worker: &worker::Worker) -> bool {
         let is_contradicted = self.unverified.contains_key(&worker.entry.name);
--- a/tests/testsuite/scheduler/ledger.rs
+++ b/tests/testsuite/scheduler/ledger.rs
@@ -199,8 +199,9 @@
 
 #[test]
 fn run_on_a_silent_worker_counts_until_its_lease_has_ended() {
-    let (mut cell, _) = cell_at_cap();
+    let (mut cell, starts) = cell_at_cap();
     let worker = cell.scheduler.worker_named("w1").unwrap();
+    cell.poll(worker, starts.iter().map(running).collect(), Vec::new());
     cell.input(Input::PollFailed {
         worker,
         outcome: Outcome::Unknown,
--- a/tests/testsuite/scheduler/run.rs
+++ b/tests/testsuite/scheduler/run.rs
@@ -149,7 +149,8 @@
     let one = cell.add_worker("w1");
     cell.submit(7, queue(), spec(vec![step(1)]));
     cell.confirm();
-    cell.accept_starts();
+    let (_, start) = cell.accept_starts().remove(0);
+    cell.poll(one, vec![running(&start)], Vec::new());
     let two = cell.add_worker("w2");
     cell.input(Input::PollFailed {
         worker: one,
