Count the lease of the next incarnation from the arrival of a command

Callers saw a task run twice at the same time, as before, where requests are under way for some time.

Cause: the next incarnation grants the longest lease from the arrival of a command, and the owner counted it from the decision on the command. A start that was under way when the restart became known was counted from then on.

Change: a command counts as under way for up to 1 s, also over a restart that has become known.

--- a/src/core/scheduler/worker.rs
+++ b/src/core/scheduler/worker.rs
@@ -22,6 +22,8 @@
 const CLOCK_DRIFT: f64 = 0.02;
 /// The least remaining run time that is expected of a run whose end has not been reported.
 const MIN_REMAINING: Duration = Duration::from_millis(100);
+/// How long a command may be under way, from the decision on it until it arrives.
+const COMMAND_TRANSIT: Duration = Duration::from_secs(1);
 /// Added to the computed end of a lease, for the time that the worker takes to kill its runs.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -267,7 +269,7 @@
     confirmed_acknowledgement: u64,
     /// The latest lease end that was sent to the worker, on its clock in milliseconds.
     deadline_ms: u64,
-    /// When a lease end was last sent to the worker.
+    /// When a lease end was last sent to the worker, or to its former incarnation.
     extended_at: Option<Instant>,
     reading: Option<Reading>,
     /// When a lease from an earlier owner has ended for certain.
@@ -321,6 +323,11 @@
         self.expected_until = self.expected_until.max(end);
     }
 
+    /// Records that commands to the former incarnation may still arrive.
+    pub fn expect_commands_to(&mut self, former: &Worker) {
+        self.extended_at = former.extended_at;
+    }
+
     /// Records that a lease from an earlier owner has ended by `until`.
     pub fn limit_inherited_lease(&mut self, until: Instant) {
         self.inherited_until = self.inherited_until.min(until);
@@ -448,7 +455,9 @@
     pub fn lease_end_of(&self, attempt: &Attempt, max_lease: Duration) -> Instant {
         let end = self.lease_end();
         match self.extended_at {
-            Some(at) if !attempt.is_reported => end.max(at + longest_lease(max_lease)),
+            Some(at) if !attempt.is_reported => {
+                end.max(at + COMMAND_TRANSIT + longest_lease(max_lease))
+            }
             _ => end,
         }
     }
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -111,11 +111,12 @@
                 run,
             });
         }
-        self.remove_worker(key, now, RESTARTED, out);
+        let former = self.remove_worker(key, now, RESTARTED, out);
         let next = self.add_worker(entry, now, out);
-        if let Some(worker) = self.workers.get_mut(next) {
+        if let (Some(former), Some(worker)) = (former, self.workers.get_mut(next)) {
             // A poll of the former incarnation may have reached this one and extended its lease.
             worker.expect_lease(now, self.rules.max_lease);
+            worker.expect_commands_to(&former);
         }
         self.transfer(key, next, undecided, now);
         next
@@ -212,14 +213,14 @@
         now: Instant,
         reason: &'static str,
         out: &mut Vec<Output>,
-    ) {
+    ) -> Option<worker::Worker> {
         self.release_all(key, now, reason, out);
-        if let Some(worker) = self.workers.remove(key) {
-            self.by_name.remove(&worker.entry.name);
-            self.is_worker_list_recorded = false;
-            out.push(event(key, &worker, reason));
-            self.list_unverified(&worker.entry.name, now, out);
-        }
+        let worker = self.workers.remove(key)?;
+        self.by_name.remove(&worker.entry.name);
+        self.is_worker_list_recorded = false;
+        out.push(event(key, &worker, reason));
+        self.list_unverified(&worker.entry.name, now, out);
+        Some(worker)
     }
 
     /// Removes all runs of a worker and returns their tasks to the waiting state.
