--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -60,6 +60,14 @@
         listing_ms: u64,
         renames: bool,
     },
+    /// Lets a worker restart whose responses are lost from then on, and submits a job that it may get a task of.
+    RestartUnheard {
+        worker: usize,
+        down_ms: u64,
+        lost_ms: u64,
+        tasks: u16,
+        span_ms: u64,
+    },
     ListStale(usize),
     /// Lets another writer replace the entry of a worker.
     ListForeign(usize, Foreign),
@@ -88,6 +96,8 @@
     Accounts,
     /// All faults, while another writer replaces entries of the directory.
     Foreign,
+    /// All faults, while workers restart and their responses are lost.
+    Restarts,
 }
 
 /// The occurrences of a job.
@@ -237,6 +247,7 @@
     match mix {
         Mix::Accounts => prop_oneof![7 => common_event(mix), 1 => caps].boxed(),
         Mix::Foreign => prop_oneof![4 => common_event(mix), 1 => foreign()].boxed(),
+        Mix::Restarts => prop_oneof![8 => common_event(mix), 1 => unheard_restart()].boxed(),
         _ => common_event(mix).boxed(),
     }
 }
@@ -247,6 +258,19 @@
         .prop_map(|(worker, later, place)| Event::ListForeign(worker, Foreign { later, place }))
 }
 
+fn unheard_restart() -> impl Strategy<Value = Event> {
+    let spans = (0u64..400, 6_000u64..10_000, 5_000u64..14_000);
+    (0..WORKERS, spans, 1u16..4).prop_map(|(worker, (down_ms, lost_ms, span_ms), tasks)| {
+        Event::RestartUnheard {
+            worker,
+            down_ms,
+            lost_ms,
+            tasks,
+            span_ms,
+        }
+    })
+}
+
 fn apply(world: &mut World, event: &Event, jobs: &mut u64) {
     let millis = Duration::from_millis;
     match event {
@@ -269,16 +293,7 @@
             };
             world.submit(*jobs, spec, millis(*span_ms), *fails);
         }
-        Event::SubmitLong { tasks, span_ms } => {
-            *jobs += 1;
-            let shape = Shape {
-                tasks: *tasks,
-                cores: 1,
-                gang: false,
-                checkpoints: false,
-            };
-            submit_shape(world, *jobs, shape, millis(*span_ms));
-        }
+        Event::SubmitLong { tasks, span_ms } => submit_long(world, jobs, *tasks, millis(*span_ms)),
         Event::Cancel(count) => {
             let latest = jobs.saturating_sub(*count) + 1..=*jobs;
             latest.for_each(|job| world.cancel(job));
@@ -300,6 +315,18 @@
             listing_ms,
             renames,
         } => world.restart_late(*worker, millis(*down_ms), millis(*listing_ms), *renames),
+        Event::RestartUnheard {
+            worker,
+            down_ms,
+            lost_ms,
+            tasks,
+            span_ms,
+        } => {
+            world.lose_responses(*worker, millis(*lost_ms));
+            world.restart(*worker, millis(*down_ms));
+            world.run(millis(*down_ms));
+            submit_long(world, jobs, *tasks, millis(*span_ms));
+        }
         Event::ListStale(worker) => world.list_stale(*worker),
         Event::ListForeign(worker, foreign) => world.list_foreign(*worker, *foreign),
         Event::Unlist(worker, ms) => world.unlist(*worker, millis(*ms)),
@@ -397,11 +424,29 @@
     fuzz(Mix::Foreign);
 }
 
+/// A start that a restarted worker had carried out was repeated before the lease of that incarnation had ended.
+#[test]
+fn random_restarts_of_workers_that_are_not_heard_double_no_task() {
+    fuzz(Mix::Restarts);
+}
+
 #[test]
 fn random_faults_keep_the_caps_of_accounts() {
     fuzz(Mix::Accounts);
 }
 
+/// Submits the next job, of few small tasks.
+fn submit_long(world: &mut World, jobs: &mut u64, tasks: u16, span: Duration) {
+    *jobs += 1;
+    let shape = Shape {
+        tasks,
+        cores: 1,
+        gang: false,
+        checkpoints: false,
+    };
+    submit_shape(world, *jobs, shape, span);
+}
+
 /// Submits a job of one task.
 fn submit_task(world: &mut World, job: u64, span: Duration) {
     let shape = Shape {
