Drop an unverified entry together with the worker that it contradicts

Cause: a worker that has moved and has no runs counts as only listed, so that its next entry replaces it. Removing it lists an entry that was still to be verified, and the next entry was added as well: two workers under one name, of which no entry updates the first.

Change: the unverified entry goes first. second_foreign_entry_under_the_name_of_an_idle_worker_adds_no_worker found two workers before.

--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -66,6 +66,7 @@
             self.unverified.remove(&entry.name);
             self.update_entry(key, entry, out);
         } else if worker.is_only_listed() {
+            self.unverified.remove(&entry.name);
             self.remove_worker(key, now, LISTED_OTHERWISE, out);
             self.add_worker(entry, now, out);
         } else {
--- a/tests/testsuite/scheduler/directory.rs
+++ b/tests/testsuite/scheduler/directory.rs
@@ -323,3 +323,22 @@
     let is_listed = |name: &[u8]| addresses.windows(name.len()).any(|text| text == name);
     assert!(is_listed(b"w1") && is_listed(b"w2"));
 }
+
+/// Two foreign entries in a row left a worker behind that no entry updates, beside the one that the name belongs to.
+#[test]
+fn second_foreign_entry_under_the_name_of_an_idle_worker_adds_no_worker() {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.input(Input::Listed(moved("w1")));
+    cell.finish_verifications(&Outcome::Done(None));
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.remove(0);
+    cell.input(Input::Listed(later("w1")));
+    cell.finish_start(worker, &start, Outcome::Refused(Refusal::Unhealthy));
+    cell.input(Input::Listed(Entry {
+        address: "127.0.0.1:11".parse().unwrap(),
+        ..later("w1")
+    }));
+    assert_eq!(cell.scheduler.workers().count(), 1);
+}
