--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -9,18 +9,23 @@
 use super::cell::{Cell, cell_with_a_run, queue, running, spec, step};
 use super::recovery::full_report;
 
-/// Returns an owner with a start on `w1` that is not answered, and an idle worker `w2`.
-fn owner_with_unanswered_start() -> (Cell, Worker, Start) {
+/// Returns an owner with a start on `w1` that has this outcome and is not reported, and an idle worker `w2`.
+fn owner_with_start(outcome: Outcome) -> (Cell, Worker, Start) {
     let mut cell = Cell::new(1);
     let worker = cell.add_worker("w1");
     cell.submit(7, queue(), spec(vec![step(1)]));
     cell.confirm();
     let (_, start) = cell.starts.remove(0);
-    cell.finish_start(worker, &start, Outcome::Unknown);
+    cell.finish_start(worker, &start, outcome);
     cell.add_worker("w2");
     (cell, worker, start)
 }
 
+/// The same with a start that is not answered.
+fn owner_with_unanswered_start() -> (Cell, Worker, Start) {
+    owner_with_start(Outcome::Unknown)
+}
+
 fn fail_poll(cell: &mut Cell, worker: Worker, outcome: Outcome) {
     cell.input(Input::PollFailed { worker, outcome });
     cell.tick();
@@ -139,15 +144,9 @@
     assert!(cell.is_superseded && cell.starts.is_empty());
 }
 
-/// Returns an owner with a start on `w1`, which has not reported it and is silent, and a free worker `w2`.
+/// The same with a worker that is silent after the start.
 fn owner_with_unreported_start(outcome: Outcome) -> (Cell, Worker) {
-    let mut cell = Cell::new(1);
-    let worker = cell.add_worker("w1");
-    cell.submit(7, queue(), spec(vec![step(1)]));
-    cell.confirm();
-    let (_, start) = cell.starts.remove(0);
-    cell.finish_start(worker, &start, outcome);
-    cell.add_worker("w2");
+    let (mut cell, worker, _) = owner_with_start(outcome);
     fail_poll(&mut cell, worker, Outcome::Unknown);
     (cell, worker)
 }
