Show that a start of an isolated owner can be repeated beside it, as known red

Known by reading before: an owner that is cut off from the log and from its successors starts a task up to 5 s later on a worker that has restarted under its name. That run holds the longest lease, and the next owner, which cannot reach the worker, allows for the lease on the known clock only.

--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -4,9 +4,9 @@
 
 use laburnumplank::core::scheduler::Input;
 use laburnumplank::core::scheduler::id::Worker;
-use laburnumplank::core::scheduler::message::{Outcome, Refusal, Start};
+use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 
-use super::cell::{Cell, cell_with_a_run, queue, running, spec, step};
+use super::cell::{Cell, cell_with_a_run, ended, queue, running, spec, step};
 use super::recovery::full_report;
 
 /// Returns an owner with a start on `w1` that has this outcome and is not reported, and an idle worker `w2`.
@@ -217,3 +217,27 @@
     cell.wait(Duration::from_millis(400));
     assert_eq!(cell.starts.len(), 1);
 }
+
+/// An owner without the log starts the task again at the end of its claim, on a worker that its successor cannot reach.
+#[test]
+fn successor_waits_for_the_next_incarnation_with_a_start_of_an_isolated_owner() {
+    let mut first = Cell::new(1);
+    let worker = first.add_worker("w1");
+    first.submit(7, queue(), spec(vec![step(1)]));
+    first.confirm();
+    let (_, start) = first.accept_starts().remove(0);
+    let mut second = first.successor(9);
+    second.add_worker("w2");
+    first.is_claim_confirmed = false;
+    for _ in 0..9 {
+        first.wait(Duration::from_millis(500));
+        first.poll(worker, vec![running(&start)], Vec::new());
+    }
+    let end = ended(1, &start, RunEnd::Failed);
+    first.poll(worker, Vec::new(), vec![end]);
+    assert_eq!(first.starts.len(), 1);
+    let arrives_by = first.now + Duration::from_secs(1);
+    let ends_by = arrives_by + Duration::from_millis(6_100);
+    second.wait(ends_by.since(second.now));
+    assert!(second.starts.is_empty(), "the run may go on for 6 s");
+}
