--- a/src/core/error.rs
+++ b/src/core/error.rs
@@ -50,6 +50,8 @@
     Unauthenticated,
     /// The service, job, VM or version does not exist.
     NotFound,
+    /// The job was never accepted, or its status is no longer kept, according to the owner of the cell.
+    Gone,
     /// A non-idempotent call has no key, or its key is not a UUID version 7.
     KeyRequired,
     /// The key's creation time is outside the accepted window.
@@ -149,11 +151,12 @@
     }
 
     /// All kinds, in the order of the table.
-    pub const ALL: [Kind; 21] = [
+    pub const ALL: [Kind; 22] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::Unauthenticated,
         Kind::NotFound,
+        Kind::Gone,
         Kind::KeyRequired,
         Kind::KeyExpired,
         Kind::KeyReused,
@@ -213,6 +216,14 @@
                 NEVER,
                 "no such thing",
             ),
+            Kind::Gone => (
+                "gone",
+                C::NotFound,
+                false,
+                NotRun,
+                NEVER,
+                "the job is not known",
+            ),
             Kind::KeyRequired => (
                 "key_required",
                 C::InvalidArgument,
