Stop delayed starts on the next incarnation of their worker

What callers saw: a start to one worker was delayed on its way by 7 s and had no response. The owner stopped the run there, the worker confirmed that, and the task was started on another worker.

Cause: a stop, and the end of a lease, make a start void on one incarnation. A command names its worker only, so that the next incarnation carries it out: it has seen no stop, and its clock has begun anew. The owner forgot the start with the release of its run.

Ruled out: a restart that is known too late (a poll showed it 10 ms after the worker was up, 2 s before the start), repeated starts (one command has the run's number), the next owner (its first command carries a higher token).

Change: a start without a response whose run is released is kept by its worker's name for 20 s, and each further incarnation gets a stop for it as soon as it is known: by a poll at the known address, or by the directory. A stop without a confirmation is repeated. Why this works: a run that was stopped before it arrives is rejected. A start that arrives before the first stop there still runs until a report lists it.

Weighed: a token that rises with each silence of a worker needs no list, but its refusals would have to be told from those of a successor, and an owner of an earlier release could not take over.

--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -398,6 +398,18 @@
         /// The run.
         run: Run,
     },
+    /// Write a log line: a start whose run was released may still be under way, and is stopped on another
+    /// incarnation of its worker.
+    Voided {
+        /// The worker's name.
+        worker: String,
+        /// The task.
+        task: Task,
+        /// The run.
+        run: Run,
+        /// The time since the start was decided on.
+        age: Duration,
+    },
     /// Write a log line: whether runs of earlier owners may be on a worker unknown to this one has
     /// changed.
     Inherited {
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -14,6 +14,7 @@
 pub mod advice;
 mod advisor_calls;
 mod candidates;
+mod delayed;
 pub mod explain;
 mod fleet;
 pub mod id;
@@ -186,6 +187,8 @@
     unnamed: HashMap<String, worker::Entry>,
     /// The entries in the directory that contradict what is known of a worker, by its name.
     unverified: HashMap<String, verify::UnverifiedEntry>,
+    /// Starts that may still arrive at a next incarnation of their worker.
+    delayed: delayed::Starts,
     /// What client accounts use, and their caps.
     ledger: ledger::Ledger,
     /// What the order of client accounts is based on.
@@ -258,6 +261,7 @@
             services: HashSet::new(),
             unnamed: HashMap::new(),
             unverified: HashMap::new(),
+            delayed: delayed::Starts::default(),
             ledger: ledger::Ledger::default(),
             share: share::Share::default(),
             advisor_proxies: advice::AdvisorProxies::default(),
@@ -368,6 +372,7 @@
         if time.now.since(self.checked_at) >= PLACE_PAUSE {
             self.checked_at = time.now;
             self.release_lapsed(time, out);
+            self.repeat_stops_of_delayed_starts(time.now, out);
             self.expire_calls(time.now);
             self.drop_expired_jobs(time.now, out);
             self.report_inheritance(time.now, out);
--- a/src/core/scheduler/runs.rs
+++ b/src/core/scheduler/runs.rs
@@ -312,7 +312,7 @@
     }
 
     /// Frees the capacity of a run that cannot be on its worker for `reason`, and returns its task to
-    /// the waiting state.
+    /// the waiting state. Its start command may still be under way.
     pub(super) fn release(
         &mut self,
         key: Worker,
@@ -321,6 +321,20 @@
         reason: &'static str,
         now: Instant,
         out: &mut Vec<Output>,
+    ) {
+        self.keep_delayed_start(key, task, run);
+        self.release_settled(key, task, run, reason, now, out);
+    }
+
+    /// The same for a run whose start command has been rejected or has arrived.
+    fn release_settled(
+        &mut self,
+        key: Worker,
+        task: Task,
+        run: Run,
+        reason: &'static str,
+        now: Instant,
+        out: &mut Vec<Output>,
     ) {
         if let Some(attempt) = self.remove_run(key, task, run)
             && let Some(worker) = self.workers.get(key)
@@ -395,7 +409,7 @@
             let attempt = worker.attempts.get(&(task, run))?;
             Some(attempt.started)
         });
-        self.release(key, task, run, refusal.name(), time.now, out);
+        self.release_settled(key, task, run, refusal.name(), time.now, out);
         // The other refusals concern the command rather than the worker.
         let is_of_worker = matches!(refusal, Refusal::Unhealthy | Refusal::Room | Refusal::Late);
         if let (Some(sent), Some(worker)) = (sent, self.workers.get_mut(key))
@@ -555,6 +569,7 @@
         outcome: &Outcome,
         out: &mut Vec<Output>,
     ) {
+        self.delayed_start_stopped(now, key, task, run, outcome);
         match outcome {
             Outcome::Refused(Refusal::Fenced) => out.push(Output::Superseded),
             Outcome::Done(_) | Outcome::Refused(Refusal::OldRun) => {
--- a/src/core/scheduler/workers.rs
+++ b/src/core/scheduler/workers.rs
@@ -138,6 +138,7 @@
         out.push(event(key, &self.workers[key], "listed"));
         self.by_name.insert(name, key);
         self.is_worker_list_recorded = false;
+        self.stop_delayed_starts(key, now, out);
         key
     }
 
@@ -275,6 +276,7 @@
                 self.release(key, task, run, RESTART_REPORTED, now, out);
             }
         }
+        self.stop_delayed_starts(key, now, out);
     }
 
     fn is_proven(&self, key: Worker) -> bool {
--- a/src/entry/owner/mod.rs
+++ b/src/entry/owner/mod.rs
@@ -513,6 +513,16 @@
                     "run" => run.0, "worker" => worker, "from" => from, "to" => to,
                     "token" => self.token.0);
             }
+            Output::Voided {
+                worker,
+                task,
+                run,
+                age,
+            } => {
+                info!(self.log, "delayed start stopped on another incarnation"; "task" => %task,
+                    "run" => run.0, "worker" => worker, "age_ms" => age.as_millis() as u64,
+                    "token" => self.token.0);
+            }
             Output::Inherited {
                 worker,
                 incarnation,
--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -268,6 +268,7 @@
                 }
                 Output::Verify { entry, .. } => self.verifications.push(entry),
                 Output::Adopted { .. }
+                | Output::Voided { .. }
                 | Output::Contradiction { .. }
                 | Output::UnnamedService { .. }
                 | Output::Lost { .. }
--- a/tests/testsuite/scheduler/mod.rs
+++ b/tests/testsuite/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod advisor;
 mod capacity;
 mod cell;
+mod delayed;
 pub(crate) use cell::rules;
 mod directory;
 mod explain;
