Refuse a submission with the id of a job of another queue

What callers saw: a client that handed a job in at one queue, under an id that a job of another queue had, got 200. Its job was never stored; GET at its path was answered with 410, and DELETE with 410, although the other job ran.

Cause: a repeat was recognised by the id alone, while GET and DELETE also compare the queue.

Change: a submission of a known id is a repeat only if it is for the queue of the job, by endpoint or present name; otherwise it gets 409 at once, as the id of another client account does. A path with an id always leads to the same endpoint, so that no repeat of a client is taken for a new job.

Evidence: submit_of_an_id_in_use_at_another_endpoint_is_refused failed before (Accepted twice); submit_again_after_rename_or_move_of_the_queue_is_the_same_job holds before and after.

--- a/src/core/scheduler/jobs.rs
+++ b/src/core/scheduler/jobs.rs
@@ -43,7 +43,9 @@
         out: &mut Vec<Output>,
     ) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            if !job.is_visible_to(account.as_ref()) {
+            let named = Locator::new(endpoint.as_ref(), &queue.name);
+            let is_same = self.queues.is_same(job.locator(), named);
+            if !is_same || !job.is_visible_to(account.as_ref()) {
                 out.push(id_in_use(request));
             } else if job.is_durable {
                 out.push(answer(request, Answer::Accepted));
@@ -550,7 +552,7 @@
     }
 }
 
-/// Refuses a request that names the job of another client account.
+/// Refuses a submission with the id of a job of another queue or client account.
 fn id_in_use(request: Request) -> Output {
     let error = Error::new(Kind::Conflict, "the id is in use; choose another one");
     Output::Answer {
--- a/tests/testsuite/scheduler/queue.rs
+++ b/tests/testsuite/scheduler/queue.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use laburnumplank::core::account;
+use laburnumplank::core::error::Kind;
 use laburnumplank::core::queue::{Endpoint, Locator, QueueBinding};
 use laburnumplank::core::scheduler::id::{Job, Request};
 use laburnumplank::core::scheduler::message::{Answer, Input};
@@ -239,6 +240,43 @@
     );
 }
 
+/// A job was accepted as the repeat of one at another endpoint, never ran, and was then not known to its client.
+#[test]
+fn submit_of_an_id_in_use_at_another_endpoint_is_refused() {
+    let mut cell = Cell::new(1);
+    let queues = [("/filings/", "filings", 2), ("/sweeps/", "sweeps", 2)];
+    configure(&mut cell, &queues);
+    submit(&mut cell, 7, "/filings/", "filings");
+    submit(&mut cell, 7, "/sweeps/", "sweeps");
+    let answers = cell.answers.iter().map(|(_, answer)| answer.as_ref());
+    let answers: Vec<_> = answers
+        .map(|answer| answer.map_err(|error| error.kind))
+        .collect();
+    assert_eq!(answers, [Ok(&Answer::Accepted), Err(Kind::Conflict)]);
+}
+
+/// A repeat may arrive after the queue was renamed, or was moved under its name.
+#[test]
+fn submit_again_after_rename_or_move_of_the_queue_is_the_same_job() {
+    for (prefix, name) in [("/filings/", "licences"), ("/sweeps/", "filings")] {
+        let mut cell = Cell::new(1);
+        configure(&mut cell, &[("/filings/", "filings", 2)]);
+        submit(&mut cell, 7, "/filings/", "filings");
+        configure(&mut cell, &[(prefix, name, 2)]);
+        submit(&mut cell, 7, prefix, name);
+        let answers: Vec<_> = cell
+            .answers
+            .iter()
+            .map(|(_, answer)| answer.clone())
+            .collect();
+        assert_eq!(
+            answers,
+            [Ok(Answer::Accepted), Ok(Answer::Accepted)],
+            "{prefix} {name}"
+        );
+    }
+}
+
 #[test]
 fn cancel_after_rename_by_another_account_is_refused() {
     let mut cell = Cell::new(1);
