Delay starts past restarts of their workers in the fuzz test of the scheduler

A start may now outlast its worker and reach the next incarnation, once an owner has reached that one for 2.5 s without disturbance: no owner can keep a start from running that arrives before its own first commands.

--- a/tests/testsuite/scheduler/fuzz.rs
+++ b/tests/testsuite/scheduler/fuzz.rs
@@ -19,6 +19,8 @@
 const WORKERS: usize = 3;
 /// The number of cases unless `PROPTEST_CASES` says otherwise.
 const CASES: u32 = 256;
+/// How long starts are sent that arrive after a restart.
+const DELAYED_STARTS: Duration = Duration::from_millis(200);
 /// How long jobs may take to end once the last fault is over.
 const FINISH_LIMIT: Duration = Duration::from_secs(60);
 
@@ -68,6 +70,14 @@
         tasks: u16,
         span_ms: u64,
     },
+    /// Lets a worker restart while starts of long tasks to it are delayed for longer than that.
+    DelayStarts {
+        worker: usize,
+        up_ms: u64,
+        down_ms: u64,
+        tasks: u16,
+        span_ms: u64,
+    },
     ListStale(usize),
     /// Lets another writer replace the entry of a worker.
     ListForeign(usize, Foreign),
@@ -98,6 +108,8 @@
     Foreign,
     /// All faults, while workers restart and their responses are lost.
     Restarts,
+    /// All faults, while workers restart before starts arrive that were sent to them.
+    Delays,
 }
 
 /// The occurrences of a job.
@@ -248,6 +260,7 @@
         Mix::Accounts => prop_oneof![7 => common_event(mix), 1 => caps].boxed(),
         Mix::Foreign => prop_oneof![4 => common_event(mix), 1 => foreign()].boxed(),
         Mix::Restarts => prop_oneof![8 => common_event(mix), 1 => unheard_restart()].boxed(),
+        Mix::Delays => prop_oneof![8 => common_event(mix), 1 => delayed_starts()].boxed(),
         _ => common_event(mix).boxed(),
     }
 }
@@ -271,6 +284,19 @@
     })
 }
 
+fn delayed_starts() -> impl Strategy<Value = Event> {
+    let spans = (2_500u64..4_500, 0u64..1_000, 8_000u64..16_000);
+    (0..WORKERS, spans, 3u16..9).prop_map(|(worker, (up_ms, down_ms, span_ms), tasks)| {
+        Event::DelayStarts {
+            worker,
+            up_ms,
+            down_ms,
+            tasks,
+            span_ms,
+        }
+    })
+}
+
 fn apply(world: &mut World, event: &Event, jobs: &mut u64) {
     let millis = Duration::from_millis;
     match event {
@@ -327,6 +353,18 @@
             world.run(millis(*down_ms));
             submit_long(world, jobs, *tasks, millis(*span_ms));
         }
+        Event::DelayStarts {
+            worker,
+            up_ms,
+            down_ms,
+            tasks,
+            span_ms,
+        } => {
+            world.delay_starts(*worker, DELAYED_STARTS);
+            submit_long(world, jobs, *tasks, millis(*span_ms));
+            world.run(millis(*up_ms));
+            world.restart(*worker, millis(*down_ms));
+        }
         Event::ListStale(worker) => world.list_stale(*worker),
         Event::ListForeign(worker, foreign) => world.list_foreign(*worker, *foreign),
         Event::Unlist(worker, ms) => world.unlist(*worker, millis(*ms)),
@@ -430,6 +468,12 @@
     fuzz(Mix::Restarts);
 }
 
+/// A start that had been made void before a restart of its worker ran beside the later run.
+#[test]
+fn random_delays_of_starts_past_restarts_double_no_task() {
+    fuzz(Mix::Delays);
+}
+
 #[test]
 fn random_faults_keep_the_caps_of_accounts() {
     fuzz(Mix::Accounts);
--- a/tests/testsuite/scheduler/world.rs
+++ b/tests/testsuite/scheduler/world.rs
@@ -30,6 +30,8 @@
 pub(super) const TRANSIT: Duration = Duration::from_millis(5);
 /// The longest time that a command is carried out late.
 const MAX_LATENESS: Duration = Duration::from_millis(12_000);
+/// The shortest time that a start is under way which is to outlast a restart.
+const MIN_START_LATENESS: Duration = Duration::from_millis(6_000);
 /// How long an owner tries to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long an owner waits for the response to a command.
@@ -46,6 +48,8 @@
 const ENTRY_LIFE: Duration = Duration::from_millis(2_000);
 /// How long the directory shows the entry of a dead incarnation once more.
 const STALE_ENTRY_LIFE: Duration = Duration::from_millis(700);
+/// How long an owner that reaches an incarnation without disturbance takes at most to stop delayed starts there.
+const STOPS_CONFIRMED: Duration = Duration::from_millis(2_500);
 /// The speed of the workers' clocks.
 const CLOCK_RATE: f64 = 0.985;
 /// How long a worker that a task has crashed is away.
@@ -118,12 +122,16 @@
     pub(super) responses_lost_until: Instant,
     /// Commands are carried out late, without a response, until then.
     pub(super) late_until: Instant,
+    /// Starts are carried out after 6 s or more, without a response, until then.
+    late_starts_until: Instant,
     /// Polls too.
     pub(super) late_polls_until: Instant,
     /// Reports say that some runs are missing in them until then.
     pub(super) incomplete_until: Instant,
     /// Counts up with each command, for the lengths of delays and stops.
     commands: u64,
+    /// The highest token of an owner to which this incarnation has responded, and when it first did.
+    reached: Option<(u64, Instant)>,
 }
 
 impl Host {
@@ -143,8 +151,10 @@
             responses_lost_until: now,
             late_until: now,
             late_polls_until: now,
+            late_starts_until: now,
             incomplete_until: now,
             commands: 0,
+            reached: None,
         }
     }
 
@@ -156,6 +166,15 @@
         }
     }
 
+    /// Until when the path to it or its commands are disturbed.
+    fn disturbed_until(&self) -> Instant {
+        self.requests_held_until
+            .max(self.responses_lost_until)
+            .max(self.late_until)
+            .max(self.late_starts_until)
+            .max(self.late_polls_until)
+    }
+
     /// Whether an owner should place tasks on it.
     pub(super) fn is_open(&self) -> bool {
         self.is_up && self.is_listed && !self.is_draining
@@ -762,6 +781,7 @@
             self.hosts[host].first_at_address = incarnation + 1;
         }
         self.hosts[host].model = model;
+        self.hosts[host].reached = None;
         self.remember(&format!("w{host} crashes"));
     }
 
@@ -783,6 +803,13 @@
         self.disturb(self.now + span);
     }
 
+    /// Lets starts be carried out 6 s to 12 s late, also by the next incarnation.
+    pub(super) fn delay_starts(&mut self, host: usize, span: Duration) {
+        let host = host % self.hosts.len();
+        self.hosts[host].late_starts_until = self.now + span;
+        self.disturb(self.now + span + MAX_LATENESS);
+    }
+
     /// Lets commands and polls be carried out 2 s to 12 s late.
     pub(super) fn delay_polls(&mut self, host: usize, span: Duration) {
         self.delay_commands(host, span);
@@ -1155,8 +1182,13 @@
         path.commands += 1;
         let is_very_late = now < path.late_polls_until;
         let may_be_late = is_very_late || (is_order && now < path.late_until);
-        let is_late = may_be_late && path.commands.is_multiple_of(2);
-        let delay = if is_late && is_very_late {
+        let outlasts_restart = matches!(command, Command::Start(_)) && now < path.late_starts_until;
+        let is_late = outlasts_restart || (may_be_late && path.commands.is_multiple_of(2));
+        let delay = if outlasts_restart {
+            let spread = MAX_LATENESS - MIN_START_LATENESS;
+            let spread_ms = spread.as_millis() as u64;
+            MIN_START_LATENESS + Duration::from_millis(path.commands * 977 % spread_ms)
+        } else if is_late && is_very_late {
             let spread = MAX_LATENESS - Duration::from_millis(2_000);
             let spread_ms = spread.as_millis() as u64;
             Duration::from_millis(2_000 + path.commands * 977 % spread_ms)
@@ -1192,9 +1224,14 @@
                 command,
                 late_at,
             } => {
-                let is_lost = late_at.is_some_and(|at| at != self.hosts[host].model.incarnation());
-                let is_lost = is_lost || incarnation < self.hosts[host].first_at_address;
-                if is_lost || !self.is_received(host, sent) {
+                let outlasts_restart =
+                    late_at.is_some_and(|at| at != self.hosts[host].model.incarnation());
+                let is_received = if outlasts_restart {
+                    matches!(command, Command::Start(_)) && self.is_settled(host, token)
+                } else {
+                    self.is_received(host, sent)
+                };
+                if !is_received || incarnation < self.hosts[host].first_at_address {
                     return;
                 }
                 if name != self.hosts[host].name(host) {
@@ -1419,6 +1456,23 @@
         host.is_up && host.began.since(sent) <= CONNECT_TIMEOUT
     }
 
+    /// Whether the network may deliver a start of the owner with `token` that has outlasted the incarnation it was sent
+    /// to. No owner can keep a start from running that arrives before its own first commands.
+    fn is_settled(&mut self, host: usize, token: u64) -> bool {
+        let Some((reached_by, at)) = self.hosts[host].reached else {
+            return false;
+        };
+        let path_until = self.hosts[host].disturbed_until();
+        let is_up = self.hosts[host].is_up;
+        let Some(owner) = self.owner(reached_by) else {
+            return false;
+        };
+        let cut = owner.cuts.get(&host);
+        let cut_until = cut.map_or(at, |cut| cut.requests_until.max(cut.responses_until));
+        let settled_at = at.max(path_until).max(cut_until) + STOPS_CONFIRMED;
+        is_up && token <= reached_by && owner.frozen_until.is_none() && settled_at <= self.now
+    }
+
     fn respond(
         &mut self,
         host: usize,
@@ -1521,6 +1575,22 @@
         }
     }
 
+    /// Records that an owner has the response of a worker.
+    fn note_reached(&mut self, token: u64, key: Worker) {
+        let now = self.now;
+        let worker = self
+            .owner(token)
+            .and_then(|owner| owner.scheduler.worker(key));
+        let Some(entry) = worker.map(|worker| worker.entry.clone()) else {
+            return;
+        };
+        let host = &mut self.hosts[host_of(&entry.name)];
+        let is_first = host.reached.is_none_or(|(highest, _)| highest < token);
+        if is_first && entry.incarnation == host.model.incarnation() {
+            host.reached = Some((token, now));
+        }
+    }
+
     fn returned(
         &mut self,
         token: u64,
@@ -1552,6 +1622,9 @@
         if !is_awaited {
             return;
         }
+        if matches!(response, Ok(Response::Inventory(_))) {
+            self.note_reached(token, key);
+        }
         let outcome = match &response {
             Ok(Response::Done(clock_ms)) => Outcome::Done(Some(*clock_ms)),
             Ok(Response::Inventory(_)) => Outcome::Done(None),
