--- a/tests/testsuite/scheduler/cell.rs
+++ b/tests/testsuite/scheduler/cell.rs
@@ -359,6 +359,12 @@
         self.tick();
     }
 
+    /// Delivers the outcome of a poll without a response, or with a refusal.
+    pub(super) fn fail_poll(&mut self, worker: Worker, outcome: Outcome) {
+        self.input(Input::PollFailed { worker, outcome });
+        self.tick();
+    }
+
     pub(super) fn submit(&mut self, job: u64, queue: Queue, spec: Arc<Spec>) {
         let at = self.time().stamp;
         self.input(Input::Submit {
@@ -421,6 +427,18 @@
     (cell, worker, start)
 }
 
+/// Returns an owner with a start on `w1` that has this outcome and is not reported, and an idle worker `w2`.
+pub(super) fn owner_with_start(outcome: Outcome) -> (Cell, Worker, Start) {
+    let mut cell = Cell::new(1);
+    let worker = cell.add_worker("w1");
+    cell.submit(7, queue(), spec(vec![step(1)]));
+    cell.confirm();
+    let (_, start) = cell.starts.remove(0);
+    cell.finish_start(worker, &start, outcome);
+    cell.add_worker("w2");
+    (cell, worker, start)
+}
+
 pub(super) fn ended(number: u64, start: &Start, end: RunEnd) -> EndedRun {
     EndedRun {
         number,
--- a/tests/testsuite/scheduler/delayed.rs
+++ b/tests/testsuite/scheduler/delayed.rs
@@ -6,19 +6,7 @@
 use laburnumplank::core::scheduler::id::{Run, Task, Worker};
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, Start};
 
-use super::cell::{Cell, entry, queue, running, spec, step};
-
-/// Returns an owner with a start on `w1` that has this outcome, and an idle worker `w2`.
-fn owner_with_start(outcome: Outcome) -> (Cell, Worker, Start) {
-    let mut cell = Cell::new(1);
-    let worker = cell.add_worker("w1");
-    cell.submit(7, queue(), spec(vec![step(1)]));
-    cell.confirm();
-    let (_, start) = cell.starts.remove(0);
-    cell.finish_start(worker, &start, outcome);
-    cell.add_worker("w2");
-    (cell, worker, start)
-}
+use super::cell::{Cell, entry, owner_with_start, running};
 
 /// The same with a start that is not answered, made void by a stop and repeated on `w2`.
 fn owner_with_voided_start() -> (Cell, Worker, Start) {
@@ -41,11 +29,6 @@
     });
 }
 
-fn fail_poll(cell: &mut Cell, worker: Worker, outcome: Outcome) {
-    cell.input(Input::PollFailed { worker, outcome });
-    cell.tick();
-}
-
 fn take_stops(cell: &mut Cell) -> Vec<(Worker, Task, Run)> {
     std::mem::take(&mut cell.stops)
 }
@@ -77,7 +60,7 @@
 fn start_voided_by_a_stop_is_stopped_at_the_address_where_the_next_incarnation_responds() {
     let (mut cell, worker, start) = owner_with_voided_start();
     let restarted = Outcome::Refused(Refusal::OtherIncarnation);
-    fail_poll(&mut cell, worker, restarted);
+    cell.fail_poll(worker, restarted);
     assert_eq!(take_stops(&mut cell), [(worker, start.task, start.run)]);
 }
 
@@ -99,7 +82,7 @@
 #[test]
 fn start_released_with_its_worker_is_stopped_on_the_next_incarnation() {
     let (mut cell, worker, start) = owner_with_start(Outcome::Unknown);
-    fail_poll(&mut cell, worker, Outcome::Unknown);
+    cell.fail_poll(worker, Outcome::Unknown);
     cell.input(Input::Unlisted("w1".to_owned()));
     cell.wait(Duration::from_millis(7_500));
     assert_eq!(cell.accept_starts().len(), 1);
--- a/tests/testsuite/scheduler/release.rs
+++ b/tests/testsuite/scheduler/release.rs
@@ -6,31 +6,14 @@
 use laburnumplank::core::scheduler::id::Worker;
 use laburnumplank::core::scheduler::message::{Outcome, Refusal, RunEnd, Start};
 
-use super::cell::{Cell, cell_with_a_run, ended, queue, running, spec, step};
+use super::cell::{Cell, cell_with_a_run, ended, owner_with_start, queue, running, spec, step};
 use super::recovery::full_report;
 
-/// Returns an owner with a start on `w1` that has this outcome and is not reported, and an idle worker `w2`.
-fn owner_with_start(outcome: Outcome) -> (Cell, Worker, Start) {
-    let mut cell = Cell::new(1);
-    let worker = cell.add_worker("w1");
-    cell.submit(7, queue(), spec(vec![step(1)]));
-    cell.confirm();
-    let (_, start) = cell.starts.remove(0);
-    cell.finish_start(worker, &start, outcome);
-    cell.add_worker("w2");
-    (cell, worker, start)
-}
-
 /// The same with a start that is not answered.
 fn owner_with_unanswered_start() -> (Cell, Worker, Start) {
     owner_with_start(Outcome::Unknown)
 }
 
-fn fail_poll(cell: &mut Cell, worker: Worker, outcome: Outcome) {
-    cell.input(Input::PollFailed { worker, outcome });
-    cell.tick();
-}
-
 /// The end of the run may be among those that the next response lists.
 #[test]
 fn run_that_a_full_list_of_ends_leaves_out_is_kept() {
@@ -91,11 +74,7 @@
     let mut cell = Cell::new(1);
     let worker = cell.add_worker("w1");
     cell.scheduler.poll(cell.now, worker);
-    fail_poll(
-        &mut cell,
-        worker,
-        Outcome::Refused(Refusal::OtherIncarnation),
-    );
+    cell.fail_poll(worker, Outcome::Refused(Refusal::OtherIncarnation));
     let next = cell.restart_worker("w1");
     cell.poll(next, Vec::new(), Vec::new());
     cell.submit(7, queue(), spec(vec![step(1)]));
@@ -103,7 +82,7 @@
     let (_, start) = cell.accept_starts().remove(0);
     cell.poll(next, vec![running(&start)], Vec::new());
     cell.add_worker("w2");
-    fail_poll(&mut cell, next, Outcome::Unknown);
+    cell.fail_poll(next, Outcome::Unknown);
     cell.wait(Duration::from_millis(6_100));
     assert!(cell.starts.is_empty(), "w1 may hold a lease of 6 s");
     cell.wait(Duration::from_millis(400));
@@ -123,7 +102,7 @@
     second.confirm();
     assert_eq!(second.accept_starts().len(), 1);
     second.add_worker("w2");
-    fail_poll(&mut second, worker, Outcome::Unknown);
+    second.fail_poll(worker, Outcome::Unknown);
     second.wait(Duration::from_millis(6_100));
     assert!(second.starts.is_empty(), "w1 may hold a lease of 6 s");
     second.wait(Duration::from_millis(8_000));
@@ -147,7 +126,7 @@
 /// The same with a worker that is silent after the start.
 fn owner_with_unreported_start(outcome: Outcome) -> (Cell, Worker) {
     let (mut cell, worker, _) = owner_with_start(outcome);
-    fail_poll(&mut cell, worker, Outcome::Unknown);
+    cell.fail_poll(worker, Outcome::Unknown);
     (cell, worker)
 }
 
@@ -198,7 +177,7 @@
 #[test]
 fn reported_run_is_started_again_once_the_lease_of_its_incarnation_has_ended() {
     let (mut cell, worker, _) = cell_with_a_run();
-    fail_poll(&mut cell, worker, Outcome::Unknown);
+    cell.fail_poll(worker, Outcome::Unknown);
     cell.wait(Duration::from_millis(4_900));
     assert_eq!(cell.starts.len(), 1);
 }
